--- /dev/null
+++ b/agent/main.go
@@ -0,0 +1,4 @@
+// Command agent is part of verbenaroad.
+package main
+
+func main() {}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,4 @@
+// Command entry is part of verbenaroad.
+package main
+
+func main() {}
--- /dev/null
+++ b/fakes/main.go
@@ -0,0 +1,4 @@
+// Command fakes is part of verbenaroad.
+package main
+
+func main() {}
--- /dev/null
+++ b/share/models/config/snapshot.go
@@ -0,0 +1,91 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+)
+
+// defaultClaimRetention covers a caller that asks again a day later.
+const defaultClaimRetention = 24 * time.Hour
+
+// Snapshot is one revision of the configuration, indexed for decisions; it never changes.
+type Snapshot struct {
+	// Revision is 0 only for the empty snapshot of a process that has none yet.
+	Revision uint64
+	// Set holds every document, sorted by name within its kind.
+	Set Set
+
+	teams     map[string]*Team
+	tokens    map[string]*Team
+	pipelines map[string]*Pipeline
+	services  map[string]*Service
+	pools     map[string]*Pool
+	operators map[string]*Operator
+}
+
+// NewSnapshot indexes a set; it keeps references into it.
+func NewSnapshot(revision uint64, set Set) *Snapshot {
+	s := &Snapshot{
+		Revision:  revision,
+		Set:       set,
+		teams:     make(map[string]*Team, len(set.Teams)),
+		tokens:    make(map[string]*Team, len(set.Teams)),
+		pipelines: make(map[string]*Pipeline, len(set.Pipelines)),
+		services:  make(map[string]*Service, len(set.Services)),
+		pools:     make(map[string]*Pool, len(set.Pools)),
+		operators: make(map[string]*Operator, len(set.Operators)),
+	}
+	for i := range set.Teams {
+		t := &set.Teams[i]
+		s.teams[t.Name] = t
+		for _, digest := range t.TokenSHA256 {
+			s.tokens[digest] = t
+		}
+	}
+	for i := range set.Pipelines {
+		s.pipelines[set.Pipelines[i].Name] = &set.Pipelines[i]
+	}
+	for i := range set.Services {
+		s.services[set.Services[i].Name] = &set.Services[i]
+	}
+	for i := range set.Pools {
+		s.pools[set.Pools[i].Name] = &set.Pools[i]
+	}
+	for i := range set.Operators {
+		s.operators[set.Operators[i].TokenSHA256] = &set.Operators[i]
+	}
+	return s
+}
+
+// DigestToken returns the form in which the configuration keeps a token.
+func DigestToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// GetTeamByName returns the team, or nil.
+func (s *Snapshot) GetTeamByName(name string) *Team { return s.teams[name] }
+
+// GetTeamByToken returns the team whose token this is, or nil.
+func (s *Snapshot) GetTeamByToken(token string) *Team { return s.tokens[DigestToken(token)] }
+
+// GetPipelineByName returns the pipeline, or nil.
+func (s *Snapshot) GetPipelineByName(name string) *Pipeline { return s.pipelines[name] }
+
+// GetServiceByName returns the service, or nil.
+func (s *Snapshot) GetServiceByName(name string) *Service { return s.services[name] }
+
+// GetPoolByName returns the pool, or nil.
+func (s *Snapshot) GetPoolByName(name string) *Pool { return s.pools[name] }
+
+// GetOperatorByToken returns the operator whose token this is, or nil.
+func (s *Snapshot) GetOperatorByToken(token string) *Operator { return s.operators[DigestToken(token)] }
+
+// GetLimits returns the deployment's limits, or their defaults.
+func (s *Snapshot) GetLimits() Limits {
+	if len(s.Set.Limits) > 0 {
+		return s.Set.Limits[0]
+	}
+	return Limits{Name: "deployment", ClaimRetention: Duration(defaultClaimRetention)}
+}
--- /dev/null
+++ b/share/modules/wire/frame.go
@@ -0,0 +1,53 @@
+// Package wire holds the messages between the system's own processes and
+// reads and writes them as length-delimited protobuf frames.
+package wire
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/encoding/protodelim"
+)
+
+// Version is the protocol version that Hello carries.
+const Version = 1
+
+// MaxFrameBytes bounds one frame; a larger one ends the stream.
+const MaxFrameBytes = 8 << 20
+
+// ErrFrame is the class of errors of reading and writing frames.
+var ErrFrame = errs.Class("frame") //nolint:gochecknoglobals // an error class is a constant in all but syntax
+
+// Reader reads frames from one stream.
+type Reader struct {
+	buffer  *bufio.Reader
+	options protodelim.UnmarshalOptions
+}
+
+// NewReader returns a Reader on r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{
+		buffer:  bufio.NewReader(r),
+		options: protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes},
+	}
+}
+
+// Next reads the next frame; io.EOF means that the peer closed the stream between frames.
+func (r *Reader) Next() (*Frame, error) {
+	frame := &Frame{}
+	err := r.options.UnmarshalFrom(r.buffer, frame)
+	if err == io.EOF { //nolint:errorlint // protodelim returns the bare value for a clean end only
+		return nil, io.EOF
+	}
+	if err != nil {
+		return nil, ErrFrame.Wrap(err)
+	}
+	return frame, nil
+}
+
+// WriteFrame writes one frame to w in a single Write.
+func WriteFrame(w io.Writer, frame *Frame) error {
+	_, err := protodelim.MarshalTo(w, frame)
+	return ErrFrame.Wrap(err)
+}
--- /dev/null
+++ b/vctl/main.go
@@ -0,0 +1,4 @@
+// Command vctl is part of verbenaroad.
+package main
+
+func main() {}
--- /dev/null
+++ b/vload/main.go
@@ -0,0 +1,4 @@
+// Command vload is part of verbenaroad.
+package main
+
+func main() {}
