--- /dev/null
+++ b/share/modules/link/beat.go
@@ -0,0 +1,95 @@
+package link
+
+import (
+	"time"
+
+	"verbenaroad.example/share/modules/wire"
+)
+
+// delayShift smooths the measured delay: a new sample counts one eighth.
+const delayShift = 3
+
+// loopBeat sends heartbeats and ends the session when the peer falls silent.
+func (s *Session) loopBeat() {
+	ticker := time.NewTicker(s.options.BeatEvery)
+	defer ticker.Stop()
+	sequence := uint64(0)
+	for {
+		if s.Silence() > s.options.SilentAfter {
+			s.end(ErrLink.New("silent for %v", s.Silence().Round(time.Millisecond)))
+			return
+		}
+		sequence++
+		if err := s.sendBeat(sequence); err != nil {
+			s.end(err)
+			return
+		}
+		select {
+		case <-s.closed:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Session) sendBeat(sequence uint64) error {
+	beat := s.options.Beat()
+	beat.Sequence = sequence
+	beat.Echo = s.peerSequence.Load()
+	if beat.Echo != 0 {
+		beat.EchoHoldNanos = int64(time.Since(s.started)) - s.heardAt.Load()
+	}
+	s.sentLock.Lock()
+	s.sentAt[sequence%uint64(len(s.sentAt))] = time.Now()
+	s.sentLock.Unlock()
+	return wire.WriteFrame(s.control, &wire.Frame{Body: &wire.Frame_Beat{Beat: beat}})
+}
+
+// loopRead takes the peer's heartbeats.
+func (s *Session) loopRead() {
+	for {
+		frame, err := s.reader.Next()
+		if err != nil {
+			s.end(ErrLink.Wrap(err))
+			return
+		}
+		beat := frame.GetBeat()
+		if beat == nil {
+			continue
+		}
+		s.takeBeat(beat)
+	}
+}
+
+func (s *Session) takeBeat(beat *wire.Beat) {
+	now := int64(time.Since(s.started))
+	s.lastHeard.Store(now)
+	s.heardAt.Store(now)
+	s.peerSequence.Store(beat.GetSequence())
+	s.measureDelay(beat)
+	if s.options.OnBeat != nil {
+		s.options.OnBeat(s, beat)
+	}
+}
+
+func (s *Session) measureDelay(beat *wire.Beat) {
+	if beat.GetEcho() == 0 {
+		return
+	}
+	s.sentLock.Lock()
+	sent := s.sentAt[beat.GetEcho()%uint64(len(s.sentAt))]
+	s.sentLock.Unlock()
+	if sent.IsZero() {
+		return
+	}
+	oneWay := (int64(time.Since(sent)) - beat.GetEchoHoldNanos()) / 2
+	if oneWay < 0 {
+		return
+	}
+	old := s.delay.Load()
+	if old == 0 {
+		s.delay.Store(oneWay)
+		return
+	}
+	s.delay.Store(old + (oneWay-old)>>delayShift)
+}
--- /dev/null
+++ b/share/modules/link/link_test.go
@@ -0,0 +1,131 @@
+package link_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/wire"
+)
+
+// peer accepts sessions and echoes one frame on each stream.
+type peer struct {
+	listener net.Listener
+	options  link.Options
+	sessions chan *link.Session
+}
+
+func newPeer(t *testing.T, options link.Options) *peer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{listener: listener, options: options, sessions: make(chan *link.Session, 4)}
+	t.Cleanup(func() { _ = listener.Close() })
+	go p.run()
+	return p
+}
+
+func (p *peer) address() netip.AddrPort {
+	return netip.MustParseAddrPort(p.listener.Addr().String())
+}
+
+func (p *peer) run() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		s, err := link.Accept(conn, p.options)
+		if err != nil {
+			continue
+		}
+		p.sessions <- s
+		go p.runEcho(s)
+	}
+}
+
+func (p *peer) runEcho(s *link.Session) {
+	for {
+		stream, err := s.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(stream, stream)
+		_ = stream.Close()
+	}
+}
+
+func newOptions(name string) link.Options {
+	return link.Options{
+		Hello:     &wire.Hello{Version: wire.Version, Name: name},
+		BeatEvery: 10 * time.Millisecond,
+		Beat:      func() *wire.Beat { return &wire.Beat{Revision: 7} },
+	}
+}
+
+func TestSessionCarriesHelloBeatsAndStreams(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, newOptions("agent-1"))
+	options := newOptions("entry-1")
+	beats := make(chan uint64, 100)
+	options.OnBeat = func(_ *link.Session, beat *wire.Beat) { beats <- beat.GetRevision() }
+	s, err := link.Dial(context.Background(), p.address(), options)
+	is.NoErr(err)
+	defer func() { _ = s.Close() }()
+	is.Equal(s.Peer().GetName(), "agent-1")
+	is.Equal((<-p.sessions).Peer().GetName(), "entry-1")
+	is.Equal(<-beats, uint64(7))
+
+	stream, err := s.Open()
+	is.NoErr(err)
+	is.NoErr(wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_Part{Part: &wire.Part{Data: []byte("spruce")}}}))
+	frame, err := wire.NewReader(stream).Next()
+	is.NoErr(err)
+	is.Equal(string(frame.GetPart().GetData()), "spruce")
+}
+
+func TestOtherVersionIsRefusedWithItsCode(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, newOptions("agent-1"))
+	options := newOptions("entry-1")
+	options.Hello.Version = wire.Version + 1
+	_, err := link.Dial(context.Background(), p.address(), options)
+	var result *codes.Result
+	is.True(errors.As(err, &result))
+	is.Equal(result.Code, codes.UnknownVersion)
+	is.Equal(result.Outcome, codes.OutcomeNotRun)
+}
+
+// An open connection goes silent for good: a firewall between the two ends has
+// lost track of it, so nothing arrives and no error shows. A user would see
+// every call through this session hang until its deadline. The heartbeats stop
+// first; the session must end by itself so that a fresh one can be tried.
+func TestSilentSessionEnds(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	mute := newOptions("agent-1")
+	mute.BeatEvery = time.Hour
+	p := &peer{listener: listener, options: mute, sessions: make(chan *link.Session, 1)}
+	go p.run()
+
+	options := newOptions("entry-1")
+	options.SilentAfter = 50 * time.Millisecond
+	down := make(chan error, 1)
+	options.OnDown = func(_ *link.Session, reason error) { down <- reason }
+	s, err := link.Dial(context.Background(), p.address(), options)
+	is.NoErr(err)
+	is.True(<-down != nil)
+	is.True(s.IsClosed())
+}
--- /dev/null
+++ b/share/modules/link/session.go
@@ -0,0 +1,233 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/wire"
+)
+
+// Session is one connection to a peer.
+type Session struct {
+	options Options
+	mux     *yamux.Session
+	control *yamux.Stream
+	reader  *wire.Reader
+	counter *countingConn
+	peer    *wire.Hello
+
+	// lastHeard is the monotonic time of the peer's last heartbeat, as nanoseconds since started.
+	lastHeard atomic.Int64
+	// delay is the smoothed one-way delay measured by echoed heartbeats, in nanoseconds.
+	delay atomic.Int64
+	// peerSequence and heardAt belong to the last heartbeat received; they are echoed.
+	peerSequence atomic.Uint64
+	heardAt      atomic.Int64
+	started      time.Time
+
+	sentLock sync.Mutex
+	// sentAt holds the send times of the last heartbeats, indexed by sequence modulo its length.
+	sentAt [16]time.Time
+
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+// Dial connects to a peer and exchanges hellos.
+func Dial(ctx context.Context, address netip.AddrPort, options Options) (*Session, error) {
+	options = options.withDefaults()
+	ctx, cancel := context.WithTimeout(ctx, options.HelloTimeout)
+	defer cancel()
+	dialer := net.Dialer{}
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, ErrLink.Wrap(err)
+	}
+	counter := &countingConn{Conn: conn}
+	conn = counter
+	if options.TLS != nil {
+		settings := options.TLS.Clone()
+		settings.ServerName = address.Addr().String()
+		conn = tls.Client(conn, settings)
+	}
+	_ = conn.SetDeadline(time.Now().Add(options.HelloTimeout))
+	s, err := dialMux(conn, options)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	s.counter = counter
+	_ = conn.SetDeadline(time.Time{})
+	s.start()
+	return s, nil
+}
+
+func dialMux(conn net.Conn, options Options) (*Session, error) {
+	mux, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		return nil, ErrLink.Wrap(err)
+	}
+	control, err := mux.OpenStream()
+	if err != nil {
+		_ = mux.Close()
+		return nil, ErrLink.Wrap(err)
+	}
+	s := newSession(mux, control, options)
+	if err := s.writeHello(); err != nil {
+		_ = mux.Close()
+		return nil, err
+	}
+	if err := s.readHello(); err != nil {
+		_ = mux.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Accept exchanges hellos on a connection that a peer opened.
+func Accept(conn net.Conn, options Options) (*Session, error) {
+	options = options.withDefaults()
+	counter := &countingConn{Conn: conn}
+	conn = counter
+	if options.TLS != nil {
+		conn = tls.Server(conn, options.TLS)
+	}
+	_ = conn.SetDeadline(time.Now().Add(options.HelloTimeout))
+	mux, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		return nil, ErrLink.Wrap(err)
+	}
+	control, err := mux.AcceptStream()
+	if err != nil {
+		_ = mux.Close()
+		return nil, ErrLink.Wrap(err)
+	}
+	s := newSession(mux, control, options)
+	if err := s.answerHello(); err != nil {
+		_ = mux.Close()
+		return nil, err
+	}
+	s.counter = counter
+	_ = conn.SetDeadline(time.Time{})
+	s.start()
+	return s, nil
+}
+
+func newSession(mux *yamux.Session, control *yamux.Stream, options Options) *Session {
+	return &Session{
+		options: options,
+		mux:     mux,
+		control: control,
+		reader:  wire.NewReader(control),
+		started: time.Now(),
+		closed:  make(chan struct{}),
+	}
+}
+
+func (s *Session) writeHello() error {
+	return wire.WriteFrame(s.control, &wire.Frame{Body: &wire.Frame_Hello{Hello: s.options.Hello}})
+}
+
+// answerHello reads the peer's hello and answers with this end's own, or with
+// the numbered code that tells a peer of another version why it is refused.
+func (s *Session) answerHello() error {
+	err := s.readHello()
+	if IsVersionError(err) {
+		_ = wire.WriteFrame(s.control, &wire.Frame{Body: &wire.Frame_End{End: &wire.End{
+			Code:    uint32(codes.UnknownVersion),
+			Outcome: string(codes.OutcomeNotRun),
+			Detail:  err.Error(),
+		}}})
+	}
+	if err != nil {
+		return err
+	}
+	return s.writeHello()
+}
+
+// readHello refuses a peer of another protocol version before any call is made.
+func (s *Session) readHello() error {
+	frame, err := s.reader.Next()
+	if err != nil {
+		return ErrLink.Wrap(err)
+	}
+	if refusal := frame.GetEnd(); refusal != nil {
+		return codes.NewResult(codes.Code(refusal.GetCode()), refusal.GetDetail())
+	}
+	hello := frame.GetHello()
+	if hello == nil {
+		return ErrLink.New("the first frame is no hello")
+	}
+	if hello.GetVersion() != wire.Version {
+		return &VersionError{Peer: hello.GetVersion()}
+	}
+	s.peer = hello
+	return nil
+}
+
+func (s *Session) start() {
+	s.lastHeard.Store(int64(time.Since(s.started)))
+	go s.loopRead()
+	go s.loopBeat()
+}
+
+// Peer returns the hello of the other end.
+func (s *Session) Peer() *wire.Hello {
+	return s.peer
+}
+
+// Open opens a stream for one call.
+func (s *Session) Open() (net.Conn, error) {
+	stream, err := s.mux.OpenStream()
+	return stream, ErrLink.Wrap(err)
+}
+
+// Accept waits for a stream that the peer opens.
+func (s *Session) Accept() (net.Conn, error) {
+	stream, err := s.mux.AcceptStream()
+	return stream, ErrLink.Wrap(err)
+}
+
+// Delay returns the smoothed one-way delay to the peer.
+func (s *Session) Delay() time.Duration {
+	return time.Duration(s.delay.Load())
+}
+
+// Silence returns how long the peer has sent no heartbeat.
+func (s *Session) Silence() time.Duration {
+	return time.Since(s.started) - time.Duration(s.lastHeard.Load())
+}
+
+// IsClosed tells whether the session has ended.
+func (s *Session) IsClosed() bool {
+	return s.mux.IsClosed()
+}
+
+// Traffic returns the bytes read and written on the connection so far.
+func (s *Session) Traffic() (read, written uint64) {
+	return s.counter.read.Load(), s.counter.written.Load()
+}
+
+// Close ends the session and every stream on it.
+func (s *Session) Close() error {
+	s.end(ErrLink.New("closed by this side"))
+	return nil
+}
+
+func (s *Session) end(reason error) {
+	s.closeOnce.Do(func() {
+		close(s.closed)
+		_ = s.mux.Close()
+		if s.options.OnDown != nil {
+			s.options.OnDown(s, reason)
+		}
+	})
+}
--- /dev/null
+++ b/share/modules/setup/secure.go
@@ -0,0 +1,74 @@
+package setup
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"flag"
+	"net/netip"
+	"os"
+
+	"github.com/zeebo/errs"
+)
+
+// Secure is the table [tls]: mutual TLS between the system's own processes.
+type Secure struct {
+	// Cert, Key and Authority are PEM files; all three or none.
+	Cert      string
+	Key       string
+	Authority string
+}
+
+// Register declares the keys of the section.
+func (s *Secure) Register(fs *flag.FlagSet) {
+	fs.StringVar(&s.Cert, "tls.cert", "", "PEM `file` with this process's certificate; empty: plain, on loopback only")
+	fs.StringVar(&s.Key, "tls.key", "", "PEM `file` with its private key")
+	fs.StringVar(&s.Authority, "tls.authority", "", "PEM `file` with the authority that signs every process's certificate")
+}
+
+// Check returns the faults of the section.
+func (s *Secure) Check() []error {
+	set := 0
+	for _, name := range []string{s.Cert, s.Key, s.Authority} {
+		if name != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		return []error{errs.New("tls: cert, key and authority go together")}
+	}
+	return nil
+}
+
+// CheckListen refuses a plain listener that others than this machine can reach.
+func (s *Secure) CheckListen(key string, address netip.AddrPort) []error {
+	if s.Cert == "" && address.IsValid() && !address.Addr().IsLoopback() {
+		return []error{errs.New("%s: %s needs [tls]; plain is for loopback only", key, address)}
+	}
+	return nil
+}
+
+// BuildConfig returns the TLS settings for both ends of a session, or nil for plain.
+func (s *Secure) BuildConfig() (*tls.Config, error) {
+	if s.Cert == "" {
+		return nil, nil //nolint:nilnil // plain sessions have no TLS settings
+	}
+	pair, err := tls.LoadX509KeyPair(s.Cert, s.Key)
+	if err != nil {
+		return nil, ErrSetup.Wrap(err)
+	}
+	pem, err := os.ReadFile(s.Authority)
+	if err != nil {
+		return nil, ErrSetup.Wrap(err)
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(pem) {
+		return nil, ErrSetup.New("tls.authority: no certificate in %s", s.Authority)
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      authorities,
+		ClientCAs:    authorities,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}, nil
+}
--- /dev/null
+++ b/share/modules/stats/stats.go
@@ -0,0 +1,69 @@
+// Package stats serves a process's expvar figures and profiles on an address of their own.
+package stats
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// ErrStats is the class of errors of this package.
+var ErrStats = errs.Class("stats") //nolint:gochecknoglobals // an error class is a constant in all but syntax
+
+const headerTimeout = 5 * time.Second
+
+// ReadyFunc says why the process is not ready, or nil when it is.
+type ReadyFunc func() error
+
+// Server serves /debug/vars, /debug/pprof, /healthz and /readyz.
+type Server struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// NewServer listens on the address; operators' tools reach it, callers do not.
+func NewServer(address netip.AddrPort, ready ReadyFunc) (*Server, error) {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, ErrStats.Wrap(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/debug/vars", expvar.Handler())
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	s := &Server{server: server, listener: listener}
+	go s.run()
+	return s, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() netip.AddrPort {
+	address, _ := netip.ParseAddrPort(s.listener.Addr().String())
+	return address
+}
+
+func (s *Server) run() {
+	_ = s.server.Serve(s.listener)
+}
+
+// Close stops the server.
+func (s *Server) Close(ctx context.Context) error {
+	return ErrStats.Wrap(s.server.Shutdown(ctx))
+}
