--- a/share/models/config/diff.go
+++ b/share/models/config/diff.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -68,13 +69,20 @@
 			changes = append(changes, Change{kind, name, field, "", value})
 		}
 	}
+	sortChanges(changes)
+	return changes
+}
+
+// sortChanges orders changes by kind, name and field.
+func sortChanges(changes []Change) {
+	kinds := Kinds()
 	slices.SortFunc(changes, func(a, b Change) int {
-		if a.Field < b.Field {
-			return -1
-		}
-		return 1
+		return cmp.Or(
+			cmp.Compare(slices.Index(kinds, a.Kind), slices.Index(kinds, b.Kind)),
+			cmp.Compare(a.Name, b.Name),
+			cmp.Compare(a.Field, b.Field),
+		)
 	})
-	return changes
 }
 
 // flatten returns each leaf of a document's JSON form by its path.
--- a/share/models/config/snapshot.go
+++ b/share/models/config/snapshot.go
@@ -36,13 +36,7 @@
 		pools:     make(map[string]*Pool, len(set.Pools)),
 		operators: make(map[string]*Operator, len(set.Operators)),
 	}
-	for i := range set.Teams {
-		t := &set.Teams[i]
-		s.teams[t.Name] = t
-		for _, digest := range t.TokenSHA256 {
-			s.tokens[digest] = t
-		}
-	}
+	s.indexTeams(set.Teams)
 	for i := range set.Pipelines {
 		s.pipelines[set.Pipelines[i].Name] = &set.Pipelines[i]
 	}
@@ -58,6 +52,25 @@
 	return s
 }
 
+func (s *Snapshot) indexTeams(teams []Team) {
+	for i := range teams {
+		t := &teams[i]
+		s.teams[t.Name] = t
+		for _, digest := range t.TokenSHA256 {
+			s.tokens[digest] = t
+		}
+	}
+}
+
+func (s *Snapshot) dropTeams(teams []Team) {
+	for i := range teams {
+		delete(s.teams, teams[i].Name)
+		for _, digest := range teams[i].TokenSHA256 {
+			delete(s.tokens, digest)
+		}
+	}
+}
+
 // DigestToken returns the form in which the configuration keeps a token.
 func DigestToken(token string) string {
 	sum := sha256.Sum256([]byte(token))
