share/decide/queue: the agent's bounded queue

Cause: one team's burst or low-priority work must not make other calls late, and a call that cannot meet its deadline must be refused at once, not run. Change: priority class, then start-time fair queueing between teams by cost over weight, then least slack; expiry by latest start; a full queue evicts from the lowest class the most over-share team's call with the most slack, or refuses; running set with preemption of batch runs; estimate of the wait by class and team. A team's state is dropped once its virtual time is passed, and never exceeds four times the limit of idle teams a class. FIFO baseline.

--- /dev/null
+++ b/share/decide/queue/queue_test.go
@@ -0,0 +1,354 @@
+package queue_test
+
+import (
+	"fmt"
+	"reflect"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"verbenaroad.example/share/decide/queue"
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/modules/codes"
+)
+
+var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC) //nolint:gochecknoglobals // a constant in all but syntax
+
+const service = 100 * time.Millisecond
+
+func fair(limit, slots int) *queue.Queue {
+	return queue.New(queue.Settings{Mode: queue.ModeFair, Limit: limit, Slots: slots, Service: service})
+}
+
+func item(id, team string, p config.Priority, deadline time.Duration) queue.Item {
+	return queue.Item{ID: id, Team: team, Priority: p, Weight: 1, Cost: 1, Deadline: start.Add(deadline)}
+}
+
+// drain pops and ends everything, one at a time, and returns the ids.
+func drain(q *queue.Queue) []string {
+	var ids []string
+	for {
+		i, ok := q.Pop(start)
+		if !ok {
+			return ids
+		}
+		ids = append(ids, i.ID)
+		q.Done(start.Add(service), i.ID, 0)
+	}
+}
+
+func TestPopOrder(t *testing.T) {
+	urgent, normal, batch := config.PriorityUrgent, config.PriorityNormal, config.PriorityBatch
+	items := []queue.Item{
+		item("b1", "a", batch, time.Second),
+		item("a1", "a", normal, 3*time.Second),
+		item("a2", "a", normal, 2*time.Second),
+		item("a3", "a", normal, 4*time.Second),
+		item("c1", "c", normal, 9*time.Second),
+		item("u1", "c", urgent, 9*time.Second),
+	}
+	cases := []struct {
+		mode queue.Mode
+		want []string
+	}{
+		{queue.ModeFair, []string{"u1", "a2", "c1", "a1", "a3", "b1"}},
+		{queue.ModeFIFO, []string{"b1", "a1", "a2", "a3", "c1", "u1"}},
+	}
+	for _, tc := range cases {
+		t.Run(string(tc.mode), func(t *testing.T) {
+			is := is.New(t)
+			q := queue.New(queue.Settings{Mode: tc.mode, Limit: 9, Slots: 1, Service: service})
+			for _, i := range items {
+				is.Equal(q.Push(start, i), queue.Pushed{})
+			}
+			is.Equal(drain(q), tc.want)
+			is.Equal(q.Remembered(), 0)
+		})
+	}
+}
+
+func TestFullQueueMakesRoom(t *testing.T) {
+	cases := []struct {
+		name    string
+		held    []queue.Item
+		coming  queue.Item
+		evicted string
+		refused codes.Code
+	}{
+		{
+			"a lower class gives way",
+			[]queue.Item{item("1", "a", config.PriorityBatch, 1), item("2", "b", config.PriorityNormal, 1), item("3", "b", config.PriorityNormal, 1)},
+			item("4", "b", config.PriorityUrgent, 1), "1", codes.OK,
+		},
+		{
+			"a team that would be as far over its share is refused",
+			[]queue.Item{item("1", "a", config.PriorityNormal, 5), item("2", "a", config.PriorityNormal, 9), item("3", "b", config.PriorityNormal, 1)},
+			item("4", "b", config.PriorityNormal, 1), "", codes.Overloaded,
+		},
+		{
+			"the team over its share gives way with its most slack",
+			[]queue.Item{item("1", "a", config.PriorityNormal, 5), item("2", "a", config.PriorityNormal, 9), item("3", "b", config.PriorityNormal, 1)},
+			item("4", "c", config.PriorityNormal, 1), "2", codes.OK,
+		},
+		{
+			"a lower class is refused",
+			[]queue.Item{item("1", "a", config.PriorityNormal, 5), item("2", "a", config.PriorityNormal, 9), item("3", "b", config.PriorityNormal, 1)},
+			item("4", "c", config.PriorityBatch, 1), "", codes.Overloaded,
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			q := fair(3, 1)
+			for _, i := range tc.held {
+				is.Equal(q.Push(start, i), queue.Pushed{})
+			}
+			p := q.Push(start, tc.coming)
+			is.Equal(q.Len(), 3)
+			if tc.refused != codes.OK {
+				is.Equal(p.Refused.Code, tc.refused)
+				is.Equal(p.Refused.Outcome, codes.OutcomeNotRun)
+				is.True(p.Refused.RetryAfter > 0)
+				return
+			}
+			is.Equal(p.Refused, nil)
+			is.Equal(p.Evicted.ID, tc.evicted)
+		})
+	}
+}
+
+func TestExpireReturnsWhatCannotStartInTime(t *testing.T) {
+	is := is.New(t)
+	q := fair(9, 0)
+	late := item("late", "a", config.PriorityNormal, time.Second)
+	late.Least = 400 * time.Millisecond
+	q.Push(start, late)
+	q.Push(start, item("open", "a", config.PriorityNormal, 2*time.Second))
+	is.Equal(len(q.Expire(start.Add(600*time.Millisecond))), 0)
+	at, _ := q.NextExpiry()
+	is.Equal(at, start.Add(600*time.Millisecond))
+	_, ok := q.Pop(start.Add(601 * time.Millisecond))
+	is.True(!ok)
+	expired := q.Expire(start.Add(601 * time.Millisecond))
+	is.Equal(len(expired), 1)
+	is.Equal(expired[0].ID, "late")
+	is.Equal(q.Push(start.Add(time.Second), late).Refused.Code, codes.DeadlineUnmeetable)
+}
+
+func TestEstimateSeesClassAndTeam(t *testing.T) {
+	is := is.New(t)
+	q := fair(100, 2)
+	is.Equal(q.Estimate(start, item("x", "c", config.PriorityNormal, time.Hour)), time.Duration(0))
+	for n := range 42 {
+		q.Push(start, item(fmt.Sprint(n), "a", config.PriorityNormal, time.Hour))
+	}
+	for range 2 {
+		q.Pop(start)
+	}
+	wait := func(team string, p config.Priority) time.Duration {
+		return q.Estimate(start, item("x", team, p, time.Hour))
+	}
+	is.Equal(wait("c", config.PriorityUrgent), service/2)
+	is.Equal(wait("a", config.PriorityNormal), service/2+40*service/2)
+	is.Equal(wait("a", config.PriorityBatch), wait("a", config.PriorityNormal))
+	is.True(wait("c", config.PriorityNormal) < wait("a", config.PriorityNormal)/5)
+}
+
+// A batch run holds the only slot; an urgent call whose deadline ends before
+// that run would is answered late unless the batch run is cancelled. Cause: no
+// slot frees by itself in time.
+func TestPreemptCancelsTheYoungestBatchRun(t *testing.T) {
+	is := is.New(t)
+	q := fair(9, 2)
+	for n, id := range []string{"old", "young"} {
+		batch := item(id, "a", config.PriorityBatch, time.Hour)
+		batch.Preemptible = true
+		batch.Cost = 50
+		q.Push(start, batch)
+		q.Pop(start.Add(time.Duration(n) * time.Millisecond))
+	}
+	now := start.Add(2 * time.Millisecond)
+	q.Push(now, item("patient", "b", config.PriorityUrgent, time.Hour))
+	_, ok := q.Preempt(now)
+	is.True(!ok) // its deadline is far
+	q.Push(now, item("pressed", "b", config.PriorityUrgent, 50*time.Millisecond))
+	victim, ok := q.Preempt(now)
+	is.True(ok)
+	is.Equal(victim.ID, "young")
+	_, ok = q.Preempt(now)
+	is.True(!ok) // one cancel for one pressed call
+	q.Done(now, "young", 0)
+	next, ok := q.Pop(now)
+	is.True(ok)
+	is.Equal(next.ID, "pressed")
+}
+
+// One team sends ten times what the others do. Without fair queueing the
+// others' calls wait behind its backlog and are answered late or evicted.
+func TestBurstOfOneTeamLeavesTheOthersTheirShare(t *testing.T) {
+	is := is.New(t)
+	ours := jainUnderBurst(queue.ModeFair)
+	baseline := jainUnderBurst(queue.ModeFIFO)
+	t.Logf("Jain index of 5 equal teams, one at ten times the rate: fair %.3f, fifo %.3f", ours, baseline)
+	is.True(ours >= 0.95)
+	is.True(baseline < ours)
+}
+
+// jainUnderBurst serves 4 slots for 60 s; each team offers over a fifth of the capacity.
+func jainUnderBurst(mode queue.Mode) float64 {
+	const teams, slots, ticks = 5, 4, 600
+	q := queue.New(queue.Settings{Mode: mode, Limit: 64, Slots: slots, Service: service})
+	served := make(map[string]float64)
+	for tick := range ticks {
+		now := start.Add(time.Duration(tick) * service)
+		for team := range teams {
+			count := 1
+			if team == 0 {
+				count = 10
+			}
+			for n := range count {
+				i := item(fmt.Sprint(tick, team, n), fmt.Sprint(team), config.PriorityNormal, 0)
+				i.Deadline = now.Add(4 * time.Second)
+				q.Push(now, i)
+			}
+		}
+		q.Expire(now)
+		for range slots {
+			i, ok := q.Pop(now)
+			if ok {
+				served[i.Team] += i.Cost
+				q.Done(now.Add(service), i.ID, 0)
+			}
+		}
+	}
+	sum, squares := 0.0, 0.0
+	for _, s := range served {
+		sum += s
+		squares += s * s
+	}
+	return sum * sum / (teams * squares)
+}
+
+func TestEveryItemLeavesOnceAndBoundsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 8).Draw(t, "limit")
+		slots := rapid.IntRange(0, 3).Draw(t, "slots")
+		mode := rapid.SampledFrom([]queue.Mode{queue.ModeFair, queue.ModeFIFO}).Draw(t, "mode")
+		s := queue.Settings{Mode: mode, Limit: limit, Slots: slots, Service: service}
+		q, twin := queue.New(s), queue.New(s)
+		left := make(map[string]int)
+		running := make(map[string]bool)
+		waiting := make(map[string]bool)
+		leave := func(id string) {
+			left[id]++
+			if left[id] != 1 || !waiting[id] {
+				t.Fatalf("%s left %d times, waiting %t", id, left[id], waiting[id])
+			}
+			delete(waiting, id)
+		}
+		now := start
+		for n := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0, 1:
+				i := draw(t, n, now)
+				p := q.Push(now, i)
+				if !reflect.DeepEqual(p, twin.Push(now, i)) {
+					t.Fatal("equal input, other output")
+				}
+				if p.Refused == nil {
+					waiting[i.ID] = true
+				}
+				if p.Evicted != nil {
+					leave(p.Evicted.ID)
+				}
+			case 2:
+				i, ok := q.Pop(now)
+				if j, also := twin.Pop(now); also != ok || j != i {
+					t.Fatal("equal input, other output")
+				}
+				if ok {
+					leave(i.ID)
+					running[i.ID] = true
+					if !i.Deadline.IsZero() && now.After(i.Deadline) {
+						t.Fatalf("%s popped after its deadline", i.ID)
+					}
+				}
+			case 3:
+				for _, i := range q.Expire(now) {
+					leave(i.ID)
+				}
+				twin.Expire(now)
+			case 4:
+				for id := range running {
+					q.Done(now, id, 2)
+					twin.Done(now, id, 2)
+					delete(running, id)
+					break
+				}
+			}
+			if q.Len() > limit || len(running) > slots || q.Remembered() > 5*limit {
+				t.Fatalf("%d waiting, %d running, %d teams", q.Len(), len(running), q.Remembered())
+			}
+		}
+	})
+}
+
+func draw(t *rapid.T, n int, now time.Time) queue.Item {
+	i := queue.Item{ID: fmt.Sprint(n)}
+	i.Team = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team")
+	i.Priority = rapid.SampledFrom([]config.Priority{config.PriorityUrgent, config.PriorityNormal, config.PriorityBatch}).Draw(t, "priority")
+	i.Weight = rapid.Float64Range(0, 3).Draw(t, "weight")
+	i.Cost = rapid.Float64Range(0, 5).Draw(t, "cost")
+	if rapid.Bool().Draw(t, "bounded") {
+		i.Deadline = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "deadline")) * time.Millisecond)
+	}
+	return i
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	q := fair(256, 4)
+	ids := make([]string, 1024)
+	teams := make([]string, 64)
+	for n := range ids {
+		ids[n] = fmt.Sprint("call-", n)
+		teams[n%64] = fmt.Sprint("team-", n%64)
+	}
+	for n := range 200 {
+		q.Push(start, item(fmt.Sprint("held-", n), teams[n%64], config.PriorityNormal, time.Hour))
+	}
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		q.Push(start, item(ids[n%1024], teams[n%64], config.PriorityNormal, time.Hour))
+		i, _ := q.Pop(start)
+		q.Done(start, i.ID, 0)
+		n++
+	}
+}
+
+// BenchmarkTeams19000 reports what the queue remembers once each of 19,000 teams had a call.
+func BenchmarkTeams19000(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		q := fair(256, 4)
+		for n := range 19_000 {
+			q.Push(start, item(fmt.Sprint(n), fmt.Sprint("team-", n), config.PriorityNormal, time.Hour))
+			if q.Len() < 200 {
+				continue
+			}
+			i, _ := q.Pop(start)
+			q.Done(start, i.ID, 0)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(q.Remembered()), "teams")
+		b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "bytes-held")
+		runtime.KeepAlive(q)
+	}
+}
