--- /dev/null
+++ b/fakes/modules/token/token.go
@@ -0,0 +1,58 @@
+// Package token makes the tokens that an engine stand-in generates. They
+// follow from the prompt alone, so a caller can tell whether an answer
+// belongs to its own prompt.
+package token
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Length is the number of characters of a token.
+const Length = 8
+
+// Make returns the index-th token of the answer to prompt.
+func Make(prompt string, index int) string {
+	sum := xxhash.Sum64String(prompt + strconv.Itoa(index))
+	var raw [8]byte
+	binary.BigEndian.PutUint64(raw[:], sum)
+	return hex.EncodeToString(raw[:])[:Length]
+}
+
+// MakeText returns the text of a whole answer of count tokens.
+func MakeText(prompt string, count int) string {
+	var text strings.Builder
+	text.Grow(count * Length)
+	for i := range count {
+		text.WriteString(Make(prompt, i))
+	}
+	return text.String()
+}
+
+// Count returns the number of tokens of a prompt: its words.
+func Count(prompt string) int {
+	return len(strings.Fields(prompt))
+}
+
+// BlockTokens is the number of tokens of a block of the prefix cache.
+const BlockTokens = 16
+
+// Blocks returns the ids of the whole blocks of a prompt. Each follows from
+// all tokens up to its end, so equal ids mean equal prefixes.
+func Blocks(prompt string) []string {
+	words := strings.Fields(prompt)
+	blocks := make([]string, 0, len(words)/BlockTokens)
+	digest := xxhash.New()
+	for i, word := range words {
+		_, _ = digest.WriteString(word)
+		_, _ = digest.WriteString(" ")
+		if (i+1)%BlockTokens == 0 {
+			blocks = append(blocks, strconv.FormatUint(digest.Sum64(), 16))
+		}
+	}
+	return blocks
+}
--- /dev/null
+++ b/fakes/services/roster/list.go
@@ -0,0 +1,147 @@
+// Package roster stands in for the platform's lagging list of instances, in
+// the format of Consul's catalog.
+package roster
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"verbenaroad.example/fakes/modules/serve"
+)
+
+// node is one element of the catalog's answer; the names are the format's own.
+type node struct {
+	Node           string
+	Address        string
+	ServiceID      string
+	ServiceName    string
+	ServiceAddress string
+	ServicePort    uint16
+	ServiceMeta    map[string]string
+}
+
+type registration struct {
+	Node    string
+	Address string
+	Service *struct {
+		ID      string
+		Service string
+		Address string
+		Port    uint16
+		Meta    map[string]string
+	}
+}
+
+type deregistration struct {
+	Node      string
+	ServiceID string
+}
+
+// change is a registration that is visible from a moment on; a nil node removes the id.
+type change struct {
+	visible time.Time
+	id      string
+	node    *node
+}
+
+// List holds the instances.
+type List struct {
+	mutex sync.Mutex
+	lag   time.Duration
+	nodes map[string]node
+	// pending is in the order of the changes, so of their visibility too.
+	pending []change
+}
+
+// NewList returns an empty List whose changes become visible after lag.
+func NewList(lag time.Duration) *List {
+	return &List{lag: lag, nodes: map[string]node{}}
+}
+
+// NewRouter returns the Handler of the catalog.
+func (l *List) NewRouter() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/catalog/service/{name}", l.getService)
+	mux.HandleFunc("PUT /v1/catalog/register", l.putRegister)
+	mux.HandleFunc("PUT /v1/catalog/deregister", l.putDeregister)
+	return mux
+}
+
+// KindOf counts a call as read or write.
+func KindOf(r *http.Request) string {
+	if r.Method == http.MethodGet {
+		return "read"
+	}
+	return "write"
+}
+
+func (l *List) getService(w http.ResponseWriter, r *http.Request) {
+	serve.WriteJSON(w, l.find(r.PathValue("name")))
+}
+
+func (l *List) find(name string) []node {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.applyLocked(time.Now())
+	found := []node{}
+	for _, n := range l.nodes {
+		if n.ServiceName == name {
+			found = append(found, n)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].ServiceID < found[j].ServiceID })
+	return found
+}
+
+func (l *List) applyLocked(now time.Time) {
+	for len(l.pending) > 0 && !l.pending[0].visible.After(now) {
+		c := l.pending[0]
+		l.pending = l.pending[1:]
+		if c.node == nil {
+			delete(l.nodes, c.id)
+			continue
+		}
+		l.nodes[c.id] = *c.node
+	}
+}
+
+func (l *List) change(id string, n *node) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.pending = append(l.pending, change{visible: time.Now().Add(l.lag), id: id, node: n})
+}
+
+func (l *List) putRegister(w http.ResponseWriter, r *http.Request) {
+	var body registration
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.Service == nil {
+		http.Error(w, "a registration needs a Service", http.StatusBadRequest)
+		return
+	}
+	id := body.Service.ID
+	if id == "" {
+		id = body.Service.Service
+	}
+	l.change(id, &node{
+		Node:           body.Node,
+		Address:        body.Address,
+		ServiceID:      id,
+		ServiceName:    body.Service.Service,
+		ServiceAddress: body.Service.Address,
+		ServicePort:    body.Service.Port,
+		ServiceMeta:    body.Service.Meta,
+	})
+	serve.WriteJSON(w, true)
+}
+
+func (l *List) putDeregister(w http.ResponseWriter, r *http.Request) {
+	var body deregistration
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.change(body.ServiceID, nil)
+	serve.WriteJSON(w, true)
+}
