--- a/fakes/cmds/stand.go
+++ b/fakes/cmds/stand.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	anyLoopbackPort = "127.0.0.1:0"
-	defaultGrace    = 10 * time.Second
+	defaultGrace = 10 * time.Second
 	// controlSuffix is added to the address file's name for the control address.
 	controlSuffix = ".control"
 	fileMode      = 0o644
@@ -39,7 +38,7 @@
 
 func newCommon(name string, log *zap.Logger, flags *flag.FlagSet) *common {
 	c := &common{name: name, log: log}
-	loopback := netip.MustParseAddrPort(anyLoopbackPort)
+	loopback := serve.AnyLoopbackPort()
 	flags.TextVar(&c.listen, "listen", loopback, "address for callers; port 0 takes a free one")
 	flags.TextVar(&c.control, "control", loopback, "address of the fault switch and the call counts")
 	flags.StringVar(&c.addressFile, "address-file", "", "file that takes the bound address; the control address goes to the same name with "+controlSuffix)
--- a/fakes/modules/serve/server.go
+++ b/fakes/modules/serve/server.go
@@ -254,3 +254,8 @@
 		_ = c.Conn.Close()
 	}
 }
+
+// AnyLoopbackPort returns the address that takes a free port.
+func AnyLoopbackPort() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+}
