--- /dev/null
+++ b/agent/services/peers/server.go
@@ -0,0 +1,139 @@
+// Package peers accepts the sessions of entries.
+package peers
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"verbenaroad.example/share/modules/link"
+)
+
+// ErrPeers is the class of errors of this package.
+var ErrPeers = errs.Class("peers") //nolint:gochecknoglobals // an error class is a constant in all but syntax
+
+// Handler serves the streams of a session until it ends.
+type Handler interface {
+	ServeSession(ctx context.Context, session *link.Session)
+}
+
+// Options are the settings of a Server.
+type Options struct {
+	Address netip.AddrPort
+	Link    link.Options
+	Handler Handler
+	Log     *zap.Logger
+}
+
+// Server accepts sessions.
+type Server struct {
+	options  Options
+	listener net.Listener
+
+	lock sync.Mutex
+	// sessions holds the open ones by the name of their entry.
+	sessions map[string]*link.Session
+}
+
+// NewServer listens; Start accepts.
+func NewServer(options Options) (*Server, error) {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(options.Address))
+	if err != nil {
+		return nil, ErrPeers.Wrap(err)
+	}
+	return &Server{options: options, listener: listener, sessions: map[string]*link.Session{}}, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() netip.AddrPort {
+	address, _ := netip.ParseAddrPort(s.listener.Addr().String())
+	return address
+}
+
+// Start accepts sessions until the context ends.
+func (s *Server) Start(ctx context.Context) {
+	go s.loop(ctx)
+}
+
+// Close stops accepting and ends every session.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.lock.Lock()
+	open := make([]*link.Session, 0, len(s.sessions))
+	for _, session := range s.sessions {
+		open = append(open, session)
+	}
+	s.lock.Unlock()
+	for _, session := range open {
+		_ = session.Close()
+	}
+}
+
+// GetSession returns the open session of an entry, or nil.
+func (s *Server) GetSession(name string) *link.Session {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.sessions[name]
+}
+
+// CountSessions returns the number of open sessions.
+func (s *Server) CountSessions() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return len(s.sessions)
+}
+
+// CountBytes returns the bytes read and written on the open sessions.
+func (s *Server) CountBytes() (read, written uint64) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, session := range s.sessions {
+		r, w := session.Traffic()
+		read += r
+		written += w
+	}
+	return read, written
+}
+
+func (s *Server) loop(ctx context.Context) {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.run(ctx, conn)
+	}
+}
+
+func (s *Server) run(ctx context.Context, conn net.Conn) {
+	options := s.options.Link
+	options.OnDown = s.takeDown
+	session, err := link.Accept(conn, options)
+	if err != nil {
+		_ = conn.Close()
+		s.options.Log.Warn("session-refused", zap.Error(err))
+		return
+	}
+	name := session.Peer().GetName()
+	s.lock.Lock()
+	// An entry that connects again has given up on its old session, which may
+	// be silent here; the old one keeps its streams until it ends by itself.
+	s.sessions[name] = session
+	s.lock.Unlock()
+	s.options.Log.Info("session-up", zap.String("entry", name))
+	s.options.Handler.ServeSession(ctx, session)
+}
+
+func (s *Server) takeDown(session *link.Session, reason error) {
+	name := session.Peer().GetName()
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.sessions[name] == session {
+		delete(s.sessions, name)
+	}
+	s.options.Log.Info("session-down", zap.String("entry", name), zap.Error(reason))
+}
--- /dev/null
+++ b/entry/services/fleet/peers.go
@@ -0,0 +1,270 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/share/decide/route"
+	"verbenaroad.example/share/models/member"
+	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/wire"
+)
+
+const (
+	redialBase = 100 * time.Millisecond
+	redialMax  = 5 * time.Second
+)
+
+// peer is one agent and the session to it.
+type peer struct {
+	instance member.Instance
+	// session is nil while there is none; guarded by the fleet's lock.
+	session *link.Session
+	// dialing is set while a run tries to connect; guarded by the fleet's lock.
+	dialing bool
+	// failures counts connects in a row that failed, for the pause before the next.
+	failures int
+	nextDial time.Time
+}
+
+// loop is the control thread: it reads the list and keeps the wanted sessions.
+func (f *Fleet) loop(ctx context.Context) {
+	ticker := time.NewTicker(f.options.ListEvery)
+	defer ticker.Stop()
+	f.readList(ctx)
+	for {
+		f.keepSessions(ctx)
+		select {
+		case <-ctx.Done():
+			f.closeAll()
+			return
+		case <-f.wake:
+		case <-time.After(redialBase + f.options.ListEvery/4):
+		case <-ticker.C:
+			f.readList(ctx)
+		}
+	}
+}
+
+// readList takes the agents and entries of the list; a failed read keeps what is known.
+func (f *Fleet) readList(ctx context.Context) {
+	agents, err := f.options.List.FindInstances(ctx, member.RoleAgent)
+	if err != nil {
+		f.options.Log.Warn("list-unavailable", zap.Error(err))
+		return
+	}
+	entries, err := f.options.List.FindInstances(ctx, member.RoleEntry)
+	if err == nil {
+		f.lock.Lock()
+		f.entries = max(1, len(entries))
+		f.lock.Unlock()
+		f.options.Watcher.OnEntries(append(entries, agents...))
+	}
+	f.takeAgents(agents)
+	now := time.Now()
+	for _, s := range f.listServices(agents) {
+		s.lock.Lock()
+		s.router.OnList(now, agents)
+		s.lock.Unlock()
+	}
+}
+
+func (f *Fleet) takeAgents(agents []member.Instance) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	listed := make(map[string]bool, len(agents))
+	for _, instance := range agents {
+		listed[instance.Name] = true
+		p := f.peers[instance.Name]
+		if p == nil {
+			p = &peer{}
+			f.peers[instance.Name] = p
+		}
+		p.instance = instance
+	}
+	for name, p := range f.peers {
+		if !listed[name] && p.session == nil {
+			delete(f.peers, name)
+		}
+	}
+}
+
+func (f *Fleet) listServices(agents []member.Instance) []*service {
+	for _, instance := range agents {
+		f.getService(instance.Service)
+	}
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	all := make([]*service, 0, len(f.services))
+	for _, s := range f.services {
+		all = append(all, s)
+	}
+	return all
+}
+
+// keepSessions connects to the wanted agents and lets go of the others.
+func (f *Fleet) keepSessions(ctx context.Context) {
+	wanted := map[string]bool{}
+	for _, s := range f.listServices(nil) {
+		s.lock.Lock()
+		for _, name := range s.router.Wanted() {
+			wanted[name] = true
+		}
+		s.lock.Unlock()
+	}
+	now := time.Now()
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for name, p := range f.peers {
+		if wanted[name] && p.session == nil && !p.dialing && now.After(p.nextDial) {
+			p.dialing = true
+			go f.runDial(ctx, p.instance)
+		}
+		if !wanted[name] && p.session != nil {
+			go f.runRetire(ctx, p.session)
+		}
+	}
+}
+
+// runRetire closes a session that is not wanted any more once no call uses it.
+func (f *Fleet) runRetire(ctx context.Context, session *link.Session) {
+	for session.CountStreams() > 1 && ctx.Err() == nil && !session.IsClosed() {
+		time.Sleep(redialBase)
+	}
+	_ = session.Close()
+}
+
+func (f *Fleet) runDial(ctx context.Context, instance member.Instance) {
+	options := f.options.Link
+	options.OnBeat = f.takeBeat
+	options.OnDown = f.takeDown
+	session, err := link.Dial(ctx, instance.Address, options)
+	f.lock.Lock()
+	p := f.peers[instance.Name]
+	if p == nil {
+		p = &peer{instance: instance}
+		f.peers[instance.Name] = p
+	}
+	p.dialing = false
+	if err != nil {
+		p.failures++
+		pause := min(redialMax, redialBase<<min(p.failures, 8))
+		p.nextDial = time.Now().Add(time.Duration(float64(pause) * (0.5 + rand.Float64()))) //nolint:gosec // jitter
+		f.lock.Unlock()
+		f.options.Log.Warn("session-failed", zap.String("agent", instance.Name), zap.Error(err))
+		return
+	}
+	p.failures = 0
+	p.session = session
+	f.lock.Unlock()
+	f.options.Log.Info("session-up", zap.String("agent", instance.Name))
+	f.onSession(instance, route.SessionUp, session.Peer().GetIncarnation())
+	if session.IsClosed() {
+		// It ended before it was noted here, so takeDown found nothing to clear.
+		f.takeDown(session, ErrFleet.New("ended while it came up"))
+	}
+}
+
+func (f *Fleet) onSession(instance member.Instance, state route.Session, incarnation string) {
+	s := f.getService(instance.Service)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.router.OnSession(time.Now(), instance.Name, state, incarnation)
+}
+
+// takeDown clears the session and asks for a fresh connection at once: the
+// peer is blamed only when that fails too.
+func (f *Fleet) takeDown(session *link.Session, reason error) {
+	name := session.Peer().GetName()
+	f.lock.Lock()
+	p := f.peers[name]
+	if p == nil || p.session != session {
+		f.lock.Unlock()
+		return
+	}
+	p.session = nil
+	instance := p.instance
+	if instance.Region != f.options.Self.Region {
+		read, written := session.Traffic()
+		f.crossRetired += read + written
+	}
+	f.lock.Unlock()
+	f.options.Log.Warn("session-down", zap.String("agent", name), zap.Error(reason))
+	f.onSession(instance, route.SessionDown, session.Peer().GetIncarnation())
+	f.options.Watcher.OnPeerGone(name)
+	f.wakeLoop()
+}
+
+func (f *Fleet) takeBeat(session *link.Session, beat *wire.Beat, notBefore time.Time) {
+	name := session.Peer().GetName()
+	f.options.Watcher.OnPeerBeat(name, beat, notBefore)
+	s := f.getService(session.Peer().GetService())
+	now := time.Now()
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if beat.GetLeaving() {
+		s.router.OnLeaving(now, name)
+	}
+	if report := LoadOf(beat.GetLoad()); report != nil {
+		s.router.OnReport(now, name, *report)
+	}
+}
+
+// LoadOf returns the report in the form that routing takes, or nil.
+func LoadOf(l *wire.Load) *route.Load {
+	if l == nil {
+		return nil
+	}
+	return &route.Load{
+		Running: int(l.GetRunning()),
+		Queued:  int(l.GetQueued()),
+		Slots:   int(l.GetSlots()),
+		Wait:    time.Duration(l.GetWaitNanos()),
+		Service: time.Duration(l.GetServiceNanos()),
+	}
+}
+
+func (f *Fleet) getSession(name string) *link.Session {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	p := f.peers[name]
+	if p == nil {
+		return nil
+	}
+	return p.session
+}
+
+func (f *Fleet) closeAll() {
+	f.lock.Lock()
+	sessions := []*link.Session{}
+	for _, p := range f.peers {
+		if p.session != nil {
+			sessions = append(sessions, p.session)
+		}
+	}
+	f.lock.Unlock()
+	for _, s := range sessions {
+		_ = s.Close()
+	}
+}
+
+// FetchChunks asks an agent for configuration.
+func (f *Fleet) FetchChunks(ctx context.Context, name string, fetch *wire.Fetch) (*wire.Chunks, error) {
+	session := f.getSession(name)
+	if session == nil {
+		return nil, ErrFleet.New("no session to %s", name)
+	}
+	return link.FetchChunks(ctx, session, fetch)
+}
+
+// AskAgent asks an agent what became of a claimed attempt.
+func (f *Fleet) AskAgent(ctx context.Context, name string, ask *wire.Ask) (*wire.Told, error) {
+	session := f.getSession(name)
+	if session == nil {
+		return nil, ErrFleet.New("no session to %s", name)
+	}
+	return link.AskAgent(ctx, session, ask)
+}
--- a/share/modules/link/beat.go
+++ b/share/modules/link/beat.go
@@ -41,6 +41,7 @@
 	}
 	s.sentLock.Lock()
 	s.sentAt[sequence%uint64(len(s.sentAt))] = time.Now()
+	s.lastSequence = sequence
 	s.sentLock.Unlock()
 	return wire.WriteFrame(s.control, &wire.Frame{Body: &wire.Frame_Beat{Beat: beat}})
 }
@@ -66,22 +67,28 @@
 	s.lastHeard.Store(now)
 	s.heardAt.Store(now)
 	s.peerSequence.Store(beat.GetSequence())
-	s.measureDelay(beat)
+	sent := s.findSent(beat.GetEcho())
+	notBefore := time.Time{}
+	if !sent.IsZero() {
+		s.measureDelay(beat, sent)
+		notBefore = sent.Add(time.Duration(beat.GetEchoHoldNanos()))
+	}
 	if s.options.OnBeat != nil {
-		s.options.OnBeat(s, beat)
+		s.options.OnBeat(s, beat, notBefore)
 	}
 }
 
-func (s *Session) measureDelay(beat *wire.Beat) {
-	if beat.GetEcho() == 0 {
-		return
-	}
+// findSent returns when the heartbeat of the sequence was sent, zero when it is not remembered any more.
+func (s *Session) findSent(sequence uint64) time.Time {
 	s.sentLock.Lock()
-	sent := s.sentAt[beat.GetEcho()%uint64(len(s.sentAt))]
-	s.sentLock.Unlock()
-	if sent.IsZero() {
-		return
+	defer s.sentLock.Unlock()
+	if sequence == 0 || sequence > s.lastSequence || s.lastSequence-sequence >= uint64(len(s.sentAt)) {
+		return time.Time{}
 	}
+	return s.sentAt[sequence%uint64(len(s.sentAt))]
+}
+
+func (s *Session) measureDelay(beat *wire.Beat, sent time.Time) {
 	oneWay := (int64(time.Since(sent)) - beat.GetEchoHoldNanos()) / 2
 	if oneWay < 0 {
 		return
--- a/share/modules/link/link_test.go
+++ b/share/modules/link/link_test.go
@@ -78,7 +78,7 @@
 	p := newPeer(t, newOptions("agent-1"))
 	options := newOptions("entry-1")
 	beats := make(chan uint64, 100)
-	options.OnBeat = func(_ *link.Session, beat *wire.Beat) { beats <- beat.GetRevision() }
+	options.OnBeat = func(_ *link.Session, beat *wire.Beat, _ time.Time) { beats <- beat.GetRevision() }
 	s, err := link.Dial(context.Background(), p.address(), options)
 	is.NoErr(err)
 	defer func() { _ = s.Close() }()
--- a/share/modules/link/options.go
+++ b/share/modules/link/options.go
@@ -45,8 +45,9 @@
 	HelloTimeout time.Duration
 	// Beat fills in the revision, age, load and leaving mark of each heartbeat.
 	Beat func() *wire.Beat
-	// OnBeat is told of each heartbeat of the peer.
-	OnBeat func(s *Session, beat *wire.Beat)
+	// OnBeat is told of each heartbeat of the peer, with the earliest local time at
+	// which the peer can have written it; zero when the heartbeat echoes none.
+	OnBeat func(s *Session, beat *wire.Beat, notBefore time.Time)
 	// OnDown is told once when the session has ended.
 	OnDown func(s *Session, reason error)
 }
--- a/share/modules/link/session.go
+++ b/share/modules/link/session.go
@@ -35,7 +35,8 @@
 
 	sentLock sync.Mutex
 	// sentAt holds the send times of the last heartbeats, indexed by sequence modulo its length.
-	sentAt [16]time.Time
+	sentAt       [16]time.Time
+	lastSequence uint64
 
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -231,3 +232,8 @@
 		}
 	})
 }
+
+// CountStreams returns the number of open streams, the control stream included.
+func (s *Session) CountStreams() int {
+	return s.mux.NumStreams()
+}
--- a/share/modules/setup/sections.go
+++ b/share/modules/setup/sections.go
@@ -2,7 +2,10 @@
 
 import (
 	"flag"
+	"maps"
 	"net/netip"
+	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -191,3 +194,42 @@
 	}
 	return nil
 }
+
+// Metrics is the table [metrics]: the address for operators' tools.
+type Metrics struct {
+	Listen netip.AddrPort
+	// AddressFile takes the addresses that the process bound, for ports chosen by the system.
+	AddressFile string
+}
+
+// Register declares the keys of the section.
+func (m *Metrics) Register(fs *flag.FlagSet) {
+	fs.TextVar(&m.Listen, "metrics.listen", netip.MustParseAddrPort("127.0.0.1:0"), "`ip:port` for expvar, profiles, health and readiness")
+	fs.StringVar(&m.AddressFile, "metrics.address-file", "", "`file` that takes the bound addresses, one key=ip:port a line; empty: none")
+}
+
+// Check returns the faults of the section.
+func (m *Metrics) Check() []error {
+	if !m.Listen.IsValid() {
+		return []error{errs.New("metrics.listen: must be ip:port")}
+	}
+	return nil
+}
+
+// WriteAddresses writes the bound addresses for whoever started the process.
+func (m *Metrics) WriteAddresses(addresses map[string]netip.AddrPort) error {
+	if m.AddressFile == "" {
+		return nil
+	}
+	names := slices.Sorted(maps.Keys(addresses))
+	text := strings.Builder{}
+	for _, name := range names {
+		text.WriteString(name + "=" + addresses[name].String() + "\n")
+	}
+	// A reader must never see half of the file.
+	draft := m.AddressFile + ".draft"
+	if err := os.WriteFile(draft, []byte(text.String()), 0o600); err != nil {
+		return ErrSetup.Wrap(err)
+	}
+	return ErrSetup.Wrap(os.Rename(draft, m.AddressFile))
+}
--- /dev/null
+++ b/share/services/follow/fetch.go
@@ -0,0 +1,132 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/share/decide/spread"
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/modules/wire"
+)
+
+func (f *Follower) runPoll(ctx context.Context) {
+	asked := time.Now()
+	head, err := f.options.Store.ReadHead(ctx)
+	if err != nil {
+		f.countFailedRead(err)
+		f.Tell(spread.ReadFailed{AskedAt: asked})
+		return
+	}
+	f.Tell(spread.HeadSeen{Head: head, AskedAt: asked})
+}
+
+func (f *Follower) countFailedRead(err error) {
+	f.lock.Lock()
+	f.counts.FailedReads++
+	f.lock.Unlock()
+	f.options.Log.Debug("store-read-failed", zap.Error(err))
+}
+
+// loopWatch keeps a watch on the head until the context ends.
+func (f *Follower) loopWatch(ctx context.Context) {
+	index := uint64(0)
+	for ctx.Err() == nil {
+		asked := time.Now()
+		head, next, err := f.options.Store.WatchHead(ctx, index, watchWait)
+		if err != nil {
+			f.countFailedRead(err)
+			index = 0
+			sleep(ctx, watchPause)
+			continue
+		}
+		index = next
+		// The answer is as new as the moment it was sent, which is not known;
+		// the request's own time is the safe side.
+		f.Tell(spread.HeadSeen{Head: head, AskedAt: asked, Watch: true})
+		if index == 0 {
+			sleep(ctx, watchPause)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (f *Follower) runFetchStore(ctx context.Context) {
+	loaded, err := f.options.Store.FetchLoaded(ctx, f.GetLoaded())
+	f.tellFetched(loaded, err, true)
+}
+
+func (f *Follower) runFetchPeer(ctx context.Context, peer string) {
+	loaded, err := f.fetchPeer(ctx, peer)
+	f.tellFetched(loaded, err, false)
+}
+
+func (f *Follower) tellFetched(loaded *config.Loaded, err error, fromStore bool) {
+	f.lock.Lock()
+	switch {
+	case err != nil:
+		f.counts.FailedFetches++
+	case fromStore:
+		f.counts.FetchedStore++
+	default:
+		f.counts.FetchedPeer++
+	}
+	f.lock.Unlock()
+	if err != nil {
+		f.options.Log.Info("fetch-failed", zap.Bool("from-store", fromStore), zap.Error(err))
+		f.Tell(spread.FetchFailed{})
+		return
+	}
+	f.Tell(spread.FetchDone{Loaded: loaded, FromStore: fromStore})
+}
+
+// fetchPeer asks a peer for its manifest and then for the chunks that are missing here.
+func (f *Follower) fetchPeer(ctx context.Context, peer string) (*config.Loaded, error) {
+	old := f.GetLoaded()
+	answer, err := f.options.Peers.FetchChunks(ctx, peer, &wire.Fetch{})
+	if err != nil {
+		return nil, err
+	}
+	if len(answer.GetChunks()) == 0 {
+		return nil, ErrFollow.New("peer %s has no configuration", peer)
+	}
+	first := answer.GetChunks()[0]
+	place := config.Place{Revision: answer.GetRevision(), Manifest: config.Hash(first.GetHash())}
+	manifest, err := config.DecodeManifest(place.Manifest, first.GetData())
+	if err != nil {
+		return nil, err
+	}
+	chunks, err := f.fetchMissing(ctx, peer, old.Missing(manifest))
+	if err != nil {
+		return nil, err
+	}
+	return config.Load(old, place, manifest, chunks)
+}
+
+func (f *Follower) fetchMissing(ctx context.Context, peer string, missing []config.Hash) ([]config.Chunk, error) {
+	if len(missing) == 0 {
+		return nil, nil
+	}
+	fetch := &wire.Fetch{}
+	for _, hash := range missing {
+		fetch.Hashes = append(fetch.Hashes, string(hash))
+	}
+	answer, err := f.options.Peers.FetchChunks(ctx, peer, fetch)
+	if err != nil {
+		return nil, err
+	}
+	chunks := make([]config.Chunk, 0, len(answer.GetChunks()))
+	for _, chunk := range answer.GetChunks() {
+		chunks = append(chunks, config.Chunk{Hash: config.Hash(chunk.GetHash()), Data: chunk.GetData()})
+	}
+	return chunks, nil
+}
