--- /dev/null
+++ b/entry/services/calls/attempt.go
@@ -0,0 +1,241 @@
+package calls
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"verbenaroad.example/entry/services/fleet"
+	"verbenaroad.example/share/decide/answer"
+	"verbenaroad.example/share/decide/route"
+	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/wire"
+)
+
+// attempt sends one attempt and takes its answer.
+func (r *Runner) attempt(ctx context.Context, s *stageRun) (*Answer, *codes.Result) {
+	snapshot, refusal := r.config.GetUsable(ctx)
+	if refusal != nil {
+		return nil, refusal
+	}
+	chosen := s.call.Chosen
+	if chosen == nil {
+		picked, refusal := r.fleet.ChooseAgent(time.Now(), fleet.ChooseOptions{
+			Service:  s.call.Service,
+			Snapshot: snapshot,
+			Caller:   s.call.CallerLabels,
+			Stage:    s.call.StageLabels,
+			Budget:   time.Until(s.call.Deadline),
+			Prefixes: s.call.Prefixes,
+			Exclude:  s.excluded,
+		})
+		if refusal != nil {
+			return nil, refusal.WithRetryAfter(retryHint)
+		}
+		chosen = &picked
+	}
+	s.sent++
+	if s.sent == 1 {
+		r.budget.DepositFirst(snapshot.GetServiceByName(s.call.Service))
+	}
+	r.counts.sent.Add(1)
+	e := &exchange{runner: r, run: s, chosen: chosen, revision: snapshot.Revision}
+	got, result := e.do(ctx)
+	r.fleet.EndAttempt(time.Now(), s.call.Service, e.ended(result))
+	if result != nil {
+		s.excluded = append(s.excluded, chosen.Choice.Name)
+		r.catchUp(ctx, result, e.end)
+	}
+	return got, result
+}
+
+// catchUp waits for the configuration that the agent decided under, so that the next attempt is decided under it too.
+func (r *Runner) catchUp(ctx context.Context, result *codes.Result, end *wire.End) {
+	if result.Code != codes.NewerRevision || end == nil {
+		return
+	}
+	wait, cancel := context.WithTimeout(ctx, retryHint)
+	defer cancel()
+	_ = r.config.WaitRevision(wait, end.GetRevision())
+}
+
+// exchange is one attempt on one stream.
+type exchange struct {
+	runner   *Runner
+	run      *stageRun
+	chosen   *fleet.Attempt
+	revision uint64
+	id       answer.ID
+	body     bytes.Buffer
+	// bytes counts what was received, end is set once the end record came.
+	bytes uint64
+	end   *wire.End
+}
+
+func (e *exchange) do(ctx context.Context) (*Answer, *codes.Result) {
+	call := e.run.call
+	e.id = answer.ID{
+		Request:     call.RequestID,
+		Stage:       call.Stage,
+		Attempt:     e.run.sent,
+		Incarnation: e.chosen.Choice.Incarnation,
+	}
+	e.run.stage.Step(answer.Opened{ID: e.id})
+	stream, err := e.chosen.Session.Open()
+	if err != nil {
+		return nil, codes.NewResult(codes.NoBackend, err.Error())
+	}
+	defer func() { _ = stream.Close() }()
+	stop := link.CloseOnDone(ctx, stream)
+	defer stop()
+	if err := wire.WriteFrame(stream, e.newCall(ctx)); err != nil {
+		return nil, e.describe(ctx, err)
+	}
+	return e.read(ctx, stream)
+}
+
+func (e *exchange) newCall(ctx context.Context) *wire.Frame {
+	call := e.run.call
+	return &wire.Frame{Body: &wire.Frame_Call{Call: &wire.Call{
+		RequestId:      call.RequestID,
+		Stage:          call.Stage,
+		Attempt:        e.run.sent,
+		Incarnation:    e.chosen.Choice.Incarnation,
+		Revision:       e.revision,
+		RemainingNanos: int64(time.Until(call.Deadline)),
+		Team:           call.Team.Name,
+		Priority:       string(call.Priority),
+		Weight:         call.Team.Weight,
+		Cost:           call.Cost,
+		Idempotent:     call.Idempotent,
+		ClaimKey:       call.ClaimKey,
+		ClaimAttempt:   call.ClaimAttempt,
+		BodyDigest:     call.BodyDigest,
+		Method:         call.Method,
+		Path:           call.Path,
+		Headers:        call.Headers,
+		Body:           call.Body,
+		Stream:         call.Stream,
+		Traceparent:    e.runner.tracer.Inject(ctx),
+	}}}
+}
+
+func (e *exchange) read(ctx context.Context, stream net.Conn) (*Answer, *codes.Result) {
+	reader := wire.NewReader(stream)
+	for {
+		frame, err := reader.Next()
+		if err != nil {
+			e.run.stage.Step(answer.StreamClosed{ID: e.id})
+			return nil, e.describe(ctx, err)
+		}
+		if part := frame.GetPart(); part != nil {
+			if result := e.takePart(part); result != nil {
+				return nil, result
+			}
+			continue
+		}
+		if end := frame.GetEnd(); end != nil {
+			return e.takeEnd(end)
+		}
+	}
+}
+
+func (e *exchange) takePart(part *wire.Part) *codes.Result {
+	e.bytes += uint64(len(part.GetData()))
+	if e.run.piece.IsZero() {
+		e.run.piece = time.Now()
+	}
+	for _, action := range e.run.stage.Step(answer.PartReceived{ID: e.id, Bytes: uint64(len(part.GetData()))}) {
+		if _, take := action.(answer.Take); !take {
+			continue
+		}
+		if e.run.call.Sink == nil {
+			e.body.Write(part.GetData())
+			continue
+		}
+		if _, err := e.run.call.Sink.Write(part.GetData()); err != nil {
+			return codes.NewResult(codes.Canceled, "the caller went away")
+		}
+	}
+	return nil
+}
+
+func (e *exchange) takeEnd(end *wire.End) (*Answer, *codes.Result) {
+	e.end = end
+	id := answer.ID{
+		Request:     end.GetRequestId(),
+		Stage:       end.GetStage(),
+		Attempt:     end.GetAttempt(),
+		Incarnation: end.GetIncarnation(),
+	}
+	if codes.Code(end.GetCode()) == codes.OtherIncarnation {
+		id.Incarnation = e.id.Incarnation // the refusal comes from the new incarnation
+	}
+	for _, action := range e.run.stage.Step(answer.EndReceived{ID: id, Result: *resultOf(end), Bytes: end.GetBytes()}) {
+		switch a := action.(type) {
+		case answer.Win:
+			return e.newAnswer(), nil
+		case answer.Fail:
+			return nil, &a.Result
+		case answer.Drop:
+			e.runner.counts.dropped.Add(1)
+		}
+	}
+	return nil, codes.NewResult(codes.AnswerIncomplete, "the end belongs to another attempt")
+}
+
+func (e *exchange) newAnswer() *Answer {
+	return &Answer{
+		Status:      int(e.end.GetStatus()),
+		ContentType: e.end.GetContentType(),
+		Body:        e.body.Bytes(),
+		End:         e.end,
+		Attempts:    int(e.run.sent),
+		CrossRegion: e.chosen.Choice.CrossRegion,
+		FirstPiece:  e.run.piece,
+	}
+}
+
+// describe says what a broken stream lets the entry know. A call that was
+// written may have run, whoever closed the stream.
+func (e *exchange) describe(ctx context.Context, err error) *codes.Result {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return codes.NewResult(codes.DeadlineExceeded, "the deadline passed").WithRetryAfter(retryHint)
+	}
+	if ctx.Err() != nil {
+		return codes.NewResult(codes.Canceled, "the caller went away")
+	}
+	return codes.NewResult(codes.BackendLost, err.Error()).WithRetryAfter(retryHint)
+}
+
+func resultOf(end *wire.End) *codes.Result {
+	return &codes.Result{
+		Code:       codes.Code(end.GetCode()),
+		Outcome:    codes.Outcome(end.GetOutcome()),
+		Detail:     end.GetDetail(),
+		RetryAfter: time.Duration(end.GetRetryAfterNanos()),
+	}
+}
+
+// ended tells the router how the attempt went.
+func (e *exchange) ended(result *codes.Result) route.Ended {
+	ended := route.Ended{
+		Name:     e.chosen.Choice.Name,
+		Code:     codes.OK,
+		Prefixes: e.run.call.Prefixes,
+		Expected: e.chosen.Choice.ExpectedTokens,
+		Cached:   -1,
+	}
+	if result != nil {
+		ended.Code = result.Code
+		ended.Silent = e.end == nil && e.bytes == 0 && result.Code == codes.DeadlineExceeded
+	}
+	if e.end != nil {
+		ended.Report = fleet.LoadOf(e.end.GetLoad())
+	}
+	e.runner.counts.record(e.run.call, e.chosen, e.end, e.bytes)
+	return ended
+}
--- a/share/services/follow/fetch.go
+++ b/share/services/follow/fetch.go
@@ -13,13 +13,13 @@
 
 func (f *Follower) runPoll(ctx context.Context) {
 	asked := time.Now()
-	head, err := f.options.Store.ReadHead(ctx)
+	answer, err := f.options.Store.ReadHead(ctx)
 	if err != nil {
 		f.countFailedRead(err)
 		f.Tell(spread.ReadFailed{AskedAt: asked})
 		return
 	}
-	f.Tell(spread.HeadSeen{Head: head, AskedAt: asked})
+	f.Tell(spread.HeadSeen{Head: answer.Head, AskedAt: asked})
 }
 
 func (f *Follower) countFailedRead(err error) {
@@ -33,18 +33,16 @@
 func (f *Follower) loopWatch(ctx context.Context) {
 	index := uint64(0)
 	for ctx.Err() == nil {
-		asked := time.Now()
-		head, next, err := f.options.Store.WatchHead(ctx, index, watchWait)
+		answer, err := f.options.Store.WatchHead(ctx, index, watchWait)
 		if err != nil {
 			f.countFailedRead(err)
 			index = 0
 			sleep(ctx, watchPause)
 			continue
 		}
-		index = next
-		// The answer is as new as the moment it was sent, which is not known;
-		// the request's own time is the safe side.
-		f.Tell(spread.HeadSeen{Head: head, AskedAt: asked, Watch: true})
+		index = answer.Index
+		// The answer may be as old as the request, so the request's time is the safe one.
+		f.Tell(spread.HeadSeen{Head: answer.Head, AskedAt: answer.AskedAt, Watch: true})
 		if index == 0 {
 			sleep(ctx, watchPause)
 		}
@@ -61,7 +59,12 @@
 }
 
 func (f *Follower) runFetchStore(ctx context.Context) {
-	loaded, err := f.options.Store.FetchLoaded(ctx, f.GetLoaded())
+	answer, err := f.options.Store.ReadHead(ctx)
+	if err != nil {
+		f.tellFetched(nil, err, true)
+		return
+	}
+	loaded, err := f.options.Store.Load(ctx, f.GetLoaded(), answer.Head.Place)
 	f.tellFetched(loaded, err, true)
 }
 
@@ -86,7 +89,7 @@
 		f.Tell(spread.FetchFailed{})
 		return
 	}
-	f.Tell(spread.FetchDone{Loaded: loaded, FromStore: fromStore})
+	f.Tell(spread.FetchDone{Loaded: loaded})
 }
 
 // fetchPeer asks a peer for its manifest and then for the chunks that are missing here.
--- a/share/services/follow/follow.go
+++ b/share/services/follow/follow.go
@@ -17,6 +17,7 @@
 	"verbenaroad.example/share/models/config"
 	"verbenaroad.example/share/modules/codes"
 	"verbenaroad.example/share/modules/wire"
+	"verbenaroad.example/share/services/store"
 )
 
 // ErrFollow is the class of errors of this package.
@@ -33,14 +34,11 @@
 	eventsBuffer = 256
 )
 
-// Store reads configurations from the key-value service.
+// Store reads configurations from the key-value service; *store.Reader is one.
 type Store interface {
-	// ReadHead returns the head; a zero one where there is none yet.
-	ReadHead(ctx context.Context) (config.Head, error)
-	// WatchHead waits until the head's index differs from index.
-	WatchHead(ctx context.Context, index uint64, wait time.Duration) (config.Head, uint64, error)
-	// FetchLoaded reads the head's manifest and the chunks that old lacks.
-	FetchLoaded(ctx context.Context, old *config.Loaded) (*config.Loaded, error)
+	ReadHead(ctx context.Context) (store.HeadAnswer, error)
+	WatchHead(ctx context.Context, index uint64, wait time.Duration) (store.HeadAnswer, error)
+	Load(ctx context.Context, old *config.Loaded, place config.Place) (*config.Loaded, error)
 }
 
 // Peers asks another process for configuration over the session to it.
