share/decide/admit: admission at the entry

Cause: a request that cannot end in time costs its stages for nothing, and one team's burst must not use up what the others are owed. Change: refuse, not run, with a computed retry-after, when measured stage times and predicted waits exceed the deadline, when queues are full, or when the team's token bucket is empty; a refusal is not charged. Stage times are quantiles of a sliding window of three sections, so slow times are forgotten even while nothing is admitted. Split divides the deadline by high quantiles; called before each stage it hands saved time on. The team limits are divided by the number of live entries; a team at rest holds no state.

--- /dev/null
+++ b/share/decide/admit/admit_test.go
@@ -0,0 +1,194 @@
+package admit_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"verbenaroad.example/share/decide/admit"
+	"verbenaroad.example/share/modules/codes"
+)
+
+var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC) //nolint:gochecknoglobals // a constant in all but syntax
+
+// measured returns an admitter that saw 100 equal times of each stage.
+func measured(times map[string]time.Duration) *admit.Admitter {
+	a := admit.New(admit.DefaultSettings())
+	for key, took := range times {
+		for range 100 {
+			a.OnStage(start, key, took)
+		}
+	}
+	return a
+}
+
+func TestDecideByDeadline(t *testing.T) {
+	times := map[string]time.Duration{"encode": 20 * time.Millisecond, "generate": 800 * time.Millisecond}
+	stages := func(wait time.Duration, full bool) []admit.Stage {
+		return []admit.Stage{{Key: "encode"}, {Key: "generate", Wait: wait, Full: full}}
+	}
+	cases := []struct {
+		name      string
+		stages    []admit.Stage
+		remaining time.Duration
+		code      codes.Code
+		least     time.Duration
+		most      time.Duration
+	}{
+		{"fits", stages(100*time.Millisecond, false), time.Second, codes.OK, 0, 0},
+		{"queues too long", stages(2*time.Second, false), time.Second, codes.DeadlineUnmeetable, 1700 * time.Millisecond, 2 * time.Second},
+		{"never fits", stages(0, false), 300 * time.Millisecond, codes.DeadlineUnmeetable, 30 * time.Second, 30 * time.Second},
+		{"full", stages(3*time.Second, true), time.Minute, codes.Overloaded, 3 * time.Second, 3 * time.Second},
+		{"nothing measured", []admit.Stage{{Key: "new", Guess: time.Second}}, 500 * time.Millisecond, codes.DeadlineUnmeetable, 30 * time.Second, 30 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			d := measured(times).Decide(start, admit.Request{Team: "a", Remaining: tc.remaining, Stages: tc.stages})
+			if tc.code == codes.OK {
+				is.Equal(d.Refused, nil)
+				is.Equal(len(d.Shares), len(tc.stages))
+				return
+			}
+			is.Equal(d.Refused.Code, tc.code)
+			is.Equal(d.Refused.Outcome, codes.OutcomeNotRun)
+			is.True(d.Refused.RetryAfter >= tc.least && d.Refused.RetryAfter <= tc.most)
+		})
+	}
+}
+
+func TestSavedTimeFlowsOn(t *testing.T) {
+	is := is.New(t)
+	a := measured(map[string]time.Duration{"one": 100 * time.Millisecond, "two": 100 * time.Millisecond, "three": 200 * time.Millisecond})
+	stages := []admit.Stage{{Key: "one"}, {Key: "two"}, {Key: "three"}}
+	first := a.Split(start, 4*time.Second, stages)
+	is.Equal(first[0].Round(100*time.Millisecond), time.Second)
+	is.Equal(first[2].Round(100*time.Millisecond), 2*time.Second)
+	// The first stage took 0.4 s of its second.
+	second := a.Split(start, 3600*time.Millisecond, stages[1:])
+	is.True(second[0] > first[1])
+	is.True(second[1] > first[2])
+}
+
+// A stage is slow for a minute, so that admission refuses everything and no
+// new time is measured. If the slow times stayed, callers would be refused
+// for ever after the stage has recovered.
+func TestSlowTimesAreForgottenWithoutNewOnes(t *testing.T) {
+	is := is.New(t)
+	a := measured(map[string]time.Duration{"generate": 9 * time.Second})
+	q := admit.Request{Team: "a", Remaining: 4 * time.Second, Stages: []admit.Stage{{Key: "generate"}}}
+	is.Equal(a.Decide(start, q).Refused.Code, codes.DeadlineUnmeetable)
+	is.Equal(a.Decide(start.Add(31*time.Second), q).Refused, nil)
+}
+
+func TestRefusedIsNotCharged(t *testing.T) {
+	is := is.New(t)
+	a := admit.New(admit.DefaultSettings())
+	q := admit.Request{Team: "a", Rate: 1, Burst: 1, Cost: 1, Stages: []admit.Stage{{Key: "x", Full: true}}}
+	is.Equal(a.Decide(start, q).Refused.Code, codes.Overloaded)
+	q.Stages[0].Full = false
+	is.Equal(a.Decide(start, q).Refused, nil)
+	d := a.Decide(start, q)
+	is.Equal(d.Refused.Code, codes.TeamLimit)
+	is.Equal(d.Refused.RetryAfter, time.Second)
+	is.Equal(a.Decide(start.Add(time.Second), q).Refused, nil)
+}
+
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := admit.New(admit.DefaultSettings())
+		var stages []admit.Stage
+		for n := range rapid.IntRange(1, 8).Draw(t, "stages") {
+			s := admit.Stage{Key: fmt.Sprint(n)}
+			s.Wait = time.Duration(rapid.IntRange(0, 500).Draw(t, "wait")) * time.Millisecond
+			s.Guess = time.Duration(rapid.IntRange(0, 500).Draw(t, "guess")) * time.Millisecond
+			a.OnStage(start, s.Key, time.Duration(rapid.IntRange(0, 900).Draw(t, "took"))*time.Millisecond)
+			stages = append(stages, s)
+		}
+		remaining := time.Duration(rapid.IntRange(1, 4000).Draw(t, "remaining")) * time.Millisecond
+		sum := time.Duration(0)
+		for _, share := range a.Split(start, remaining, stages) {
+			if share < 0 {
+				t.Fatal("a share below zero")
+			}
+			sum += share
+		}
+		if sum != remaining {
+			t.Fatalf("shares add up to %v of %v", sum, remaining)
+		}
+	})
+}
+
+func TestLimitHoldsOverAllEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 4).Draw(t, "entries")
+		rate := rapid.Float64Range(1, 50).Draw(t, "rate")
+		burst := rate * rapid.Float64Range(1, 3).Draw(t, "burst")
+		maxCost := rapid.Float64Range(0.1, 5).Draw(t, "cost")
+		var all []*admit.Admitter
+		for range entries {
+			a := admit.New(admit.DefaultSettings())
+			a.SetEntries(entries)
+			all = append(all, a)
+		}
+		now, admitted := start, 0.0
+		for range rapid.IntRange(1, 200).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			q := admit.Request{Team: "a", Rate: rate, Burst: burst, Cost: rapid.Float64Range(0, maxCost).Draw(t, "one")}
+			a := all[rapid.IntRange(0, entries-1).Draw(t, "entry")]
+			if a.Decide(now, q).Refused == nil {
+				admitted += q.Cost
+			}
+		}
+		limit := burst + rate*now.Sub(start).Seconds() + float64(entries)*maxCost
+		if admitted > limit*1.000001 {
+			t.Fatalf("admitted %v of %v", admitted, limit)
+		}
+	})
+}
+
+func TestTeamsAtRestHoldNoState(t *testing.T) {
+	is := is.New(t)
+	a := admit.New(admit.DefaultSettings())
+	for n := range 1000 {
+		a.Decide(start, admit.Request{Team: fmt.Sprint(n), Rate: 10, Burst: 20, Cost: 5})
+	}
+	is.Equal(a.Teams(), 1000)
+	a.Decide(start.Add(20*time.Second), admit.Request{Team: "last", Rate: 10, Burst: 20, Cost: 5})
+	is.Equal(a.Teams(), 1)
+}
+
+func BenchmarkDecide(b *testing.B) {
+	a := measured(map[string]time.Duration{"1": time.Second, "2": time.Second, "3": time.Second, "4": time.Second})
+	stages := []admit.Stage{{Key: "1"}, {Key: "2"}, {Key: "3"}, {Key: "4"}}
+	q := admit.Request{Team: "a", Rate: 1e12, Burst: 1e12, Cost: 1, Remaining: 5 * time.Second, Stages: stages}
+	b.ReportAllocs()
+	for b.Loop() {
+		a.Decide(start, q)
+	}
+}
+
+// BenchmarkTeams19000 reports what 19,000 teams active at once and 145 stages hold.
+func BenchmarkTeams19000(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		a := admit.New(admit.DefaultSettings())
+		for n := range 19_000 {
+			a.Decide(start, admit.Request{Team: fmt.Sprint("team-", n), Rate: 10, Burst: 20, Cost: 5})
+		}
+		for n := range 145 {
+			a.OnStage(start, fmt.Sprint("stage-", n), time.Second)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "bytes-held")
+		b.ReportMetric(float64(a.Teams()), "teams")
+		runtime.KeepAlive(a)
+	}
+}
