--- a/entry/services/calls/attempt.go
+++ b/entry/services/calls/attempt.go
@@ -28,7 +28,7 @@
 			Snapshot: snapshot,
 			Caller:   s.call.CallerLabels,
 			Stage:    s.call.StageLabels,
-			Budget:   time.Until(s.call.Deadline),
+			Budget:   s.call.budget(),
 			Prefixes: s.call.Prefixes,
 			Exclude:  s.excluded,
 		})
@@ -52,6 +52,14 @@
 	return got, result
 }
 
+// budget is the predicted time that a choice should keep within.
+func (c *Call) budget() time.Duration {
+	if c.Budget > 0 {
+		return c.Budget
+	}
+	return time.Until(c.Deadline)
+}
+
 // catchUp waits for the configuration that the agent decided under, so that the next attempt is decided under it too.
 func (r *Runner) catchUp(ctx context.Context, result *codes.Result, end *wire.End) {
 	if result.Code != codes.NewerRevision || end == nil {
--- a/entry/services/calls/calls.go
+++ b/entry/services/calls/calls.go
@@ -14,6 +14,7 @@
 
 	"verbenaroad.example/entry/services/fleet"
 	"verbenaroad.example/share/decide/answer"
+	"verbenaroad.example/share/decide/retry"
 	"verbenaroad.example/share/decide/route"
 	"verbenaroad.example/share/models/config"
 	"verbenaroad.example/share/modules/codes"
@@ -42,12 +43,12 @@
 	WaitRevision(ctx context.Context, revision uint64) error
 }
 
-// Budget decides on retries by service.
+// Budget decides on retries by service; *policy.Policy is one.
 type Budget interface {
 	// DepositFirst counts a first attempt.
 	DepositFirst(service *config.Service)
-	// AllowRetry takes one retry from the budget, or says no; pause is the wait before it.
-	AllowRetry(service *config.Service, retries int, left time.Duration, random float64) (pause time.Duration, allowed bool)
+	// DecideRetry says what follows an attempt that brought no answer.
+	DecideRetry(service *config.Service, attempt retry.Attempt, random float64) retry.Decision
 }
 
 // Call is one stage's work.
@@ -63,6 +64,8 @@
 	StageLabels  config.Labels
 	// Deadline is when the stage's answer must be there.
 	Deadline time.Time
+	// Budget is the part of the time left that this stage should take; 0: all of it.
+	Budget time.Duration
 	// Cost is the estimate in cost units.
 	Cost     float64
 	Method   string
@@ -139,6 +142,7 @@
 	// sent counts attempts; the next one's number.
 	sent     uint32
 	retries  int
+	resends  int
 	excluded []string
 	last     *codes.Result
 	piece    time.Time
@@ -181,41 +185,33 @@
 
 // prepareNext decides whether another attempt follows, and waits for its time.
 func (r *Runner) prepareNext(ctx context.Context, s *stageRun, result *codes.Result) bool {
-	if !s.call.Idempotent || ctx.Err() != nil || s.sent >= maxSends || !s.stage.Retryable() {
+	if ctx.Err() != nil || s.sent >= maxSends {
 		return false
 	}
-	switch result.Code {
-	case codes.NewerRevision, codes.OtherIncarnation, codes.Draining, codes.Tombstoned:
-		// Nothing ran and nothing is overloaded: the next agent gets it at once.
+	if result.Code == codes.NoBackend && s.call.Idempotent && s.stage.Retryable() {
+		// Sessions may just be coming up; the wait counts as an attempt, so it is bounded too.
+		s.sent++
 		s.excluded = nil
-		return true
-	case codes.NoBackend, codes.NotReady:
-		return waitFor(ctx, noBackendPause) && s.countRefusal()
-	}
-	if !isRetryable(result.Code) {
-		return false
+		return waitFor(ctx, noBackendPause)
 	}
-	service := r.serviceOf(ctx, s.call.Service)
-	pause, allowed := r.budget.AllowRetry(service, s.retries, time.Until(s.call.Deadline), rand.Float64()) //nolint:gosec // jitter
-	if !allowed {
-		return false
-	}
-	s.retries++
-	r.counts.retries.Add(1)
-	return waitFor(ctx, pause)
-}
-
-// countRefusal bounds the waits for a backend server as attempts are bounded.
-func (s *stageRun) countRefusal() bool {
-	s.sent++
-	s.excluded = nil
-	return true
-}
-
-func isRetryable(code codes.Code) bool {
-	switch code {
-	case codes.BackendLost, codes.AnswerIncomplete, codes.BackendFailed, codes.Overloaded, codes.Preempted:
+	decision := r.budget.DecideRetry(r.serviceOf(ctx, s.call.Service), retry.Attempt{
+		Retries:    s.retries,
+		Resends:    s.resends,
+		Code:       result.Code,
+		Outcome:    result.Outcome,
+		Idempotent: s.call.Idempotent,
+		Delivered:  !s.stage.Retryable(),
+		Remaining:  time.Until(s.call.Deadline),
+	}, rand.Float64()) //nolint:gosec // jitter need not be unguessable
+	switch decision.Action {
+	case retry.ActionResend:
+		s.resends++
+		r.counts.resends.Add(1)
 		return true
+	case retry.ActionRetry:
+		s.retries++
+		r.counts.retries.Add(1)
+		return waitFor(ctx, decision.After)
 	default:
 		return false
 	}
@@ -239,3 +235,8 @@
 		return true
 	}
 }
+
+// Release gives back an agent that was chosen and not used.
+func (r *Runner) Release(service string, chosen *fleet.Attempt) {
+	r.fleet.EndAttempt(time.Now(), service, route.Ended{Name: chosen.Choice.Name, Code: codes.Canceled, Cached: -1})
+}
--- a/entry/services/calls/counts.go
+++ b/entry/services/calls/counts.go
@@ -13,6 +13,7 @@
 type Counts struct {
 	sent    atomic.Uint64
 	retries atomic.Uint64
+	resends atomic.Uint64
 	dropped atomic.Uint64
 	// crossBytes counts bodies and answers that left the entry's region or came from another.
 	crossBytes atomic.Uint64
@@ -36,6 +37,7 @@
 type Report struct {
 	Sent       uint64              `json:"sent"`
 	Retries    uint64              `json:"retries"`
+	Resends    uint64              `json:"resends"`
 	Dropped    uint64              `json:"dropped"`
 	CrossBytes uint64              `json:"cross-region-bytes"`
 	Stages     map[string]StageUse `json:"stages"`
@@ -57,6 +59,7 @@
 	return Report{
 		Sent:       c.sent.Load(),
 		Retries:    c.retries.Load(),
+		Resends:    c.resends.Load(),
 		Dropped:    c.dropped.Load(),
 		CrossBytes: c.crossBytes.Load(),
 		Stages:     stages,
--- /dev/null
+++ b/entry/services/direct/claimed.go
@@ -0,0 +1,208 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/entry/services/fleet"
+	"verbenaroad.example/share/decide/claim"
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/wire"
+)
+
+const (
+	// askTime bounds asking an agent what became of an attempt.
+	askTime = 300 * time.Millisecond
+	// retryHint is what a caller is told to wait where it may ask again.
+	retryHint = time.Second
+	// releaseTime bounds freeing a key after its caller was answered.
+	releaseTime = 5 * time.Second
+)
+
+// submission carries out one claim.Submission.
+type submission struct {
+	caller  *Caller
+	request *Request
+	claim   *claim.Submission
+	chosen  *fleet.Attempt
+	// attempt is the id named in the claim.
+	attempt string
+	// replied holds the answer once the submission is settled.
+	replied *claim.Reply
+}
+
+// runClaimed claims the key, runs the call and settles the claim.
+func (c *Caller) runClaimed(ctx context.Context, snapshot *config.Snapshot, q *Request) (*Answer, *codes.Result) {
+	call := c.newCall(q)
+	chosen, refusal := c.options.Agents.ChooseAgent(time.Now(), fleet.ChooseOptions{
+		Service:  call.Service,
+		Snapshot: snapshot,
+		Caller:   call.CallerLabels,
+		Stage:    call.StageLabels,
+		Budget:   time.Until(q.Deadline),
+	})
+	if refusal != nil {
+		return nil, refusal.WithRetryAfter(retryHint)
+	}
+	s := &submission{caller: c, request: q, chosen: &chosen, attempt: q.ID}
+	s.claim = claim.NewSubmission(claim.Request{
+		Key:        claim.Key(q.Team.Name, q.Key),
+		BodyDigest: digestOf(q),
+		Choice: claim.Choice{
+			Attempt:     s.attempt,
+			Agent:       chosen.Choice.Name,
+			Incarnation: chosen.Choice.Incarnation,
+		},
+		Deadline:   q.Deadline,
+		RetryAfter: retryHint,
+	})
+	s.run(ctx)
+	if !s.dispatched() {
+		c.options.Runner.Release(call.Service, &chosen)
+	}
+	return s.answer()
+}
+
+// run steps the submission until the caller has its answer.
+func (s *submission) run(ctx context.Context) {
+	actions := s.claim.Step(time.Now(), claim.Started{})
+	for len(actions) > 0 {
+		events := []claim.Event{}
+		for _, action := range actions {
+			if event := s.act(ctx, action); event != nil {
+				events = append(events, event)
+			}
+		}
+		actions = nil
+		for _, event := range events {
+			actions = append(actions, s.claim.Step(time.Now(), event)...)
+		}
+	}
+}
+
+func (s *submission) act(ctx context.Context, action claim.Action) claim.Event {
+	switch a := action.(type) {
+	case claim.Read:
+		return s.read(ctx, a.Key)
+	case claim.CompareAndSwap:
+		return s.swap(ctx, a)
+	case claim.AskAgent:
+		return s.ask(ctx, a)
+	case claim.Dispatch:
+		return s.dispatch(ctx)
+	case claim.Reply:
+		s.replied = &a
+	case claim.Release:
+		go s.runRelease(context.WithoutCancel(ctx), a)
+	}
+	return nil
+}
+
+func (s *submission) read(ctx context.Context, key string) claim.Event {
+	stored, err := s.caller.options.Claims.GetClaim(ctx, key)
+	if err != nil {
+		s.log("claim-read-failed", err)
+		return claim.ReadBack{Failed: true}
+	}
+	return claim.ReadBack{Stored: stored}
+}
+
+func (s *submission) swap(ctx context.Context, a claim.CompareAndSwap) claim.Event {
+	swapped, err := s.caller.options.Claims.SwapClaim(ctx, a.Key, a.Record, a.Index)
+	if err != nil {
+		s.log("claim-write-unsure", err)
+		return claim.SwapResult{Outcome: claim.SwapUnknown}
+	}
+	if !swapped {
+		return claim.SwapResult{Outcome: claim.SwapLost}
+	}
+	return claim.SwapResult{Outcome: claim.SwapDone}
+}
+
+func (s *submission) ask(ctx context.Context, a claim.AskAgent) claim.Event {
+	// The caller's deadline may have passed; asking has a short time of its own.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTime)
+	defer cancel()
+	told, err := s.caller.options.Agents.AskAgent(ctx, a.Agent, &wire.Ask{
+		ClaimKey:    a.Key,
+		Attempt:     a.Attempt,
+		Incarnation: a.Incarnation,
+	})
+	if err != nil {
+		s.log("claim-ask-failed", err)
+		return claim.Told{Attempt: a.Attempt, State: claim.ToldUnreachable}
+	}
+	return decodeTold(a.Attempt, told)
+}
+
+func decodeTold(attempt string, told *wire.Told) claim.Event {
+	out := claim.Told{Attempt: attempt, State: claim.ToldState(told.GetState())}
+	if len(told.GetAnswer()) == 0 {
+		return out
+	}
+	answer, err := claim.DecodeAnswer(told.GetAnswer())
+	if err == nil {
+		out.Answer = &answer
+	}
+	return out
+}
+
+func (s *submission) dispatch(ctx context.Context) claim.Event {
+	call := s.caller.newCall(s.request)
+	call.ClaimKey = claim.Key(s.request.Team.Name, s.request.Key)
+	call.ClaimAttempt = s.attempt
+	call.BodyDigest = digestOf(s.request)
+	call.Chosen = s.chosen
+	s.chosen = nil
+	got, result := s.caller.options.Runner.Run(ctx, call)
+	if result == nil || result.Outcome != codes.OutcomeNotRun {
+		s.caller.addUse(ctx, s.request)
+	}
+	if result != nil {
+		return claim.RunEnded{Attempt: s.attempt, Result: *result}
+	}
+	answer := claim.Answer{Code: codes.OK, Status: got.Status, ContentType: got.ContentType, Body: got.Body}
+	ok := codes.NewResult(codes.OK, "")
+	return claim.RunEnded{Attempt: s.attempt, Result: *ok, Answer: &answer}
+}
+
+// dispatched tells whether the chosen agent was used up by a dispatch.
+func (s *submission) dispatched() bool {
+	return s.chosen == nil
+}
+
+// runRelease frees the key, if it still holds this submission's claim, so that
+// a caller's retry need not ask the agent. Nothing depends on its success.
+func (s *submission) runRelease(ctx context.Context, a claim.Release) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTime)
+	defer cancel()
+	stored, err := s.caller.options.Claims.GetClaim(ctx, a.Key)
+	if err != nil || stored == nil {
+		return
+	}
+	own := stored.Record.Attempt == s.attempt && stored.Record.State == claim.StateClaimed
+	if !own {
+		return
+	}
+	if _, err := s.caller.options.Claims.SwapClaim(ctx, a.Key, a.Stored.Record, stored.Index); err != nil {
+		s.log("claim-release-failed", err)
+	}
+}
+
+func (s *submission) answer() (*Answer, *codes.Result) {
+	if s.replied == nil {
+		return nil, codes.NewResult(codes.Internal, "the claim ended without a reply")
+	}
+	if s.replied.Answer == nil || s.replied.Answer.Code != codes.OK {
+		return nil, &s.replied.Result
+	}
+	answer := s.replied.Answer
+	return &Answer{Status: statusOf(answer), ContentType: answer.ContentType, Body: answer.Body}, nil
+}
+
+func (s *submission) log(event string, err error) {
+	s.caller.options.Log.Warn(event, zap.String("request-id", s.request.ID), zap.Error(err))
+}
--- a/entry/services/fleet/fleet.go
+++ b/entry/services/fleet/fleet.go
@@ -126,12 +126,7 @@
 		return Attempt{}, codes.NewResult(codes.Internal, err.Error()).WithOutcome(codes.OutcomeNotRun)
 	}
 	before := s.router.Version()
-	choice, err := s.router.Choose(now, route.Request{
-		Filter:   s.matches.Select(options.Caller, options.Stage),
-		Budget:   options.Budget,
-		Prefixes: options.Prefixes,
-		Exclude:  options.Exclude,
-	}, s.random)
+	choice, err := s.router.Choose(now, s.request(options), s.random)
 	if s.router.Version() != before {
 		f.wakeLoop()
 	}
@@ -147,6 +142,32 @@
 	return Attempt{Choice: choice, Session: session}, nil
 }
 
+// PredictWait returns the queue delay and service time that the next attempt
+// would meet; nothing is counted as sent.
+func (f *Fleet) PredictWait(now time.Time, options ChooseOptions) (wait, run time.Duration, refusal *codes.Result) {
+	s := f.getService(options.Service)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if err := s.adoptRules(options.Snapshot); err != nil {
+		return 0, 0, codes.NewResult(codes.Internal, err.Error()).WithOutcome(codes.OutcomeNotRun)
+	}
+	choice, err := s.router.Choose(now, s.request(options), s.random)
+	if err != nil {
+		return 0, 0, codes.NewResult(codes.NoBackend, err.Error())
+	}
+	return choice.Wait, choice.Service, nil
+}
+
+// request is the routing request of the options; adoptRules goes before it.
+func (s *service) request(options ChooseOptions) route.Request {
+	return route.Request{
+		Filter:   s.matches.Select(options.Caller, options.Stage),
+		Budget:   options.Budget,
+		Prefixes: options.Prefixes,
+		Exclude:  options.Exclude,
+	}
+}
+
 // EndAttempt tells the router how an attempt ended; each chosen attempt is ended once.
 func (f *Fleet) EndAttempt(now time.Time, service string, ended route.Ended) {
 	s := f.getService(service)
@@ -167,11 +188,7 @@
 	if err := s.adoptRules(options.Snapshot); err != nil {
 		return nil, err
 	}
-	return s.router.Explain(now, route.Request{
-		Filter:   s.matches.Select(options.Caller, options.Stage),
-		Budget:   options.Budget,
-		Prefixes: options.Prefixes,
-	}), nil
+	return s.router.Explain(now, s.request(options)), nil
 }
 
 // CountEntries returns the number of live entries.
