--- a/agent/main.go
+++ b/agent/main.go
@@ -1,4 +1,20 @@
-// Command agent is part of verbenaroad.
+// Command agent stands beside one backend server and is the only way into it.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"verbenaroad.example/agent/cmds"
+	"verbenaroad.example/share/modules/setup"
+)
+
+func main() {
+	settings := &cmds.Settings{}
+	setup.LoadOrExit(settings.Sections(), setup.Options{Program: "agent", Args: os.Args[1:], Output: os.Stderr})
+	if err := cmds.Serve(context.Background(), settings, os.Stdout); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "agent:", err)
+		os.Exit(1)
+	}
+}
--- a/agent/services/intake/intake.go
+++ b/agent/services/intake/intake.go
@@ -275,3 +275,6 @@
 		ServiceNanos: int64(load.Service),
 	}
 }
+
+// Incarnation returns the id of this start of the process.
+func (i *Intake) Incarnation() string { return i.options.Incarnation }
--- a/agent/services/intake/line.go
+++ b/agent/services/intake/line.go
@@ -162,4 +162,3 @@
 		Tokens:  i.counts.tokens.Load(),
 	}
 }
-
--- /dev/null
+++ b/entry/cmds/settings.go
@@ -0,0 +1,125 @@
+// Package cmds assembles the entry from its settings.
+package cmds
+
+import (
+	"flag"
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"verbenaroad.example/share/decide/route"
+	"verbenaroad.example/share/modules/setup"
+)
+
+const defaultMaxBody = 1 << 20
+
+// Callers is the table [callers]: the caller API.
+type Callers struct {
+	Listen netip.AddrPort
+	// MaxBodyBytes bounds a request body.
+	MaxBodyBytes int
+}
+
+// Register declares the keys of the section.
+func (c *Callers) Register(fs *flag.FlagSet) {
+	fs.TextVar(&c.Listen, "callers.listen", netip.AddrPort{}, "`ip:port` of the caller API")
+	fs.IntVar(&c.MaxBodyBytes, "callers.max-body-bytes", defaultMaxBody, "longest request body in `bytes`")
+}
+
+// Check returns the faults of the section.
+func (c *Callers) Check() []error {
+	faults := []error{}
+	if !c.Listen.IsValid() {
+		faults = append(faults, errs.New("callers.listen: must be set to ip:port"))
+	}
+	if c.MaxBodyBytes < 1 {
+		faults = append(faults, errs.New("callers.max-body-bytes: must be above 0"))
+	}
+	return faults
+}
+
+// Admin is the table [admin]: the operators' API.
+type Admin struct {
+	Listen netip.AddrPort
+	// BootstrapSHA256 is the digest of a token that counts while no configuration exists.
+	BootstrapSHA256 string
+}
+
+// Register declares the keys of the section.
+func (a *Admin) Register(fs *flag.FlagSet) {
+	fs.TextVar(&a.Listen, "admin.listen", netip.AddrPort{}, "`ip:port` of the operators' API")
+	fs.StringVar(&a.BootstrapSHA256, "admin.bootstrap-sha256", "", "SHA-256 `digest` in hex of the token that counts while no configuration exists; empty: none")
+}
+
+// Check returns the faults of the section.
+func (a *Admin) Check() []error {
+	if !a.Listen.IsValid() {
+		return []error{errs.New("admin.listen: must be set to ip:port")}
+	}
+	return nil
+}
+
+// Routing is the table [routing].
+type Routing struct {
+	// Policy is deadline, or one of the baselines for experiments.
+	Policy string
+	// SubsetSize is the number of agents of a service that the entry keeps sessions to.
+	SubsetSize int
+	SubsetMax  int
+	// RegionRoundTrip is added to the predicted time of a call to another region.
+	RegionRoundTrip time.Duration
+	// BeatEvery is the time between two heartbeats to an agent.
+	BeatEvery time.Duration
+}
+
+// Register declares the keys of the section.
+func (r *Routing) Register(fs *flag.FlagSet) {
+	defaults := route.DefaultSettings()
+	fs.StringVar(&r.Policy, "routing.policy", string(defaults.Policy), "`policy`: deadline, or a baseline: random, round-robin, least-outstanding, two-choices")
+	fs.IntVar(&r.SubsetSize, "routing.subset-size", defaults.SubsetSize, "`number` of agents of a service to keep sessions to")
+	fs.IntVar(&r.SubsetMax, "routing.subset-max", defaults.SubsetMax, "`number` of them when they are busy")
+	fs.DurationVar(&r.RegionRoundTrip, "routing.region-round-trip", defaults.RegionRoundTrip, "`time` that a call to another region takes more")
+	fs.DurationVar(&r.BeatEvery, "routing.beat-every", time.Second, "`time` between two heartbeats to an agent")
+}
+
+// Check returns the faults of the section.
+func (r *Routing) Check() []error {
+	faults := []error{}
+	known := false
+	for _, policy := range route.Policies() {
+		known = known || string(policy) == r.Policy
+	}
+	if !known {
+		faults = append(faults, errs.New("routing.policy: %q is unknown", r.Policy))
+	}
+	if r.SubsetSize < 1 || r.SubsetMax < r.SubsetSize {
+		faults = append(faults, errs.New("routing.subset-size: want 1 to subset-max"))
+	}
+	if r.BeatEvery <= 0 {
+		faults = append(faults, errs.New("routing.beat-every: must be above 0"))
+	}
+	return faults
+}
+
+// Settings are all tables of the entry's settings.
+type Settings struct {
+	Log      setup.Log
+	Trace    setup.Trace
+	Instance setup.Instance
+	Platform setup.Platform
+	Stop     setup.Stop
+	Secure   setup.Secure
+	Metrics  setup.Metrics
+	Callers  Callers
+	Admin    Admin
+	Routing  Routing
+}
+
+// Sections lists the tables for loading and for checks of example files.
+func (s *Settings) Sections() []setup.Section {
+	return []setup.Section{
+		&s.Log, &s.Trace, &s.Instance, &s.Platform, &s.Stop,
+		&s.Secure, &s.Metrics, &s.Callers, &s.Admin, &s.Routing,
+	}
+}
--- a/entry/services/fleet/fleet.go
+++ b/entry/services/fleet/fleet.go
@@ -37,7 +37,7 @@
 type Watcher interface {
 	OnPeerBeat(peer string, beat *wire.Beat, notBefore time.Time)
 	OnPeerGone(peer string)
-	OnEntries(entries []member.Instance)
+	OnInstances(instances []member.Instance)
 }
 
 // Options are the settings of a Fleet.
--- a/entry/services/fleet/peers.go
+++ b/entry/services/fleet/peers.go
@@ -61,7 +61,7 @@
 		f.lock.Lock()
 		f.entries = max(1, len(entries))
 		f.lock.Unlock()
-		f.options.Watcher.OnEntries(append(entries, agents...))
+		f.options.Watcher.OnInstances(append(entries, agents...))
 	}
 	f.takeAgents(agents)
 	now := time.Now()
--- a/share/services/follow/follow.go
+++ b/share/services/follow/follow.go
@@ -50,6 +50,8 @@
 type Options struct {
 	// Self is the name of this instance.
 	Self     string
+	// Domain is its failure domain.
+	Domain   string
 	Settings spread.Settings
 	Pick     spread.Pick
 	Store    Store
--- /dev/null
+++ b/share/services/kvport/kvport.go
@@ -0,0 +1,80 @@
+// Package kvport fits the client of the key-value service to what the
+// configuration and the claims need of it.
+package kvport
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"verbenaroad.example/share/decide/claim"
+	"verbenaroad.example/share/modules/kvapi"
+	"verbenaroad.example/share/services/store"
+)
+
+// ErrPort is the class of errors of this package.
+var ErrPort = errs.Class("key-value service") //nolint:gochecknoglobals // an error class is a constant in all but syntax
+
+// claimPrefix keeps claims apart from the configuration's keys.
+const claimPrefix = "verbenaroad/"
+
+// Port is a client of the key-value service as the programs use it.
+type Port struct {
+	client *kvapi.Client
+}
+
+// NewPort returns a port on a client.
+func NewPort(client *kvapi.Client) *Port {
+	return &Port{client: client}
+}
+
+// Get reads consistently; a missing key is a value with index 0.
+func (p *Port) Get(ctx context.Context, key string) (store.Value, error) {
+	pair, err := p.client.Get(ctx, key)
+	return toValue(pair, err)
+}
+
+// Watch returns once the key has another index, or when the wait is over.
+func (p *Port) Watch(ctx context.Context, key string, index uint64, wait time.Duration) (store.Value, error) {
+	pair, err := p.client.Watch(ctx, key, index, wait)
+	return toValue(pair, err)
+}
+
+func toValue(pair kvapi.Pair, err error) (store.Value, error) {
+	if kvapi.IsErrKeyNotExist(err) {
+		return store.Value{}, nil
+	}
+	if err != nil {
+		return store.Value{}, ErrPort.Wrap(err)
+	}
+	return store.Value{Data: pair.Value, Index: pair.Index}, nil
+}
+
+// CompareAndSwap writes where the key still has the index; after an error the outcome is unknown.
+func (p *Port) CompareAndSwap(ctx context.Context, key string, data []byte, index uint64) (bool, error) {
+	swapped, err := p.client.CompareAndSwap(ctx, key, data, index)
+	return swapped, ErrPort.Wrap(err)
+}
+
+// GetClaim returns the record of a claim with its index; nil where there is none.
+func (p *Port) GetClaim(ctx context.Context, key string) (*claim.Stored, error) {
+	value, err := p.Get(ctx, claimPrefix+key)
+	if err != nil || value.Index == 0 {
+		return nil, err
+	}
+	record, err := claim.Decode(value.Data)
+	if err != nil {
+		return nil, ErrPort.Wrap(err)
+	}
+	return &claim.Stored{Record: record, Index: value.Index}, nil
+}
+
+// SwapClaim writes the record if the key's index still is index; after an error the outcome is unknown.
+func (p *Port) SwapClaim(ctx context.Context, key string, record claim.Record, index uint64) (bool, error) {
+	data, err := claim.Encode(record)
+	if err != nil {
+		return false, err
+	}
+	return p.CompareAndSwap(ctx, claimPrefix+key, data, index)
+}
