--- a/share/services/kvport/kvport.go
+++ b/share/services/kvport/kvport.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return store.Value{}, ErrPort.Wrap(err)
 	}
-	return store.Value{Data: pair.Value, Index: pair.Index}, nil
+	return store.Value{Data: pair.Value, Index: pair.ModifyIndex}, nil
 }
 
 // CompareAndSwap writes where the key still has the index; after an error the outcome is unknown.
