admin: the operators' API with commands and queries apart

Cause: operators need changes with a certain verdict, queries, and one error body with numbered codes. Status, drain, explain and claims are small interfaces that answer not found where a program doesn't offer them. A bootstrap token counts for the first change only, which the compare-and-swap itself holds, since a process that has just started may not have loaded the configuration yet. A change of labels is known again by what was asked and not by the documents that it led to.

--- /dev/null
+++ b/entry/routers/admin/admin_test.go
@@ -0,0 +1,276 @@
+package admin_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/entry/routers/admin"
+	"verbenaroad.example/entry/services/change"
+	"verbenaroad.example/entry/services/lookup"
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/services/admapi"
+	"verbenaroad.example/share/services/store"
+)
+
+// system is the admin API over a key-value service in memory.
+type system struct {
+	mutex  sync.Mutex
+	index  uint64
+	values map[string]store.Value
+	down   bool
+	// loseAnswers makes swaps take effect and fail, and reads fail.
+	loseAnswers bool
+	reader      *store.Reader
+	router      *admin.Router
+	// blind makes the process see no configuration, as one that just started.
+	blind bool
+}
+
+func newSystem() *system {
+	s := &system{values: map[string]store.Value{}}
+	s.reader = store.NewReader(s, store.DefaultPrefix)
+	s.router = admin.NewRouter(admin.Options{
+		Changes:         change.NewService(store.NewWriter(s, s.reader)),
+		Lookups:         lookup.NewService(s.reader, s),
+		Snapshots:       s,
+		BootstrapSHA256: config.DigestToken("bootstrap-token"),
+	})
+	return s
+}
+
+func (s *system) Get(_ context.Context, key string) (store.Value, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return store.Value{}, context.DeadlineExceeded
+	}
+	return s.values[key], nil
+}
+
+func (s *system) CompareAndSwap(_ context.Context, key string, data []byte, index uint64) (bool, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return false, context.DeadlineExceeded
+	}
+	if s.values[key].Index != index {
+		return false, nil
+	}
+	s.index++
+	s.values[key] = store.Value{Data: data, Index: s.index}
+	if s.loseAnswers && strings.HasSuffix(key, "head") {
+		s.down = true
+		return false, context.DeadlineExceeded
+	}
+	return true, nil
+}
+
+func (s *system) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (store.Value, error) {
+	return s.Get(ctx, key)
+}
+
+// Snapshot loads what the service holds, as if spreading took no time.
+func (s *system) Snapshot() *config.Snapshot {
+	s.mutex.Lock()
+	down := s.down
+	s.down = false
+	s.mutex.Unlock()
+	defer func() {
+		s.mutex.Lock()
+		s.down = down
+		s.mutex.Unlock()
+	}()
+	answer, err := s.reader.ReadHead(context.Background())
+	if err != nil || answer.Index == 0 || s.blind {
+		return nil
+	}
+	loaded, err := s.reader.Load(context.Background(), nil, answer.Head.Place)
+	if err != nil {
+		return nil
+	}
+	return loaded.Snapshot
+}
+
+const first = `
+[[operator]]
+name = "ana"
+token-sha256 = "DIGEST-ANA"
+role = "change"
+
+[[operator]]
+name = "bor"
+token-sha256 = "DIGEST-BOR"
+role = "read"
+
+[[team]]
+name = "kranj"
+token-sha256 = ["DIGEST-KRANJ"]
+priority = "normal"
+weight = 1.0
+`
+
+func firstText() string {
+	r := strings.NewReplacer(
+		"DIGEST-ANA", config.DigestToken("ana-token"),
+		"DIGEST-BOR", config.DigestToken("bor-token"),
+		"DIGEST-KRANJ", config.DigestToken("kranj-token"),
+	)
+	return r.Replace(first)
+}
+
+func (s *system) call(t *testing.T, token, method, path, body string) (int, admapi.Error, string) {
+	t.Helper()
+	q := httptest.NewRequestWithContext(t.Context(), method, path, strings.NewReader(body))
+	if token != "" {
+		q.Header.Set("Authorization", "Bearer "+token)
+	}
+	w := httptest.NewRecorder()
+	s.router.ServeHTTP(w, q)
+	var e admapi.Error
+	text := w.Body.String()
+	_ = json.Unmarshal([]byte(text), &e)
+	return w.Code, e, text
+}
+
+func (s *system) bootstrap(t *testing.T) {
+	t.Helper()
+	status, _, text := s.call(t, "bootstrap-token", http.MethodPut, "/admin/v1/changes/first", firstText())
+	if status != http.StatusOK {
+		t.Fatal(text)
+	}
+}
+
+func TestAuthorization(t *testing.T) {
+	s := newSystem()
+	s.bootstrap(t)
+	tests := []struct {
+		name, token, method, path string
+		status                    int
+		code                      codes.Code
+	}{
+		{"no token", "", http.MethodGet, "/admin/v1/config", 401, codes.BadToken},
+		{"wrong token", "xyz", http.MethodGet, "/admin/v1/config", 401, codes.BadToken},
+		{"bootstrap is over", "bootstrap-token", http.MethodGet, "/admin/v1/config", 401, codes.BadToken},
+		{"a team's token", "kranj-token", http.MethodGet, "/admin/v1/config", 401, codes.BadToken},
+		{"reader reads", "bor-token", http.MethodGet, "/admin/v1/config", 200, codes.OK},
+		{"reader may not change", "bor-token", http.MethodPut, "/admin/v1/changes/x", 403, codes.Forbidden},
+		{"reader may not drain", "bor-token", http.MethodPost, "/admin/v1/drains/x", 403, codes.Forbidden},
+		{"reader may not settle", "bor-token", http.MethodPost, "/admin/v1/claims/a/b", 403, codes.Forbidden},
+		{"not offered", "ana-token", http.MethodGet, "/admin/v1/status", 404, codes.NotFound},
+		{"no such path", "ana-token", http.MethodGet, "/admin/v2", 404, codes.NotFound},
+		{"no such kind", "ana-token", http.MethodGet, "/admin/v1/config/zone", 404, codes.NotFound},
+		{"no such name", "ana-token", http.MethodGet, "/admin/v1/config/team/celje", 404, codes.NotFound},
+		{"by name", "bor-token", http.MethodGet, "/admin/v1/config/team/kranj", 200, codes.OK},
+		{"bad base", "ana-token", http.MethodPut, "/admin/v1/changes/x?base=one", 400, codes.BadRequest},
+		{"bad id", "ana-token", http.MethodPut, "/admin/v1/changes/a%20b", 400, codes.BadRequest},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			status, e, _ := s.call(t, tt.token, tt.method, tt.path, "")
+			is.Equal(status, tt.status)
+			is.Equal(e.Code, tt.code)
+			if status != http.StatusOK {
+				is.Equal(e.Name, tt.code.Name())
+				is.True(e.RequestID != "")
+			}
+		})
+	}
+}
+
+// An entry restarts and has not loaded the configuration yet. Somebody who
+// kept the bootstrap token sends a change there; it must not get through.
+func TestBootstrapTokenEndsWithTheFirstChange(t *testing.T) {
+	is := is.New(t)
+	s := newSystem()
+	s.bootstrap(t)
+	s.blind = true
+	status, e, _ := s.call(t, "bootstrap-token", http.MethodPut, "/admin/v1/changes/second", firstText())
+	is.Equal(status, http.StatusConflict)
+	is.Equal(e.Code, codes.ConfigConflict)
+}
+
+func TestInvalidChangeTellsLines(t *testing.T) {
+	is := is.New(t)
+	s := newSystem()
+	s.bootstrap(t)
+	body := "[[team]]\nname = \"celje\"\ntoken-sha256 = [\"ab\"]\npriority = \"high\"\nweight = 1.0\n"
+	status, e, _ := s.call(t, "ana-token", http.MethodPut, "/admin/v1/changes/x", body)
+	is.Equal(status, http.StatusUnprocessableEntity)
+	is.Equal(len(e.Problems), 2)
+	is.Equal(e.Problems[0].Line, 3)
+	is.Equal(e.Problems[1].Line, 4)
+	status, e, _ = s.call(t, "ana-token", http.MethodPut, "/admin/v1/changes/x", "[[team]]\nnom = \"celje\"\n")
+	is.Equal(status, http.StatusUnprocessableEntity)
+	is.Equal(e.Problems[0].Line, 2)
+}
+
+func TestDryRunThenConflict(t *testing.T) {
+	is := is.New(t)
+	s := newSystem()
+	s.bootstrap(t)
+	heavier := strings.Replace(firstText(), "weight = 1.0", "weight = 2.0", 1)
+	status, _, text := s.call(t, "ana-token", http.MethodPut, "/admin/v1/changes/x?dry-run", heavier)
+	is.Equal(status, http.StatusOK)
+	is.True(strings.Contains(text, `"verdict":"checked"`))
+	is.Equal(s.Snapshot().Revision, uint64(1))
+	status, _, _ = s.call(t, "ana-token", http.MethodPut, "/admin/v1/changes/x?base=1", heavier)
+	is.Equal(status, http.StatusOK)
+	status, e, _ := s.call(t, "ana-token", http.MethodPut, "/admin/v1/changes/y?base=1", firstText())
+	is.Equal(status, http.StatusConflict)
+	is.Equal(e.Revision, uint64(2))
+	is.Equal(e.Changes[0].Field, "weight")
+}
+
+// The key-value service takes the change and then goes silent. The operator
+// is told "unknown, ask again"; after the outage the same request under the
+// same change id tells that it was accepted, and so does the query.
+func TestUnknownChangeIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	s := newSystem()
+	s.bootstrap(t)
+	s.loseAnswers = true
+	heavier := strings.Replace(firstText(), "weight = 1.0", "weight = 2.0", 1)
+	status, e, _ := s.call(t, "ana-token", http.MethodPut, "/admin/v1/changes/x", heavier)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(e.Code, codes.ChangeUnknown)
+	is.Equal(e.Outcome, codes.OutcomeUnknown)
+	is.True(e.RetryAfter > 0)
+	_, e, _ = s.call(t, "ana-token", http.MethodGet, "/admin/v1/changes/x", "")
+	is.Equal(e.Code, codes.ChangeUnknown)
+	s.down = false
+	status, e, _ = s.call(t, "ana-token", http.MethodPut, "/admin/v1/changes/x", heavier)
+	is.Equal(status, http.StatusOK)
+	is.Equal(e.Revision, uint64(2))
+	status, _, _ = s.call(t, "ana-token", http.MethodGet, "/admin/v1/changes/x", "")
+	is.Equal(status, http.StatusOK)
+}
+
+func TestLabels(t *testing.T) {
+	is := is.New(t)
+	s := newSystem()
+	s.bootstrap(t)
+	body := `{"change-id":"l1","kind":"team","name":"kranj","set":{"tier":"workshop"}}`
+	for range 2 {
+		status, e, _ := s.call(t, "ana-token", http.MethodPost, "/admin/v1/labels", body)
+		is.Equal(status, http.StatusOK)
+		is.Equal(e.Revision, uint64(2))
+	}
+	is.Equal(s.Snapshot().GetTeamByName("kranj").Labels["tier"], "workshop")
+	status, _, _ := s.call(t, "ana-token", http.MethodPost, "/admin/v1/labels", `{"change-id":"l2","kind":"team","name":"kranj","remove":["tier"]}`)
+	is.Equal(status, http.StatusOK)
+	is.Equal(len(s.Snapshot().GetTeamByName("kranj").Labels), 0)
+	status, _, _ = s.call(t, "ana-token", http.MethodPost, "/admin/v1/labels", `{"change-id":"l3","kind":"team","name":"celje"}`)
+	is.Equal(status, http.StatusUnprocessableEntity)
+	status, _, _ = s.call(t, "ana-token", http.MethodPost, "/admin/v1/labels", `{"change-id":"l4","who":1}`)
+	is.Equal(status, http.StatusBadRequest)
+}
--- /dev/null
+++ b/entry/routers/admin/commands.go
@@ -0,0 +1,175 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+
+	"verbenaroad.example/entry/services/change"
+	"verbenaroad.example/share/decide/head"
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/services/admapi"
+)
+
+const (
+	// maxBody holds a first configuration of 19,000 teams.
+	maxBody     = 16 << 20
+	maxSmall    = 64 << 10
+	comeBack    = time.Second
+	changeIDFit = `^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`
+)
+
+func (r *Router) putChange(w http.ResponseWriter, c *call) {
+	options, err := newApplyOptions(c)
+	if err != nil {
+		c.writeError(w, err)
+		return
+	}
+	options.Text, err = readBody(w, c, maxBody)
+	if err != nil {
+		c.writeError(w, err)
+		return
+	}
+	c.writeAnswer(w, options.ChangeID, r.options.Changes.Apply(c.request.Context(), options))
+}
+
+func newApplyOptions(c *call) (change.ApplyOptions, error) {
+	options := change.ApplyOptions{
+		ChangeID: c.request.PathValue("id"),
+		Operator: c.operator.Name,
+		First:    c.bootstrap,
+	}
+	err := checkChangeID(options.ChangeID)
+	if err != nil {
+		return options, err
+	}
+	query := c.request.URL.Query()
+	if query.Has("dry-run") {
+		value := query.Get("dry-run")
+		options.DryRun, err = strconv.ParseBool(value)
+		if value != "" && err != nil {
+			return options, codes.NewResult(codes.BadRequest, "dry-run: want true or false")
+		}
+		options.DryRun = options.DryRun || value == ""
+	}
+	if base := query.Get("base"); base != "" {
+		options.Base, err = strconv.ParseUint(base, 10, 64)
+		if err != nil {
+			return options, codes.NewResult(codes.BadRequest, "base: want a revision")
+		}
+	}
+	return options, nil
+}
+
+func checkChangeID(id string) error {
+	fits, err := regexp.MatchString(changeIDFit, id)
+	if err != nil || !fits {
+		return codes.NewResult(codes.BadRequest, "change-id: want 1 to 100 letters, digits, dots, hyphens or underscores")
+	}
+	return nil
+}
+
+func readBody(w http.ResponseWriter, c *call, most int64) ([]byte, error) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, c.request.Body, most))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, codes.NewResult(codes.BodyTooLarge, "the body is over "+strconv.FormatInt(most, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, codes.NewResult(codes.BadRequest, "the body could not be read")
+	}
+	return text, nil
+}
+
+func readJSON(w http.ResponseWriter, c *call, into any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, c.request.Body, maxSmall))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(into)
+	if err != nil {
+		return codes.NewResult(codes.BadRequest, "body: "+err.Error())
+	}
+	return nil
+}
+
+// writeAnswer turns a verdict into its HTTP answer.
+func (c *call) writeAnswer(w http.ResponseWriter, changeID string, a head.Answer) {
+	body := admapi.Error{
+		ChangeID: changeID,
+		Revision: a.Revision,
+		Changes:  a.Changes,
+		Problems: a.Problems,
+		Detail:   a.Detail,
+	}
+	switch a.Verdict {
+	case head.VerdictAccepted, head.VerdictChecked:
+		result := admapi.ChangeResult{Verdict: string(a.Verdict), ChangeID: changeID, Revision: a.Revision, Changes: a.Changes}
+		c.writeJSON(w, http.StatusOK, result)
+		return
+	case head.VerdictConflict:
+		body.Code = codes.ConfigConflict
+	case head.VerdictInvalid:
+		body.Code = codes.ConfigInvalid
+	case head.VerdictUnavailable:
+		body.Code = codes.StoreUnavailable
+		body.RetryAfter = config.Duration(comeBack)
+	default:
+		body.Code = codes.ChangeUnknown
+		body.RetryAfter = config.Duration(comeBack)
+	}
+	entry := codes.GetEntry(body.Code)
+	body.Outcome = entry.Outcome
+	if body.Detail == "" {
+		body.Detail = entry.Meaning
+	}
+	c.writeErrorBody(w, body)
+}
+
+func (r *Router) postLabels(w http.ResponseWriter, c *call) {
+	var labels admapi.LabelChange
+	err := readJSON(w, c, &labels)
+	if err == nil {
+		err = checkChangeID(labels.ChangeID)
+	}
+	if err == nil && c.bootstrap {
+		err = codes.NewResult(codes.Forbidden, "the bootstrap token allows the first change only")
+	}
+	if err != nil {
+		c.writeError(w, err)
+		return
+	}
+	c.writeAnswer(w, labels.ChangeID, r.options.Changes.SetLabels(c.request.Context(), c.operator.Name, labels))
+}
+
+func (r *Router) postDrain(w http.ResponseWriter, c *call) {
+	drain, err := r.options.Drains.Drain(c.request.Context(), c.operator.Name, c.request.PathValue("instance"))
+	c.write(w, drain, err)
+}
+
+func (r *Router) postClaim(w http.ResponseWriter, c *call) {
+	var resolution admapi.ClaimResolution
+	err := readJSON(w, c, &resolution)
+	if err == nil && resolution.Outcome != codes.OutcomeRan && resolution.Outcome != codes.OutcomeNotRun {
+		err = codes.NewResult(codes.BadRequest, "outcome: want ran or not-run")
+	}
+	if err != nil {
+		c.writeError(w, err)
+		return
+	}
+	team, key := c.request.PathValue("team"), c.request.PathValue("key")
+	claim, err := r.options.Claims.ResolveClaim(c.request.Context(), c.operator.Name, team, key, resolution)
+	c.write(w, claim, err)
+}
+
+// write answers with a body or with the error.
+func (c *call) write(w http.ResponseWriter, body any, err error) {
+	if err != nil {
+		c.writeError(w, err)
+		return
+	}
+	c.writeJSON(w, http.StatusOK, body)
+}
--- /dev/null
+++ b/entry/routers/admin/queries.go
@@ -0,0 +1,55 @@
+package admin
+
+import (
+	"net/http"
+	"slices"
+
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/services/admapi"
+)
+
+func (r *Router) getChange(w http.ResponseWriter, c *call) {
+	move, err := r.options.Lookups.GetMoveByChange(c.request.Context(), c.request.PathValue("id"))
+	c.write(w, move, err)
+}
+
+func (r *Router) getConfig(w http.ResponseWriter, c *call) {
+	kind := config.Kind(c.request.PathValue("kind"))
+	if kind != "" && !slices.Contains(config.Kinds(), kind) {
+		c.writeError(w, codes.NewResult(codes.NotFound, "there is no such kind of document"))
+		return
+	}
+	found, err := r.options.Lookups.FindDocuments(kind, c.request.PathValue("name"))
+	c.write(w, found, err)
+}
+
+func (r *Router) getHistory(w http.ResponseWriter, c *call) {
+	moves, err := r.options.Lookups.FindMoves(c.request.Context())
+	c.write(w, admapi.History{Moves: moves}, err)
+}
+
+func (r *Router) getStatus(w http.ResponseWriter, c *call) {
+	status, err := r.options.Statuses.GetStatus(c.request.Context())
+	c.write(w, status, err)
+}
+
+func (r *Router) getExplanation(w http.ResponseWriter, c *call) {
+	query := c.request.URL.Query()
+	options := ExplainOptions{Team: query.Get("team"), Pipeline: query.Get("pipeline"), Stage: query.Get("stage")}
+	if options.Team == "" || options.Pipeline == "" {
+		c.writeError(w, codes.NewResult(codes.BadRequest, "want team and pipeline"))
+		return
+	}
+	explanation, err := r.options.Explanations.Explain(c.request.Context(), options)
+	c.write(w, explanation, err)
+}
+
+func (r *Router) getClaim(w http.ResponseWriter, c *call) {
+	claim, err := r.options.Claims.GetClaimByKey(c.request.Context(), c.request.PathValue("team"), c.request.PathValue("key"))
+	c.write(w, claim, err)
+}
+
+func (r *Router) getNothing(w http.ResponseWriter, c *call) {
+	c.writeError(w, codes.NewResult(codes.NotFound, "the admin API has no such method and path"))
+}
--- /dev/null
+++ b/entry/services/change/change.go
@@ -0,0 +1,161 @@
+// Package change holds the admin API's commands on the configuration.
+package change
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"time"
+
+	"verbenaroad.example/share/decide/head"
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/services/admapi"
+)
+
+// defaultTimeout bounds one change with all its reads and writes.
+const defaultTimeout = 30 * time.Second
+
+// Writer carries changes to the key-value service.
+type Writer interface {
+	Submit(ctx context.Context, s head.Submission) head.Answer
+	// LoadHead returns nil when no configuration exists.
+	LoadHead(ctx context.Context) (*config.Loaded, error)
+}
+
+// Service carries out changes.
+type Service struct {
+	writer Writer
+}
+
+// NewService returns a service over a writer.
+func NewService(writer Writer) *Service {
+	return &Service{writer: writer}
+}
+
+// ApplyOptions describe one change.
+type ApplyOptions struct {
+	ChangeID string
+	Operator string
+	// Base is the revision the change was made for; 0: the one found.
+	Base   uint64
+	DryRun bool
+	// First allows the change only while no configuration exists.
+	First bool
+	// Text holds the documents as TOML.
+	Text []byte
+}
+
+// Apply reads, checks and submits documents.
+func (s *Service) Apply(ctx context.Context, o ApplyOptions) head.Answer {
+	patch, problems := config.ParsePatch(admapi.BodyName, o.Text)
+	if len(problems) > 0 {
+		return head.Answer{Verdict: head.VerdictInvalid, Problems: problems}
+	}
+	answer := s.submit(ctx, head.Submission{
+		Change:   o.ChangeID,
+		Operator: o.Operator,
+		Patch:    patch,
+		Base:     o.Base,
+		DryRun:   o.DryRun,
+		First:    o.First,
+	})
+	if len(answer.Problems) > 0 {
+		answer.Problems = config.NewSource(admapi.BodyName, o.Text).Locate(answer.Problems)
+	}
+	return answer
+}
+
+// submit goes on when the operator's connection breaks: a change that stopped
+// between the swap and the reading back would leave its verdict untold to the
+// one who asks again.
+func (s *Service) submit(ctx context.Context, submission head.Submission) head.Answer {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), defaultTimeout)
+	defer cancel()
+	return s.writer.Submit(ctx, submission)
+}
+
+// SetLabels changes the labels of a team or a stage, on top of the documents
+// that the key-value service holds now.
+func (s *Service) SetLabels(ctx context.Context, operator string, l admapi.LabelChange) head.Answer {
+	loaded, err := s.writer.LoadHead(ctx)
+	if err != nil || loaded == nil {
+		return head.Answer{Verdict: head.VerdictUnavailable, Detail: "there is no configuration to be read"}
+	}
+	patch, problem := newLabelPatch(loaded.Snapshot, l)
+	if problem != nil {
+		return head.Answer{Verdict: head.VerdictInvalid, Problems: []config.Problem{*problem}}
+	}
+	base := l.Base
+	if base == 0 {
+		base = loaded.Place.Revision
+	}
+	return s.submit(ctx, head.Submission{
+		Change:   l.ChangeID,
+		Operator: operator,
+		Patch:    patch,
+		Base:     base,
+		Digest:   digestLabels(l),
+	})
+}
+
+// digestLabels is that of what was asked and not of the documents it leads
+// to: those differ when another change came between two submissions of it.
+func digestLabels(l admapi.LabelChange) config.Hash {
+	l.Base = 0
+	text, err := json.Marshal(l)
+	if err != nil {
+		return ""
+	}
+	return config.HashBytes(text)
+}
+
+func newLabelPatch(snapshot *config.Snapshot, l admapi.LabelChange) (config.Patch, *config.Problem) {
+	var patch config.Patch
+	missing := &config.Problem{Kind: l.Kind, Name: l.Name, Detail: "does not exist"}
+	switch l.Kind {
+	case config.KindTeam:
+		found := snapshot.GetTeamByName(l.Name)
+		if found == nil {
+			return patch, missing
+		}
+		team := *found
+		team.Labels = mergeLabels(team.Labels, l)
+		patch.Teams = []config.Team{team}
+		return patch, nil
+	case config.KindPipeline:
+		found := snapshot.GetPipelineByName(l.Name)
+		if found == nil {
+			return patch, missing
+		}
+		return newStagePatch(*found, l)
+	default:
+		return patch, &config.Problem{Kind: l.Kind, Name: l.Name, Field: "kind", Detail: "labels can be set on a team or on a pipeline's stage"}
+	}
+}
+
+func newStagePatch(pipeline config.Pipeline, l admapi.LabelChange) (config.Patch, *config.Problem) {
+	var patch config.Patch
+	stages := append([]config.Stage(nil), pipeline.Stages...)
+	for i := range stages {
+		if stages[i].Name != l.Stage {
+			continue
+		}
+		stages[i].Labels = mergeLabels(stages[i].Labels, l)
+		pipeline.Stages = stages
+		patch.Pipelines = []config.Pipeline{pipeline}
+		return patch, nil
+	}
+	detail := fmt.Sprintf("has no stage %q", l.Stage)
+	return patch, &config.Problem{Kind: l.Kind, Name: l.Name, Field: "stage", Detail: detail}
+}
+
+func mergeLabels(old config.Labels, l admapi.LabelChange) config.Labels {
+	merged := config.Labels{}
+	maps.Copy(merged, old)
+	maps.Copy(merged, l.Set)
+	for _, key := range l.Remove {
+		delete(merged, key)
+	}
+	return merged
+}
--- a/share/decide/head/head.go
+++ b/share/decide/head/head.go
@@ -40,6 +40,13 @@
 	// Base is the revision that the change was made for; 0: the one found first.
 	Base   uint64
 	DryRun bool
+	// First refuses the change unless no configuration exists: a bootstrap
+	// operator's rights end with the first change, also where the process that
+	// checked the token has not heard of it yet.
+	First bool
+	// Digest stands in for that of Patch where the patch was worked out from
+	// the configuration and would differ when asked again; empty: the patch's.
+	Digest config.Hash
 }
 
 // Event is something that happened to a writer.
@@ -140,7 +147,11 @@
 
 // NewWriter returns the writer of a submission.
 func NewWriter(s Submission) *Writer {
-	return &Writer{submission: s, digest: s.Patch.Digest()}
+	digest := s.Digest
+	if digest == "" {
+		digest = s.Patch.Digest()
+	}
+	return &Writer{submission: s, digest: digest}
 }
 
 // Handle takes an event and returns what to do; nothing follows an Answer.
@@ -212,6 +223,9 @@
 }
 
 func (w *Writer) begin(e Fetched, now time.Time) []Action {
+	if w.submission.First && e.Index != 0 {
+		return w.answer(Answer{Verdict: VerdictConflict, Revision: e.Head.Revision, Detail: "a configuration exists; the bootstrap token no longer counts"})
+	}
 	w.base = e.Loaded
 	if w.submission.Base != 0 && w.submission.Base != e.Head.Revision {
 		w.base = e.Base
--- a/share/decide/head/head_test.go
+++ b/share/decide/head/head_test.go
@@ -251,6 +251,16 @@
 	is.Equal(w.run(w.submit(newSubmission("one", 0, 9))).Verdict, head.VerdictInvalid)
 }
 
+func TestBootstrapIsRefusedOnceAConfigurationExists(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.run(w.submit(newSubmission("one", 0, 1)))
+	s := newSubmission("two", 0, 9)
+	s.First = true
+	is.Equal(w.run(w.submit(s)).Verdict, head.VerdictConflict)
+	is.Equal(w.chain, []string{"one"})
+}
+
 func TestDryRunWritesNothing(t *testing.T) {
 	is := is.New(t)
 	w := newWorld()
--- a/share/services/store/writer.go
+++ b/share/services/store/writer.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// LoadHead returns the configuration that the key-value service holds now, or nil when there is none.
+func (w *Writer) LoadHead(ctx context.Context) (*config.Loaded, error) {
+	answer, err := w.reader.ReadHead(ctx)
+	if err != nil || answer.Index == 0 {
+		return nil, err
+	}
+	return w.load(ctx, answer.Head.Place)
+}
+
 func findAnswer(actions []head.Action) (answer head.Answer, ended bool) {
 	if len(actions) == 0 {
 		return head.Answer{Verdict: head.VerdictUnknown, Detail: "the writer stopped without a verdict"}, true
