--- /dev/null
+++ b/vctl/cmds/cmds_test.go
@@ -0,0 +1,207 @@
+package cmds_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/vctl/cmds"
+)
+
+const team = `[[team]]
+name = "kranj"
+token-sha256 = ["aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"]
+priority = "normal"
+weight = 1.0
+`
+
+const operator = `[[operator]]
+name = "ana"
+token-sha256 = "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
+role = "change"
+`
+
+const checked = `{"verdict":"checked","change-id":"c1","revision":7,"changes":[{"kind":"team","name":"kranj","field":"weight","old":"1","new":"2"}]}`
+
+// result is what one run of the command line gave.
+type result struct {
+	code     int
+	out, err string
+}
+
+func run(t *testing.T, args ...string) result {
+	t.Helper()
+	t.Setenv("VCTL_TOKEN", "secret")
+	var out, complaints bytes.Buffer
+	code := cmds.Run(t.Context(), args, cmds.Streams{In: strings.NewReader(""), Out: &out, Err: &complaints})
+	return result{code: code, out: out.String(), err: complaints.String()}
+}
+
+func writeFile(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// answer is one canned answer of the admin API.
+type answer struct {
+	status int
+	body   string
+	// cut closes the connection in place of an answer.
+	cut bool
+}
+
+// server gives its answers in order and keeps the requests.
+type server struct {
+	answers  []answer
+	requests []string
+	bodies   []string
+	tokens   []string
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	body, _ := io.ReadAll(q.Body)
+	s.requests = append(s.requests, q.Method+" "+q.URL.EscapedPath()+"?"+q.URL.RawQuery)
+	s.bodies = append(s.bodies, string(body))
+	s.tokens = append(s.tokens, q.Header.Get("Authorization"))
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	if a.cut {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(a.status)
+	_, _ = io.WriteString(w, a.body)
+}
+
+func startServer(t *testing.T, answers ...answer) (*server, string) {
+	t.Helper()
+	s := &server{answers: answers}
+	listening := httptest.NewServer(s)
+	t.Cleanup(listening.Close)
+	return s, listening.Listener.Addr().String()
+}
+
+func TestUsage(t *testing.T) {
+	tests := []struct {
+		name string
+		args []string
+		code int
+	}{
+		{"help", []string{"-h"}, cmds.ExitOK},
+		{"nothing", nil, cmds.ExitUsage},
+		{"no such flag", []string{"get", "--zone", "x"}, cmds.ExitUsage},
+		{"no such kind", []string{"get", "zone"}, cmds.ExitUsage},
+		{"server by name", []string{"get", "--server", "localhost:80"}, cmds.ExitUsage},
+		{"no files", []string{"apply"}, cmds.ExitUsage},
+		{"bad output", []string{"get", "--output", "xml"}, cmds.ExitUsage},
+		{"bad label", []string{"label", "team", "kranj", "tier"}, cmds.ExitUsage},
+		{"claim without verb", []string{"claim"}, cmds.ExitUsage},
+		{"claim without outcome", []string{"claim", "resolve", "kranj", "k"}, cmds.ExitUsage},
+		{"nobody listens", []string{"get", "--server", "127.0.0.1:1"}, cmds.ExitRefused},
+		{"completion", []string{"completion"}, cmds.ExitOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(run(t, tt.args...).code, tt.code)
+		})
+	}
+}
+
+func TestCheckTellsFileAndLine(t *testing.T) {
+	is := is.New(t)
+	good := writeFile(t, "a.toml", operator)
+	bad := writeFile(t, "b.toml", strings.Replace(team, "normal", "high", 1))
+	r := run(t, "apply", "--check", good, bad)
+	is.Equal(r.code, cmds.ExitRefused)
+	is.True(strings.Contains(r.err, bad+":4: team/kranj priority"))
+	unread := writeFile(t, "c.toml", strings.Replace(team, "weight", "wait", 1))
+	is.True(strings.Contains(run(t, "apply", "--check", good, unread).err, unread+":5: team.wait: unknown key"))
+	r = run(t, "apply", "--check", good, writeFile(t, "d.toml", team))
+	is.Equal(r.code, cmds.ExitOK)
+}
+
+func TestApplyIsBoundToTheRevisionOfItsDiff(t *testing.T) {
+	is := is.New(t)
+	s, address := startServer(t,
+		answer{status: 200, body: checked},
+		answer{status: 200, body: `{"verdict":"accepted","change-id":"c1","revision":8}`})
+	r := run(t, "apply", "--server", address, "--change-id", "c1", writeFile(t, "a.toml", operator), writeFile(t, "b.toml", team))
+	is.Equal(r.code, cmds.ExitOK)
+	is.Equal(s.requests[0], "PUT /admin/v1/changes/c1?dry-run=true")
+	is.Equal(s.requests[1], "PUT /admin/v1/changes/c1?base=7")
+	is.Equal(s.bodies[1], operator+team)
+	is.Equal(s.tokens[0], "Bearer secret")
+	is.True(strings.Contains(r.out, "accepted as revision 8"))
+	is.True(strings.Contains(r.out, "weight"))
+}
+
+// The connection breaks after the change was sent. The operator is told that
+// the outcome is unknown and the command with which to ask again, which names
+// the same change id and base; asked so, the server tells that it was accepted.
+func TestLostAnswerTellsHowToAskAgain(t *testing.T) {
+	is := is.New(t)
+	s, address := startServer(t,
+		answer{status: 200, body: checked},
+		answer{cut: true},
+		answer{status: 200, body: `{"verdict":"accepted","change-id":"c1","revision":8}`})
+	name := writeFile(t, "a.toml", team)
+	r := run(t, "apply", "--server", address, "--change-id", "c1", name)
+	is.Equal(r.code, cmds.ExitUnknown)
+	again := "vctl apply --change-id c1 --base 7 " + name
+	is.True(strings.Contains(r.err, again))
+	args := append([]string{"apply", "--server", address}, strings.Fields(again)[2:]...)
+	r = run(t, args...)
+	is.Equal(r.code, cmds.ExitOK)
+	is.True(strings.Contains(r.out, "accepted before as revision 8"))
+	is.Equal(len(s.requests), 3)
+}
+
+func TestRefusals(t *testing.T) {
+	const problems = `"problems":[{"file":"body","line":4,"kind":"team","name":"kranj","field":"priority","detail":"bad"}]`
+	tests := []struct {
+		name   string
+		status int
+		body   string
+		code   int
+		text   string
+	}{
+		{"conflict", 409, `{"code":4001,"name":"config-conflict","outcome":"not-run","revision":9,"changes":[{"kind":"team","name":"kranj","field":"rate"}]}`, cmds.ExitConflict, "revision 9"},
+		{"unknown", 503, `{"code":4003,"name":"change-unknown","outcome":"unknown"}`, cmds.ExitUnknown, "change-unknown"},
+		{"store down", 503, `{"code":4004,"name":"store-unavailable","outcome":"not-run"}`, cmds.ExitRefused, "store-unavailable"},
+		{"invalid", 422, `{"code":4002,"name":"config-invalid","outcome":"not-run",` + problems + `}`, cmds.ExitRefused, "a.toml:4: team/kranj priority: bad"},
+		{"no error body", 502, `oops`, cmds.ExitRefused, "status 502"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, address := startServer(t, answer{status: tt.status, body: tt.body})
+			r := run(t, "diff", "--server", address, writeFile(t, "a.toml", team))
+			is.Equal(r.code, tt.code)
+			is.True(strings.Contains(r.out+r.err, tt.text))
+		})
+	}
+}
+
+func TestLabelAndClaimRequests(t *testing.T) {
+	is := is.New(t)
+	s, address := startServer(t,
+		answer{status: 200, body: `{"verdict":"accepted","change-id":"c1","revision":8}`},
+		answer{status: 200, body: `{"team":"kranj","key":"a/b","state":"done"}`})
+	is.Equal(run(t, "label", "--server", address, "--change-id", "c1", "pipeline", "notes/generate", "class=long", "old-").code, cmds.ExitOK)
+	is.Equal(s.bodies[0], `{"change-id":"c1","kind":"pipeline","name":"notes","stage":"generate","set":{"class":"long"},"remove":["old"]}`)
+	r := run(t, "claim", "get", "--server", address, "--output", "json", "kranj", "a/b")
+	is.Equal(r.code, cmds.ExitOK)
+	is.Equal(s.requests[1], "GET /admin/v1/claims/kranj/a%2Fb?")
+	is.True(strings.Contains(r.out, `"state": "done"`))
+}
