--- a/fakes/modules/serve/conn.go
+++ b/fakes/modules/serve/conn.go
@@ -19,6 +19,28 @@
 	muted atomic.Bool
 }
 
+// newConn returns a conn for a connection that nbio does not serve yet.
+func newConn(inner *nbio.Conn) *conn {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &conn{Conn: inner, ctx: ctx, cancel: cancel}
+}
+
+// publish precedes the handing over to nbio. That goes from the accepting
+// goroutine to a poller by epoll alone, which orders the two but not in the
+// sight of the race detector; this store and the load in onData do.
+func (c *conn) publish() {
+	c.muted.Store(false)
+}
+
+// onData passes on what arrives, or drops it when the connection is silent.
+func (c *conn) onData(parse func(*nbio.Conn, []byte)) func(*nbio.Conn, []byte) {
+	return func(inner *nbio.Conn, data []byte) {
+		if !c.muted.Load() {
+			parse(inner, data)
+		}
+	}
+}
+
 // Write sends data, or drops it while it tells the writer that all went well.
 func (c *conn) Write(data []byte) (int, error) {
 	if c.muted.Load() {
--- a/fakes/modules/serve/handler.go
+++ b/fakes/modules/serve/handler.go
@@ -38,7 +38,7 @@
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	c := connOf(w)
 	if c == nil || c.muted.Load() {
-		// A silent connection drops what arrives: the call takes no effect.
+		// The connection went silent while the call waited its turn: it takes no effect.
 		return
 	}
 	if !s.hold(c.ctx) {
--- a/fakes/modules/serve/server.go
+++ b/fakes/modules/serve/server.go
@@ -187,8 +187,7 @@
 		_ = accepted.Close()
 		return
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	c := &conn{Conn: inner, ctx: ctx, cancel: cancel}
+	c := newConn(inner)
 	s.mutex.Lock()
 	s.conns[inner] = c
 	s.mutex.Unlock()
@@ -196,7 +195,8 @@
 	parser := nbhttp.NewParser(outer, s.engine, nbhttp.NewServerProcessor(), false, s.counted(inner))
 	outer.Parser = parser
 	inner.SetSession(parser)
-	inner.OnData(s.engine.DataHandler)
+	inner.OnData(c.onData(s.engine.DataHandler))
+	c.publish()
 	if _, err := s.engine.AddConn(inner); err != nil {
 		s.forget(inner)
 		return
--- a/fakes/services/engine/batch.go
+++ b/fakes/services/engine/batch.go
@@ -16,7 +16,10 @@
 	limit    int
 	priority int
 
-	// started is closed when the sequence enters the batch.
+	// begin records the run; it is called when the sequence enters the batch,
+	// so that runs are recorded in the order of their start.
+	begin func()
+	// started is closed after begin.
 	started chan struct{}
 	// cached is written before started is closed.
 	cached int
@@ -89,6 +92,7 @@
 			b.next = s.ready
 		}
 		b.running = append(b.running, s)
+		s.begin()
 		close(s.started)
 	}
 }
--- a/fakes/services/engine/completion.go
+++ b/fakes/services/engine/completion.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"verbenaroad.example/fakes/modules/ledger"
 	"verbenaroad.example/fakes/modules/serve"
 	"verbenaroad.example/fakes/modules/token"
 )
@@ -71,6 +72,8 @@
 		return
 	}
 	s := newSequence(completion.Prompt, completion.ResumeFrom, completion.MaxTokens-completion.ResumeFrom, completion.Priority)
+	var run ledger.Run
+	s.begin = func() { run = e.ledger.Start(r, body) }
 	e.submit(s)
 	// The caller may go away at any moment; what it leaves must not hold a slot.
 	defer e.cancel(s)
@@ -79,7 +82,6 @@
 	case <-r.Context().Done():
 		return
 	}
-	run := e.ledger.Start(r, body)
 	if e.generate(w, r, completion, s, run.Run) {
 		e.ledger.Finish(run.Run)
 	}
