--- /dev/null
+++ b/entry/cmds/serve.go
@@ -0,0 +1,294 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"io"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/entry/routers/admin"
+	"verbenaroad.example/entry/routers/caller"
+	"verbenaroad.example/entry/services/calls"
+	"verbenaroad.example/entry/services/change"
+	"verbenaroad.example/entry/services/direct"
+	"verbenaroad.example/entry/services/fleet"
+	"verbenaroad.example/entry/services/lookup"
+	"verbenaroad.example/entry/services/policy"
+	"verbenaroad.example/entry/services/walk"
+	"verbenaroad.example/share/decide/drain"
+	"verbenaroad.example/share/decide/route"
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/models/member"
+	"verbenaroad.example/share/models/roster"
+	"verbenaroad.example/share/modules/httpd"
+	"verbenaroad.example/share/modules/kvapi"
+	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/spans"
+	"verbenaroad.example/share/modules/stats"
+	"verbenaroad.example/share/modules/wire"
+	"verbenaroad.example/share/services/follow"
+	"verbenaroad.example/share/services/kvport"
+	"verbenaroad.example/share/services/procs"
+	"verbenaroad.example/share/services/stops"
+	"verbenaroad.example/share/services/store"
+)
+
+const (
+	// silentBeats is how many heartbeats may be missing before a session counts as silent.
+	silentBeats  = 3.5
+	closeTimeout = 2 * time.Second
+	// entriesEvery is how often limits are divided anew among the live entries.
+	entriesEvery = time.Second
+	// bodySlack lets the API answer a body somewhat over the limit with a clear error; a longer one ends its connection.
+	bodySlack = 4
+)
+
+// Entry is the assembled process.
+type Entry struct {
+	settings *Settings
+	log      *zap.Logger
+	tracer   *spans.Tracer
+	store    *kvapi.Client
+	port     *kvport.Port
+	follower *follow.Follower
+	fleet    *fleet.Fleet
+	policy   *policy.Policy
+	runner   *calls.Runner
+	stopper  *stops.Stopper
+	router   *caller.Router
+	callers  *httpd.Server
+	admin    *httpd.Server
+	metrics  *stats.Server
+}
+
+// Serve runs the entry until a signal has stopped it.
+func Serve(ctx context.Context, settings *Settings, output io.Writer) error {
+	log, err := logs.NewLogger(output, settings.Log.Level)
+	if err != nil {
+		return err
+	}
+	e := &Entry{settings: settings, log: log.With(zap.String("instance", settings.Instance.Name))}
+	e.tracer, err = spans.NewTracer(ctx, spans.Options{
+		Program:   "entry",
+		Instance:  settings.Instance.Name,
+		File:      settings.Trace.File,
+		Collector: settings.Trace.Collector,
+		Share:     settings.Trace.Share,
+	})
+	if err != nil {
+		return err
+	}
+	if err := e.build(); err != nil {
+		return err
+	}
+	if err := e.listen(); err != nil {
+		return err
+	}
+	return e.serve(ctx)
+}
+
+// build wires the services; none of them does I/O yet.
+func (e *Entry) build() error {
+	s := e.settings
+	security, err := s.Secure.BuildConfig()
+	if err != nil {
+		return err
+	}
+	e.store = kvapi.NewClient(kvapi.Options{Address: s.Platform.Store, CallTimeout: s.Platform.StoreTimeout})
+	e.port = kvport.NewPort(e.store)
+	e.stopper = stops.NewStopper(drain.Settings{Grace: s.Stop.Grace, Linger: min(s.Admin.Linger, s.Stop.Grace)})
+	e.policy = policy.NewPolicy()
+	e.follower = procs.NewFollower(s.Instance.Name, s.Instance.Domain, e.port, e, e.log)
+	e.fleet = fleet.NewFleet(fleet.Options{
+		Self:      e.describeSelf(),
+		ListEvery: s.Platform.ListEvery,
+		Route:     e.routeSettings,
+		List:      roster.NewClient(roster.Options{Address: s.Platform.List, CallTimeout: s.Platform.StoreTimeout}),
+		Watcher:   e.follower,
+		Log:       e.log,
+		Link: link.Options{
+			Hello:       e.newHello(),
+			TLS:         security,
+			BeatEvery:   s.Routing.BeatEvery,
+			SilentAfter: time.Duration(silentBeats * float64(s.Routing.BeatEvery)),
+			Beat:        e.newBeat,
+		},
+	})
+	e.runner = calls.NewRunner(calls.Options{
+		Fleet:         e.fleet,
+		Configuration: e.follower,
+		Budget:        e.policy,
+		Tracer:        e.tracer,
+		Log:           e.log,
+	})
+	return nil
+}
+
+func (e *Entry) describeSelf() member.Instance {
+	i := e.settings.Instance
+	return member.Instance{Name: i.Name, Role: member.RoleEntry, Region: i.Region, Domain: i.Domain, Labels: config.Labels(i.Labels)}
+}
+
+func (e *Entry) newHello() *wire.Hello {
+	i := e.settings.Instance
+	return &wire.Hello{
+		Version:     wire.Version,
+		Name:        i.Name,
+		Incarnation: procs.NewIncarnation(),
+		Role:        string(member.RoleEntry),
+		Region:      i.Region,
+		Domain:      i.Domain,
+	}
+}
+
+func (e *Entry) newBeat() *wire.Beat {
+	return e.follower.NewBeat(e.stopper.IsLeaving())
+}
+
+func (e *Entry) routeSettings(service string) route.Settings {
+	r := route.DefaultSettings()
+	r.Name = e.settings.Instance.Name
+	r.Service = service
+	r.Region = e.settings.Instance.Region
+	r.Policy = route.Policy(e.settings.Routing.Policy)
+	r.SubsetSize = e.settings.Routing.SubsetSize
+	r.SubsetMax = e.settings.Routing.SubsetMax
+	r.RegionRoundTrip = e.settings.Routing.RegionRoundTrip
+	if loaded := e.follower.GetLoaded(); loaded != nil {
+		r.RegionOrder = loaded.Snapshot.GetLimits().RegionOrder[r.Region]
+	}
+	return r
+}
+
+// FetchChunks asks an agent for configuration.
+func (e *Entry) FetchChunks(ctx context.Context, peer string, fetch *wire.Fetch) (*wire.Chunks, error) {
+	return e.fleet.FetchChunks(ctx, peer, fetch)
+}
+
+func (e *Entry) checkReady() error {
+	return procs.CheckReady(e.follower, e.stopper)
+}
+
+func (e *Entry) listen() error {
+	s := e.settings
+	e.router = caller.NewRouter(caller.Options{
+		Configuration: e.follower,
+		Walker:        walk.NewWalker(e.runner, e.policy, e.fleet, e.follower),
+		Direct:        e.newDirect(),
+		Doorman:       e.stopper,
+		Tracer:        e.tracer,
+		Log:           e.log,
+		MaxBodyBytes:  s.Callers.MaxBodyBytes,
+	})
+	var group [3]error
+	e.callers, group[0] = httpd.NewServer(httpd.Options{
+		Address:      s.Callers.Listen,
+		Handler:      e.router.NewHandler(),
+		MaxBodyBytes: bodySlack * s.Callers.MaxBodyBytes,
+	})
+	e.admin, group[1] = httpd.NewServer(httpd.Options{
+		Address:      s.Admin.Listen,
+		Handler:      e.newAdmin(),
+		MaxBodyBytes: config.MaxValue * bodySlack * bodySlack,
+	})
+	e.metrics, group[2] = stats.NewServer(s.Metrics.Listen, e.checkReady)
+	if err := errors.Join(group[:]...); err != nil {
+		return err
+	}
+	expvar.Publish("verbena", expvar.Func(e.report))
+	return s.Metrics.WriteAddresses(map[string]netip.AddrPort{
+		"callers": e.callers.Address(),
+		"admin":   e.admin.Address(),
+		"metrics": e.metrics.Address(),
+	})
+}
+
+func (e *Entry) newDirect() *direct.Caller {
+	return direct.NewCaller(direct.Options{
+		Runner:        e.runner,
+		Policy:        e.policy,
+		Agents:        e.fleet,
+		Claims:        e.port,
+		Configuration: e.follower,
+		Log:           e.log,
+	})
+}
+
+func (e *Entry) newAdmin() *admin.Router {
+	reader := store.NewReader(e.port, store.DefaultPrefix)
+	writer := store.NewWriter(e.port, reader)
+	return admin.NewRouter(admin.Options{
+		Changes:         change.NewService(writer),
+		Lookups:         lookup.NewService(reader, e.follower),
+		Snapshots:       e.follower,
+		BootstrapSHA256: e.settings.Admin.BootstrapSHA256,
+		Log:             e.logAdmin,
+	})
+}
+
+func (e *Entry) logAdmin(event admin.Event) {
+	e.log.Info("admin-request",
+		zap.String("request-id", event.RequestID),
+		zap.String("operator", event.Operator),
+		zap.String("method", event.Method),
+		zap.String("path", event.Path),
+		zap.Int("status", event.Status),
+		zap.Duration("took", event.Duration),
+	)
+}
+
+// serve runs until the drain is over.
+func (e *Entry) serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e.follower.Start(ctx)
+	e.fleet.Start(ctx)
+	go e.loopEntries(ctx)
+	e.log.Info("started",
+		zap.Stringer("callers", e.callers.Address()),
+		zap.Stringer("admin", e.admin.Address()),
+		zap.Stringer("metrics", e.metrics.Address()),
+	)
+	procs.WaitStop(ctx, e.stopper, e.log)
+	closing, done := context.WithTimeout(context.Background(), closeTimeout)
+	defer done()
+	return errors.Join(
+		e.callers.Shutdown(closing),
+		e.admin.Shutdown(closing),
+		e.metrics.Close(closing),
+		e.tracer.Close(closing),
+	)
+}
+
+// loopEntries divides limits and committed amounts among the live entries.
+func (e *Entry) loopEntries(ctx context.Context) {
+	ticker := time.NewTicker(entriesEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.policy.SetEntries(now, e.fleet.CountEntries())
+		}
+	}
+}
+
+// report is the process's expvar.
+func (e *Entry) report() any {
+	return map[string]any{
+		"role":         "entry",
+		"results":      e.router.GetResults().GetCounts(),
+		"calls":        e.runner.GetCounts().GetReport(),
+		"fleet":        e.fleet.GetReport(),
+		"pools":        e.policy.FindReports(time.Now()),
+		"active-teams": e.policy.CountTeams(),
+		"config":       procs.DescribeConfig(e.follower),
+		"store":        e.store.Stats(),
+	}
+}
--- a/entry/cmds/settings.go
+++ b/entry/cmds/settings.go
@@ -44,12 +44,15 @@
 	Listen netip.AddrPort
 	// BootstrapSHA256 is the digest of a token that counts while no configuration exists.
 	BootstrapSHA256 string
+	// Linger is the shortest time between announcing a stop and stopping.
+	Linger time.Duration
 }
 
 // Register declares the keys of the section.
 func (a *Admin) Register(fs *flag.FlagSet) {
 	fs.TextVar(&a.Listen, "admin.listen", netip.AddrPort{}, "`ip:port` of the operators' API")
 	fs.StringVar(&a.BootstrapSHA256, "admin.bootstrap-sha256", "", "SHA-256 `digest` in hex of the token that counts while no configuration exists; empty: none")
+	fs.DurationVar(&a.Linger, "admin.linger", time.Second, "shortest `time` from announcing a stop to stopping")
 }
 
 // Check returns the faults of the section.
--- a/entry/main.go
+++ b/entry/main.go
@@ -1,4 +1,20 @@
-// Command entry is part of verbenaroad.
+// Command entry takes the requests of callers and walks them through their pipelines.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"verbenaroad.example/entry/cmds"
+	"verbenaroad.example/share/modules/setup"
+)
+
+func main() {
+	settings := &cmds.Settings{}
+	setup.LoadOrExit(settings.Sections(), setup.Options{Program: "entry", Args: os.Args[1:], Output: os.Stderr})
+	if err := cmds.Serve(context.Background(), settings, os.Stdout); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "entry:", err)
+		os.Exit(1)
+	}
+}
--- a/share/services/follow/follow.go
+++ b/share/services/follow/follow.go
@@ -268,3 +268,12 @@
 		}
 	}
 }
+
+// Snapshot returns the configuration in force, or nil while there is none.
+func (f *Follower) Snapshot() *config.Snapshot {
+	loaded := f.GetLoaded()
+	if loaded == nil {
+		return nil
+	}
+	return loaded.Snapshot
+}
