vload: open-loop load, report, comparison, line fit, process sampler

Cause: the policy and the capacity page need figures of load against the real programs, and a tool that waits for answers hides stalls. Change: subcommands run, direct, compare, fit and sample. Arrivals come from a seed; latency counts from the intended send time; an arrival over the bound on requests in flight counts as not sent; a stream without its end record is incomplete; a keyed request takes a connection of its own, so that net/http cannot send it twice. Conclusion: the runner's tests pass (stall, broken answers, refusals, not sent, repeated keys); compare, fit and sample have no tests yet.

--- /dev/null
+++ b/vload/cmds/fit.go
@@ -0,0 +1,79 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"verbenaroad.example/vload/services/chart"
+	"verbenaroad.example/vload/services/slope"
+)
+
+// fitter draws a line through two columns.
+type fitter struct {
+	out   io.Writer
+	csv   string
+	x     string
+	y     string
+	plot  string
+	toCSV string
+}
+
+// newFitCommand returns the subcommand that fits a line.
+func newFitCommand(out io.Writer) *ffcli.Command {
+	f := &fitter{out: out}
+	flags := newFlags("fit")
+	flags.StringVar(&f.csv, "csv", "", "file with a header")
+	flags.StringVar(&f.x, "x", "", "column of x")
+	flags.StringVar(&f.y, "y", "", "column of y")
+	flags.StringVar(&f.toCSV, "to", "", "file for the line; none: only printed")
+	flags.StringVar(&f.plot, "plot", "", "file for the plot, .svg or .png; none: no plot")
+	return &ffcli.Command{
+		Name:       "fit",
+		ShortUsage: "vload fit --csv FILE --x COLUMN --y COLUMN [--to FILE] [--plot FILE]",
+		ShortHelp:  "least-squares line with standard errors",
+		FlagSet:    flags,
+		Exec:       f.exec,
+	}
+}
+
+// exec fits, prints and draws the line.
+func (f *fitter) exec(context.Context, []string) error {
+	text, err := os.ReadFile(f.csv)
+	if err != nil {
+		return ErrCommand.Wrap(err)
+	}
+	x, y, err := slope.ReadPoints(bytes.NewReader(text), f.x, f.y)
+	if err != nil {
+		return err
+	}
+	line, err := slope.Fit(x, y)
+	if err != nil {
+		return err
+	}
+	if err := f.write(&line); err != nil {
+		return err
+	}
+	if f.plot == "" {
+		return nil
+	}
+	return chart.Fit(x, y, &line, f.x, f.y, f.plot)
+}
+
+// write puts the line on the writer and into its file.
+func (f *fitter) write(line *slope.Line) error {
+	var text bytes.Buffer
+	if err := line.WriteCSV(&text, f.x, f.y); err != nil {
+		return err
+	}
+	if _, err := f.out.Write(text.Bytes()); err != nil {
+		return ErrCommand.Wrap(err)
+	}
+	if f.toCSV == "" {
+		return nil
+	}
+	return ErrCommand.Wrap(os.WriteFile(f.toCSV, text.Bytes(), fileMode))
+}
--- /dev/null
+++ b/vload/cmds/root.go
@@ -0,0 +1,42 @@
+// Package cmds holds the subcommands of vload.
+package cmds
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/zeebo/errs"
+)
+
+// ErrCommand is the class of errors of this package.
+var ErrCommand = errs.Class("vload") //nolint:gochecknoglobals // an error class is a constant in all but syntax
+
+// Run executes the command line and writes what it prints to out.
+func Run(ctx context.Context, args []string, out io.Writer) error {
+	root := &ffcli.Command{
+		Name:       "vload",
+		ShortUsage: "vload <subcommand> [flags]",
+		ShortHelp:  "offers load and reports what became of it",
+		Subcommands: []*ffcli.Command{
+			newRunCommand(out),
+			newDirectCommand(out),
+			newCompareCommand(out),
+			newFitCommand(out),
+			newSampleCommand(out),
+		},
+		Exec: showHelp,
+	}
+	return root.ParseAndRun(ctx, args)
+}
+
+// showHelp is what a call without a subcommand does.
+func showHelp(context.Context, []string) error {
+	return flag.ErrHelp
+}
+
+// newFlags returns the flags of a subcommand.
+func newFlags(name string) *flag.FlagSet {
+	return flag.NewFlagSet("vload "+name, flag.ContinueOnError)
+}
--- /dev/null
+++ b/vload/services/runner/runner_test.go
@@ -0,0 +1,280 @@
+package runner_test
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/vload/models/report"
+	"verbenaroad.example/vload/models/scene"
+)
+
+func TestWholeAnswersAreCounted(t *testing.T) {
+	is := is.New(t)
+	ids := &numberer{}
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/pipelines/draft" || r.Header.Get("Verbena-Deadline") != "1m0s" ||
+			r.Header.Get("Verbena-Priority") != "urgent" || r.Header.Get("Authorization") != "Bearer t" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		stream(w, 3)
+		end(w, ids.next())
+	})
+	s.Classes[0].ExpectTokens = 3
+	f := load(t, s)
+	is.Equal(f["offered"], report.Figure(49))
+	is.Equal(f["attained"], f["offered"])
+	is.Equal(f["tokens"], 3*f["offered"])
+	is.Equal(f["duplicate-request-ids"], report.Figure(0))
+	is.True(f["first-token-p50"].Available())
+	is.True(f["between-tokens-p99"].Available())
+}
+
+// A caller's figures look fine while every caller waits: the server stands still for a
+// second, a tool that waits for its answers sends nothing meanwhile, and one slow request
+// is all that it sees. Latency that counts from the intended send time shows the stall in
+// every request that was due during it.
+func TestStallShowsInThePercentiles(t *testing.T) {
+	is := is.New(t)
+	const stall = time.Second
+	var once sync.Once
+	var until time.Time
+	ids := &numberer{}
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		once.Do(func() { until = time.Now().Add(stall) })
+		time.Sleep(time.Until(until))
+		stream(w, 1)
+		end(w, ids.next())
+	})
+	s.Classes[0].Deadline = config.Duration(200 * time.Millisecond)
+	f := load(t, s)
+	// Requests are due within 0.5 s of the first, so the least wait is 0.5 s and half of
+	// them wait 0.75 s or more, however slow the machine is: bounds from below only.
+	is.True(f["latency-p50"] >= 700)
+	is.True(f["latency-p99"] >= 900)
+	is.Equal(f["whole"], f["offered"])
+	is.Equal(f["attained"], report.Figure(0))
+	is.Equal(f["late"], f["offered"])
+}
+
+// A maker reads half a build manual: the stream ends in order, with status 200, but without
+// its end record. By contract that is no answer, so it must not count as one.
+func TestBrokenAnswersAreIncomplete(t *testing.T) {
+	tests := map[string]http.HandlerFunc{
+		"no end record": func(w http.ResponseWriter, _ *http.Request) { stream(w, 3) },
+		"end record cut": func(w http.ResponseWriter, _ *http.Request) {
+			stream(w, 3)
+			writef(w, "event: end\ndata: {\"code\":0}\n")
+		},
+		"end record without code": func(w http.ResponseWriter, _ *http.Request) {
+			stream(w, 3)
+			writef(w, "event: end\ndata: {}\n\n")
+		},
+		"token missing": func(w http.ResponseWriter, _ *http.Request) {
+			stream(w, 2)
+			end(w, 1)
+		},
+		"event behind the end": func(w http.ResponseWriter, _ *http.Request) {
+			stream(w, 3)
+			end(w, 1)
+			writef(w, "data: {}\n\n")
+		},
+		"connection cut": func(w http.ResponseWriter, _ *http.Request) {
+			stream(w, 3)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		},
+		"no stream": func(w http.ResponseWriter, _ *http.Request) { writef(w, "{}") },
+	}
+	for name, handler := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, handler)
+			s.Phases[0].Duration = config.Duration(50 * time.Millisecond)
+			s.Classes[0].ExpectTokens = 3
+			f := load(t, s)
+			is.Equal(f["incomplete"], f["offered"])
+			is.Equal(f["attained"], report.Figure(0))
+		})
+	}
+}
+
+func TestEndingsAreToldApart(t *testing.T) {
+	tests := map[string]struct {
+		handler http.HandlerFunc
+		change  func(s *scene.Scenario)
+		metric  string
+	}{
+		"refusal": {
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				writef(w, `{"code":2002,"name":"overloaded","outcome":"not-run","retry-after":"1.5s"}`)
+			},
+			metric: "refused/overloaded",
+		},
+		"refusal in the end record": {
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				stream(w, 1)
+				writef(w, "event: end\ndata: {\"code\":3002,\"name\":\"backend-failed\",\"outcome\":\"ran\"}\n\n")
+			},
+			metric: "refused/backend-failed",
+		},
+		"status without a body": {
+			handler: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) },
+			metric:  "refused/http-502",
+		},
+		"timeout": {
+			handler: func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				<-r.Context().Done()
+			},
+			change: func(s *scene.Scenario) {
+				s.Classes[0].Deadline = config.Duration(time.Millisecond)
+				s.LateWait = config.Duration(100 * time.Millisecond)
+			},
+			metric: "timeout",
+		},
+		"connection": {
+			handler: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+			metric:  "connection",
+		},
+		"request id used twice": {
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				stream(w, 1)
+				end(w, 1)
+			},
+			change: func(s *scene.Scenario) { s.Phases = append([]scene.Phase{warmUp(s)}, s.Phases...) },
+			metric: "duplicate-request-ids",
+		},
+		"engine": {
+			handler: func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/v1/completions" {
+					return
+				}
+				stream(w, 2)
+				writef(w, "data: [DONE]\n\n")
+			},
+			change: func(s *scene.Scenario) { s.Target.Kind = scene.TargetEngine },
+			metric: "attained",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, test.handler)
+			s.Phases[0].Duration = config.Duration(100 * time.Millisecond)
+			if test.change != nil {
+				test.change(s)
+			}
+			f := load(t, s)
+			is.Equal(f["offered"], report.Figure(9))
+			is.Equal(f[test.metric], f["offered"])
+		})
+	}
+}
+
+// warmUp returns a phase before the only one that is left out of the figures.
+func warmUp(s *scene.Scenario) scene.Phase {
+	p := s.Phases[0]
+	p.Name = "warm"
+	p.WarmUp = true
+	return p
+}
+
+func TestRetryAfterIsSeen(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "2")
+		w.WriteHeader(http.StatusTooManyRequests)
+		writef(w, `{"code":2003,"name":"team-limit","outcome":"not-run"}`)
+	})
+	f := load(t, s)
+	is.Equal(f["retry-after-seen"], f["offered"])
+	is.Equal(f["retry-after-mean"], report.Figure(2))
+	is.Equal(f["refused-outcome/not-run"], f["offered"])
+}
+
+func TestArrivalsOverTheBoundCountAsNotSent(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	ids := &numberer{}
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		if ids.next() == 1 {
+			time.AfterFunc(time.Second, func() { close(release) })
+		}
+		<-release
+		stream(w, 1)
+		end(w, 1)
+	})
+	s.MaxInFlight = 4
+	f := load(t, s)
+	is.Equal(f["offered"], report.Figure(49))
+	is.Equal(f["whole"]+f["not-sent"], f["offered"])
+	is.True(f["not-sent"] > 0)
+}
+
+func TestRepeatedKeysCarryTheSameBody(t *testing.T) {
+	is := is.New(t)
+	var mutex sync.Mutex
+	bodies := make(map[string][]string)
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		key := r.Header.Get("Idempotency-Key")
+		mutex.Lock()
+		bodies[key] = append(bodies[key], string(body))
+		mutex.Unlock()
+		stream(w, 1)
+		end(w, 1)
+	})
+	s.Classes[0].Key = scene.KeyRepeat
+	s.Classes[0].KeyRepeats = 2
+	f := load(t, s)
+	is.Equal(f["attained"], f["offered"])
+	is.Equal(f["duplicate-request-ids"], report.Figure(0))
+	is.Equal(len(bodies), 25) // 49 requests, two to a key
+	for _, same := range bodies {
+		is.True(len(same) == 1 || same[0] == same[1])
+	}
+}
+
+// An order is billed twice: the server reads it and closes the connection without an answer,
+// and the HTTP client, which takes a keyed POST for repeatable, sends it again by itself.
+func TestKeyedRequestIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	ids := &numberer{}
+	s := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		ids.next()
+		panic(http.ErrAbortHandler)
+	})
+	s.Classes[0].Key = scene.KeyUnique
+	f := load(t, s)
+	is.Equal(f["connection"], f["offered"])
+	is.Equal(report.Figure(ids.count), f["offered"])
+}
+
+func TestClosedLoopSendsOneAtATime(t *testing.T) {
+	is := is.New(t)
+	var mutex sync.Mutex
+	ids := &numberer{}
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		if !mutex.TryLock() {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		stream(w, 1)
+		end(w, ids.next())
+		mutex.Unlock()
+	})
+	s.Mode = scene.ModeClosed
+	s.Workers = 1
+	f := load(t, s)
+	is.True(f["offered"] > 0)
+	is.Equal(f["whole"], f["offered"])
+}
--- /dev/null
+++ b/vload/services/tally/cell.go
@@ -0,0 +1,122 @@
+package tally
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"verbenaroad.example/share/modules/codes"
+)
+
+// The one configuration of histograms, so that any two of them merge without loss.
+const (
+	lowestMicros      = 1
+	highestMicros     = 10 * 60 * 1000 * 1000
+	significantDigits = 3
+)
+
+// newHistogram returns an empty histogram of microseconds.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestMicros, highestMicros, significantDigits)
+}
+
+// record adds a duration and bounds it to the range of the histogram.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	micros := min(max(d.Microseconds(), lowestMicros), highestMicros)
+	_ = h.RecordValue(micros) // cannot fail within the range
+}
+
+// cell sums up the samples of one class in one phase, or of several such cells.
+type cell struct {
+	offered    int64
+	inTime     int64
+	tokens     int64
+	duplicates int64
+	retryAfter int64
+	// retryAfterSum is the sum of all advised waits.
+	retryAfterSum time.Duration
+	endings       map[Ending]int64
+	refusals      map[string]int64
+	outcomes      map[codes.Outcome]int64
+
+	// latency holds whole answers and timeouts: refusals would make it look short.
+	latency    *hdrhistogram.Histogram
+	firstToken *hdrhistogram.Histogram
+	gap        *hdrhistogram.Histogram
+	sendLag    *hdrhistogram.Histogram
+}
+
+// newCell returns an empty cell.
+func newCell() *cell {
+	return &cell{
+		endings:    make(map[Ending]int64),
+		refusals:   make(map[string]int64),
+		outcomes:   make(map[codes.Outcome]int64),
+		latency:    newHistogram(),
+		firstToken: newHistogram(),
+		gap:        newHistogram(),
+		sendLag:    newHistogram(),
+	}
+}
+
+// add counts one sample.
+func (c *cell) add(s *Sample, duplicate bool) {
+	c.offered++
+	c.endings[s.Ending]++
+	c.tokens += int64(s.Tokens)
+	if s.InTime {
+		c.inTime++
+	}
+	if duplicate {
+		c.duplicates++
+	}
+	if s.RetryAfter > 0 {
+		c.retryAfter++
+		c.retryAfterSum += s.RetryAfter
+	}
+	if s.Ending == EndingRefused {
+		c.refusals[s.CodeName]++
+		c.outcomes[s.Outcome]++
+	}
+	c.time(s)
+}
+
+// time records the durations of one sample.
+func (c *cell) time(s *Sample) {
+	if s.Ending == EndingNotSent {
+		return
+	}
+	record(c.sendLag, s.SendLag)
+	if s.Ending == EndingWhole || s.Ending == EndingTimeout {
+		record(c.latency, s.Latency)
+	}
+	if s.FirstToken > 0 {
+		record(c.firstToken, s.FirstToken)
+	}
+	for _, gap := range s.Gaps {
+		record(c.gap, gap)
+	}
+}
+
+// merge adds all that other holds.
+func (c *cell) merge(other *cell) {
+	c.offered += other.offered
+	c.inTime += other.inTime
+	c.tokens += other.tokens
+	c.duplicates += other.duplicates
+	c.retryAfter += other.retryAfter
+	c.retryAfterSum += other.retryAfterSum
+	for k, v := range other.endings {
+		c.endings[k] += v
+	}
+	for k, v := range other.refusals {
+		c.refusals[k] += v
+	}
+	for k, v := range other.outcomes {
+		c.outcomes[k] += v
+	}
+	c.latency.Merge(other.latency)
+	c.firstToken.Merge(other.firstToken)
+	c.gap.Merge(other.gap)
+	c.sendLag.Merge(other.sendLag)
+}
