--- /dev/null
+++ b/vload/services/gauge/gauge_test.go
@@ -0,0 +1,63 @@
+package gauge_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/vload/models/report"
+	"verbenaroad.example/vload/models/scene"
+	"verbenaroad.example/vload/services/gauge"
+)
+
+// pageOf serves one page and returns its address.
+func pageOf(t *testing.T, text string) netip.AddrPort {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(text))
+	}))
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// read returns the pages of processes that serve the texts.
+func read(t *testing.T, texts ...string) []gauge.Page {
+	var addresses []netip.AddrPort
+	for _, text := range texts {
+		addresses = append(addresses, pageOf(t, text))
+	}
+	return gauge.NewReader().ReadAll(t.Context(), addresses)
+}
+
+func TestRowsAreDifferencesSummedOverProcesses(t *testing.T) {
+	is := is.New(t)
+	before := read(t, `{"cost":{"encode":1},"retries":{"sent":2}}`, `{"cost":{"encode":10},"retries":{"sent":0}}`)
+	after := read(t, `{"cost":{"encode":4,"generate":5},"retries":{"sent":3}}`, `{"cost":{"encode":11},"retries":{"sent":7}}`)
+	keys := []scene.MetricKey{{Name: "cost", Path: "cost", Unit: "units"}, {Name: "retries", Path: "retries/sent"}}
+	is.Equal(gauge.Rows(keys, before, after), []report.Row{
+		{Class: "all", Metric: "cost/encode", Value: 4, Unit: "units"},
+		{Class: "all", Metric: "cost/generate", Value: 5, Unit: "units"},
+		{Class: "all", Metric: "retries", Value: 8},
+	})
+}
+
+func TestMissingFiguresAreNotAvailable(t *testing.T) {
+	keys := []scene.MetricKey{{Name: "retries", Path: "retries"}}
+	tests := map[string]struct{ before, after []gauge.Page }{
+		"no such key":    {read(t, `{}`), read(t, `{}`)},
+		"one lacks it":   {read(t, `{"retries":1}`, `{}`), read(t, `{"retries":1}`, `{}`)},
+		"one is down":    {read(t, `{"retries":1}`, `{"retries":1}`), []gauge.Page{read(t, `{"retries":1}`)[0], nil}},
+		"no page at all": {nil, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rows := gauge.Rows(keys, test.before, test.after)
+			is.Equal(len(rows), 1)
+			is.Equal(rows[0].Value.String(), "not-available")
+		})
+	}
+}
--- /dev/null
+++ b/vload/services/runner/bench_test.go
@@ -0,0 +1,85 @@
+package runner_test
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/vload/models/scene"
+)
+
+// benchTokens is the length of a streamed answer in the benchmarks.
+const benchTokens = 67
+
+// answerText is a whole stream of benchTokens tokens.
+func answerText() string {
+	return strings.Repeat("data: {\"text\":\"soundboard \"}\n\n", benchTokens) +
+		"event: end\ndata: {\"code\":0,\"name\":\"ok\",\"outcome\":\"ran\"}\n\n"
+}
+
+// BenchmarkSSE measures the library's reading of a stream.
+func BenchmarkSSE(b *testing.B) {
+	text := answerText()
+	b.ReportAllocs()
+	for b.Loop() {
+		events := 0
+		for _, err := range sse.Read(strings.NewReader(text), nil) {
+			if err != nil {
+				b.Fatal(err)
+			}
+			events++
+		}
+		if events != benchTokens+1 {
+			b.Fatal(events)
+		}
+	}
+	b.ReportMetric(float64(b.N)*(benchTokens+1)/b.Elapsed().Seconds(), "events/s")
+}
+
+// BenchmarkLines measures the least that own code would cost: lines, without events.
+func BenchmarkLines(b *testing.B) {
+	text := answerText()
+	b.ReportAllocs()
+	for b.Loop() {
+		events := 0
+		scanner := bufio.NewScanner(strings.NewReader(text))
+		for scanner.Scan() {
+			if bytes.HasPrefix(scanner.Bytes(), []byte("data:")) {
+				events++
+			}
+		}
+		if events != benchTokens+1 {
+			b.Fatal(events)
+		}
+	}
+	b.ReportMetric(float64(b.N)*(benchTokens+1)/b.Elapsed().Seconds(), "events/s")
+}
+
+// BenchmarkOpenLoop offers 3,000 requests and some 200,000 tokens a second to a server in
+// the same process, and reports what came back and how late the requests left.
+func BenchmarkOpenLoop(b *testing.B) {
+	text := []byte(answerText())
+	s := serve(b, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write(text)
+	})
+	s.MaxInFlight = 10000
+	s.Phases[0].Rate = 3000
+	s.Phases[0].Arrivals = scene.ArrivalsPoisson
+	s.Phases[0].Duration = config.Duration(2 * time.Second)
+	s.Classes[0].ExpectTokens = benchTokens
+	s.Classes[0].Prompt.Words = 200
+	for b.Loop() {
+		f := load(b, s)
+		b.ReportMetric(float64(f["requests-per-second"]), "requests/s")
+		b.ReportMetric(float64(f["tokens-per-second"]), "tokens/s")
+		b.ReportMetric(float64(f["send-lag-p99"]), "send-lag-p99-ms")
+		b.ReportMetric(float64(f["offered"]-f["attained"]), "missed")
+	}
+}
