vload: keyed requests counted by key on reused connections; processor time in the load benchmark

Cause: the test of a keyed request sent once passed without its guards, since every connection was new. Change: every second order is cut on the server after others were answered.

--- a/vload/services/runner/bench_test.go
+++ b/vload/services/runner/bench_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"verbenaroad.example/share/models/config"
 	"verbenaroad.example/vload/models/scene"
+	"verbenaroad.example/vload/services/sample"
 )
 
 // benchTokens is the length of a streamed answer in the benchmarks.
@@ -76,10 +78,22 @@
 	s.Classes[0].ExpectTokens = benchTokens
 	s.Classes[0].Prompt.Words = 200
 	for b.Loop() {
+		before := processorTime(b)
 		f := load(b, s)
+		used := processorTime(b) - before
+		b.ReportMetric(used.Seconds()/s.Phases[0].Duration.Value().Seconds(), "cores-with-server")
 		b.ReportMetric(float64(f["requests-per-second"]), "requests/s")
 		b.ReportMetric(float64(f["tokens-per-second"]), "tokens/s")
 		b.ReportMetric(float64(f["send-lag-p99"]), "send-lag-p99-ms")
 		b.ReportMetric(float64(f["offered"]-f["attained"]), "missed")
 	}
 }
+
+// processorTime returns what this process, load and server together, has used.
+func processorTime(b *testing.B) time.Duration {
+	usage, err := sample.ReadUsage("/proc", os.Getpid())
+	if err != nil {
+		b.Fatal(err)
+	}
+	return usage.Processor
+}
--- a/vload/services/runner/runner_test.go
+++ b/vload/services/runner/runner_test.go
@@ -243,20 +243,33 @@
 	}
 }
 
-// An order is billed twice: the server reads it and closes the connection without an answer,
-// and the HTTP client, which takes a keyed POST for repeatable, sends it again by itself.
+// An order is billed twice: on a connection that served an earlier order the server reads
+// the next and closes without an answer. The HTTP client takes a keyed POST for repeatable
+// and sends it again by itself on another connection.
 func TestKeyedRequestIsSentOnce(t *testing.T) {
 	is := is.New(t)
 	ids := &numberer{}
-	s := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+	var mutex sync.Mutex
+	runs := make(map[string]int)
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		ids.next()
-		panic(http.ErrAbortHandler)
+		mutex.Lock()
+		runs[r.Header.Get("Idempotency-Key")]++
+		mutex.Unlock()
+		id := ids.next()
+		if id%2 == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		stream(w, 1)
+		end(w, id)
 	})
 	s.Classes[0].Key = scene.KeyUnique
 	f := load(t, s)
-	is.Equal(f["connection"], f["offered"])
-	is.Equal(report.Figure(ids.count), f["offered"])
+	is.Equal(f["connection"], report.Figure(24)) // every second of 49
+	is.Equal(report.Figure(len(runs)), f["offered"])
+	for _, count := range runs {
+		is.Equal(count, 1)
+	}
 }
 
 func TestClosedLoopSendsOneAtATime(t *testing.T) {
