--- a/vload/cmds/fit.go
+++ b/vload/cmds/fit.go
@@ -20,6 +20,9 @@
 	y     string
 	plot  string
 	toCSV string
+	// unitX and unitY are only shown.
+	unitX string
+	unitY string
 }
 
 // newFitCommand returns the subcommand that fits a line.
@@ -31,9 +34,11 @@
 	flags.StringVar(&f.y, "y", "", "column of y")
 	flags.StringVar(&f.toCSV, "to", "", "file for the line; none: only printed")
 	flags.StringVar(&f.plot, "plot", "", "file for the plot, .svg or .png; none: no plot")
+	flags.StringVar(&f.unitX, "x-unit", "", "unit of x on the plot")
+	flags.StringVar(&f.unitY, "y-unit", "", "unit of y on the plot")
 	return &ffcli.Command{
 		Name:       "fit",
-		ShortUsage: "vload fit --csv FILE --x COLUMN --y COLUMN [--to FILE] [--plot FILE]",
+		ShortUsage: "vload fit --csv FILE --x COLUMN --y COLUMN [--to FILE] [--plot FILE] [--x-unit UNIT] [--y-unit UNIT]",
 		ShortHelp:  "least-squares line with standard errors",
 		FlagSet:    flags,
 		Exec:       f.exec,
@@ -60,7 +65,15 @@
 	if f.plot == "" {
 		return nil
 	}
-	return chart.Fit(x, y, &line, f.x, f.y, f.plot)
+	return chart.Fit(x, y, &line, titleOf(f.x, f.unitX), titleOf(f.y, f.unitY), f.plot)
+}
+
+// titleOf returns the title of an axis.
+func titleOf(name, unit string) string {
+	if unit == "" {
+		return name
+	}
+	return name + " [" + unit + "]"
 }
 
 // write puts the line on the writer and into its file.
--- a/vload/models/scene/check.go
+++ b/vload/models/scene/check.go
@@ -113,6 +113,8 @@
 	c.requiref(class.Deadline > 0, "%s: deadline must be over 0", at)
 	c.requiref(class.MaxTokens >= 0, "%s: max-tokens is below 0", at)
 	c.requiref(class.ExpectTokens == 0 || class.Stream, "%s: expect-tokens needs stream", at)
+	c.requiref(!class.SameAnswer || class.Stream, "%s: same-answer needs stream", at)
+	c.requiref(!class.SameAnswer || class.Prompt.Distinct > 0, "%s: same-answer needs prompt.distinct", at)
 	if kind == TargetEntry {
 		c.requiref((class.Pipeline == "") != (class.Service == ""), "%s: one of pipeline and service is needed", at)
 		c.requiref(class.Service == "" || class.Path != "", "%s: service needs a path", at)
@@ -135,7 +137,7 @@
 
 // checkPrompt notes the faults of a prompt.
 func (c *checker) checkPrompt(at string, p *Prompt) {
-	c.requiref(p.Words >= 0 && p.Min >= 0 && p.Prefixes >= 0, "%s: prompt has a figure below 0", at)
+	c.requiref(p.Words >= 0 && p.Min >= 0 && p.Prefixes >= 0 && p.Distinct >= 0, "%s: prompt has a figure below 0", at)
 	c.requiref(p.Prefixes == 0 || p.PrefixWords > 0, "%s: prompt.prefixes needs prefix-words", at)
 	switch p.Length {
 	case DistributionFixed:
--- a/vload/models/scene/scenario.go
+++ b/vload/models/scene/scenario.go
@@ -142,9 +142,11 @@
 	MaxTokens int  `toml:"max-tokens"`
 	Stream    bool `toml:"stream"`
 	// ExpectTokens is the exact count of tokens in a whole streamed answer; 0: any.
-	ExpectTokens int    `toml:"expect-tokens"`
-	Key          KeyUse `toml:"key"`
-	KeyRepeats   int    `toml:"key-repeats"`
+	ExpectTokens int `toml:"expect-tokens"`
+	// SameAnswer checks that equal prompts get equal texts; it holds for stand-ins whose text depends on the prompt alone.
+	SameAnswer bool   `toml:"same-answer"`
+	Key        KeyUse `toml:"key"`
+	KeyRepeats int    `toml:"key-repeats"`
 	// Body replaces the JSON made from the prompt.
 	Body string `toml:"body"`
 }
@@ -156,6 +158,8 @@
 	Words int `toml:"words"`
 	Min   int `toml:"min"`
 	Max   int `toml:"max"`
+	// Distinct is the number of different prompts that the class repeats; 0: each request has its own.
+	Distinct int `toml:"distinct"`
 	// Prefixes is the number of shared beginnings, each PrefixWords long and drawn uniformly.
 	Prefixes    int `toml:"prefixes"`
 	PrefixWords int `toml:"prefix-words"`
--- a/vload/services/chart/chart.go
+++ b/vload/services/chart/chart.go
@@ -3,11 +3,13 @@
 
 import (
 	"image/color"
+	"math"
 
 	"github.com/zeebo/errs"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/font"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/text"
 	"gonum.org/v1/plot/vg"
 
 	"verbenaroad.example/vload/services/merge"
@@ -21,8 +23,12 @@
 	chartWidth  = 22 * vg.Centimeter
 	chartHeight = 12 * vg.Centimeter
 	// groupWidth is the part of the room of one class that its bars fill together.
-	groupWidth = 12 * vg.Centimeter
+	groupWidth = 14 * vg.Centimeter
 	textSize   = font.Length(11)
+	// legendLine is the part of the height that one line of the legend takes.
+	legendLine = 0.08
+	// levelClasses is how many names fit under the x axis side by side.
+	levelClasses = 6
 )
 
 // palette returns the Okabe and Ito colours, which readers with a colour vision deficiency can tell apart.
@@ -74,12 +80,25 @@
 		p.Add(bars, whiskers)
 		p.Legend.Add(policyName(policy), bars)
 	}
-	p.NominalX(g.classes...)
+	nameClasses(p, g.classes)
 	p.Y.Min = 0
-	p.Y.Max = g.top() * 1.25 // room for the legend
+	p.Y.Max = g.top() * (1 + legendLine*float64(len(g.policies)))
 	return ErrChart.Wrap(p.Save(chartWidth, chartHeight, file))
 }
 
+// nameClasses writes the classes under the x axis, slanted where they are many.
+func nameClasses(p *plot.Plot, classes []string) {
+	p.NominalX(classes...)
+	p.X.Min = -0.5
+	p.X.Max = float64(len(classes)) - 0.5
+	if len(classes) <= levelClasses {
+		return
+	}
+	p.X.Tick.Label.Rotation = math.Pi / 6
+	p.X.Tick.Label.XAlign = text.XRight
+	p.X.Tick.Label.YAlign = text.YCenter
+}
+
 // policyName names the bars of runs without a policy label.
 func policyName(policy string) string {
 	if policy == "" {
@@ -88,7 +107,7 @@
 	return policy
 }
 
-// Fit draws points and the line through them.
+// Fit draws points and the line through them; the names are axis titles and hold their units.
 func Fit(x, y []float64, line *slope.Line, xName, yName, file string) error {
 	p := newPlot(yName+" over "+xName, xName, yName)
 	points := make(plotter.XYs, len(x))
@@ -107,5 +126,7 @@
 	p.Legend.Add("measured", scatter)
 	p.Legend.Add("least squares", drawn)
 	p.Legend.Left = true
+	p.X.Min = 0
+	p.Y.Min = min(0, p.Y.Min)
 	return ErrChart.Wrap(p.Save(chartWidth, chartHeight, file))
 }
--- a/vload/services/runner/answer.go
+++ b/vload/services/runner/answer.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/tmaxmax/go-sse"
 
 	"verbenaroad.example/share/modules/codes"
@@ -49,6 +50,8 @@
 	// intended is the time that the first token counts from.
 	intended time.Time
 	last     time.Time
+	// text digests the tokens of a class with SameAnswer; nil for others.
+	text *xxhash.Digest
 }
 
 // read takes in the whole response and sets the sample's ending and result; an error means that it broke off.
@@ -184,12 +187,43 @@
 		a.sample.Ending = tally.EndingWhole
 		return true, nil
 	}
-	if event.Type == "" {
+	if event.Type == "" && !isUsage(event.Data) {
 		a.takeToken()
+		a.takeText(event.Data)
 	}
 	return false, nil
 }
 
+// isUsage says whether an engine's event carries figures and no token. A search is enough:
+// the text of a token cannot hold the quotes unescaped.
+func isUsage(data string) bool {
+	return strings.Contains(data, `"choices":[]`) || strings.Contains(data, `"choices": []`)
+}
+
+// token is the part of a token's event that holds its text, as the system and as engines write it.
+type token struct {
+	Text    string `json:"text"`
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+}
+
+// takeText adds the token to the digest. Ids and times in the event differ between equal answers.
+func (a *answer) takeText(data string) {
+	if a.text == nil {
+		return
+	}
+	t := token{}
+	if json.Unmarshal([]byte(data), &t) != nil {
+		return
+	}
+	_, _ = a.text.WriteString(t.Text)
+	for _, choice := range t.Choices {
+		_, _ = a.text.WriteString(choice.Text)
+	}
+	a.sample.Text = a.text.Sum64()
+}
+
 // takeToken notes the time of one token.
 func (a *answer) takeToken() {
 	now := time.Now()
--- a/vload/services/runner/call.go
+++ b/vload/services/runner/call.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"verbenaroad.example/vload/modules/pace"
 	"verbenaroad.example/vload/services/tally"
 )
@@ -58,6 +60,10 @@
 		return &connectionError{cause: err}
 	}
 	a := &answer{class: m.class, kind: m.target.Kind, sample: sample, intended: c.intended}
+	if m.class.SameAnswer {
+		a.text = xxhash.New()
+		sample.Prompt = m.seed(c.spec)
+	}
 	err = a.read(response)
 	return errors.Join(err, closeBody(response))
 }
--- a/vload/services/runner/maker.go
+++ b/vload/services/runner/maker.go
@@ -63,11 +63,7 @@
 // make builds the request.
 func (m *maker) make(ctx context.Context, s spec) (*http.Request, error) {
 	key := m.key(s.count)
-	seed := s.seed
-	if m.class.Key == scene.KeyRepeat {
-		seed = s.count / uint64(m.class.KeyRepeats) // the same key goes with the same body
-	}
-	body := m.body(seed, key)
+	body := m.body(m.seed(s), key)
 	request, err := http.NewRequestWithContext(ctx, m.class.Method, "http://"+s.address+m.path, bytes.NewReader(body))
 	if err != nil {
 		return nil, ErrRunner.Wrap(err)
@@ -81,6 +77,18 @@
 	return request, nil
 }
 
+// seed returns what decides the prompt: the same key goes with the same body.
+func (m *maker) seed(s spec) uint64 {
+	switch {
+	case m.class.Key == scene.KeyRepeat:
+		return s.count / uint64(m.class.KeyRepeats)
+	case m.class.Prompt.Distinct > 0:
+		return s.seed % uint64(m.class.Prompt.Distinct)
+	default:
+		return s.seed
+	}
+}
+
 // setHeaders fills in the headers of the class.
 func (m *maker) setHeaders(h http.Header, key string) {
 	h.Set("Content-Type", typeJSON)
--- a/vload/services/runner/runner_test.go
+++ b/vload/services/runner/runner_test.go
@@ -106,6 +106,7 @@
 }
 
 func TestEndingsAreToldApart(t *testing.T) {
+	ids := &numberer{}
 	tests := map[string]struct {
 		handler http.HandlerFunc
 		change  func(s *scene.Scenario)
@@ -152,15 +153,42 @@
 			change: func(s *scene.Scenario) { s.Phases = append([]scene.Phase{warmUp(s)}, s.Phases...) },
 			metric: "duplicate-request-ids",
 		},
+		"another request's answer": {
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				id := ids.next()
+				stream(w, id)
+				end(w, id)
+			},
+			change: func(s *scene.Scenario) {
+				s.Phases = append([]scene.Phase{warmUp(s)}, s.Phases...)
+				s.Classes[0].SameAnswer = true
+				s.Classes[0].Prompt.Distinct = 1
+			},
+			metric: "differing-answers",
+		},
+		"same answers": {
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				stream(w, 4)
+				end(w, ids.next())
+			},
+			change: func(s *scene.Scenario) {
+				s.Classes[0].SameAnswer = true
+				s.Classes[0].Prompt.Distinct = 1
+			},
+			metric: "attained",
+		},
 		"engine": {
 			handler: func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path != "/v1/completions" {
 					return
 				}
 				stream(w, 2)
-				writef(w, "data: [DONE]\n\n")
+				writef(w, "data: {\"choices\":[],\"usage\":{\"completion_tokens\":2}}\n\ndata: [DONE]\n\n")
+			},
+			change: func(s *scene.Scenario) {
+				s.Target.Kind = scene.TargetEngine
+				s.Classes[0].ExpectTokens = 2
 			},
-			change: func(s *scene.Scenario) { s.Target.Kind = scene.TargetEngine },
 			metric: "attained",
 		},
 	}
@@ -175,6 +203,7 @@
 			f := load(t, s)
 			is.Equal(f["offered"], report.Figure(9))
 			is.Equal(f[test.metric], f["offered"])
+			is.True(f["differing-answers"] == 0 || test.metric == "differing-answers")
 		})
 	}
 }
--- a/vload/services/tally/cell.go
+++ b/vload/services/tally/cell.go
@@ -32,6 +32,7 @@
 	inTime     int64
 	tokens     int64
 	duplicates int64
+	differing  int64
 	retryAfter int64
 	// retryAfterSum is the sum of all advised waits.
 	retryAfterSum time.Duration
@@ -60,7 +61,7 @@
 }
 
 // add counts one sample.
-func (c *cell) add(s *Sample, duplicate bool) {
+func (c *cell) add(s *Sample, duplicate, differs bool) {
 	c.offered++
 	c.endings[s.Ending]++
 	c.tokens += int64(s.Tokens)
@@ -70,6 +71,9 @@
 	if duplicate {
 		c.duplicates++
 	}
+	if differs {
+		c.differing++
+	}
 	if s.RetryAfter > 0 {
 		c.retryAfter++
 		c.retryAfterSum += s.RetryAfter
@@ -104,6 +108,7 @@
 	c.inTime += other.inTime
 	c.tokens += other.tokens
 	c.duplicates += other.duplicates
+	c.differing += other.differing
 	c.retryAfter += other.retryAfter
 	c.retryAfterSum += other.retryAfterSum
 	for k, v := range other.endings {
--- a/vload/services/tally/rows.go
+++ b/vload/services/tally/rows.go
@@ -33,10 +33,15 @@
 	for i, c := range b.scenario.Classes {
 		rows = appendCell(rows, c.Name, b.sum(func(p place) bool { return p.class == i }), measured)
 	}
+	var ratios []float64
 	for _, team := range b.teams() {
 		cells := b.sum(func(p place) bool { return b.scenario.Classes[p.class].Team == team })
 		rows = appendCell(rows, prefixTeam+team, cells, measured)
+		if cells.offered > 0 {
+			ratios = append(ratios, float64(cells.inTime)/float64(cells.offered))
+		}
 	}
+	rows = append(rows, report.Row{Class: groupAll, Metric: "jain-teams", Value: jain(ratios), Unit: "index"})
 	for _, priority := range b.priorities() {
 		cells := b.sum(func(p place) bool { return b.priority(p.class) == priority })
 		rows = appendCell(rows, prefixPriority+priority, cells, measured)
@@ -48,6 +53,19 @@
 	return rows
 }
 
+// jain returns the Jain index of the teams' attainment: 1 where all have the same, 1/n where one has all.
+func jain(ratios []float64) report.Figure {
+	sum, squares := 0.0, 0.0
+	for _, ratio := range ratios {
+		sum += ratio
+		squares += ratio * ratio
+	}
+	if squares == 0 {
+		return report.NotAvailable()
+	}
+	return report.Figure(sum * sum / (float64(len(ratios)) * squares))
+}
+
 // measured returns the length of the named phase, or of all phases that count.
 func (b *Book) measured(name string) time.Duration {
 	total := time.Duration(0)
@@ -122,6 +140,7 @@
 		add("refused-outcome/"+outcomeName(outcome), float64(c.outcomes[outcome]), "requests")
 	}
 	add("duplicate-request-ids", float64(c.duplicates), "requests")
+	add("differing-answers", float64(c.differing), "requests")
 	add("retry-after-seen", float64(c.retryAfter), "requests")
 	add("retry-after-mean", c.retryAfterMean(), "s")
 	add("requests-per-second", float64(whole)/measured.Seconds(), "1/s")
--- a/vload/services/tally/sample.go
+++ b/vload/services/tally/sample.go
@@ -52,6 +52,10 @@
 	Tokens int
 	// RetryAfter is 0 where the answer gave no advice.
 	RetryAfter time.Duration
+	// Prompt is a number that equal prompts of the class share.
+	Prompt uint64
+	// Text is a digest of the answer's text; 0: not checked.
+	Text uint64
 	// RequestID is empty where the answer named none or the id may repeat.
 	RequestID string
 	// InTime is set for a whole answer with code 0 within the deadline.
