vload: expvar differences begin after the warm-up; figures per request offered; benchmark with tokens flushed one by one

Cause: expvar figures held the warm-up and the requests offered did not, so their ratio was wrong. Change: the first reading is taken at the end of the leading warm-up phases.

--- a/vload/cmds/run.go
+++ b/vload/cmds/run.go
@@ -96,12 +96,12 @@
 func (l *loader) offer(ctx context.Context, s *scene.Scenario) error {
 	book := tally.NewBook(s)
 	reader := gauge.NewReader()
-	before := reader.ReadAll(ctx, s.Metrics.Addresses)
+	before := gauge.StartMarker(ctx, reader, s.Metrics.Addresses, s.LeadingWarmUp())
 	if err := runner.New(s, book, rand.Text()).Run(ctx); err != nil {
 		return ErrCommand.Wrap(err)
 	}
 	after := reader.ReadAll(ctx, s.Metrics.Addresses)
-	rows := append(book.Rows(), gauge.Rows(s.Metrics.Keys, before, after)...)
+	rows := append(book.Rows(), gauge.Rows(s.Metrics.Keys, before.Pages(), after, book.Offered())...)
 	for i := range rows {
 		rows[i].Scenario = s.Name
 		rows[i].Policy = s.Policy
--- a/vload/models/scene/scenario.go
+++ b/vload/models/scene/scenario.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"verbenaroad.example/share/models/config"
 )
@@ -105,6 +106,8 @@
 	// Path leads to the figure through nested maps, separated by "/".
 	Path string `toml:"path"`
 	Unit string `toml:"unit"`
+	// PerOffered adds a row with the figure divided by the requests offered.
+	PerOffered bool `toml:"per-offered"`
 }
 
 // Phase is a stretch of constant mean rate.
@@ -164,3 +167,15 @@
 	Prefixes    int `toml:"prefixes"`
 	PrefixWords int `toml:"prefix-words"`
 }
+
+// LeadingWarmUp returns the length of the warm-up phases before the first that counts.
+func (s *Scenario) LeadingWarmUp() time.Duration {
+	total := time.Duration(0)
+	for i := range s.Phases {
+		if !s.Phases[i].WarmUp {
+			break
+		}
+		total += s.Phases[i].Duration.Value()
+	}
+	return total
+}
--- a/vload/services/gauge/gauge.go
+++ b/vload/services/gauge/gauge.go
@@ -101,7 +101,7 @@
 
 // Rows returns for each key the growth from before to after, summed over the processes.
 // A figure that any process lacks is not available: a sum over some of them would pass for the whole.
-func Rows(keys []scene.MetricKey, before, after []Page) []report.Row {
+func Rows(keys []scene.MetricKey, before, after []Page, offered int64) []report.Row {
 	var rows []report.Row
 	for _, key := range keys {
 		sums := growth(key.Path, before, after)
@@ -111,11 +111,23 @@
 				metric += "/" + name
 			}
 			rows = append(rows, report.Row{Class: "all", Metric: metric, Value: report.Figure(sums[name]), Unit: key.Unit})
+			if key.PerOffered {
+				rows = append(rows, perOffered(metric, sums[name], offered, key.Unit))
+			}
 		}
 	}
 	return rows
 }
 
+// perOffered returns a figure divided by the requests offered.
+func perOffered(metric string, sum float64, offered int64, unit string) report.Row {
+	value := report.NotAvailable()
+	if offered > 0 {
+		value = report.Figure(sum / float64(offered))
+	}
+	return report.Row{Class: "all", Metric: metric + "-per-offered", Value: value, Unit: unit + "/request"}
+}
+
 // growth sums the differences at one path; a key that first shows afterwards started from 0.
 func growth(path string, before, after []Page) map[string]float64 {
 	sums := make(map[string]float64)
--- a/vload/services/gauge/gauge_test.go
+++ b/vload/services/gauge/gauge_test.go
@@ -1,11 +1,13 @@
 package gauge_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -36,11 +38,12 @@
 	is := is.New(t)
 	before := read(t, `{"cost":{"encode":1},"retries":{"sent":2}}`, `{"cost":{"encode":10},"retries":{"sent":0}}`)
 	after := read(t, `{"cost":{"encode":4,"generate":5},"retries":{"sent":3}}`, `{"cost":{"encode":11},"retries":{"sent":7}}`)
-	keys := []scene.MetricKey{{Name: "cost", Path: "cost", Unit: "units"}, {Name: "retries", Path: "retries/sent"}}
-	is.Equal(gauge.Rows(keys, before, after), []report.Row{
+	keys := []scene.MetricKey{{Name: "cost", Path: "cost", Unit: "units"}, {Name: "retries", Path: "retries/sent", Unit: "requests", PerOffered: true}}
+	is.Equal(gauge.Rows(keys, before, after, 16), []report.Row{
 		{Class: "all", Metric: "cost/encode", Value: 4, Unit: "units"},
 		{Class: "all", Metric: "cost/generate", Value: 5, Unit: "units"},
-		{Class: "all", Metric: "retries", Value: 8},
+		{Class: "all", Metric: "retries", Value: 8, Unit: "requests"},
+		{Class: "all", Metric: "retries-per-offered", Value: 0.5, Unit: "requests/request"},
 	})
 }
 
@@ -55,9 +58,20 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			rows := gauge.Rows(keys, test.before, test.after)
+			rows := gauge.Rows(keys, test.before, test.after, 1)
 			is.Equal(len(rows), 1)
 			is.Equal(rows[0].Value.String(), "not-available")
 		})
 	}
 }
+
+func TestMarkerReadsAfterTheWait(t *testing.T) {
+	is := is.New(t)
+	r := gauge.NewReader()
+	addresses := []netip.AddrPort{pageOf(t, `{"retries":1}`)}
+	is.Equal(gauge.StartMarker(t.Context(), r, addresses, time.Millisecond).Pages()[0].Find("retries")[""], 1.0)
+	is.Equal(gauge.StartMarker(t.Context(), r, addresses, 0).Pages()[0].Find("retries")[""], 1.0)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.Equal(len(gauge.StartMarker(ctx, r, addresses, time.Hour).Pages()), 1)
+}
--- a/vload/services/runner/bench_test.go
+++ b/vload/services/runner/bench_test.go
@@ -63,6 +63,24 @@
 	b.ReportMetric(float64(b.N)*(benchTokens+1)/b.Elapsed().Seconds(), "events/s")
 }
 
+// BenchmarkFlushedTokens offers the same load to a server that sends each token by itself,
+// 10 ms after the last, as an engine does: some 2,000 streams at once.
+func BenchmarkFlushedTokens(b *testing.B) {
+	const interval = 10 * time.Millisecond
+	s := serve(b, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for range benchTokens {
+			<-ticker.C
+			writef(w, "data: {\"text\":\"soundboard \"}\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+		end(w, 0)
+	})
+	benchmarkLoad(b, s)
+}
+
 // BenchmarkOpenLoop offers 3,000 requests and some 200,000 tokens a second to a server in
 // the same process, and reports what came back and how late the requests left.
 func BenchmarkOpenLoop(b *testing.B) {
@@ -71,6 +89,11 @@
 		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = w.Write(text)
 	})
+	benchmarkLoad(b, s)
+}
+
+// benchmarkLoad offers the load of the target to a server.
+func benchmarkLoad(b *testing.B, s *scene.Scenario) {
 	s.MaxInFlight = 10000
 	s.Phases[0].Rate = 3000
 	s.Phases[0].Arrivals = scene.ArrivalsPoisson
@@ -86,6 +109,7 @@
 		b.ReportMetric(float64(f["tokens-per-second"]), "tokens/s")
 		b.ReportMetric(float64(f["send-lag-p99"]), "send-lag-p99-ms")
 		b.ReportMetric(float64(f["offered"]-f["attained"]), "missed")
+		b.ReportMetric(float64(f["between-tokens-p99"]), "between-tokens-p99-ms")
 	}
 }
 
--- a/vload/services/tally/rows.go
+++ b/vload/services/tally/rows.go
@@ -53,6 +53,13 @@
 	return rows
 }
 
+// Offered returns the number of requests that count.
+func (b *Book) Offered() int64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.sum(func(place) bool { return true }).offered
+}
+
 // jain returns the Jain index of the teams' attainment: 1 where all have the same, 1/n where one has all.
 func jain(ratios []float64) report.Figure {
 	sum, squares := 0.0, 0.0
