make demo: whole path through separate processes

Cause: entry, agents and stand-ins had not met yet. Change: scripts start a small deployment on loopback, run a pipeline as JSON and as a stream, an order twice under one key, and a selector change under load.

--- a/fakes/cmds/main.go
+++ b/fakes/cmds/main.go
@@ -58,6 +58,7 @@
 			newEngine(log, output),
 			newService(log, output),
 			newPool(log, output),
+			newRegister(output),
 			newWeights(log, output),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,149 @@
+#!/usr/bin/env bash
+# Starts a deployment small, runs a pipeline and an order, changes a selector
+# while requests run, prints what came of it, and stops everything gracefully.
+# Ends with 0 only if all of it held.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+DEPLOYMENT=${1:-ljubljana}
+RUN=$(mktemp -d)
+KEEP_RUN=${KEEP_RUN:-}
+AGENT_FLAGS=() ENTRY_FLAGS=()
+# shellcheck source=scripts/lib.sh
+source scripts/lib.sh
+# shellcheck source=/dev/null
+source "scripts/demo/$DEPLOYMENT.sh"
+
+cleanup() {
+  stop_all
+  if [ -n "$KEEP_RUN" ]; then echo "kept: $RUN"; else rm -rf "$RUN"; fi
+}
+trap cleanup EXIT
+
+BOOTSTRAP=$(printf %s "$OPERATOR_TOKEN" | sha256sum | cut -d' ' -f1)
+export VCTL_TOKEN=$OPERATOR_TOKEN
+
+start_platform() {
+  start_fake kv kv
+  start_fake list list --lag 200ms
+  wait_file "$RUN/kv.addr"
+  wait_file "$RUN/list.addr"
+  STORE=$(cat "$RUN/kv.addr")
+  LIST=$(cat "$RUN/list.addr")
+}
+
+start_backends() {
+  local line name kind service region labels slots
+  for line in "${BACKENDS[@]}"; do
+    read -r name kind service region labels slots <<<"$line"
+    case $kind in
+      engine) start_fake "$name-server" engine --models notes-8b,draft-8b --token-interval 4ms --slots "$slots" ;;
+      *) start_fake "$name-server" "$kind" --slots "$slots" --service-time 5ms --ledger-file "$RUN/$name.ledger" ;;
+    esac
+  done
+  for line in "${BACKENDS[@]}"; do
+    read -r name kind service region labels slots <<<"$line"
+    wait_file "$RUN/$name-server.addr"
+    start_agent "$name" "$service" "$region" "$region-1" "$(cat "$RUN/$name-server.addr")" "$labels" "$slots"
+  done
+  for line in "${BACKENDS[@]}"; do
+    read -r name kind service region labels slots <<<"$line"
+    wait_file "$RUN/$name.addr"
+    register_agent "$name" "$service" "$region" "$region-1" "$labels"
+  done
+}
+
+start_entries() {
+  local region
+  for region in "${REGIONS[0]}" "${REGIONS[1]}"; do
+    start_entry "entry-$region" "$region" "$region-1"
+  done
+  for region in "${REGIONS[0]}" "${REGIONS[1]}"; do
+    wait_file "$RUN/entry-$region.addr"
+    register_entry "entry-$region" "$region" "$region-1"
+  done
+  CALLERS=$(address "$RUN/entry-${REGIONS[0]}.addr" callers)
+  OTHER=$(address "$RUN/entry-${REGIONS[1]}.addr" callers)
+  ADMIN=$(address "$RUN/entry-${REGIONS[0]}.addr" admin)
+  METRICS=$(address "$RUN/entry-${REGIONS[0]}.addr" metrics)
+}
+
+call_pipeline() {
+  curl -sS --max-time 15 -H "Authorization: Bearer $TEAM_TOKEN" "$@" \
+    -d "{\"input\": \"$QUESTION\", \"max-tokens\": 16}" "http://$CALLERS/v1/pipelines/$PIPELINE"
+}
+
+place_order() {
+  curl -sS --max-time 15 -H "Authorization: Bearer $TEAM_TOKEN" -H "Idempotency-Key: $2" \
+    -H 'Content-Type: application/json' -d "$ORDER_BODY" "http://$1/v1/services/$ORDER_SERVICE$ORDER_PATH"
+}
+
+echo "== start: $DEPLOYMENT, ${#REGIONS[@]} regions, 2 entries, ${#BACKENDS[@]} agents with their backend servers"
+start_platform
+start_backends
+start_entries
+sleep 0.5
+echo "== apply the configuration"
+bin/vctl apply --server "$ADMIN" deploy/"$DEPLOYMENT"/*.toml >"$RUN/apply.txt" || die "apply: $(cat "$RUN/apply.txt")"
+tail -2 "$RUN/apply.txt"
+for name in "entry-${REGIONS[0]}" "entry-${REGIONS[1]}"; do wait_ready "$name"; done
+sleep 1.5
+
+echo "== one pipeline, as JSON"
+call_pipeline >"$RUN/answer.json" || die "pipeline"
+cat "$RUN/answer.json"; echo
+grep -q '"text":"' "$RUN/answer.json" || die "no text in the answer"
+REQUEST=$(sed -n 's/.*"request-id":"\([^"]*\)".*/\1/p' "$RUN/answer.json")
+
+echo "== the same as a stream (its end)"
+call_pipeline -N -H 'Accept: text/event-stream' >"$RUN/answer.sse" || die "stream"
+tail -n 3 "$RUN/answer.sse"
+grep -q '"name":"ok"' "$RUN/answer.sse" || die "the stream has no end record"
+
+echo "== one order, sent twice with its key: first to one entry, then to the other"
+place_order "$CALLERS" demo-order-1 >"$RUN/order-1.json"; cat "$RUN/order-1.json"; echo
+place_order "$OTHER" demo-order-1 >"$RUN/order-2.json"
+cmp -s "$RUN/order-1.json" "$RUN/order-2.json" || die "the second answer differs: $(cat "$RUN/order-2.json")"
+RUNS=$(cat "$RUN"/ord-*.ledger | grep -c '"started"' || true)
+RUNS_FINISHED=$(cat "$RUN"/ord-*.ledger | grep -c '"finished"' || true)
+echo "ledger lines: $RUNS started, $RUNS_FINISHED finished"
+
+echo "== change a selector while requests run"
+bin/vload run --scenario <(sed -e "s|@ENTRY@|$CALLERS|; s|@OTHER@|$OTHER|; s|@METRICS@|$METRICS|; s|@TOKEN@|$TEAM_TOKEN|; s|@TEAM@|$TEAM|; s|@PIPELINE@|$PIPELINE|" scripts/demo/load.toml) --out "$RUN/load" >"$RUN/load.txt" 2>&1 &
+LOAD=$!
+sleep 2
+cat >"$RUN/rule.toml" <<RULE
+[[rule]]
+name = "demo-avoid-llm-2"
+server = "name=llm-2"
+effect = "forbid"
+RULE
+bin/vctl apply --server "$ADMIN" "$RUN/rule.toml" || die "apply the rule"
+sleep 1
+LLM2=$(address "$RUN/llm-2.addr" metrics)
+calls_of() { curl -sS "http://$1/debug/vars" | grep -o '"calls":[0-9]*' | head -1 | cut -d: -f2; }
+BEFORE=$(calls_of "$LLM2")
+wait "$LOAD" || die "load: $(tail -3 "$RUN/load.txt")"
+AFTER=$(calls_of "$LLM2")
+echo "calls at llm-2 one second after the change: $BEFORE, at the end: $AFTER"
+[ "$BEFORE" = "$AFTER" ] || die "the forbidden backend server still got work"
+
+echo "== attainment and cost by stage"
+cat "$RUN/load.txt"
+grep -q "attainment" "$RUN/load.txt" || die "no report"
+
+echo "== stop everything gracefully"
+for region in "${REGIONS[0]}" "${REGIONS[1]}"; do stop "entry-$region" || die "entry-$region"; done
+for line in "${BACKENDS[@]}"; do stop "${line%% *}" || die "${line%% *}"; done
+for line in "${BACKENDS[@]}"; do stop "${line%% *}-server" || die "${line%% *}-server"; done
+stop list || die list
+stop kv || die kv
+
+echo "== trace of request $REQUEST, hop by hop"
+TRACE=$(grep -h "$REQUEST" "$RUN"/*.spans | grep -o '"TraceID":"[0-9a-f]*"' | head -1)
+[ -n "$TRACE" ] || die "no span of $REQUEST"
+grep -h "$TRACE" "$RUN"/*.spans | sed -E 's/.*"Name":"([^"]*)".*"StartTime":"[^T]*T([^Z+]*)[Z+].*"EndTime":"[^T]*T([^Z+]*)[Z+].*/\2  \3  \1/' | sort | head -40
+[ "$(grep -h "$TRACE" "$RUN"/*.spans | wc -l)" -ge 10 ] || die "the trace lacks hops"
+for line in "${BACKENDS[@]}"; do
+  grep -q 'event=stopped' "$RUN/${line%% *}.log" || die "${line%% *} did not stop gracefully"
+done
+echo "OK"
