entry answers agents' fetches of configuration

Cause: agents asked the entry for the new revision over the session, but the entry accepted no streams; the fetch hung until a slow poll read the service, and calls waited for the agents' revision. Ruled out: heartbeats not arriving (their revision was known at the agents at once).

--- a/entry/services/fleet/fleet.go
+++ b/entry/services/fleet/fleet.go
@@ -38,6 +38,8 @@
 	OnPeerBeat(peer string, beat *wire.Beat, notBefore time.Time)
 	OnPeerGone(peer string)
 	OnInstances(instances []member.Instance)
+	// AnswerFetch serves an agent that asks for configuration.
+	AnswerFetch(fetch *wire.Fetch) *wire.Chunks
 }
 
 // Options are the settings of a Fleet.
--- a/entry/services/fleet/peers.go
+++ b/entry/services/fleet/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +17,8 @@
 const (
 	redialBase = 100 * time.Millisecond
 	redialMax  = 5 * time.Second
+	// fetchTimeout bounds serving one fetch.
+	fetchTimeout = 3 * time.Second
 )
 
 // peer is one agent and the session to it.
@@ -161,6 +164,7 @@
 	p.session = session
 	f.lock.Unlock()
 	f.options.Log.Info("session-up", zap.String("agent", instance.Name))
+	go f.runServe(session)
 	f.onSession(instance, route.SessionUp, session.Peer().GetIncarnation())
 	if session.IsClosed() {
 		// It ended before it was noted here, so takeDown found nothing to clear.
@@ -168,6 +172,28 @@
 	}
 }
 
+// runServe answers the fetches that the agent sends over the session.
+func (f *Fleet) runServe(session *link.Session) {
+	for {
+		stream, err := session.Accept()
+		if err != nil {
+			return
+		}
+		go f.runFetch(stream)
+	}
+}
+
+func (f *Fleet) runFetch(stream net.Conn) {
+	defer func() { _ = stream.Close() }()
+	_ = stream.SetDeadline(time.Now().Add(fetchTimeout))
+	frame, err := wire.NewReader(stream).Next()
+	if err != nil || frame.GetFetch() == nil {
+		return
+	}
+	answer := f.options.Watcher.AnswerFetch(frame.GetFetch())
+	_ = wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_Chunks{Chunks: answer}})
+}
+
 func (f *Fleet) onSession(instance member.Instance, state route.Session, incarnation string) {
 	s := f.getService(instance.Service)
 	s.lock.Lock()
--- a/share/services/follow/fetch.go
+++ b/share/services/follow/fetch.go
@@ -69,6 +69,8 @@
 }
 
 func (f *Follower) runFetchPeer(ctx context.Context, peer string) {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Settings.ReadTimeout)
+	defer cancel()
 	loaded, err := f.fetchPeer(ctx, peer)
 	f.tellFetched(loaded, err, false)
 }
