share/decide/admit, share/decide/spend: waits that round to nothing

The ledger likewise refused with a retry-after of 0. Change: take says apart whether it charged; the ledger's advice is at least a millisecond.

--- a/share/decide/admit/admit.go
+++ b/share/decide/admit/admit.go
@@ -109,7 +109,7 @@
 	if refused := a.checkStages(now, q); refused != nil {
 		return Decision{Refused: refused}
 	}
-	if wait := a.buckets.take(now, q); wait > 0 {
+	if wait, ok := a.buckets.take(now, q); !ok {
 		detail := fmt.Sprintf("team %s is over its limit of %g cost units per second", q.Team, q.Rate)
 		return Decision{Refused: refuse(codes.TeamLimit, detail, wait)}
 	}
--- a/share/decide/admit/admit_test.go
+++ b/share/decide/admit/admit_test.go
@@ -98,6 +98,18 @@
 	is.Equal(a.Decide(start.Add(time.Second), q).Refused, nil)
 }
 
+// A team short of its limit by less than a nanosecond's worth was told to
+// wait for no time, which the caller took for an admission without a charge:
+// any number of calls at that moment passed.
+func TestAlmostFullBucketAdmitsNothing(t *testing.T) {
+	is := is.New(t)
+	a := admit.New(admit.DefaultSettings())
+	is.Equal(a.Decide(start, admit.Request{Team: "a", Rate: 1, Burst: 1, Cost: 1e-10}).Refused, nil)
+	for range 3 {
+		is.Equal(a.Decide(start, admit.Request{Team: "a", Rate: 1, Burst: 1, Cost: 1}).Refused.Code, codes.TeamLimit)
+	}
+}
+
 func TestSharesAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := admit.New(admit.DefaultSettings())
--- a/share/decide/admit/bucket.go
+++ b/share/decide/admit/bucket.go
@@ -24,14 +24,14 @@
 
 func newBuckets() buckets { return buckets{entries: 1, teams: make(map[string]bucket)} }
 
-// take charges the request to its team, or returns how long the team has to wait.
-func (b *buckets) take(now time.Time, q Request) time.Duration {
+// take charges the request to its team; false, with how long the team has to wait, when it may not begin.
+func (b *buckets) take(now time.Time, q Request) (wait time.Duration, ok bool) {
 	if q.Rate <= 0 {
-		return 0
+		return 0, true
 	}
 	b.sweep(now)
-	t, ok := b.teams[q.Team]
-	if !ok {
+	t, known := b.teams[q.Team]
+	if !known {
 		t = bucket{tokens: max(q.Burst, q.Rate) / b.entries, at: now}
 	}
 	t.rate = q.Rate / b.entries
@@ -41,11 +41,11 @@
 	need := min(q.Cost, t.burst)
 	if t.tokens < need {
 		b.teams[q.Team] = t
-		return time.Duration((need - t.tokens) / t.rate * float64(time.Second))
+		return time.Duration((need - t.tokens) / t.rate * float64(time.Second)), false
 	}
 	t.tokens -= q.Cost
 	b.teams[q.Team] = t
-	return 0
+	return 0, true
 }
 
 func (t *bucket) fill(now time.Time) {
--- a/share/decide/spend/ledger.go
+++ b/share/decide/spend/ledger.go
@@ -12,6 +12,8 @@
 
 const (
 	priorities = 3
+	// minRetryAfter keeps a refusal from telling its caller to come back in no time.
+	minRetryAfter = time.Millisecond
 	// Other stands for the teams beyond Settings.Lines.
 	Other = "(other)"
 )
@@ -146,7 +148,7 @@
 	if rate <= 0 {
 		return l.settings.Cell
 	}
-	return time.Duration(missing / rate * float64(time.Second))
+	return max(time.Duration(missing/rate*float64(time.Second)), minRetryAfter)
 }
 
 func (l *Ledger) reserve(p *pool, priority config.Priority) float64 {
