admin, vctl, spread: bounded answers, no empty change, a longer fetch from the service

Cause: in a trial with a first configuration of 19,000 teams the answer's difference filled the server's write buffer and the connection was closed (vctl: unexpected EOF); a body without documents took a revision; a starting process reads hundreds of chunks, for which two seconds may be too short. Change: an answer lists at most 2,000 changes and counts the rest, and 1,000 problems; a change without documents is invalid; a fetch from the service has a limit of its own.

--- a/entry/routers/admin/admin_test.go
+++ b/entry/routers/admin/admin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -214,6 +215,29 @@
 	is.Equal(e.Problems[0].Line, 2)
 }
 
+func TestLargeAnswersAreCut(t *testing.T) {
+	is := is.New(t)
+	s := newSystem()
+	s.bootstrap(t)
+	var body strings.Builder
+	for i := range 1000 {
+		fmt.Fprintf(&body, "[[team]]\nname = \"t%d\"\ntoken-sha256 = [%q]\npriority = \"normal\"\nweight = 1.0\n", i, config.DigestToken(fmt.Sprint(i)))
+	}
+	status, e, _ := s.call(t, "ana-token", http.MethodPut, "/admin/v1/changes/x?dry-run", body.String())
+	is.Equal(status, http.StatusOK)
+	is.Equal(len(e.Changes), admapi.MaxChanges)
+	is.Equal(e.ChangesOmitted, 4*1000-admapi.MaxChanges)
+}
+
+func TestChangeWithoutDocumentsIsInvalid(t *testing.T) {
+	is := is.New(t)
+	s := newSystem()
+	s.bootstrap(t)
+	status, e, _ := s.call(t, "ana-token", http.MethodPut, "/admin/v1/changes/x", "# nothing\n")
+	is.Equal(status, http.StatusUnprocessableEntity)
+	is.Equal(len(e.Problems), 1)
+}
+
 func TestDryRunThenConflict(t *testing.T) {
 	is := is.New(t)
 	s := newSystem()
--- a/entry/routers/admin/commands.go
+++ b/entry/routers/admin/commands.go
@@ -20,6 +20,7 @@
 	// maxBody holds a first configuration of 19,000 teams.
 	maxBody     = 16 << 20
 	maxSmall    = 64 << 10
+	maxProblems = 1000
 	comeBack    = time.Second
 	changeIDFit = `^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`
 )
@@ -98,17 +99,24 @@
 
 // writeAnswer turns a verdict into its HTTP answer.
 func (c *call) writeAnswer(w http.ResponseWriter, changeID string, a head.Answer) {
+	changes, omitted := admapi.CutChanges(a.Changes)
 	body := admapi.Error{
-		ChangeID: changeID,
-		Revision: a.Revision,
-		Changes:  a.Changes,
-		Problems: a.Problems,
-		Detail:   a.Detail,
+		ChangeID:       changeID,
+		Revision:       a.Revision,
+		Changes:        changes,
+		ChangesOmitted: omitted,
+		Problems:       a.Problems[:min(len(a.Problems), maxProblems)],
+		Detail:         a.Detail,
 	}
 	switch a.Verdict {
 	case head.VerdictAccepted, head.VerdictChecked:
-		result := admapi.ChangeResult{Verdict: string(a.Verdict), ChangeID: changeID, Revision: a.Revision, Changes: a.Changes}
-		c.writeJSON(w, http.StatusOK, result)
+		c.writeJSON(w, http.StatusOK, admapi.ChangeResult{
+			Verdict:        string(a.Verdict),
+			ChangeID:       changeID,
+			Revision:       a.Revision,
+			Changes:        changes,
+			ChangesOmitted: omitted,
+		})
 		return
 	case head.VerdictConflict:
 		body.Code = codes.ConfigConflict
--- a/entry/services/change/change.go
+++ b/entry/services/change/change.go
@@ -52,6 +52,10 @@
 	if len(problems) > 0 {
 		return head.Answer{Verdict: head.VerdictInvalid, Problems: problems}
 	}
+	if patch.Count() == 0 && len(patch.Remove) == 0 {
+		problems = []config.Problem{{File: admapi.BodyName, Detail: "holds no documents"}}
+		return head.Answer{Verdict: head.VerdictInvalid, Problems: problems}
+	}
 	answer := s.submit(ctx, head.Submission{
 		Change:   o.ChangeID,
 		Operator: o.Operator,
--- a/share/decide/spread/fetch.go
+++ b/share/decide/spread/fetch.go
@@ -74,3 +74,10 @@
 	s.triedPeers = map[string]bool{}
 	s.storeAfter = now.Add(s.settings.ReadTimeout)
 }
+
+func (s *State) fetchTimeout() time.Duration {
+	if s.fetchPeer == "" {
+		return s.settings.FetchTimeout
+	}
+	return s.settings.ReadTimeout
+}
--- a/share/decide/spread/settings.go
+++ b/share/decide/spread/settings.go
@@ -19,8 +19,10 @@
 	PeerWait time.Duration
 	// Pause is the gap between two ticks that shows that the process was frozen; several tick periods.
 	Pause time.Duration
-	// ReadTimeout is after how long a read counts as failed though the shell said nothing.
+	// ReadTimeout is after how long a read, or a fetch from a peer, counts as failed though the shell said nothing.
 	ReadTimeout time.Duration
+	// FetchTimeout is the same for a fetch from the service, which a starting process makes chunk by chunk.
+	FetchTimeout time.Duration
 	// Watchers is how many instances of a failure domain hold a watch.
 	Watchers int
 }
@@ -28,13 +30,14 @@
 // DefaultSettings returns periods under which a change is in force within 8 s.
 func DefaultSettings() Settings {
 	return Settings{
-		GoodFor:     5 * time.Second,
-		WatchPoll:   time.Second,
-		SlowPoll:    30 * time.Second,
-		Retry:       250 * time.Millisecond,
-		PeerWait:    2 * time.Second,
-		Pause:       2 * time.Second,
-		ReadTimeout: 2 * time.Second,
-		Watchers:    2,
+		GoodFor:      5 * time.Second,
+		WatchPoll:    time.Second,
+		SlowPoll:     30 * time.Second,
+		Retry:        250 * time.Millisecond,
+		PeerWait:     2 * time.Second,
+		Pause:        2 * time.Second,
+		ReadTimeout:  2 * time.Second,
+		FetchTimeout: 20 * time.Second,
+		Watchers:     2,
 	}
 }
--- a/share/services/admapi/admapi.go
+++ b/share/services/admapi/admapi.go
@@ -12,6 +12,18 @@
 // BodyName is the file name under which problems of a request's TOML body are reported.
 const BodyName = "body"
 
+// MaxChanges bounds the changes listed in one answer, so that a first
+// configuration of 19,000 teams doesn't fill the server's write buffer.
+const MaxChanges = 2000
+
+// CutChanges returns the first MaxChanges and how many were left out.
+func CutChanges(changes []config.Change) (cut []config.Change, omitted int) {
+	if len(changes) <= MaxChanges {
+		return changes, 0
+	}
+	return changes[:MaxChanges], len(changes) - MaxChanges
+}
+
 // Error is the body of every answer that is no success.
 type Error struct {
 	Code    codes.Code    `json:"code"`
@@ -26,6 +38,8 @@
 	ChangeID string          `json:"change-id,omitempty"`
 	Revision uint64          `json:"revision,omitempty"`
 	Changes  []config.Change `json:"changes,omitempty"`
+	// ChangesOmitted counts those beyond MaxChanges.
+	ChangesOmitted int `json:"changes-omitted,omitempty"`
 }
 
 // ChangeResult is the answer to an accepted or checked change.
@@ -34,6 +48,8 @@
 	ChangeID string          `json:"change-id"`
 	Revision uint64          `json:"revision"`
 	Changes  []config.Change `json:"changes"`
+	// ChangesOmitted counts those beyond MaxChanges.
+	ChangesOmitted int `json:"changes-omitted,omitempty"`
 }
 
 // Config is the answer to a query for documents.
--- a/vctl/cmds/apply.go
+++ b/vctl/cmds/apply.go
@@ -74,7 +74,7 @@
 		return a.printResult(checked)
 	}
 	if a.output == outputTable {
-		a.printChanges(checked.Changes)
+		a.printChanges(checked.Changes, checked.ChangesOmitted)
 	}
 	o.base = checked.Revision
 	accepted, err := a.put(ctx, o, d, false)
@@ -131,7 +131,7 @@
 		a.printLinef("accepted before as revision %d, change %s", result.Revision, result.ChangeID)
 		return nil
 	}
-	a.printChanges(result.Changes)
+	a.printChanges(result.Changes, result.ChangesOmitted)
 	a.printLinef("checked against revision %d; nothing was changed", result.Revision)
 	return nil
 }
--- a/vctl/cmds/label.go
+++ b/vctl/cmds/label.go
@@ -53,7 +53,7 @@
 	if a.output == outputJSON {
 		return a.printJSON(result)
 	}
-	a.printChanges(result.Changes)
+	a.printChanges(result.Changes, result.ChangesOmitted)
 	a.printLinef("accepted as revision %d, change %s", result.Revision, result.ChangeID)
 	return nil
 }
--- a/vctl/cmds/print.go
+++ b/vctl/cmds/print.go
@@ -42,12 +42,15 @@
 	_, _ = fmt.Fprintf(a.streams.Out, format+"\n", args...)
 }
 
-func (a *app) printChanges(changes []config.Change) {
+func (a *app) printChanges(changes []config.Change, omitted int) {
 	rows := make([][]string, 0, len(changes))
 	for _, c := range changes {
 		rows = append(rows, []string{string(c.Kind), c.Name, c.Field, orDash(c.Old), orDash(c.New)})
 	}
 	a.printTable("KIND NAME FIELD OLD NEW", rows)
+	if omitted > 0 {
+		a.printLinef("and %d more", omitted)
+	}
 }
 
 func orDash(text string) string {
@@ -73,7 +76,7 @@
 	}
 	if exit.code == ExitConflict && r.body.Revision > 0 {
 		a.printLinef("revision %d is in force; changed since the base:", r.body.Revision)
-		a.printChanges(r.body.Changes)
+		a.printChanges(r.body.Changes, r.body.ChangesOmitted)
 	}
 	return exit
 }
