head: removed operators and a service that lost its data

Cause: a process that has not heard of an operator's removal would put that operator's change on top of it; and after a loss of data the head would start anew at revision 1, which no process adopts. Change: the operator's token is checked on the very configuration that the swap names. Where the head lies below the revision in force at the process that submits, the change is made on that configuration, with all parts, 1,000 revisions higher. A test for each begins with its story.

--- a/entry/routers/admin/admin.go
+++ b/entry/routers/admin/admin.go
@@ -15,7 +15,7 @@
 // Changes are the commands on the configuration.
 type Changes interface {
 	Apply(ctx context.Context, o change.ApplyOptions) head.Answer
-	SetLabels(ctx context.Context, operator string, l admapi.LabelChange) head.Answer
+	SetLabels(ctx context.Context, author change.Author, l admapi.LabelChange) head.Answer
 }
 
 // Lookups are the queries of the configuration.
--- a/entry/routers/admin/admin_test.go
+++ b/entry/routers/admin/admin_test.go
@@ -34,13 +34,15 @@
 	router      *admin.Router
 	// blind makes the process see no configuration, as one that just started.
 	blind bool
+	// kept is what the process sees in place of the service's configuration, unless nil.
+	kept *config.Loaded
 }
 
 func newSystem() *system {
 	s := &system{values: map[string]store.Value{}}
 	s.reader = store.NewReader(s, store.DefaultPrefix)
 	s.router = admin.NewRouter(admin.Options{
-		Changes:         change.NewService(store.NewWriter(s, s.reader)),
+		Changes:         change.NewService(store.NewWriter(s, s.reader), s),
 		Lookups:         lookup.NewService(s.reader, s),
 		Snapshots:       s,
 		BootstrapSHA256: config.DigestToken("bootstrap-token"),
@@ -79,8 +81,19 @@
 	return s.Get(ctx, key)
 }
 
-// Snapshot loads what the service holds, as if spreading took no time.
 func (s *system) Snapshot() *config.Snapshot {
+	loaded := s.GetLoaded()
+	if loaded == nil {
+		return nil
+	}
+	return loaded.Snapshot
+}
+
+// GetLoaded loads what the service holds, as if spreading took no time.
+func (s *system) GetLoaded() *config.Loaded {
+	if s.kept != nil {
+		return s.kept
+	}
 	s.mutex.Lock()
 	down := s.down
 	s.down = false
@@ -98,7 +111,7 @@
 	if err != nil {
 		return nil
 	}
-	return loaded.Snapshot
+	return loaded
 }
 
 const first = `
@@ -215,6 +228,38 @@
 	is.Equal(e.Problems[0].Line, 2)
 }
 
+// The service loses its data. An operator sets a label through an entry that
+// still has revision 1: the team and the operators must still be there.
+func TestLostDataIsRestoredByTheNextChange(t *testing.T) {
+	is := is.New(t)
+	s := newSystem()
+	s.bootstrap(t)
+	s.kept = s.GetLoaded()
+	s.values = map[string]store.Value{}
+	status, e, _ := s.call(t, "ana-token", http.MethodPost, "/admin/v1/labels", `{"change-id":"l1","kind":"team","name":"kranj","set":{"tier":"large"}}`)
+	is.Equal(status, http.StatusOK)
+	s.kept = nil
+	is.True(e.Revision > 1)
+	is.Equal(s.Snapshot().Revision, e.Revision)
+	is.Equal(len(s.Snapshot().Set.Operators), 2)
+	is.Equal(s.Snapshot().GetTeamByName("kranj").Labels["tier"], "large")
+}
+
+// One entry has not heard that an operator was removed and still takes the token.
+func TestRemovedOperatorIsRefusedByAStaleEntry(t *testing.T) {
+	is := is.New(t)
+	s := newSystem()
+	s.bootstrap(t)
+	stale := s.GetLoaded()
+	second := strings.Replace(firstText(), config.DigestToken("ana-token"), config.DigestToken("new-token"), 1)
+	status, _, _ := s.call(t, "ana-token", http.MethodPut, "/admin/v1/changes/second", second)
+	is.Equal(status, http.StatusOK)
+	s.kept = stale
+	status, e, _ := s.call(t, "ana-token", http.MethodPut, "/admin/v1/changes/third", firstText())
+	is.Equal(status, http.StatusForbidden)
+	is.Equal(e.Code, codes.Forbidden)
+}
+
 func TestLargeAnswersAreCut(t *testing.T) {
 	is := is.New(t)
 	s := newSystem()
--- a/entry/routers/admin/commands.go
+++ b/entry/routers/admin/commands.go
@@ -42,8 +42,7 @@
 func newApplyOptions(c *call) (change.ApplyOptions, error) {
 	options := change.ApplyOptions{
 		ChangeID: c.request.PathValue("id"),
-		Operator: c.operator.Name,
-		First:    c.bootstrap,
+		Author:   c.author(),
 	}
 	err := checkChangeID(options.ChangeID)
 	if err != nil {
@@ -122,6 +121,8 @@
 		body.Code = codes.ConfigConflict
 	case head.VerdictInvalid:
 		body.Code = codes.ConfigInvalid
+	case head.VerdictForbidden:
+		body.Code = codes.Forbidden
 	case head.VerdictUnavailable:
 		body.Code = codes.StoreUnavailable
 		body.RetryAfter = config.Duration(comeBack)
@@ -150,7 +151,7 @@
 		c.writeError(w, err)
 		return
 	}
-	c.writeAnswer(w, labels.ChangeID, r.options.Changes.SetLabels(c.request.Context(), c.operator.Name, labels))
+	c.writeAnswer(w, labels.ChangeID, r.options.Changes.SetLabels(c.request.Context(), c.author(), labels))
 }
 
 func (r *Router) postDrain(w http.ResponseWriter, c *call) {
--- a/entry/routers/admin/guard.go
+++ b/entry/routers/admin/guard.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"verbenaroad.example/entry/services/change"
 	"verbenaroad.example/share/models/config"
 	"verbenaroad.example/share/modules/codes"
 	"verbenaroad.example/share/services/admapi"
@@ -31,6 +32,14 @@
 	status    int
 }
 
+func (c *call) author() change.Author {
+	return change.Author{
+		Operator:    c.operator.Name,
+		TokenSHA256: c.operator.TokenSHA256,
+		First:       c.bootstrap,
+	}
+}
+
 // guard finds the operator and checks the role before a route is handled.
 func (r *Router) guard(t route) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
--- a/entry/services/change/change.go
+++ b/entry/services/change/change.go
@@ -23,25 +23,39 @@
 	LoadHead(ctx context.Context) (*config.Loaded, error)
 }
 
+// InForce gives the configuration in force in this process.
+type InForce interface {
+	// GetLoaded returns nil while there is none.
+	GetLoaded() *config.Loaded
+}
+
 // Service carries out changes.
 type Service struct {
-	writer Writer
+	writer  Writer
+	inForce InForce
+}
+
+// NewService returns a service over a writer and the process's own configuration.
+func NewService(writer Writer, inForce InForce) *Service {
+	return &Service{writer: writer, inForce: inForce}
 }
 
-// NewService returns a service over a writer.
-func NewService(writer Writer) *Service {
-	return &Service{writer: writer}
+// Author is who makes a change, as the process that checked the token knows it.
+type Author struct {
+	Operator string
+	// TokenSHA256 is checked again on the configuration that the change is made on; empty: bootstrap.
+	TokenSHA256 string
+	// First allows the change only while no configuration exists.
+	First bool
 }
 
 // ApplyOptions describe one change.
 type ApplyOptions struct {
 	ChangeID string
-	Operator string
+	Author   Author
 	// Base is the revision the change was made for; 0: the one found.
 	Base   uint64
 	DryRun bool
-	// First allows the change only while no configuration exists.
-	First bool
 	// Text holds the documents as TOML.
 	Text []byte
 }
@@ -56,13 +70,11 @@
 		problems = []config.Problem{{File: admapi.BodyName, Detail: "holds no documents"}}
 		return head.Answer{Verdict: head.VerdictInvalid, Problems: problems}
 	}
-	answer := s.submit(ctx, head.Submission{
-		Change:   o.ChangeID,
-		Operator: o.Operator,
-		Patch:    patch,
-		Base:     o.Base,
-		DryRun:   o.DryRun,
-		First:    o.First,
+	answer := s.submit(ctx, o.Author, head.Submission{
+		Change: o.ChangeID,
+		Patch:  patch,
+		Base:   o.Base,
+		DryRun: o.DryRun,
 	})
 	if len(answer.Problems) > 0 {
 		answer.Problems = config.NewSource(admapi.BodyName, o.Text).Locate(answer.Problems)
@@ -73,7 +85,11 @@
 // submit goes on when the operator's connection breaks: a change that stopped
 // between the swap and the reading back would leave its verdict untold to the
 // one who asks again.
-func (s *Service) submit(ctx context.Context, submission head.Submission) head.Answer {
+func (s *Service) submit(ctx context.Context, author Author, submission head.Submission) head.Answer {
+	submission.Operator = author.Operator
+	submission.TokenSHA256 = author.TokenSHA256
+	submission.First = author.First
+	submission.InForce = s.inForce.GetLoaded()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), defaultTimeout)
 	defer cancel()
 	return s.writer.Submit(ctx, submission)
@@ -81,8 +97,11 @@
 
 // SetLabels changes the labels of a team or a stage, on top of the documents
 // that the key-value service holds now.
-func (s *Service) SetLabels(ctx context.Context, operator string, l admapi.LabelChange) head.Answer {
+func (s *Service) SetLabels(ctx context.Context, author Author, l admapi.LabelChange) head.Answer {
 	loaded, err := s.writer.LoadHead(ctx)
+	if inForce := s.inForce.GetLoaded(); err == nil && isBelow(loaded, inForce) {
+		loaded = inForce // as the writer itself does where the service lost its data
+	}
 	if err != nil || loaded == nil {
 		return head.Answer{Verdict: head.VerdictUnavailable, Detail: "there is no configuration to be read"}
 	}
@@ -94,15 +113,21 @@
 	if base == 0 {
 		base = loaded.Place.Revision
 	}
-	return s.submit(ctx, head.Submission{
-		Change:   l.ChangeID,
-		Operator: operator,
-		Patch:    patch,
-		Base:     base,
-		Digest:   digestLabels(l),
+	return s.submit(ctx, author, head.Submission{
+		Change: l.ChangeID,
+		Patch:  patch,
+		Base:   base,
+		Digest: digestLabels(l),
 	})
 }
 
+func isBelow(l, other *config.Loaded) bool {
+	if other == nil {
+		return false
+	}
+	return l == nil || l.Place.Revision < other.Place.Revision
+}
+
 // digestLabels is that of what was asked and not of the documents it leads
 // to: those differ when another change came between two submissions of it.
 func digestLabels(l admapi.LabelChange) config.Hash {
--- a/share/decide/head/head.go
+++ b/share/decide/head/head.go
@@ -12,6 +12,10 @@
 // key-value service doesn't answer.
 const maxAttempts = 3
 
+// lossMargin is skipped after a loss of data, since other processes may have
+// adopted revisions that this one had not heard of.
+const lossMargin = 1000
+
 // Verdict is what a writer tells the operator.
 type Verdict string
 
@@ -25,6 +29,8 @@
 	VerdictConflict Verdict = "conflict"
 	// VerdictInvalid means that the checks refused the change.
 	VerdictInvalid Verdict = "invalid"
+	// VerdictForbidden means that the operator may no longer change anything.
+	VerdictForbidden Verdict = "forbidden"
 	// VerdictUnavailable means that this submission asked for no swap, since the service did not answer.
 	VerdictUnavailable Verdict = "unavailable"
 	// VerdictUnknown means that a swap may have taken or may still take effect.
@@ -47,6 +53,12 @@
 	// Digest stands in for that of Patch where the patch was worked out from
 	// the configuration and would differ when asked again; empty: the patch's.
 	Digest config.Hash
+	// TokenSHA256 must belong to an operator of role change in the very
+	// configuration that the change is made on; empty: not checked.
+	TokenSHA256 string
+	// InForce is the configuration of the process that submits; nil: none. It
+	// stands in for the head where the key-value service lost its data.
+	InForce *config.Loaded
 }
 
 // Event is something that happened to a writer.
@@ -226,23 +238,61 @@
 	if w.submission.First && e.Index != 0 {
 		return w.answer(Answer{Verdict: VerdictConflict, Revision: e.Head.Revision, Detail: "a configuration exists; the bootstrap token no longer counts"})
 	}
+	last, lost := e.Head, w.isLost(e.Head)
 	w.base = e.Loaded
-	if w.submission.Base != 0 && w.submission.Base != e.Head.Revision {
+	if lost {
+		last.Place = w.submission.InForce.Place
+		w.base = w.submission.InForce
+	}
+	if !w.mayChange(w.base) {
+		return w.answer(Answer{Verdict: VerdictForbidden, Revision: last.Revision, Detail: "the operator may no longer change anything"})
+	}
+	if w.submission.Base != 0 && w.submission.Base != last.Revision {
 		w.base = e.Base
 		return w.answerConflict(e)
 	}
-	plan, problems := config.NewPlan(e.Loaded, w.submission.Patch)
+	plan, problems := config.NewPlan(w.base, w.submission.Patch)
 	if len(problems) > 0 {
-		return w.answer(Answer{Verdict: VerdictInvalid, Revision: e.Head.Revision, Problems: problems})
+		return w.answer(Answer{Verdict: VerdictInvalid, Revision: last.Revision, Problems: problems})
 	}
 	if w.submission.DryRun {
-		return w.answer(Answer{Verdict: VerdictChecked, Revision: e.Head.Revision, Changes: plan.Changes})
+		return w.answer(Answer{Verdict: VerdictChecked, Revision: last.Revision, Changes: plan.Changes})
 	}
 	w.plan = plan
-	head := e.Head.Next(plan.Next.Place.Manifest, w.digest, w.submission.Change, w.submission.Operator, now)
+	values := plan.Values()
+	if lost {
+		last.Revision += lossMargin
+		values = plan.AllValues()
+	}
+	head := last.Next(plan.Next.Place.Manifest, w.digest, w.submission.Change, w.submission.Operator, now)
 	w.next = head.Place
 	w.swap = SwapHead{Index: e.Index, Record: head.Encode()}
-	return []Action{WriteChunks{Values: plan.Values()}}
+	return []Action{WriteChunks{Values: values}}
+}
+
+// isLost guards against a service that lost its data or was put back to an
+// older state. It shows as a head below the revision in force here, which
+// cannot be otherwise: a process adopts only what the head held, and heads
+// rise. The change is then made on the configuration in force, with all of its
+// parts, so that accepted changes don't revert.
+func (w *Writer) isLost(head config.Head) bool {
+	return w.submission.InForce != nil && head.Revision < w.submission.InForce.Place.Revision
+}
+
+// mayChange guards against a process that has not heard of an operator's
+// removal and still takes the token: the change would be put on top of the
+// very configuration that removed the operator. The swap names that
+// configuration's index, so that a removal after this check makes it fail.
+func (w *Writer) mayChange(l *config.Loaded) bool {
+	if w.submission.TokenSHA256 == "" || l == nil {
+		return true
+	}
+	for _, o := range l.Snapshot.Set.Operators {
+		if o.TokenSHA256 == w.submission.TokenSHA256 {
+			return o.Role == config.RoleChange
+		}
+	}
+	return false
 }
 
 func (w *Writer) answerConflict(e Fetched) []Action {
--- a/share/decide/head/head_test.go
+++ b/share/decide/head/head_test.go
@@ -261,6 +261,46 @@
 	is.Equal(w.chain, []string{"one"})
 }
 
+// An operator is removed, but one process is cut off from its peers and still
+// takes the token. The change must be refused although that process reaches
+// the key-value service.
+func TestRemovedOperatorIsRefused(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.run(w.submit(newSubmission("one", 0, 1)))
+	s := newSubmission("two", 0, 9)
+	s.TokenSHA256 = newOperator().TokenSHA256
+	is.Equal(w.run(w.submit(s)).Verdict, head.VerdictAccepted)
+	s = newSubmission("three", 0, 3)
+	s.TokenSHA256 = config.DigestToken("removed")
+	is.Equal(w.run(w.submit(s)).Verdict, head.VerdictForbidden)
+	is.Equal(w.chain, []string{"one", "two"})
+}
+
+// The key-value service lost its data while processes hold revision 1. An
+// operator changes a price; nothing else may revert, and the revision must lie
+// above every one that some process may have adopted.
+func TestLostDataIsRestoredByTheNextChange(t *testing.T) {
+	is := is.New(t)
+	before := newWorld()
+	before.run(before.submit(newSubmission("one", 0, 1)))
+	w := newWorld()
+	s := newSubmission("two", 1, 9)
+	s.Patch.Operators = nil
+	s.InForce = before.loaded
+	n := w.submit(s)
+	w.step(n, "")
+	values := n.next.(head.WriteChunks).Values
+	is.Equal(len(values), 3) // the manifest, the pools and the operators
+	for _, value := range values {
+		is.NoErr(value.Hash.Check(value.Data))
+	}
+	answer := w.run(n)
+	is.Equal(answer.Verdict, head.VerdictAccepted)
+	is.True(answer.Revision > 1000)
+	is.Equal(len(answer.Changes), 1)
+}
+
 func TestDryRunWritesNothing(t *testing.T) {
 	is := is.New(t)
 	w := newWorld()
--- a/share/models/config/plan.go
+++ b/share/models/config/plan.go
@@ -20,6 +20,20 @@
 	return append([]Chunk{manifest}, p.Chunks...)
 }
 
+// AllValues returns every value of the configuration after the change, for a
+// service that may hold none of them.
+func (p *Plan) AllValues() []Chunk {
+	hashes := append([]Hash{p.Next.Place.Manifest}, p.Manifest.Hashes()...)
+	values := make([]Chunk, 0, len(hashes))
+	for _, hash := range hashes {
+		chunk, found := p.Next.GetChunk(hash)
+		if found {
+			values = append(values, chunk)
+		}
+	}
+	return values
+}
+
 // NewPlan works out a patch against a configuration, which may be nil for the
 // first one. Only the buckets that the patch names are encoded anew.
 func NewPlan(l *Loaded, patch Patch) (*Plan, []Problem) {
