--- a/entry/routers/admin/commands.go
+++ b/entry/routers/admin/commands.go
@@ -20,6 +20,7 @@
 	// maxBody holds a first configuration of 19,000 teams.
 	maxBody     = 16 << 20
 	maxSmall    = 64 << 10
+	maxProblems = 1000
 	comeBack    = time.Second
 	changeIDFit = `^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`
 )
@@ -41,8 +42,7 @@
 func newApplyOptions(c *call) (change.ApplyOptions, error) {
 	options := change.ApplyOptions{
 		ChangeID: c.request.PathValue("id"),
-		Operator: c.operator.Name,
-		First:    c.bootstrap,
+		Author:   c.author(),
 	}
 	err := checkChangeID(options.ChangeID)
 	if err != nil {
@@ -98,22 +98,31 @@
 
 // writeAnswer turns a verdict into its HTTP answer.
 func (c *call) writeAnswer(w http.ResponseWriter, changeID string, a head.Answer) {
+	changes, omitted := admapi.CutChanges(a.Changes)
 	body := admapi.Error{
-		ChangeID: changeID,
-		Revision: a.Revision,
-		Changes:  a.Changes,
-		Problems: a.Problems,
-		Detail:   a.Detail,
+		ChangeID:       changeID,
+		Revision:       a.Revision,
+		Changes:        changes,
+		ChangesOmitted: omitted,
+		Problems:       a.Problems[:min(len(a.Problems), maxProblems)],
+		Detail:         a.Detail,
 	}
 	switch a.Verdict {
 	case head.VerdictAccepted, head.VerdictChecked:
-		result := admapi.ChangeResult{Verdict: string(a.Verdict), ChangeID: changeID, Revision: a.Revision, Changes: a.Changes}
-		c.writeJSON(w, http.StatusOK, result)
+		c.writeJSON(w, http.StatusOK, admapi.ChangeResult{
+			Verdict:        string(a.Verdict),
+			ChangeID:       changeID,
+			Revision:       a.Revision,
+			Changes:        changes,
+			ChangesOmitted: omitted,
+		})
 		return
 	case head.VerdictConflict:
 		body.Code = codes.ConfigConflict
 	case head.VerdictInvalid:
 		body.Code = codes.ConfigInvalid
+	case head.VerdictForbidden:
+		body.Code = codes.Forbidden
 	case head.VerdictUnavailable:
 		body.Code = codes.StoreUnavailable
 		body.RetryAfter = config.Duration(comeBack)
@@ -142,7 +151,7 @@
 		c.writeError(w, err)
 		return
 	}
-	c.writeAnswer(w, labels.ChangeID, r.options.Changes.SetLabels(c.request.Context(), c.operator.Name, labels))
+	c.writeAnswer(w, labels.ChangeID, r.options.Changes.SetLabels(c.request.Context(), c.author(), labels))
 }
 
 func (r *Router) postDrain(w http.ResponseWriter, c *call) {
