fakes: faults by method, late effect and cut streams

Cause: a call that hung and whose caller gave up was dropped, so the case of a write that takes effect after it was read back as absent could not be made; nor could a stream that breaks off in the middle.

Change: slow and frozen calls are carried out although their caller went away; faults of calls can be limited to HTTP methods; cut-after closes the connection of a stream after some writes.

--- a/fakes/modules/fault/fault.go
+++ b/fakes/modules/fault/fault.go
@@ -31,17 +31,23 @@
 
 // Settings are the faults in force; the zero value is none.
 type Settings struct {
-	// Slow delays every call before it takes effect.
+	// Methods limits the faults of calls (all but Down and Silent) to these HTTP methods; empty: all.
+	Methods []string `json:"methods,omitempty"`
+	// Slow delays every call before it takes effect. A call whose caller has
+	// gone away meanwhile takes effect all the same, where it can without one.
 	Slow Duration `json:"slow,omitempty"`
 	// Down closes every connection and refuses new ones.
 	Down bool `json:"down,omitempty"`
 	// LostAnswer lets calls take effect and then closes their connection without an answer.
 	LostAnswer LostAnswer `json:"lost-answer,omitzero"`
-	// Freeze accepts connections and calls, and goes on with them only when it is lifted.
+	// Freeze accepts connections and calls, and goes on with them only when
+	// it is lifted, also with those whose caller has gone away meanwhile.
 	Freeze bool `json:"freeze,omitempty"`
 	// Silent marks the connections that are open when it is set: for good, they
 	// stay open and carry nothing in either direction. New connections work.
 	Silent bool `json:"silent,omitempty"`
+	// CutAfter closes the connection after that many writes of a streamed answer; 0: never.
+	CutAfter int `json:"cut-after,omitempty"`
 	// Status is answered to every call, which then takes no effect; 0: none.
 	Status int `json:"status,omitempty"`
 }
@@ -54,8 +60,11 @@
 	Probability float64 `json:"probability,omitempty"`
 	// Seed makes the choice repeatable.
 	Seed int64 `json:"seed,omitempty"`
-	// Methods limits the fault to these HTTP methods; empty: all.
-	Methods []string `json:"methods,omitempty"`
+}
+
+// hits reports whether the faults of calls apply to a method.
+func (s *Settings) hits(method string) bool {
+	return len(s.Methods) == 0 || slices.Contains(s.Methods, method)
 }
 
 // Switch holds the settings in force; it may be used by many goroutines.
@@ -98,10 +107,22 @@
 	return s.settings
 }
 
-// Thawed returns a channel that is closed when the freeze is lifted, nil when there is none.
-func (s *Switch) Thawed() <-chan struct{} {
+// GetFor returns the settings in force for calls of a method.
+func (s *Switch) GetFor(method string) Settings {
+	settings := s.Get()
+	if !settings.hits(method) {
+		return Settings{}
+	}
+	return settings
+}
+
+// Thawed returns a channel that is closed when the freeze of calls of a method is lifted, nil when there is none.
+func (s *Switch) Thawed(method string) <-chan struct{} {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if !s.settings.hits(method) {
+		return nil
+	}
 	return s.thawed
 }
 
@@ -113,7 +134,7 @@
 	if lost.Count == 0 && lost.Probability == 0 {
 		return false
 	}
-	if len(lost.Methods) > 0 && !slices.Contains(lost.Methods, method) {
+	if !s.settings.hits(method) {
 		return false
 	}
 	if lost.Probability > 0 && s.random.Float64() >= lost.Probability {
--- a/fakes/modules/fault/fault_test.go
+++ b/fakes/modules/fault/fault_test.go
@@ -37,14 +37,14 @@
 		"none":         {fault.LostAnswer{}, http.MethodPut, 0},
 		"count":        {fault.LostAnswer{Count: 3}, http.MethodPut, 3},
 		"always":       {fault.LostAnswer{Probability: 1}, http.MethodPut, 100},
-		"other method": {fault.LostAnswer{Count: 3, Methods: []string{http.MethodPut}}, http.MethodGet, 0},
+		"other method": {fault.LostAnswer{Count: 3}, http.MethodGet, 0},
 		"both":         {fault.LostAnswer{Count: 2, Probability: 0.5, Seed: 1}, http.MethodPut, 2},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := fault.NewSwitch()
-			s.Set(fault.Settings{LostAnswer: test.lost})
+			s.Set(fault.Settings{Methods: []string{http.MethodPut}, LostAnswer: test.lost})
 			is.Equal(count(take(s, 100, test.method)), test.want)
 		})
 	}
--- a/fakes/modules/serve/handler.go
+++ b/fakes/modules/serve/handler.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -41,11 +40,12 @@
 		// The connection went silent while the call waited its turn: it takes no effect.
 		return
 	}
-	if !s.hold(c.ctx) {
+	settings := s.faults.GetFor(r.Method)
+	if !s.hold(r.Method, time.Duration(settings.Slow)) {
 		return
 	}
-	if status := s.faults.Get().Status; status != 0 {
-		http.Error(w, http.StatusText(status), status)
+	if settings.Status != 0 {
+		http.Error(w, http.StatusText(settings.Status), settings.Status)
 		return
 	}
 	kind := s.options.KindOf(r)
@@ -55,54 +55,61 @@
 	if lost {
 		c.muted.Store(true)
 	}
-	s.options.Handler.ServeHTTP(&writer{ResponseWriter: w, server: s, conn: c}, r.WithContext(c.ctx))
+	s.options.Handler.ServeHTTP(&writer{ResponseWriter: w, server: s, conn: c, method: r.Method}, r.WithContext(c.ctx))
 	if lost {
 		_ = c.Conn.Close()
 		return
 	}
-	s.waitThaw(c.ctx)
+	s.waitThaw(r.Method, c.ctx.Done())
 }
 
-// hold keeps a call back while the stand-in is slow or frozen; false means that the caller went away.
-func (s *Server) hold(ctx context.Context) bool {
-	if delay := time.Duration(s.faults.Get().Slow); delay > 0 {
+// hold keeps a call back while the stand-in is slow or frozen; false means that the stand-in stops.
+// It does not end when the caller goes away: what a real service has read, it carries out.
+func (s *Server) hold(method string, delay time.Duration) bool {
+	if delay > 0 {
 		timer := time.NewTimer(delay)
 		defer timer.Stop()
 		select {
-		case <-ctx.Done():
+		case <-s.stopping:
 			return false
 		case <-timer.C:
 		}
 	}
-	return s.waitThaw(ctx)
+	return s.waitThaw(method, nil)
 }
 
-func (s *Server) waitThaw(ctx context.Context) bool {
-	thawed := s.faults.Thawed()
+// waitThaw returns when no freeze is in force; false means that gone was closed or the stand-in stops.
+func (s *Server) waitThaw(method string, gone <-chan struct{}) bool {
+	thawed := s.faults.Thawed(method)
 	if thawed == nil {
-		return ctx.Err() == nil
+		return true
 	}
 	select {
-	case <-ctx.Done():
+	case <-gone:
+		return false
+	case <-s.stopping:
 		return false
 	case <-thawed:
 		return true
 	}
 }
 
-// writer holds the parts of an answer back while the stand-in is frozen.
+// writer holds the parts of an answer back while the stand-in is frozen, and cuts the answer off where that is asked for.
 type writer struct {
 	http.ResponseWriter
 	server *Server
 	conn   *conn
+	method string
+	writes int
 }
 
 // Write passes data on once no freeze is in force.
 func (w *writer) Write(data []byte) (int, error) {
-	w.server.waitThaw(w.conn.ctx)
+	w.server.waitThaw(w.method, w.conn.ctx.Done())
 	if err := w.conn.ctx.Err(); err != nil {
 		return 0, ErrServe.Wrap(err)
 	}
+	w.writes++
 	return w.ResponseWriter.Write(data)
 }
 
@@ -114,4 +121,8 @@
 	if f, ok := w.ResponseWriter.(http.Flusher); ok {
 		f.Flush()
 	}
+	cut := w.server.faults.GetFor(w.method).CutAfter
+	if cut > 0 && w.writes >= cut {
+		_ = w.conn.Conn.Close()
+	}
 }
--- a/fakes/modules/serve/server.go
+++ b/fakes/modules/serve/server.go
@@ -45,6 +45,8 @@
 	engine  *nbhttp.Engine
 	faults  *fault.Switch
 	calls   *calls
+	// stopping is closed when Stop no longer waits for calls.
+	stopping chan struct{}
 
 	mutex    sync.Mutex
 	address  netip.AddrPort
@@ -62,6 +64,8 @@
 		calls:   newCalls(),
 		address: options.Listen,
 		conns:   map[*nbio.Conn]*conn{},
+
+		stopping: make(chan struct{}),
 	}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:              "fakes",
@@ -101,6 +105,7 @@
 	s.mutex.Unlock()
 	s.unlisten()
 	err := s.drain(ctx)
+	close(s.stopping)
 	s.closeConns()
 	s.engine.Stop()
 	return err
--- a/fakes/services/engine/emit_bench_test.go
+++ b/fakes/services/engine/emit_bench_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio/logging"
+
 	"verbenaroad.example/fakes/services/engine"
 )
 
@@ -70,6 +72,7 @@
 // of the reader together. b.N is the number of tokens of each stream; run it
 // with a fixed count, such as -benchtime=250x.
 func BenchmarkEmit(b *testing.B) {
+	logging.SetLevel(logging.LevelNone)
 	for _, streams := range []int{32, 256} {
 		for _, interval := range []time.Duration{20 * time.Millisecond, 5 * time.Millisecond} {
 			b.Run(fmt.Sprintf("streams=%d/interval=%s", streams, interval), func(b *testing.B) {
--- a/fakes/services/engine/engine_test.go
+++ b/fakes/services/engine/engine_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenaroad.example/fakes/modules/fault"
 	"verbenaroad.example/fakes/modules/ledger"
 	"verbenaroad.example/fakes/modules/serve"
 	"verbenaroad.example/fakes/modules/token"
@@ -236,6 +237,20 @@
 	is.Equal(answer.Choices[0].Text, token.MakeText("next", 2))
 }
 
+// The connection of a stream breaks off in the middle. What came is no whole
+// answer, and shows it by the missing end record; the slot is free again.
+func TestCutStream(t *testing.T) {
+	is := is.New(t)
+	s := newStand(t, engine.Options{Slots: 1, TokenInterval: time.Millisecond})
+	is.NoErr(s.server.SetFault(fault.Settings{CutAfter: 2, Methods: []string{http.MethodPost}}))
+	endless := engine.Completion{Model: "model", Prompt: "endless", MaxTokens: 1 << 30, Stream: true}
+	data, err := io.ReadAll(s.send(context.Background(), http.MethodPost, "/v1/completions", endless).Body)
+	is.True(err != nil)
+	is.True(strings.Contains(string(data), token.Make("endless", 0)))
+	is.True(!strings.Contains(string(data), "[DONE]"))
+	s.waitLoad(0, 0)
+}
+
 // caller sends a completion and reads the answer on a goroutine of its own.
 type caller struct {
 	stand      *stand
--- a/fakes/services/keyval/fault_test.go
+++ b/fakes/services/keyval/fault_test.go
@@ -24,7 +24,7 @@
 	is := is.New(t)
 	ctx := context.Background()
 	server, client := newService(t)
-	is.NoErr(server.SetFault(fault.Settings{LostAnswer: fault.LostAnswer{Count: 1, Methods: []string{http.MethodPut}}}))
+	is.NoErr(server.SetFault(fault.Settings{LostAnswer: fault.LostAnswer{Count: 1}}))
 	_, err := client.CompareAndSwap(ctx, "head", []byte("1"), 0)
 	is.True(err != nil)
 	is.True(!kvapi.IsErrNotSent(err))
@@ -48,6 +48,25 @@
 	is.True(!kvapi.IsErrNotSent(err))
 }
 
+// A write hangs and the writer gives up; it reads back and finds nothing.
+// Only then does the write take effect. So an absent key after an error does
+// not say that the write will not happen.
+func TestLateEffect(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	server, client := newService(t)
+	is.NoErr(server.SetFault(fault.Settings{Freeze: true, Methods: []string{http.MethodPut}}))
+	_, err := newHasty(t, server).CompareAndSwap(ctx, "head", []byte("1"), 0)
+	is.True(err != nil)
+	is.True(!kvapi.IsErrNotSent(err))
+	_, err = client.Get(ctx, "head")
+	is.True(kvapi.IsErrKeyNotExist(err))
+	is.NoErr(server.SetFault(fault.Settings{}))
+	late, err := client.Watch(ctx, "head", 1, longWait)
+	is.NoErr(err)
+	is.Equal(string(late.Value), "1")
+}
+
 // The service is down: connections that were open end, new ones are refused,
 // and a write is known not to have happened. Afterwards all is as before.
 func TestDown(t *testing.T) {
--- a/share/modules/kvapi/client.go
+++ b/share/modules/kvapi/client.go
@@ -48,13 +48,12 @@
 	//
 	// The failure that it guards against: the service reads a
 	// compare-and-swap, applies it, and the connection breaks before the
-	// answer. On a reused connection net/http may send the request a second
-	// time by itself; the second one then fails its index check, and the
-	// writer is told "not swapped" of a change that took effect. net/http
-	// sends again only on a connection that it took from its idle list, or
-	// over GetBody and an idempotency header; with a new connection for each
-	// write, a body without GetBody and no such header, one call is one
-	// request at most.
+	// answer. On a connection from its idle list, net/http sends a request
+	// again by itself if it counts as idempotent and its body can be had
+	// again. The second one then fails its index check, and the writer is
+	// told "not swapped" of a change that took effect. Here each of three
+	// things rules this out: a new connection for each write, a body without
+	// GetBody, and no idempotency header.
 	writes *http.Client
 	stats  counters
 }
