--- a/fakes/services/engine/emit_bench_test.go
+++ b/fakes/services/engine/emit_bench_test.go
@@ -74,7 +74,7 @@
 func BenchmarkEmit(b *testing.B) {
 	logging.SetLevel(logging.LevelNone)
 	for _, streams := range []int{32, 256} {
-		for _, interval := range []time.Duration{20 * time.Millisecond, 5 * time.Millisecond} {
+		for _, interval := range []time.Duration{20 * time.Millisecond, 5 * time.Millisecond, time.Millisecond} {
 			b.Run(fmt.Sprintf("streams=%d/interval=%s", streams, interval), func(b *testing.B) {
 				s := newStand(b, engine.Options{Slots: streams, TokenInterval: interval})
 				before := processorTime(b)
--- a/fakes/services/roster/list_test.go
+++ b/fakes/services/roster/list_test.go
@@ -85,3 +85,17 @@
 	is.NoErr(err)
 	is.Equal(len(agents), 0)
 }
+
+// Someone registers an instance without a usable address.
+// The other instances must still be found.
+func TestUnreadableInstanceIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	list := newClient(t, 0)
+	is.NoErr(list.RegisterInstance(ctx, member.Instance{Name: "bad", Role: member.RoleAgent})) // has no address
+	is.NoErr(list.RegisterInstance(ctx, newAgent()))
+	agents, err := list.FindInstances(ctx, member.RoleAgent)
+	is.NoErr(err)
+	is.Equal(agents, []member.Instance{newAgent()})
+	is.Equal(list.CountUnreadable(), uint64(1))
+}
--- a/share/models/roster/client.go
+++ b/share/models/roster/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -37,6 +38,8 @@
 type Client struct {
 	options Options
 	http    *http.Client
+	// unreadable counts the elements left out since the client was made.
+	unreadable atomic.Uint64
 }
 
 // NewClient returns a client of the list at the options' address.
@@ -51,6 +54,10 @@
 }
 
 // FindInstances returns the instances of a role as the list shows them, which may be some seconds old.
+//
+// An element whose address cannot be read is left out and counted: one bad
+// registration would otherwise hide every instance, and routing would lose
+// all its backend servers at once.
 func (c *Client) FindInstances(ctx context.Context, role member.Role) ([]member.Instance, error) {
 	body, err := c.call(ctx, http.MethodGet, "/v1/catalog/service/"+string(role), nil)
 	if err != nil {
@@ -64,13 +71,19 @@
 	for _, n := range nodes {
 		instance, err := n.toInstance()
 		if err != nil {
-			return nil, err
+			c.unreadable.Add(1)
+			continue
 		}
 		instances = append(instances, instance)
 	}
 	return instances, nil
 }
 
+// CountUnreadable returns how many elements were left out since the client was made.
+func (c *Client) CountUnreadable() uint64 {
+	return c.unreadable.Load()
+}
+
 // RegisterInstance puts an instance on a stand-in's list; the platform keeps its own.
 func (c *Client) RegisterInstance(ctx context.Context, instance member.Instance) error {
 	body, err := json.Marshal(newRegistration(instance))
