--- a/share/decide/claim/event.go
+++ b/share/decide/claim/event.go
@@ -68,6 +68,8 @@
 		Answer  *Answer
 	}
 	// RunEnded reports how the dispatched attempt ended, as far as this entry knows.
+	// Only the stream that carried the dispatch may bring it: to a second copy a
+	// restarted agent answers "not run" although the first copy may have run.
 	RunEnded struct {
 		Attempt string
 		Result  codes.Result
