--- a/fakes/services/weight/store_test.go
+++ b/fakes/services/weight/store_test.go
@@ -1,6 +1,7 @@
 package weight_test
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -15,7 +16,7 @@
 	store := weight.NewStore(weight.Options{Bytes: 1 << 20, Rate: 10 << 20})
 	answer := httptest.NewRecorder()
 	begin := time.Now()
-	store.NewRouter().ServeHTTP(answer, httptest.NewRequest("GET", "/weights/model/1", nil))
+	store.NewRouter().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/weights/model/1", nil))
 	is.Equal(answer.Body.Len(), 1<<20)
 	is.True(time.Since(begin) >= 80*time.Millisecond) // 100 ms less the burst; a slow machine only takes longer
 }
