--- a/agent/services/intake/line.go
+++ b/agent/services/intake/line.go
@@ -60,15 +60,16 @@
 		return len(p), nil
 	}
 	err := wire.WriteFrame(s.line.stream, &wire.Frame{Body: &wire.Frame_Part{Part: &wire.Part{Data: p}}})
-	if err != nil && !s.keep {
-		return 0, err
-	}
-	if err != nil {
-		s.broken = true
+	s.broken = err != nil
+	if err == nil {
+		s.sent += uint64(len(p))
 		return len(p), nil
 	}
-	s.sent += uint64(len(p))
-	return len(p), nil
+	if s.keep {
+		// The run goes on without its caller: its answer is kept for the claim.
+		err = nil
+	}
+	return len(p), err
 }
 
 // finishAttempt hands the end of a non-idempotent run to the claim's keeper.
--- a/agent/services/target/target.go
+++ b/agent/services/target/target.go
@@ -173,7 +173,7 @@
 				return
 			}
 		}
-		if err == io.EOF { //nolint:errorlint // io.Reader returns the bare value
+		if err == io.EOF {
 			ending.Result = checkWhole(call, ending, tail)
 			return
 		}
--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -46,6 +46,8 @@
 	entriesEvery = time.Second
 	// bodySlack lets the API answer a body somewhat over the limit with a clear error; a longer one ends its connection.
 	bodySlack = 4
+	// adminWriteBuffer holds the documents of 19,000 teams.
+	adminWriteBuffer = 32 << 20
 )
 
 // Entry is the assembled process.
@@ -195,6 +197,7 @@
 		Address:      s.Admin.Listen,
 		Handler:      e.newAdmin(),
 		MaxBodyBytes: config.MaxValue * bodySlack * bodySlack,
+		WriteBuffer:  adminWriteBuffer,
 	})
 	e.metrics, group[2] = stats.NewServer(s.Metrics.Listen, e.checkReady)
 	if err := errors.Join(group[:]...); err != nil {
@@ -223,7 +226,7 @@
 	reader := store.NewReader(e.port, store.DefaultPrefix)
 	writer := store.NewWriter(e.port, reader)
 	return admin.NewRouter(admin.Options{
-		Changes:         change.NewService(writer),
+		Changes:         change.NewService(writer, e.follower),
 		Lookups:         lookup.NewService(reader, e.follower),
 		Snapshots:       e.follower,
 		BootstrapSHA256: e.settings.Admin.BootstrapSHA256,
--- a/share/modules/httpd/server.go
+++ b/share/modules/httpd/server.go
@@ -83,7 +83,8 @@
 }
 
 func (s *Server) listen(network, address string) (net.Listener, error) {
-	listener, err := net.Listen(network, address)
+	settings := net.ListenConfig{}
+	listener, err := settings.Listen(context.Background(), network, address)
 	s.listener = listener
 	return listener, err
 }
--- a/share/services/follow/follow.go
+++ b/share/services/follow/follow.go
@@ -49,7 +49,7 @@
 // Options are the settings of a Follower.
 type Options struct {
 	// Self is the name of this instance.
-	Self     string
+	Self string
 	// Domain is its failure domain.
 	Domain   string
 	Settings spread.Settings
