--- a/Makefile
+++ b/Makefile
@@ -65,3 +65,5 @@
 .PHONY: tidy
 tidy: ## tidies every module
 	@for m in $(MODULES); do (cd $$m && go mod tidy) || exit 1; done
+
+-include mk/*.mk
