--- a/Makefile
+++ b/Makefile
@@ -54,12 +54,17 @@
 	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_VERSION)
 	PATH=$(TOOLS):$$PATH protoc -I share/modules/wire --go_out=share/modules/wire --go_opt=paths=source_relative share/modules/wire/wire.proto
 
+.PHONY: tools
+tools: $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION) ## installs what the tasks need beyond Go
+	@command -v spin >/dev/null || { apt-get update && apt-get install -y spin; }
+	@command -v curl >/dev/null || { apt-get update && apt-get install -y curl; }
+
 .PHONY: spec
-spec: ## checks the models of spec/ exhaustively, and that every mutant is found
+spec: tools ## checks the models of spec/ exhaustively, and that every mutant is found
 	@if [ -x spec/check.sh ]; then spec/check.sh; else echo "spec: no models yet"; fi
 
 .PHONY: demo
-demo: build ## starts a small deployment, runs requests, stops it gracefully
+demo: build tools ## starts a small deployment, runs requests, stops it gracefully
 	scripts/demo.sh $(DEPLOYMENT)
 
 .PHONY: tidy
