share/decide: tests for guards that none held

Change: tests for own work in reports, leaving by list and by word, unlisted agents, ejection by share and its forgiving, slow start of new members, the bound of the prefix table; for weights, measured cost, idle time and bounded memory of the queue, repeated attempts and runs that cannot resume; for an entry's part of a burst, stage times after a pause, the budget's cap and the ledger's ring. A line of the queue that could have no effect is removed; a new bucket is simply full, which makes another without effect.

--- a/share/decide/admit/admit_test.go
+++ b/share/decide/admit/admit_test.go
@@ -163,6 +163,33 @@
 	})
 }
 
+func TestEachEntryHasItsPartOfTheBurst(t *testing.T) {
+	is := is.New(t)
+	a := admit.New(admit.DefaultSettings())
+	a.SetEntries(4)
+	q := admit.Request{Team: "a", Rate: 10, Burst: 20, Cost: 1}
+	for round := range 2 {
+		admitted := 0
+		for range 20 {
+			if a.Decide(start.Add(time.Duration(round)*9*time.Second), q).Refused == nil {
+				admitted++
+			}
+		}
+		is.Equal(admitted, 5)
+	}
+}
+
+func TestTimesCountAgainAfterALongPause(t *testing.T) {
+	is := is.New(t)
+	a := measured(map[string]time.Duration{"x": time.Millisecond})
+	now := start.Add(time.Hour)
+	for range 10 {
+		a.OnStage(now, "x", 9*time.Second)
+	}
+	q := admit.Request{Team: "a", Remaining: time.Second, Stages: []admit.Stage{{Key: "x"}}}
+	is.Equal(a.Decide(now, q).Refused.Code, codes.DeadlineUnmeetable)
+}
+
 func TestTeamsAtRestHoldNoState(t *testing.T) {
 	is := is.New(t)
 	a := admit.New(admit.DefaultSettings())
--- a/share/decide/admit/bucket.go
+++ b/share/decide/admit/bucket.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // sweepEvery is how often the buckets that are full again are dropped.
 const sweepEvery = 10 * time.Second
@@ -32,7 +35,7 @@
 	b.sweep(now)
 	t, known := b.teams[q.Team]
 	if !known {
-		t = bucket{tokens: max(q.Burst, q.Rate) / b.entries, at: now}
+		t = bucket{tokens: math.Inf(1), at: now} // full; fill cuts it to the burst
 	}
 	t.rate = q.Rate / b.entries
 	t.burst = max(q.Burst, q.Rate) / b.entries
--- a/share/decide/queue/class.go
+++ b/share/decide/queue/class.go
@@ -64,7 +64,6 @@
 	fresh := len(f.items.entries) == 0
 	heap.Push(&f.items, e)
 	if fresh {
-		f.start = max(f.start, c.virtual)
 		heap.Push(&c.active, f)
 		return
 	}
--- a/share/decide/queue/queue_test.go
+++ b/share/decide/queue/queue_test.go
@@ -181,6 +181,7 @@
 	_, ok = q.Preempt(now)
 	is.True(!ok) // one cancel for one pressed call
 	q.Done(now, "young", 0)
+	is.Equal(q.Load(now).Service, service) // a cut run tells nothing about the service time
 	next, ok := q.Pop(now)
 	is.True(ok)
 	is.Equal(next.ID, "pressed")
@@ -232,6 +233,83 @@
 	return sum * sum / (teams * squares)
 }
 
+// served pops n items of a queue in which every team with a weight always waits, and counts them by team.
+func served(q *queue.Queue, n int, weights map[string]float64, measured map[string]float64) map[string]int {
+	counts := make(map[string]int)
+	for n := range n {
+		for _, team := range []string{"a", "b"} {
+			i := item(fmt.Sprint(team, n), team, config.PriorityNormal, time.Hour)
+			i.Weight = weights[team]
+			if i.Weight > 0 {
+				q.Push(start, i)
+			}
+		}
+		i, _ := q.Pop(start)
+		q.Done(start, i.ID, measured[i.Team])
+		counts[i.Team]++
+	}
+	return counts
+}
+
+func TestSharesFollowWeightAndMeasuredCost(t *testing.T) {
+	is := is.New(t)
+	equal := map[string]float64{"a": 1, "b": 1}
+	is.Equal(served(fair(999, 1), 400, map[string]float64{"a": 3, "b": 1}, nil), map[string]int{"a": 300, "b": 100})
+	is.Equal(served(fair(999, 1), 400, equal, map[string]float64{"a": 1, "b": 3}), map[string]int{"a": 300, "b": 100})
+}
+
+// A team that sent nothing for a while comes back. If it were credited for
+// that time, the others would wait until it has caught up.
+func TestIdleTimeIsNoCredit(t *testing.T) {
+	is := is.New(t)
+	q := fair(999, 1)
+	for n := range 300 {
+		q.Push(start, item(fmt.Sprint("early", n), "a", config.PriorityNormal, time.Hour))
+	}
+	served(q, 100, map[string]float64{"a": 1}, nil)
+	counts := served(q, 100, map[string]float64{"a": 1, "b": 1}, nil)
+	is.Equal(counts, map[string]int{"a": 50, "b": 50})
+}
+
+func TestRememberedTeamsAreBounded(t *testing.T) {
+	is := is.New(t)
+	q := fair(8, 1)
+	for n := range 4 { // so that the queue is never empty, which would forget all
+		q.Push(start, item(fmt.Sprint("first", n), "a", config.PriorityNormal, time.Hour))
+	}
+	for n := range 200 {
+		q.Push(start, item(fmt.Sprint("held", n), "a", config.PriorityNormal, time.Hour))
+		i := item(fmt.Sprint(n), fmt.Sprint("team-", n), config.PriorityNormal, time.Minute)
+		i.Cost = 1000
+		q.Push(start, i)
+		for range 2 {
+			next, _ := q.Pop(start)
+			q.Done(start, next.ID, 0)
+		}
+		is.True(q.Len() > 0)
+		is.True(q.Remembered() <= 8+4*8)
+	}
+}
+
+func TestSecondPushOfAnAttemptIsRefused(t *testing.T) {
+	is := is.New(t)
+	q := fair(8, 1)
+	is.Equal(q.Push(start, item("x", "a", config.PriorityNormal, time.Hour)).Refused, nil)
+	is.Equal(q.Push(start, item("x", "a", config.PriorityNormal, time.Hour)).Refused.Code, codes.BadRequest)
+	q.Pop(start)
+	is.Equal(q.Push(start, item("x", "a", config.PriorityNormal, time.Hour)).Refused.Code, codes.BadRequest)
+}
+
+func TestPreemptSparesRunsThatCannotResume(t *testing.T) {
+	is := is.New(t)
+	q := fair(8, 1)
+	q.Push(start, item("batch", "a", config.PriorityBatch, time.Hour))
+	q.Pop(start)
+	q.Push(start, item("pressed", "b", config.PriorityUrgent, time.Millisecond))
+	_, ok := q.Preempt(start)
+	is.True(!ok)
+}
+
 func TestEveryItemLeavesOnceAndBoundsHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(1, 8).Draw(t, "limit")
--- a/share/decide/retry/retry_test.go
+++ b/share/decide/retry/retry_test.go
@@ -140,6 +140,14 @@
 	})
 }
 
+func TestBudgetSavesNoMoreThanItsCap(t *testing.T) {
+	b := retry.NewBudget(retry.DefaultSettings(0.1))
+	for range 10_000 {
+		b.OnFirst()
+	}
+	is.New(t).Equal(b.Tokens(), retry.DefaultSettings(0.1).Cap)
+}
+
 func TestHedge(t *testing.T) {
 	open := retry.Open{Idempotent: true, Elapsed: 300 * time.Millisecond, Remaining: time.Second, Need: 100 * time.Millisecond}
 	cases := []struct {
--- a/share/decide/route/route_test.go
+++ b/share/decide/route/route_test.go
@@ -294,6 +294,90 @@
 	is.Equal(c.Incarnation, "two")
 }
 
+func TestEventsShowInTheTerms(t *testing.T) {
+	idle := route.Load{Slots: 4, Service: time.Millisecond}
+	ended := route.Ended{Name: "agent-00", Code: codes.OK, Cached: -1}
+	fault := route.Ended{Name: "agent-00", Code: codes.BackendFailed}
+	later := members(3, "osrednja")
+	left := members(3, "osrednja")
+	left[0].Leaving = true
+	cases := []struct {
+		name  string
+		event func(r *route.Router)
+		check func(term route.Term) bool
+	}{
+		{"sent", func(r *route.Router) { r.OnSent(start, "agent-00") }, func(m route.Term) bool { return m.Outstanding == 1 }},
+		{"ended", func(r *route.Router) { r.OnSent(start, "agent-00"); r.OnEnded(start, ended) }, func(m route.Term) bool { return m.Outstanding == 0 }},
+		{"own work in the report", func(r *route.Router) {
+			r.OnSent(start, "agent-00")
+			idle.Running = 3
+			r.OnReport(start, "agent-00", idle)
+		}, func(m route.Term) bool { return m.Others == 2 && m.Trust == 1 }},
+		{"leaving by the list", func(r *route.Router) { r.OnList(start, left) }, func(m route.Term) bool { return m.Reason == route.ReasonLeaving }},
+		{"leaving by its word", func(r *route.Router) { r.OnLeaving(start, "agent-00") }, func(m route.Term) bool { return m.Reason == route.ReasonLeaving }},
+		{"missing from the list, session up", func(r *route.Router) { r.OnList(start, later[1:]) }, func(m route.Term) bool { return m.Name == "agent-00" && m.Reason == "" }},
+		{"missing from the list, session down", func(r *route.Router) {
+			r.OnSession(start, "agent-00", route.SessionDown, "")
+			r.OnList(start, later[1:])
+		}, func(m route.Term) bool { return m.Name == "agent-01" }},
+		{"half of its calls fail", func(r *route.Router) {
+			for range 8 {
+				r.OnEnded(start, ended)
+				r.OnEnded(start, fault)
+			}
+		}, func(m route.Term) bool { return m.Reason == route.ReasonEjected }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := router(settings(), members(3, "osrednja"))
+			tc.event(r)
+			is.New(t).True(tc.check(r.Explain(start, route.Request{})[0]))
+		})
+	}
+}
+
+func TestEjectionIsForgivenAfterGoodService(t *testing.T) {
+	is := is.New(t)
+	s := settings()
+	r := router(s, members(4, "osrednja"))
+	now := start
+	for range 2 {
+		for range s.EjectFaults {
+			r.OnEnded(now, route.Ended{Name: "agent-01", Code: codes.BackendLost})
+		}
+		term := r.Explain(now, route.Request{})[1]
+		is.Equal(term.EjectedUntil.Sub(now), s.EjectBase)
+		now = term.EjectedUntil.Add(s.EjectBase)
+		r.OnEnded(now, route.Ended{Name: "agent-01", Code: codes.OK, Cached: -1})
+	}
+}
+
+func TestNewMemberStartsSlowlyOnceItsSessionIsUp(t *testing.T) {
+	is := is.New(t)
+	s := settings()
+	r := router(s, members(2, "osrednja"))
+	r.OnList(start, members(3, "osrednja"))
+	up := start.Add(time.Hour)
+	r.OnSession(up, "agent-02", route.SessionUp, "one")
+	terms := r.Explain(up, route.Request{})
+	is.Equal(terms[1].Slow, time.Duration(0))
+	is.True(terms[2].Slow > 0)
+}
+
+func TestPrefixTableForgetsTheOldest(t *testing.T) {
+	is := is.New(t)
+	s := settings()
+	s.AffinityLimit = 2
+	r := router(s, members(1, "osrednja"))
+	for digest := range uint64(3) {
+		r.OnEnded(start, route.Ended{Name: "agent-00", Code: codes.OK, Cached: -1, Prefixes: []route.Prefix{{Digest: digest, Tokens: 10}}})
+	}
+	for digest, known := range []bool{false, true, true} {
+		q := route.Request{Prefixes: []route.Prefix{{Digest: uint64(digest)}}}
+		is.Equal(r.Explain(start, q)[0].Affinity > 0, known)
+	}
+}
+
 func TestRulePreferenceDecidesBetweenIdleAgents(t *testing.T) {
 	is := is.New(t)
 	r := router(settings(), members(8, "osrednja"))
--- a/share/decide/spend/spend_test.go
+++ b/share/decide/spend/spend_test.go
@@ -126,6 +126,15 @@
 	})
 }
 
+func TestWindowForgetsAWholeTurnLater(t *testing.T) {
+	is := is.New(t)
+	l := ledger()
+	u := spend.Use{Pool: "gpu", Stage: "draft", Team: "a", Priority: normal, Cost: 7}
+	l.Add(start, u)
+	l.Add(start.Add(time.Minute), u) // the same cell of the ring
+	is.Equal(l.Reports(start.Add(65 * time.Second))[0].Used, 7.0)
+}
+
 func TestTeamsBeyondTheLinesCountTogether(t *testing.T) {
 	is := is.New(t)
 	s := spend.DefaultSettings()
