share/decide/route: prefix affinity without a factor for load

Cause: the bonus faded to nothing at 200 ms of predicted wait. When all agents wait, that dropped affinity just where each hit takes work off the queues. The wait is part of the score already. Change: the factor and its setting AffinityWait are taken out.

--- a/share/decide/route/affin.go
+++ b/share/decide/route/affin.go
@@ -72,15 +72,16 @@
 	}
 }
 
-// bonus is the time that the cached prefix is worth: it fades with the age
-// of the knowledge, with the agent's hit rate and with its predicted wait.
-func (s *Settings) bonus(now time.Time, e affine, a *agent, wait time.Duration) time.Duration {
-	if e.name == "" || e.name != a.instance.Name || wait >= s.AffinityWait {
+// bonus is the time that the cached prefix saves, faded by the age of the
+// knowledge and by the agent's hit rate. Load needs no factor of its own: the
+// bonus is set against the wait that the agent has above the others', and
+// where all of them wait, a hit saves work that everyone waits for.
+func (s *Settings) bonus(now time.Time, e affine, a *agent) time.Duration {
+	if e.name == "" || e.name != a.instance.Name {
 		return 0
 	}
 	saved := float64(e.tokens) * float64(s.TokenTime)
-	load := 1 - float64(wait)/float64(s.AffinityWait)
-	return time.Duration(saved * halved(now.Sub(e.at), s.AffinityHalfLife) * a.hitRate * load)
+	return time.Duration(saved * halved(now.Sub(e.at), s.AffinityHalfLife) * a.hitRate)
 }
 
 // setHits compares the cached tokens reported with those expected.
--- a/share/decide/route/choose.go
+++ b/share/decide/route/choose.go
@@ -127,7 +127,7 @@
 	if s.Policy != PolicyDeadline {
 		return c
 	}
-	c.bonus = s.bonus(now, hint, a, c.wait)
+	c.bonus = s.bonus(now, hint, a)
 	c.score -= c.bonus + time.Duration(preference)*s.PreferenceStep
 	return c
 }
--- a/share/decide/route/settings.go
+++ b/share/decide/route/settings.go
@@ -75,8 +75,6 @@
 	AffinityLimit int
 	// AffinityHalfLife halves the trust that a prefix is still cached.
 	AffinityHalfLife time.Duration
-	// AffinityWait is the predicted wait at which a cached prefix no longer counts.
-	AffinityWait time.Duration
 	// TokenTime is the time that one cached prompt token saves.
 	TokenTime time.Duration
 }
@@ -103,7 +101,6 @@
 		PreferenceStep:   time.Millisecond,
 		AffinityLimit:    4096,
 		AffinityHalfLife: time.Minute,
-		AffinityWait:     200 * time.Millisecond,
 		TokenTime:        100 * time.Microsecond,
 	}
 }
