share/decide/queue: the time that a run is given

Cause: Least was described as the shortest time of a run. Under overload, runs that start with so little time end late and take the slots of others. Change: the comment says what serves; Expected gives the smoothed time of a run for agents that were told nothing better. Conclusion: to be measured on the real programs.

--- a/share/decide/queue/queue.go
+++ b/share/decide/queue/queue.go
@@ -61,7 +61,9 @@
 	Cost float64
 	// Deadline is when the answer must be there; zero: none.
 	Deadline time.Time
-	// Least is the shortest time that the run may take; an item that cannot start by Deadline-Least is expired.
+	// Least is the time that a run is to be given; an item that cannot start by Deadline-Least is
+	// expired. A mean or a high quantile of the service time serves better than its minimum: runs
+	// that start with less time end late for the most part and take the slots of others.
 	Least time.Duration
 	// Preemptible items may be cancelled while they run.
 	Preemptible bool
--- a/share/decide/queue/queue_test.go
+++ b/share/decide/queue/queue_test.go
@@ -290,6 +290,18 @@
 	}
 }
 
+func TestExpectedFollowsCostAndRuns(t *testing.T) {
+	is := is.New(t)
+	q := fair(8, 1)
+	is.Equal(q.Expected(3), 3*service)
+	for n := range 100 {
+		q.Push(start, item(fmt.Sprint(n), "a", config.PriorityNormal, time.Hour))
+		q.Pop(start)
+		q.Done(start.Add(2*service), fmt.Sprint(n), 0)
+	}
+	is.Equal(q.Expected(1).Round(time.Millisecond), 2*service)
+}
+
 func TestSecondPushOfAnAttemptIsRefused(t *testing.T) {
 	is := is.New(t)
 	q := fair(8, 1)
--- a/share/decide/queue/running.go
+++ b/share/decide/queue/running.go
@@ -129,6 +129,11 @@
 	return ahead
 }
 
+// Expected returns the smoothed service time of a run of that cost, for an Item.Least where nothing better is known.
+func (q *Queue) Expected(cost float64) time.Duration {
+	return time.Duration(q.unit * max(cost, minCost))
+}
+
 // Load returns what an agent reports.
 func (q *Queue) Load(now time.Time) Load {
 	return Load{
