spec: Promela models of claim, configuration, drain and lease

Cause: the mechanisms of the promises are to be checked, not believed. Change: four models checked exhaustively by spin, with a mutant for each guard, and a script that fails when a model breaks or a mutant passes. Found: a linger of one round trip lets the last work meet a stopped process; a heartbeat's age must count from the echoed one, not from its arrival; a holder that releases early lets the next overlap with its predecessor. Conclusion: Settings.Linger demands more than a round trip.

--- a/share/decide/drain/instance.go
+++ b/share/decide/drain/instance.go
@@ -61,7 +61,8 @@
 type Settings struct {
 	// Grace is the longest time that running work gets.
 	Grace time.Duration
-	// Linger is the shortest time from announcing to stopping, at most Grace.
+	// Linger is the shortest time from announcing to stopping, at most Grace and more than a round trip:
+	// the news travels one way and the last work, sent just before it came, the other.
 	//
 	// Guards against work sent by a peer that has not heard: it would meet a
 	// closed connection and count as "outcome unknown" instead of "not run".
--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,112 @@
+#!/bin/bash
+# Checks every model exhaustively, and that each mutant (one guard removed)
+# is found. Works in a temporary directory; needs spin and gcc.
+#   check.sh          the sizes that CI runs
+#   check.sh --full   also the largest size of the claim: some 40 million states, 2.2 GB
+set -u
+
+here=$(cd "$(dirname "$0")" && pwd)
+jobs=4 # models at once, each within 0.9 GB
+limit=900 # megabytes for one model
+if [ "${1:-}" = --full ]; then
+	limit=3500
+fi
+export here limit
+
+for tool in spin gcc; do
+	if ! command -v "$tool" >/dev/null; then
+		echo "spec: $tool is missing; the models are not checked" >&2
+		exit 2
+	fi
+done
+
+# kind | model | name | macros
+list() {
+	cat <<-'LIST'
+		holds|claim|2+2 submissions, no restart|-DRESTARTS=0
+		holds|lease|engine ignores the number, 3 processes with one write|-DIGNORES -DWRITES=1
+		holds|lease|engine checks the number, 2 processes|-DPROCESSES=2
+		holds|lease|engine ignores the number, 2 processes|-DIGNORES -DPROCESSES=2
+		holds|claim|2+1 submissions, 1 restart|-DOTHERS=1
+		holds|claim|1+1 submissions, 2 restarts, a dispatch arrives twice|-DECHO -DSUBMISSIONS=1 -DOTHERS=1 -DRESTARTS=2
+		holds|config|two writers|-DWRITERS
+		holds|config|spread between an entry and an agent, 1 restart|
+		holds|drain|one instance, two senders, two stops, a return|
+		mutant|claim|no tombstone|-DOTHERS=1 -DMUTANT_NO_TOMBSTONE
+		mutant|claim|no check of the incarnation|-DOTHERS=1 -DMUTANT_NO_INCARNATION
+		mutant|claim|no read-back|-DOTHERS=1 -DMUTANT_NO_READ_BACK
+		mutant|claim|no revision in the compare-and-swap|-DOTHERS=1 -DMUTANT_NO_REVISION
+		mutant|claim|an attempt of a gone incarnation counts as tombstoned|-DOTHERS=1 -DMUTANT_RESTART_IS_TOMBSTONE
+		mutant|claim|the queue keeps a tombstoned attempt|-DOTHERS=1 -DMUTANT_QUEUE_KEEPS_TOMBSTONED
+		mutant|claim|the answer to a second copy counts|-DECHO -DSUBMISSIONS=1 -DOTHERS=1 -DRESTARTS=2 -DMUTANT_ECHO_ANSWERED
+		mutant|config|retry on the new head without looking|-DWRITERS -DMUTANT_BLIND_RETRY
+		mutant|config|no walk back through the history|-DWRITERS -DMUTANT_NO_WALK
+		mutant|config|a head that has not moved counts as refused|-DWRITERS -DMUTANT_UNMOVED_IS_REFUSED
+		mutant|config|any revision is applied|-DMUTANT_ANY_REVISION
+		mutant|config|age counts from the arrival|-DMUTANT_AGE_FROM_ARRIVAL
+		mutant|config|the entry does not let its snapshot expire|-DMUTANT_ENTRY_NO_EXPIRY
+		mutant|config|the agent does not let its snapshot expire|-DMUTANT_AGENT_NO_EXPIRY
+		mutant|config|a call's revision is ignored|-DMUTANT_NO_CALL_REVISION
+		mutant|drain|no linger|-DMUTANT_NO_LINGER
+		mutant|drain|linger of one round trip only|-DMUTANT_SHORT_LINGER
+		mutant|drain|a second stop cuts|-DMUTANT_SECOND_STOP_CUTS
+		mutant|drain|running work is not waited for|-DMUTANT_NO_WAIT_FOR_WORK
+		mutant|drain|work is admitted while draining|-DMUTANT_ADMITS_WHILE_DRAINING
+		mutant|drain|an earlier heartbeat takes the leaving back|-DMUTANT_TAKES_BACK
+		mutant|lease|no wait for the old lease|-DIGNORES -DPROCESSES=2 -DMUTANT_NO_OBSERVED_WAIT
+		mutant|lease|no wait for the longest order|-DIGNORES -DPROCESSES=2 -DMUTANT_NO_ORDER_WAIT
+		mutant|lease|the holder does not look at the clock|-DIGNORES -DPROCESSES=2 -DMUTANT_NO_CLOCK
+		mutant|lease|release before the predecessor's order ended|-DIGNORES -DWRITES=1 -DMUTANT_EARLY_RELEASE
+		mutant|lease|the number does not rise|-DPROCESSES=2 -DMUTANT_SAME_NUMBER
+		mutant|lease|the second of two holders sends (reached, no guard removed)|-DIGNORES -DPROCESSES=2 -DREACH_SECOND_HOLDER
+		mutant|lease|pause before sending, engine ignores the number (limit)|-DPROCESSES=2 -DMUTANT_ENGINE_IGNORES
+	LIST
+	if [ "${1:-}" = --full ]; then
+		echo "holds|claim|2+2 submissions, 1 restart|"
+	fi
+}
+
+# check prints one line; "FAIL" begins the line of a model that breaks, a mutant that passes or an error.
+check() {
+	IFS='|' read -r kind model name macros <<<"$1"
+	work=$(mktemp -d)
+	cd "$work" || exit 1
+	cp "$here/$model.pml" .
+	# shellcheck disable=SC2086 # macros are several words
+	spin -a $macros "$model.pml" >spin.out 2>&1 &&
+		gcc -O2 -w -DSAFETY -DCOLLAPSE -DMEMLIM=$limit -o pan pan.c 2>gcc.out &&
+		timeout 300 ./pan -n -m200000 >pan.out 2>&1
+	report "$kind" "$model" "$name"
+	cd / && rm -rf "$work"
+}
+
+report() {
+	errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' pan.out 2>/dev/null)
+	states=$(awk '/states, stored/ {print $1; exit}' pan.out 2>/dev/null)
+	depth=$(sed -n 's/.*depth reached \([0-9]*\).*/\1/p' pan.out 2>/dev/null)
+	seconds=$(sed -n 's/.*elapsed time \([0-9.]*\).*/\1/p' pan.out 2>/dev/null)
+	# a search cut short by memory or depth proves nothing
+	if [ -z "$errors" ] || { [ "$1" = holds ] && grep -qE 'max search depth too small|out of memory|reached -DMEMLIM|Search not completed' pan.out; }; then
+		echo "FAIL   $2: $3: the search did not end"
+		cat spin.out gcc.out pan.out 2>/dev/null | tail -5
+	elif [ "$1" = holds ] && [ "$errors" = 0 ]; then
+		echo "holds  $2: $3: $states states, depth $depth, $seconds s"
+	elif [ "$1" = mutant ] && [ "$errors" != 0 ] && grep -q 'assertion violated' pan.out; then
+		echo "found  $2: $3: in $(wc -l <"$2.pml.trail") steps"
+	elif [ "$1" = mutant ]; then
+		echo "FAIL   $2: $3: the mutant passes"
+	else
+		echo "FAIL   $2: $3: $(grep -m1 -E 'violated|invalid end' pan.out)"
+	fi
+}
+export -f check report
+
+start=$SECONDS
+result=$(mktemp)
+list "${1:-}" | xargs -d '\n' -P "$jobs" -I{} bash -c 'check "$1"' _ {} | tee "$result"
+failed=$(grep -c '^FAIL' "$result")
+done=$(grep -cE '^(holds|found)' "$result")
+wanted=$(list "${1:-}" | wc -l)
+echo "spec: $(grep -c '^holds' "$result") models hold, $(grep -c '^found' "$result") mutants found, $failed failed, $((SECONDS - start)) s"
+rm -f "$result"
+[ "$failed" = 0 ] && [ "$done" = "$wanted" ]
