httpd: a status without a standard text keeps its class

Cause: a storm of orders with short deadlines brought a caller HTTP 200 with the body of a refusal (canceled, not-run). nbhttp drops a status that net/http has no text for, as 499 of 'canceled' or a backend server's own, and sends 200 in its place. Ruled out: the routers, which pass 499 on; the retry, which is not involved. Before: statuses 299, 419, 499, 599, 999 all arrive as 200 (test: 4 of 8 fail and 299 passes by chance of its class). After: 200, 400, 400, 500, 502. Conclusion: the server sends the x00 of the class, as RFC 9110 lets a recipient read an unknown status; a refusal never looks like an answer.

--- a/share/modules/httpd/server.go
+++ b/share/modules/httpd/server.go
@@ -134,6 +134,7 @@
 	call := runningCall{cancel: cancel}
 	if response, ok := w.(*nbhttp.Response); ok {
 		call.conn = connOf(response)
+		w = writer{response}
 	}
 	s.lock.Lock()
 	s.running[r] = call
--- a/share/modules/httpd/server_test.go
+++ b/share/modules/httpd/server_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -44,3 +45,28 @@
 		t.Fatal("the request's context is still open")
 	}
 }
+
+// A maker's order is refused with a status that nbhttp has no text for. nbhttp
+// drops such a status and sends 200, so the maker took the refusal for the
+// answer. The status sent is the general one of the same class.
+func TestStatusWithoutTextKeepsItsClass(t *testing.T) {
+	tests := map[int]int{200: 200, 299: 200, 404: 404, 419: 400, 499: 400, 503: 503, 599: 500, 999: 502}
+	for status, want := range tests {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			is := is.New(t)
+			s, err := httpd.NewServer(httpd.Options{
+				Address: netip.MustParseAddrPort("127.0.0.1:0"),
+				Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					w.WriteHeader(status)
+					_, _ = io.WriteString(w, "body")
+				}),
+			})
+			is.NoErr(err)
+			defer func() { _ = s.Shutdown(context.Background()) }()
+			response, err := http.Get("http://" + s.Address().String())
+			is.NoErr(err)
+			defer func() { _ = response.Body.Close() }()
+			is.Equal(response.StatusCode, want)
+		})
+	}
+}
