intake, calls: a deadline that passed in the queue is no hang-up

Cause: the gate sees only that the call's context ended and answers 'canceled: the caller went away', also where the deadline ended the wait; the entry passed it on when the agent's end crossed with its own closing of the stream. Ruled out: the outcome was right ('not-run', and the ledger agrees); only the name was wrong. Conclusion: both ends name the passed deadline; a caller who still waits is never told that it went away.

--- a/agent/services/intake/intake.go
+++ b/agent/services/intake/intake.go
@@ -144,7 +144,7 @@
 	ticket, refusal := i.options.Gate.Enter(ctx, newItem(id, call, deadline))
 	if refusal != nil {
 		i.options.Keeper.DropAttempt(call.GetClaimAttempt())
-		return newEnd(refusal)
+		return newEnd(lateOr(ctx, refusal))
 	}
 	return i.runTicket(ctx, l, ticket, deadline)
 }
--- a/agent/services/intake/line.go
+++ b/agent/services/intake/line.go
@@ -93,6 +93,17 @@
 	return result
 }
 
+// lateOr names the passed deadline as the cause where it ended the wait. The
+// gate sees only that the context ended, and would tell a caller that still
+// waits that it went away itself.
+func lateOr(ctx context.Context, refusal *codes.Result) *codes.Result {
+	if refusal.Code == codes.Canceled && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		late := codes.NewResult(codes.DeadlineExceeded, "the deadline passed while the call waited")
+		return late.WithOutcome(refusal.Outcome)
+	}
+	return refusal
+}
+
 func newEnd(result *codes.Result) *wire.End {
 	if result == nil {
 		return &wire.End{Code: uint32(codes.OK), Outcome: string(codes.OutcomeRan)}
--- a/entry/services/calls/attempt.go
+++ b/entry/services/calls/attempt.go
@@ -146,7 +146,7 @@
 			continue
 		}
 		if end := frame.GetEnd(); end != nil {
-			return e.takeEnd(end)
+			return e.takeEnd(ctx, end)
 		}
 	}
 }
@@ -171,7 +171,7 @@
 	return nil
 }
 
-func (e *exchange) takeEnd(end *wire.End) (*Answer, *codes.Result) {
+func (e *exchange) takeEnd(ctx context.Context, end *wire.End) (*Answer, *codes.Result) {
 	e.end = end
 	id := answer.ID{
 		Request:     end.GetRequestId(),
@@ -187,7 +187,7 @@
 		case answer.Win:
 			return e.newAnswer(), nil
 		case answer.Fail:
-			return nil, &a.Result
+			return nil, lateOr(ctx, &a.Result)
 		case answer.Drop:
 			e.runner.counts.dropped.Add(1)
 		}
@@ -219,6 +219,17 @@
 	return codes.NewResult(codes.BackendLost, err.Error()).WithRetryAfter(retryHint)
 }
 
+// lateOr names the passed deadline as the cause of an agent's "canceled": the
+// agent saw this entry close the stream, and its end crossed with that. The
+// caller still waits, and did not go away.
+func lateOr(ctx context.Context, result *codes.Result) *codes.Result {
+	if result.Code != codes.Canceled || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return result
+	}
+	late := codes.NewResult(codes.DeadlineExceeded, "the deadline passed: "+result.Detail)
+	return late.WithOutcome(result.Outcome).WithRetryAfter(retryHint)
+}
+
 func resultOf(end *wire.End) *codes.Result {
 	return &codes.Result{
 		Code:       codes.Code(end.GetCode()),
