route: an agent that leaves is watched for its return

Cause: an agent that was stopped gracefully and started again under its name got no work for good: its own 'leaving' took it out of the wanted sessions, and only a session shows the new incarnation. With all agents of a service restarted in turn, callers got no-backend until the entries were restarted too. Ruled out: the list (it names the agent as not leaving), the dial (never tried). Before: 60 s after the restart still '0 agents in the subset'. No work goes to it meanwhile. Conclusion: wanted are the subset and those that leave by their own word alone.

--- a/share/decide/route/agent.go
+++ b/share/decide/route/agent.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// mayReturn is true for an agent that says that it leaves while the list does not.
+//
+// Guards against agents that are restarted under their names and never used
+// again: only the hello of a session shows the new incarnation, so the session
+// is kept and dialled again until it does. No work goes to it meanwhile.
+func (a *agent) mayReturn() bool {
+	return a.leaving && a.listed && !a.instance.Leaving
+}
+
 func (a *agent) setReport(now time.Time, l Load) {
 	a.report = l
 	a.reportAt = now
--- a/share/decide/route/route_test.go
+++ b/share/decide/route/route_test.go
@@ -294,6 +294,36 @@
 	is.Equal(c.Incarnation, "two")
 }
 
+// Every agent of a service is restarted gracefully under its old name. Callers
+// are told "no backend server" for good: each agent was left out of the wanted
+// sessions once it said that it leaves, and only a session shows a new incarnation.
+func TestLeavingAgentIsWantedUntilItsReturnShows(t *testing.T) {
+	is := is.New(t)
+	list := members(2, "osrednja")
+	r := router(settings(), list)
+	r.OnLeaving(start, "agent-00")
+	is.Equal(len(r.Wanted()), 2)
+	r.OnSession(start, "agent-00", route.SessionDown, "")
+	r.OnList(start, list)
+	is.Equal(len(r.Wanted()), 2)
+	for seed := range uint64(20) {
+		c, err := r.Choose(start, route.Request{}, source(seed))
+		is.NoErr(err)
+		is.Equal(c.Name, "agent-01")
+	}
+	list[0].Leaving = true // the list knows as well: it will show the return
+	r.OnList(start, list)
+	is.Equal(len(r.Wanted()), 1)
+	list[0].Leaving = false
+	r.OnList(start, list)
+	is.Equal(len(r.Wanted()), 2)
+	r.OnSession(start, "agent-00", route.SessionUp, "two")
+	r.OnLeaving(start, "agent-01")
+	c, err := r.Choose(start, route.Request{}, source(1))
+	is.NoErr(err)
+	is.Equal(c.Name, "agent-00")
+}
+
 func TestRulePreferenceDecidesBetweenIdleAgents(t *testing.T) {
 	is := is.New(t)
 	r := router(settings(), members(8, "osrednja"))
--- a/share/decide/route/subset.go
+++ b/share/decide/route/subset.go
@@ -23,12 +23,18 @@
 // widenPause lets new sessions come up and reports arrive before the next widening.
 const widenPause = time.Second
 
-// Wanted returns the names of the agents to keep a session to, near ones first.
+// Wanted returns the names of the agents to keep a session to: those of the
+// subset, near ones first, and those whose return from a stop has to be seen.
 func (r *Router) Wanted() []string {
 	names := make([]string, 0, len(r.subset.agents))
 	for _, a := range r.subset.agents {
 		names = append(names, a.instance.Name)
 	}
+	for _, a := range r.sorted() {
+		if a.mayReturn() {
+			names = append(names, a.instance.Name)
+		}
+	}
 	return names
 }
 
