direct: an order refused by a stopping agent goes to another

Cause: a non-idempotent call was sent to one agent only. Where that refused it as not run because it was stopping, had restarted or knew a newer configuration, the caller got the refusal, at every planned stop and every change. Ruled out: a second dispatch under the same claim (the claim names one agent). Before: 503 draining, not-run, under load with another agent free. Conclusion: the claim's own rules carry it; where the claim cannot be freed the refusal stands as it was.

--- a/entry/services/direct/claimed.go
+++ b/entry/services/direct/claimed.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"verbenaroad.example/entry/services/fleet"
 	"verbenaroad.example/share/decide/claim"
+	"verbenaroad.example/share/decide/retry"
 	"verbenaroad.example/share/models/config"
 	"verbenaroad.example/share/modules/codes"
 	"verbenaroad.example/share/modules/wire"
@@ -28,14 +30,48 @@
 	request *Request
 	claim   *claim.Submission
 	chosen  *fleet.Attempt
-	// attempt is the id named in the claim.
+	// agent is the name of the chosen agent.
+	agent string
+	// attempt is the id named in the claim; new for every submission.
 	attempt string
 	// replied holds the answer once the submission is settled.
 	replied *claim.Reply
+	// release frees the key after an attempt that did not run; nil where there is nothing to free.
+	release *claim.Release
 }
 
 // runClaimed claims the key, runs the call and settles the claim.
+//
+// Guards against a refusal that only concerns one agent, since it is stopping
+// or knows a newer configuration: the caller would have to send the order
+// again itself, at every planned stop and change. The attempt did not run; its
+// claim is freed first, so that it never can, and a new submission follows.
 func (c *Caller) runClaimed(ctx context.Context, snapshot *config.Snapshot, q *Request) (*Answer, *codes.Result) {
+	excluded := []string{}
+	for resends := 0; ; resends++ {
+		s, refusal := c.newSubmission(snapshot, q, resends, excluded)
+		if refusal != nil {
+			return nil, refusal
+		}
+		s.run(ctx)
+		answer, result := s.answer()
+		if s.release == nil || !c.mayResubmit(q, resends, result) || !s.free(ctx) {
+			s.freeLater(ctx)
+			return answer, result
+		}
+		if result.Code != codes.NewerRevision {
+			excluded = append(excluded, s.agent)
+		}
+		latest, refusal := c.options.Configuration.GetUsable(ctx)
+		if refusal != nil {
+			return nil, result
+		}
+		snapshot = latest
+	}
+}
+
+// newSubmission chooses an agent; a refusal of a later submission says as truly "not run" as the first one's.
+func (c *Caller) newSubmission(snapshot *config.Snapshot, q *Request, resends int, excluded []string) (*submission, *codes.Result) {
 	call := c.newCall(q)
 	chosen, refusal := c.options.Agents.ChooseAgent(time.Now(), fleet.ChooseOptions{
 		Service:  call.Service,
@@ -43,11 +79,12 @@
 		Caller:   call.CallerLabels,
 		Stage:    call.StageLabels,
 		Budget:   time.Until(q.Deadline),
+		Exclude:  excluded,
 	})
 	if refusal != nil {
 		return nil, refusal.WithRetryAfter(retryHint)
 	}
-	s := &submission{caller: c, request: q, chosen: &chosen, attempt: q.ID}
+	s := &submission{caller: c, request: q, chosen: &chosen, agent: chosen.Choice.Name, attempt: attemptID(q, resends)}
 	s.claim = claim.NewSubmission(claim.Request{
 		Key:        claim.Key(q.Team.Name, q.Key),
 		BodyDigest: digestOf(q),
@@ -59,11 +96,30 @@
 		Deadline:   q.Deadline,
 		RetryAfter: retryHint,
 	})
-	s.run(ctx)
-	if !s.dispatched() {
-		c.options.Runner.Release(call.Service, &chosen)
+	return s, nil
+}
+
+// attemptID differs between the submissions of one request, since an agent
+// never starts an attempt that it has refused.
+func attemptID(q *Request, resends int) string {
+	if resends == 0 {
+		return q.ID
+	}
+	return q.ID + "." + strconv.Itoa(resends)
+}
+
+func (c *Caller) mayResubmit(q *Request, resends int, result *codes.Result) bool {
+	if result == nil || result.Outcome != codes.OutcomeNotRun {
+		return false
 	}
-	return s.answer()
+	decision := c.options.Policy.DecideRetry(q.Service, retry.Attempt{
+		Resends:   resends,
+		Code:      result.Code,
+		Outcome:   result.Outcome,
+		Reclaimed: true,
+		Remaining: time.Until(q.Deadline),
+	}, 0)
+	return decision.Action == retry.ActionResend
 }
 
 // run steps the submission until the caller has its answer.
@@ -81,6 +137,9 @@
 			actions = append(actions, s.claim.Step(time.Now(), event)...)
 		}
 	}
+	if !s.dispatched() {
+		s.caller.options.Runner.Release(s.request.Service.Name, s.chosen)
+	}
 }
 
 func (s *submission) act(ctx context.Context, action claim.Action) claim.Event {
@@ -96,7 +155,7 @@
 	case claim.Reply:
 		s.replied = &a
 	case claim.Release:
-		go s.runRelease(context.WithoutCancel(ctx), a)
+		s.release = &a
 	}
 	return nil
 }
@@ -174,22 +233,36 @@
 	return s.chosen == nil
 }
 
-// runRelease frees the key, if it still holds this submission's claim, so that
-// a caller's retry need not ask the agent. Nothing depends on its success.
-func (s *submission) runRelease(ctx context.Context, a claim.Release) {
+// freeLater frees the key so that a caller's retry need not ask the agent.
+// Nothing depends on its success.
+func (s *submission) freeLater(ctx context.Context) {
+	if s.release != nil {
+		go s.runRelease(context.WithoutCancel(ctx))
+	}
+}
+
+func (s *submission) runRelease(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTime)
 	defer cancel()
+	s.free(ctx)
+}
+
+// free takes back this submission's claim, if the key still holds it, and tells whether it did.
+func (s *submission) free(ctx context.Context) bool {
+	a := s.release
 	stored, err := s.caller.options.Claims.GetClaim(ctx, a.Key)
 	if err != nil || stored == nil {
-		return
+		return false
 	}
 	own := stored.Record.Attempt == s.attempt && stored.Record.State == claim.StateClaimed
 	if !own {
-		return
+		return false
 	}
-	if _, err := s.caller.options.Claims.SwapClaim(ctx, a.Key, a.Stored.Record, stored.Index); err != nil {
+	swapped, err := s.caller.options.Claims.SwapClaim(ctx, a.Key, a.Stored.Record, stored.Index)
+	if err != nil {
 		s.log("claim-release-failed", err)
 	}
+	return swapped && err == nil
 }
 
 func (s *submission) answer() (*Answer, *codes.Result) {
