proofs: process tests of orders, whole answers, refusals and drains

The real programs and stand-ins on loopback, a relay that cuts, holds, delays or silences connections, SIGKILL and SIGSTOP, faults of the stand-ins. At most once is counted in the ledgers.

--- /dev/null
+++ b/proofs/harns/refusal_test.go
@@ -0,0 +1,105 @@
+package harns_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/fakes/modules/fault"
+	"verbenaroad.example/share/modules/codes"
+)
+
+// Makers send orders with short deadlines and hang up early, so many that
+// queues expire, cancels cross starts and claims come too late, while the
+// key-value service now and then is slow or loses answers. Whoever was told
+// "not run" finds no run in the ledger, at once and at the end; no order ran
+// twice; every answer stands for a run.
+func TestNotRunIsTrue(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	one, two := slowDesk("ord-1", "20ms"), slowDesk("ord-2", "20ms")
+	one.slots, two.slots = 4, 4
+	d := deploy(t, plan{entries: 2, backends: []backend{one, two}})
+	random := rand.New(rand.NewPCG(11, 4))
+	replies := map[string]reply{}
+	for wave, settings := range []fault.Settings{
+		{},
+		{Slow: fault.Duration(15 * time.Millisecond)},
+		{Methods: []string{"PUT"}, LostAnswer: fault.LostAnswer{Probability: 0.3, Seed: 3}},
+		{Slow: fault.Duration(120 * time.Millisecond)},
+	} {
+		d.kv.setFault(settings)
+		sent := map[string]*pending{}
+		for n := range 150 {
+			key := fmt.Sprintf("storm-%d-%d", wave, n)
+			v := order(key)
+			v.deadline = fmt.Sprintf("%dms", 5+random.IntN(400))
+			if random.IntN(3) == 0 {
+				v.patience = time.Duration(5+random.IntN(300)) * time.Millisecond
+			}
+			sent[key] = d.begin(n%2, v)
+		}
+		for key, p := range sent {
+			replies[key] = p.wait()
+		}
+	}
+	d.kv.setFault(fault.Settings{})
+	counts := map[string]int{}
+	check := func() {
+		runs := d.allRuns()
+		for key, r := range replies {
+			is.True(runs[key] <= 1)
+			if r.notRun() && runs[key] > 0 {
+				t.Fatalf("%s: %s, and ran", key, r)
+			}
+			if r.ok() {
+				checkOrder(t, key, r)
+				is.Equal(runs[key], 1)
+			}
+		}
+	}
+	check()
+	for name, a := range d.agents {
+		waitFor(t, "queue of "+name, func() bool {
+			load := a.figures().Verbena.Load
+			return load.Running == 0 && load.Queued == 0
+		})
+	}
+	for _, r := range replies {
+		switch {
+		case r.err != nil:
+			counts["gone"]++
+		case r.ok():
+			counts["ok"]++
+		default:
+			counts[r.failure.Name+" "+string(r.failure.Outcome)]++
+		}
+		if r.err == nil && !r.ok() {
+			is.True(r.failure.Outcome != "")
+			if r.failure.Name == "canceled" {
+				t.Fatalf("nobody who still waits went away: %s", r)
+			}
+		}
+	}
+	check()
+	t.Logf("answers: %v", counts)
+	is.True(counts["ok"] > 0)
+	refused := 0
+	for _, r := range replies {
+		if r.notRun() {
+			refused++
+		}
+	}
+	is.True(refused > 0)
+	for key, r := range replies {
+		if r.err == nil && r.failure.Outcome == codes.OutcomeUnknown || r.err != nil {
+			got := d.settle(0, key)
+			runs := d.countRuns(key)
+			is.True(runs <= 1)
+			is.True(!got.ok() || runs == 1)
+		}
+	}
+}
