--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -15,9 +15,12 @@
 	"verbenaroad.example/entry/services/calls"
 	"verbenaroad.example/entry/services/change"
 	"verbenaroad.example/entry/services/direct"
+	"verbenaroad.example/entry/services/explan"
 	"verbenaroad.example/entry/services/fleet"
 	"verbenaroad.example/entry/services/lookup"
 	"verbenaroad.example/entry/services/policy"
+	"verbenaroad.example/entry/services/settle"
+	"verbenaroad.example/entry/services/status"
 	"verbenaroad.example/entry/services/walk"
 	"verbenaroad.example/share/decide/drain"
 	"verbenaroad.example/share/decide/route"
@@ -58,6 +61,7 @@
 	store    *kvapi.Client
 	port     *kvport.Port
 	follower *follow.Follower
+	board    *status.Board
 	fleet    *fleet.Fleet
 	policy   *policy.Policy
 	runner   *calls.Runner
@@ -106,12 +110,13 @@
 	e.stopper = stops.NewStopper(drain.Settings{Grace: s.Stop.Grace, Linger: min(s.Admin.Linger, s.Stop.Grace)})
 	e.policy = policy.NewPolicy()
 	e.follower = procs.NewFollower(s.Instance.Name, s.Instance.Domain, e.port, e, e.log)
+	e.board = status.NewBoard(e.follower)
 	e.fleet = fleet.NewFleet(fleet.Options{
 		Self:      e.describeSelf(),
 		ListEvery: s.Platform.ListEvery,
 		Route:     e.routeSettings,
 		List:      roster.NewClient(roster.Options{Address: s.Platform.List, CallTimeout: s.Platform.StoreTimeout}),
-		Watcher:   e.follower,
+		Watcher:   e.board,
 		Log:       e.log,
 		Link: link.Options{
 			Hello:       e.newHello(),
@@ -225,15 +230,32 @@
 func (e *Entry) newAdmin() *admin.Router {
 	reader := store.NewReader(e.port, store.DefaultPrefix)
 	writer := store.NewWriter(e.port, reader)
+	changes := change.NewService(writer, e.follower)
 	return admin.NewRouter(admin.Options{
-		Changes:         change.NewService(writer, e.follower),
+		Changes:         changes,
 		Lookups:         lookup.NewService(reader, e.follower),
 		Snapshots:       e.follower,
+		Statuses:        e.newStatus(),
+		Drains:          change.NewDrainService(changes, e.board),
+		Explanations:    explan.NewService(e.follower, e.fleet, e.board),
+		Claims:          settle.NewService(e.port, e.fleet, e.log),
 		BootstrapSHA256: e.settings.Admin.BootstrapSHA256,
 		Log:             e.logAdmin,
 	})
 }
 
+func (e *Entry) newStatus() *status.Service {
+	return status.NewService(status.Options{
+		Self:          e.settings.Instance.Name,
+		Board:         e.board,
+		Configuration: e.follower,
+		Accounts:      e.policy,
+		Ready:         e.checkReady,
+		Calls:         e.runner.GetCounts().GetReport,
+		Results:       e.router.GetResults().GetCounts,
+	})
+}
+
 func (e *Entry) logAdmin(event admin.Event) {
 	e.log.Info("admin-request",
 		zap.String("request-id", event.RequestID),
--- a/entry/routers/admin/admin.go
+++ b/entry/routers/admin/admin.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"verbenaroad.example/entry/services/change"
+	"verbenaroad.example/entry/services/explan"
 	"verbenaroad.example/share/decide/head"
 	"verbenaroad.example/share/models/config"
 	"verbenaroad.example/share/services/admapi"
@@ -36,22 +37,14 @@
 	GetStatus(ctx context.Context) (admapi.Status, error)
 }
 
-// Drains stops an instance's new work.
+// Drains takes an instance out of every choice, and lets it in again.
 type Drains interface {
-	Drain(ctx context.Context, operator, instance string) (admapi.Drain, error)
-}
-
-// ExplainOptions name the work to be explained.
-type ExplainOptions struct {
-	Team     string
-	Pipeline string
-	// Stage is empty for the pipeline's first.
-	Stage string
+	SetDrain(ctx context.Context, author change.Author, instance string, c admapi.DrainChange) head.Answer
 }
 
 // Explanations tell why work would go where.
 type Explanations interface {
-	Explain(ctx context.Context, o ExplainOptions) (admapi.Explanation, error)
+	Explain(ctx context.Context, q explan.Query) (admapi.Explanation, error)
 }
 
 // Claims shows and settles claims of non-idempotent calls.
--- a/entry/routers/admin/commands.go
+++ b/entry/routers/admin/commands.go
@@ -144,8 +144,8 @@
 	if err == nil {
 		err = checkChangeID(labels.ChangeID)
 	}
-	if err == nil && c.bootstrap {
-		err = codes.NewResult(codes.Forbidden, "the bootstrap token allows the first change only")
+	if err == nil {
+		err = refuseBootstrap(c)
 	}
 	if err != nil {
 		c.writeError(w, err)
@@ -154,9 +154,28 @@
 	c.writeAnswer(w, labels.ChangeID, r.options.Changes.SetLabels(c.request.Context(), c.author(), labels))
 }
 
+func refuseBootstrap(c *call) error {
+	if c.bootstrap {
+		return codes.NewResult(codes.Forbidden, "the bootstrap token allows the first change only")
+	}
+	return nil
+}
+
 func (r *Router) postDrain(w http.ResponseWriter, c *call) {
-	drain, err := r.options.Drains.Drain(c.request.Context(), c.operator.Name, c.request.PathValue("instance"))
-	c.write(w, drain, err)
+	var drain admapi.DrainChange
+	err := readJSON(w, c, &drain)
+	if err == nil {
+		err = checkChangeID(drain.ChangeID)
+	}
+	if err == nil {
+		err = refuseBootstrap(c)
+	}
+	if err != nil {
+		c.writeError(w, err)
+		return
+	}
+	answer := r.options.Drains.SetDrain(c.request.Context(), c.author(), c.request.PathValue("instance"), drain)
+	c.writeAnswer(w, drain.ChangeID, answer)
 }
 
 func (r *Router) postClaim(w http.ResponseWriter, c *call) {
--- /dev/null
+++ b/entry/routers/admin/drain_test.go
@@ -0,0 +1,94 @@
+package admin_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/entry/routers/admin"
+	"verbenaroad.example/entry/services/change"
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/models/member"
+	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/services/store"
+)
+
+// agents is the list of instances that an entry knows.
+type agents []member.Instance
+
+func (a agents) FindInstances() []member.Instance { return a }
+
+func newDrainSystem(t *testing.T, known agents) *system {
+	t.Helper()
+	s := newSystem()
+	changes := change.NewService(store.NewWriter(s, s.reader), s)
+	s.router = admin.NewRouter(admin.Options{
+		Changes:         changes,
+		Drains:          change.NewDrainService(changes, known),
+		Snapshots:       s,
+		BootstrapSHA256: config.DigestToken("bootstrap-token"),
+	})
+	s.bootstrap(t)
+	return s
+}
+
+func twoAgents() agents {
+	return agents{
+		{Name: "llm-1", Role: member.RoleAgent, Service: "llm"},
+		{Name: "llm-2", Role: member.RoleAgent, Service: "llm"},
+		{Name: "entry-1", Role: member.RoleEntry},
+	}
+}
+
+// An operator drains an engine before its host is replaced. Every process that
+// restarts meanwhile must still keep work from it, until the drain is undone.
+func TestDrainIsADocumentOfTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	s := newDrainSystem(t, twoAgents())
+	status, _, text := s.call(t, "ana-token", http.MethodPost, "/admin/v1/drains/llm-1", `{"change-id":"d1"}`)
+	is.Equal(status, http.StatusOK)
+	is.True(strings.Contains(text, `"verdict":"accepted"`))
+	is.True(change.IsDrained(s.Snapshot(), "llm-1"))
+	status, e, _ := s.call(t, "ana-token", http.MethodPost, "/admin/v1/drains/llm-1", `{"change-id":"d1"}`)
+	is.Equal(status, http.StatusOK) // asked again under the same id
+	is.Equal(e.Revision, uint64(2))
+	status, _, _ = s.call(t, "ana-token", http.MethodPost, "/admin/v1/drains/llm-1", `{"change-id":"d2","undo":true}`)
+	is.Equal(status, http.StatusOK)
+	is.True(!change.IsDrained(s.Snapshot(), "llm-1"))
+}
+
+func TestDrainRefusals(t *testing.T) {
+	tests := []struct {
+		name, instance, body string
+		known                agents
+		code                 codes.Code
+	}{
+		{"unknown name", "llm-7", `{"change-id":"d"}`, twoAgents(), codes.ConfigInvalid},
+		{"an entry", "entry-1", `{"change-id":"d"}`, twoAgents(), codes.ConfigInvalid},
+		{"last of its service", "llm-1", `{"change-id":"d"}`, twoAgents()[:1], codes.ConfigInvalid},
+		{"last by force", "llm-1", `{"change-id":"d","force":true}`, twoAgents()[:1], codes.OK},
+		{"no change id", "llm-1", `{}`, twoAgents(), codes.BadRequest},
+		{"unknown field", "llm-1", `{"change-id":"d","when":"now"}`, twoAgents(), codes.BadRequest},
+		{"undo of none", "llm-1", `{"change-id":"d","undo":true}`, twoAgents(), codes.ConfigInvalid},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newDrainSystem(t, tt.known)
+			_, e, _ := s.call(t, "ana-token", http.MethodPost, "/admin/v1/drains/"+tt.instance, tt.body)
+			is.Equal(e.Code, tt.code)
+		})
+	}
+}
+
+func TestDrainOfBothIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newDrainSystem(t, twoAgents())
+	status, _, _ := s.call(t, "ana-token", http.MethodPost, "/admin/v1/drains/llm-1", `{"change-id":"d1"}`)
+	is.Equal(status, http.StatusOK)
+	_, e, _ := s.call(t, "ana-token", http.MethodPost, "/admin/v1/drains/llm-2", `{"change-id":"d2"}`)
+	is.Equal(e.Code, codes.ConfigInvalid)
+	is.True(strings.Contains(e.Problems[0].Detail, "last agent"))
+}
--- a/entry/routers/admin/queries.go
+++ b/entry/routers/admin/queries.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 
+	"verbenaroad.example/entry/services/explan"
 	"verbenaroad.example/share/models/config"
 	"verbenaroad.example/share/modules/codes"
 	"verbenaroad.example/share/services/admapi"
@@ -36,12 +37,18 @@
 
 func (r *Router) getExplanation(w http.ResponseWriter, c *call) {
 	query := c.request.URL.Query()
-	options := ExplainOptions{Team: query.Get("team"), Pipeline: query.Get("pipeline"), Stage: query.Get("stage")}
-	if options.Team == "" || options.Pipeline == "" {
-		c.writeError(w, codes.NewResult(codes.BadRequest, "want team and pipeline"))
+	asked := explan.Query{
+		Team:     query.Get("team"),
+		Pipeline: query.Get("pipeline"),
+		Service:  query.Get("service"),
+		Stage:    query.Get("stage"),
+	}
+	one := (asked.Pipeline == "") != (asked.Service == "")
+	if asked.Team == "" || !one {
+		c.writeError(w, codes.NewResult(codes.BadRequest, "want team, and either pipeline or service"))
 		return
 	}
-	explanation, err := r.options.Explanations.Explain(c.request.Context(), options)
+	explanation, err := r.options.Explanations.Explain(c.request.Context(), asked)
 	c.write(w, explanation, err)
 }
 
--- a/entry/routers/admin/stub.go
+++ b/entry/routers/admin/stub.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 
+	"verbenaroad.example/entry/services/change"
+	"verbenaroad.example/entry/services/explan"
+	"verbenaroad.example/share/decide/head"
 	"verbenaroad.example/share/modules/codes"
 	"verbenaroad.example/share/services/admapi"
 )
@@ -34,13 +37,13 @@
 	return admapi.Status{}, newErrNotOffered()
 }
 
-// Drain answers not found.
-func (stub) Drain(context.Context, string, string) (admapi.Drain, error) {
-	return admapi.Drain{}, newErrNotOffered()
+// SetDrain refuses.
+func (stub) SetDrain(context.Context, change.Author, string, admapi.DrainChange) head.Answer {
+	return head.Answer{Verdict: head.VerdictUnavailable, Detail: "this instance does not offer that"}
 }
 
 // Explain answers not found.
-func (stub) Explain(context.Context, ExplainOptions) (admapi.Explanation, error) {
+func (stub) Explain(context.Context, explan.Query) (admapi.Explanation, error) {
 	return admapi.Explanation{}, newErrNotOffered()
 }
 
--- a/vctl/cmds/claim.go
+++ b/vctl/cmds/claim.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -42,19 +43,23 @@
 func (a *app) newClaimResolve() *ffcli.Command {
 	flags := a.newFlags("claim resolve")
 	outcome := flags.String("outcome", "", "`ran or not-run`, as found at the backend server")
-	note := flags.String("note", "", "`text` kept with the claim")
+	note := flags.String("note", "", "`text` for the entry's log, with the operator's name")
+	gone := flags.Bool("instance-gone", false, "the claim's instance no longer exists: settle though it gives no answer")
 	return a.newCommand(ffcli.Command{
 		Name:       "resolve",
 		ShortUsage: "vctl claim resolve [flags] --outcome <ran|not-run> --note <text> <team> <key>",
 		ShortHelp:  "settle an unknown outcome",
 		LongHelp: strings.TrimSpace(`
-"not-run" lets the key be run again: look at the backend server first.
+Look at the backend server first. "ran" keeps the key from ever running again;
+"not-run" lets it run again. The claim's agent is asked before anything is
+written: what it runs or has finished is not settled by hand, and a silent one
+may still start the call, so "not-run" then needs --instance-gone.
 
 Example:
   vctl claim resolve --outcome ran --note "invoice 4711 exists" kranj order-2026-118`),
 		FlagSet: flags,
 	}, func(ctx context.Context, args []string) error {
-		resolution := admapi.ClaimResolution{Outcome: codes.Outcome(*outcome), Note: *note}
+		resolution := admapi.ClaimResolution{Outcome: codes.Outcome(*outcome), Note: *note, InstanceGone: *gone}
 		if resolution.Outcome != codes.OutcomeRan && resolution.Outcome != codes.OutcomeNotRun {
 			return newUsageError("claim resolve: --outcome: want ran or not-run")
 		}
@@ -77,6 +82,9 @@
 	if err != nil {
 		return a.fail(err)
 	}
-	rows := [][]string{{claim.Team, claim.Key, claim.State, orDash(claim.Attempt), orDash(claim.Instance), orDash(claim.ResolvedBy), orDash(claim.Note)}}
-	return a.print(claim, "TEAM KEY STATE ATTEMPT INSTANCE RESOLVED-BY NOTE", rows)
+	rows := [][]string{{
+		claim.Team, claim.Key, claim.State, claim.ClaimedAt.Format(time.RFC3339), orDash(claim.Attempt),
+		orDash(claim.Instance), orDash(string(claim.Outcome)), orDash(claim.ResolvedBy),
+	}}
+	return a.print(claim, "TEAM KEY STATE CLAIMED-AT ATTEMPT INSTANCE OUTCOME RESOLVED-BY", rows)
 }
--- a/vctl/cmds/explain.go
+++ b/vctl/cmds/explain.go
@@ -16,20 +16,34 @@
 	flags := a.newFlags("explain")
 	team := flags.String("team", "", "`name` of the team")
 	pipeline := flags.String("pipeline", "", "`name` of the pipeline")
-	stage := flags.String("stage", "", "`name` of the stage; empty: the first")
+	stage := flags.String("stage", "", "`name` of the stage; empty: all of the pipeline")
+	service := flags.String("service", "", "`name` of the service, for direct calls")
 	return a.newCommand(ffcli.Command{
 		Name:       "explain",
-		ShortUsage: "vctl explain [flags] --team <name> --pipeline <name> [--stage <name>]",
+		ShortUsage: "vctl explain [flags] --team <name> (--pipeline <name> [--stage <name>] | --service <name>)",
 		ShortHelp:  "show why work would go where, rule by rule",
 		LongHelp: strings.TrimSpace(`
-Example:
-  vctl explain --team kranj --pipeline voicing-notes --stage generate`),
+Those that may be taken come first, the least score before the others:
+score = wait + slow - affinity - preference. The rules that apply are shown
+with + where they match the backend server, - where they do not, and ! where
+they bar it.
+
+Examples:
+  vctl explain --team kranj --pipeline voicing-notes
+  vctl explain --team kranj --service orders`),
 		FlagSet: flags,
 	}, func(ctx context.Context, args []string) error {
-		if len(args) > 0 || *team == "" || *pipeline == "" {
-			return newUsageError("explain: want --team and --pipeline")
+		one := (*pipeline == "") != (*service == "")
+		if len(args) > 0 || *team == "" || !one {
+			return newUsageError("explain: want --team, and either --pipeline or --service")
+		}
+		query := url.Values{"team": {*team}}
+		for name, value := range map[string]string{"pipeline": *pipeline, "stage": *stage, "service": *service} {
+			if value != "" {
+				query.Set(name, value)
+			}
 		}
-		return a.explain(ctx, url.Values{"team": {*team}, "pipeline": {*pipeline}, "stage": {*stage}})
+		return a.explain(ctx, query)
 	})
 }
 
@@ -39,24 +53,48 @@
 	if err != nil {
 		return a.fail(err)
 	}
-	var rows [][]string
-	for _, s := range e.Servers {
+	if a.output == outputJSON {
+		return a.printJSON(e)
+	}
+	a.printLinef("team %s, revision %d", e.Team, e.Revision)
+	for _, s := range e.Stages {
+		if s.Stage == "" {
+			a.printLinef("\nservice %s", s.Service)
+		} else {
+			a.printLinef("\npipeline %s, stage %s, service %s", s.Pipeline, s.Stage, s.Service)
+		}
+		a.printServers(s.Servers)
+	}
+	return nil
+}
+
+func (a *app) printServers(servers []admapi.ServerExplanation) {
+	rows := make([][]string, 0, len(servers))
+	for _, s := range servers {
 		rank := "-"
 		if s.Chosen {
 			rank = strconv.Itoa(s.Rank)
 		}
-		rows = append(rows, []string{rank, s.Instance, s.Region, number(s.Score), s.Wait.Value().String(), joinRules(s.Rules)})
+		rows = append(rows, []string{
+			rank, s.Instance, s.Region, orDash(s.Reason), s.Score.Value().String(), s.Wait.Value().String(),
+			s.Slow.Value().String(), s.Affinity.Value().String(), s.Preference.Value().String(), joinRules(s.Rules),
+		})
 	}
-	return a.print(e, "RANK INSTANCE REGION SCORE WAIT RULES", rows)
+	a.printTable("RANK INSTANCE REGION REASON SCORE WAIT SLOW AFFINITY PREFERENCE RULES", rows)
 }
 
-// joinRules lists the rules that matched.
+// joinRules lists the rules that apply, each with what it says of the backend server.
 func joinRules(verdicts []admapi.RuleVerdict) string {
-	var matched []string
+	shown := make([]string, 0, len(verdicts))
 	for _, v := range verdicts {
-		if v.Matched {
-			matched = append(matched, v.Rule+"("+string(v.Effect)+")")
+		mark := "-"
+		switch {
+		case v.Drops:
+			mark = "!"
+		case v.Matched:
+			mark = "+"
 		}
+		shown = append(shown, mark+v.Rule+"("+string(v.Effect)+")")
 	}
-	return orDash(strings.Join(matched, ", "))
+	return orDash(strings.Join(shown, " "))
 }
--- a/vctl/cmds/label.go
+++ b/vctl/cmds/label.go
@@ -45,17 +45,7 @@
 	if err != nil {
 		return newUsageError("%v", err)
 	}
-	var result admapi.ChangeResult
-	err = a.send(ctx, request{method: http.MethodPost, path: "/admin/v1/labels", body: body, command: true}, &result)
-	if err != nil {
-		return tellChangeID(a.fail(err), change.ChangeID)
-	}
-	if a.output == outputJSON {
-		return a.printJSON(result)
-	}
-	a.printChanges(result.Changes, result.ChangesOmitted)
-	a.printLinef("accepted as revision %d, change %s", result.Revision, result.ChangeID)
-	return nil
+	return a.sendChange(ctx, request{method: http.MethodPost, path: "/admin/v1/labels", body: body, command: true}, change.ChangeID)
 }
 
 // tellChangeID adds the id with which to ask again to an unknown outcome.
--- a/vctl/cmds/status.go
+++ b/vctl/cmds/status.go
@@ -39,7 +39,9 @@
 	a.printLinef("%s: revision %d, confirmed %s ago, %s", s.Instance, s.Revision, s.ConfirmedAge.Value(), s.Use)
 	a.printInstances(s.Instances)
 	a.printPools(s.Pools)
+	a.printTeams(s.Teams)
 	a.printStages(s.Stages)
+	a.printResults(s.Results)
 	return nil
 }
 
@@ -47,7 +49,7 @@
 	var rows [][]string
 	for _, i := range instances {
 		rows = append(rows, []string{
-			i.Name, i.Role, orDash(i.Service), i.Region, i.Domain, i.State, strconv.FormatUint(i.Revision, 10),
+			i.Name, i.Role, orDash(i.Service), i.Region, i.Domain, string(i.State), strconv.FormatUint(i.Revision, 10),
 			strconv.Itoa(i.Running), strconv.Itoa(i.Queued), strconv.Itoa(i.Slots), i.Wait.Value().String(),
 		})
 	}
@@ -57,17 +59,43 @@
 func (a *app) printPools(pools []admapi.PoolStatus) {
 	var rows [][]string
 	for _, p := range pools {
-		rows = append(rows, []string{p.Name, number(p.Committed), number(p.Used), number(p.Idle), number(p.Beyond)})
+		rows = append(rows, []string{
+			p.Name, p.Window.Value().String(), number(p.Committed), number(p.Used), number(p.Idle),
+			number(p.Beyond), number(p.CommittedSpend), number(p.BeyondSpend),
+		})
+	}
+	a.printLinef("")
+	a.printTable("POOL WINDOW COMMITTED USED IDLE BEYOND COMMITTED-SPEND BEYOND-SPEND", rows)
+}
+
+func (a *app) printTeams(teams []admapi.TeamUse) {
+	var rows [][]string
+	for _, t := range teams {
+		rows = append(rows, []string{t.Pool, t.Stage, t.Team, number(t.Used), number(t.Beyond)})
 	}
-	a.printTable("POOL COMMITTED USED IDLE BEYOND", rows)
+	a.printLinef("")
+	a.printTable("POOL STAGE TEAM USED BEYOND", rows)
 }
 
-func (a *app) printStages(stages []admapi.StageStatus) {
+func (a *app) printStages(stages []admapi.StageUse) {
 	var rows [][]string
 	for _, s := range stages {
-		rows = append(rows, []string{s.Team, s.Pipeline, s.Stage, strconv.FormatUint(s.Calls, 10), strconv.FormatUint(s.Met, 10), number(s.Cost)})
+		rows = append(rows, []string{
+			s.Stage, strconv.FormatUint(s.Runs, 10), number(s.Cost), strconv.FormatUint(s.Tokens, 10),
+			s.Busy.Value().String(), s.Queued.Value().String(),
+		})
+	}
+	a.printLinef("")
+	a.printTable("SERVICE/STAGE RUNS COST TOKENS BUSY QUEUED", rows)
+}
+
+func (a *app) printResults(results []admapi.ResultCount) {
+	var rows [][]string
+	for _, r := range results {
+		rows = append(rows, []string{r.Name, strconv.FormatUint(r.Count, 10)})
 	}
-	a.printTable("TEAM PIPELINE STAGE CALLS MET COST", rows)
+	a.printLinef("")
+	a.printTable("RESULT REQUESTS", rows)
 }
 
 func number(v float64) string {
