demo: le-goff, runs of the doubled order, compact figures, no process left behind

- le-goff's engines load the model that its pipelines name (the demo failed with backend-failed: model not loaded)
- the order's runs are summed over all order servers' ledgers and must be 1
- attainment and cost are printed in a few lines; attained must equal offered
- a failed or interrupted run ends its children gracefully, then by force

--- /dev/null
+++ b/mk/product.mk
@@ -0,0 +1,15 @@
+# Daily use of the product: a deployment that stays up, the generated pages.
+
+demo up: $(or $(shell command -v curl),install-curl)
+
+.PHONY: install-curl
+install-curl:
+	apt-get install -y --no-install-recommends curl || { apt-get update && apt-get install -y --no-install-recommends curl; }
+
+.PHONY: up
+up: build ## starts a small deployment and keeps it until interrupted
+	scripts/up.sh $(DEPLOYMENT)
+
+.PHONY: docs
+docs: ## makes the generated pages anew
+	go run ./share/modules/codes/table > docs/RESULT-CODES.md
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,60 +13,13 @@
 # shellcheck source=/dev/null
 source "scripts/demo/$DEPLOYMENT.sh"
 
-cleanup() {
-  stop_all
-  if [ -n "$KEEP_RUN" ]; then echo "kept: $RUN"; else rm -rf "$RUN"; fi
-}
 trap cleanup EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
 
 BOOTSTRAP=$(printf %s "$OPERATOR_TOKEN" | sha256sum | cut -d' ' -f1)
 export VCTL_TOKEN=$OPERATOR_TOKEN
 
-start_platform() {
-  start_fake kv kv
-  start_fake list list --lag 200ms
-  wait_file "$RUN/kv.addr"
-  wait_file "$RUN/list.addr"
-  STORE=$(cat "$RUN/kv.addr")
-  LIST=$(cat "$RUN/list.addr")
-}
-
-start_backends() {
-  local line name kind service region labels slots
-  for line in "${BACKENDS[@]}"; do
-    read -r name kind service region labels slots <<<"$line"
-    case $kind in
-      engine) start_fake "$name-server" engine --models notes-8b,draft-8b --token-interval 4ms --slots "$slots" ;;
-      *) start_fake "$name-server" "$kind" --slots "$slots" --service-time 5ms --ledger-file "$RUN/$name.ledger" ;;
-    esac
-  done
-  for line in "${BACKENDS[@]}"; do
-    read -r name kind service region labels slots <<<"$line"
-    wait_file "$RUN/$name-server.addr"
-    start_agent "$name" "$service" "$region" "$region-1" "$(cat "$RUN/$name-server.addr")" "$labels" "$slots"
-  done
-  for line in "${BACKENDS[@]}"; do
-    read -r name kind service region labels slots <<<"$line"
-    wait_file "$RUN/$name.addr"
-    register_agent "$name" "$service" "$region" "$region-1" "$labels"
-  done
-}
-
-start_entries() {
-  local region
-  for region in "${REGIONS[0]}" "${REGIONS[1]}"; do
-    start_entry "entry-$region" "$region" "$region-1"
-  done
-  for region in "${REGIONS[0]}" "${REGIONS[1]}"; do
-    wait_file "$RUN/entry-$region.addr"
-    register_entry "entry-$region" "$region" "$region-1"
-  done
-  CALLERS=$(address "$RUN/entry-${REGIONS[0]}.addr" callers)
-  OTHER=$(address "$RUN/entry-${REGIONS[1]}.addr" callers)
-  ADMIN=$(address "$RUN/entry-${REGIONS[0]}.addr" admin)
-  METRICS=$(address "$RUN/entry-${REGIONS[0]}.addr" metrics)
-}
-
 call_pipeline() {
   curl -sS --max-time 15 -H "Authorization: Bearer $TEAM_TOKEN" "$@" \
     -d "{\"input\": \"$QUESTION\", \"max-tokens\": 16}" "http://$CALLERS/v1/pipelines/$PIPELINE"
@@ -103,9 +56,9 @@
 place_order "$CALLERS" demo-order-1 >"$RUN/order-1.json"; cat "$RUN/order-1.json"; echo
 place_order "$OTHER" demo-order-1 >"$RUN/order-2.json"
 cmp -s "$RUN/order-1.json" "$RUN/order-2.json" || die "the second answer differs: $(cat "$RUN/order-2.json")"
-RUNS=$(cat "$RUN"/ord-*.ledger | grep -c '"started"' || true)
-RUNS_FINISHED=$(cat "$RUN"/ord-*.ledger | grep -c '"finished"' || true)
-echo "ledger lines: $RUNS started, $RUNS_FINISHED finished"
+RUNS=$(count_runs demo-order-1)
+echo "runs in the ledgers of the $ORDER_SERVICE servers: $RUNS"
+[ "$RUNS" = 1 ] || die "the order ran $RUNS times"
 
 echo "== change a selector while requests run"
 bin/vload run --scenario <(sed -e "s|@ENTRY@|$CALLERS|; s|@OTHER@|$OTHER|; s|@METRICS@|$METRICS|; s|@TOKEN@|$TEAM_TOKEN|; s|@TEAM@|$TEAM|; s|@PIPELINE@|$PIPELINE|" scripts/demo/load.toml) --out "$RUN/load" >"$RUN/load.txt" 2>&1 &
@@ -128,8 +81,10 @@
 [ "$BEFORE" = "$AFTER" ] || die "the forbidden backend server still got work"
 
 echo "== attainment and cost by stage"
-cat "$RUN/load.txt"
-grep -q "attainment" "$RUN/load.txt" || die "no report"
+echo "requests $(figure offered), attained in time $(figure attained), attainment $(figure attainment)"
+echo "whole answer p50 $(figure latency-p50) ms, p99 $(figure latency-p99) ms; first token p50 $(figure first-token-p50) ms; between regions $(figure cross-region-bytes) bytes"
+awk '$1 == "all" && $2 ~ /^cost\// { sub("cost/", "", $2); printf "cost of %-28s %s %s\n", $2, $3, $4 }' "$RUN/load.txt"
+[ "$(figure offered)" -gt 0 ] && [ "$(figure attained)" = "$(figure offered)" ] || die "not all were attained: $(cat "$RUN/load.txt")"
 
 echo "== stop everything gracefully"
 for region in "${REGIONS[0]}" "${REGIONS[1]}"; do stop "entry-$region" || die "entry-$region"; done
--- a/scripts/demo/le-goff.sh
+++ b/scripts/demo/le-goff.sh
@@ -14,11 +14,12 @@
   "ord-1 service order-desk bretagne tier=committed 8"
   "ord-2 service order-desk pays-loire tier=committed 8"
 )
+MODELS=drawings-8b
 OPERATOR_TOKEN=dev-le-goff-operator-maelle
 TEAM=counter
 TEAM_TOKEN=dev-le-goff-counter
 PIPELINE=counter-answer
 QUESTION="Which rule height fits a B-flute carton with a 0.7 mm crease?"
 ORDER_SERVICE=order-desk
-ORDER_PATH=$(sed -n '/name = "order-desk"/,$p' deploy/le-goff/services.toml | grep -A1 'method = "POST"' | sed -n 's/path = "\(.*\)"/\1/p' | head -1)
+ORDER_PATH=/confirmations
 ORDER_BODY='{"forme": "label-42", "confirm": true}'
--- a/scripts/demo/ljubljana.sh
+++ b/scripts/demo/ljubljana.sh
@@ -15,6 +15,7 @@
   "ord-2 service orders stajerska tier=spare 8"
   "cat-1 service catalogue osrednja tier=spare 8"
 )
+MODELS=notes-8b
 OPERATOR_TOKEN=dev-ljubljana-operator-ana
 TEAM=kranj
 TEAM_TOKEN=dev-ljubljana-kranj
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -2,7 +2,6 @@
 # process is started here, by the script, and ended by its id.
 # shellcheck shell=bash
 
-declare -a PIDS=()
 declare -A PID_OF=()
 
 die() {
@@ -16,7 +15,6 @@
   shift
   "$@" >"$RUN/$name.log" 2>&1 &
   PID_OF[$name]=$!
-  PIDS+=("$!")
 }
 
 # wait_file FILE waits until a process has written its addresses.
@@ -34,6 +32,17 @@
   sed -n "s/^$2=//p" "$1"
 }
 
+# count_runs KEY prints how often a key was run, summed over the ledgers of all
+# order servers. A run leaves one line when it starts and another when it ends.
+count_runs() {
+  cat "$RUN"/ord-*.ledger | grep -F "\"key\":\"$1\"" | grep -vc '"finished"' || true
+}
+
+# figure METRIC prints the metric's value in the row "all" of the load's report.
+figure() {
+  awk -v metric="$1" '$1 == "all" && $2 == metric { print $3 }' "$RUN/load.txt"
+}
+
 # stop NAME asks a process to end gracefully and waits for it.
 stop() {
   local pid=${PID_OF[$1]:-}
@@ -42,15 +51,33 @@
   wait "$pid"
 }
 
-# stop_all ends whatever is left, also after a failure.
+# stop_all ends whatever is left, also after a failure: first gracefully, after
+# a while by force, so that a process that hangs is not left behind. Only
+# children of this shell that still run are signalled.
 stop_all() {
-  local pid
-  for pid in "${PIDS[@]}"; do
+  local pid n
+  for pid in $(jobs -pr); do
     kill -TERM "$pid" 2>/dev/null || true
+    # A process that a run froze hears its signal only when it goes on.
+    kill -CONT "$pid" 2>/dev/null || true
+  done
+  for n in $(seq 1 300); do
+    [ -n "$(jobs -pr)" ] || break
+    sleep 0.05
   done
-  for pid in "${PIDS[@]}"; do
-    wait "$pid" 2>/dev/null || true
+  for pid in $(jobs -pr); do
+    kill -KILL "$pid" 2>/dev/null || true
   done
+  wait 2>/dev/null || true
+}
+
+# cleanup ends everything and removes the run's files, unless KEEP_RUN is set.
+cleanup() {
+  local code=$?
+  trap '' INT TERM
+  stop_all
+  if [ -n "${KEEP_RUN:-}" ]; then echo "kept: $RUN"; else rm -rf "$RUN"; fi
+  exit "$code"
 }
 
 # start_fake NAME KIND ARGS... starts a stand-in; its addresses stand in $RUN/NAME.addr and $RUN/NAME.addr.control.
@@ -99,3 +126,51 @@
   done
   die "$1 is not ready: $(tail -3 "$RUN/$1.log")"
 }
+
+# start_platform starts the stand-ins of the platform.
+start_platform() {
+  start_fake kv kv
+  start_fake list list --lag 200ms
+  wait_file "$RUN/kv.addr"
+  wait_file "$RUN/list.addr"
+  STORE=$(cat "$RUN/kv.addr")
+  LIST=$(cat "$RUN/list.addr")
+}
+
+# start_backends starts the backend servers of $BACKENDS, each with its agent.
+start_backends() {
+  local line name kind service region labels slots
+  for line in "${BACKENDS[@]}"; do
+    read -r name kind service region labels slots <<<"$line"
+    case $kind in
+      engine) start_fake "$name-server" engine --models "$MODELS" --token-interval 4ms --slots "$slots" ;;
+      *) start_fake "$name-server" "$kind" --slots "$slots" --service-time 5ms --ledger-file "$RUN/$name.ledger" ;;
+    esac
+  done
+  for line in "${BACKENDS[@]}"; do
+    read -r name kind service region labels slots <<<"$line"
+    wait_file "$RUN/$name-server.addr"
+    start_agent "$name" "$service" "$region" "$region-1" "$(cat "$RUN/$name-server.addr")" "$labels" "$slots"
+  done
+  for line in "${BACKENDS[@]}"; do
+    read -r name kind service region labels slots <<<"$line"
+    wait_file "$RUN/$name.addr"
+    register_agent "$name" "$service" "$region" "$region-1" "$labels"
+  done
+}
+
+# start_entries starts an entry in each of the first two regions.
+start_entries() {
+  local region
+  for region in "${REGIONS[0]}" "${REGIONS[1]}"; do
+    start_entry "entry-$region" "$region" "$region-1"
+  done
+  for region in "${REGIONS[0]}" "${REGIONS[1]}"; do
+    wait_file "$RUN/entry-$region.addr"
+    register_entry "entry-$region" "$region" "$region-1"
+  done
+  CALLERS=$(address "$RUN/entry-${REGIONS[0]}.addr" callers)
+  OTHER=$(address "$RUN/entry-${REGIONS[1]}.addr" callers)
+  ADMIN=$(address "$RUN/entry-${REGIONS[0]}.addr" admin)
+  METRICS=$(address "$RUN/entry-${REGIONS[0]}.addr" metrics)
+}
