--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,8 +14,8 @@
 source "scripts/demo/$DEPLOYMENT.sh"
 
 trap cleanup EXIT
-trap 'exit 130' INT
-trap 'exit 143' TERM
+trap 'trap "" INT TERM; exit 130' INT
+trap 'trap "" INT TERM; exit 143' TERM
 
 BOOTSTRAP=$(printf %s "$OPERATOR_TOKEN" | sha256sum | cut -d' ' -f1)
 export VCTL_TOKEN=$OPERATOR_TOKEN
--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -13,7 +13,7 @@
 source "scripts/demo/$DEPLOYMENT.sh"
 
 trap cleanup EXIT
-trap 'exit 0' INT TERM
+trap 'trap "" INT TERM; exit 0' INT TERM
 
 BOOTSTRAP=$(printf %s "$OPERATOR_TOKEN" | sha256sum | cut -d' ' -f1)
 export VCTL_TOKEN=$OPERATOR_TOKEN
