caller API: a numbered answer to whatever cannot be served; answers no longer mix

Change: httpd answers 413, 431 or 400 with the one error body, refuses a body by its announced length, bounds the header lines, cuts what is sent in chunks into pieces; the caller API no longer redirects (a follower would send an order again) and sends no body on HEAD; certificates for the caller and admin APIs. Settings: every fault at once, one a line, with file, line and key.

--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -47,8 +47,6 @@
 	closeTimeout = 2 * time.Second
 	// entriesEvery is how often limits are divided anew among the live entries.
 	entriesEvery = time.Second
-	// bodySlack lets the API answer a body somewhat over the limit with a clear error; a longer one ends its connection.
-	bodySlack = 4
 	// adminWriteBuffer holds the documents of 19,000 teams.
 	adminWriteBuffer = 32 << 20
 )
@@ -192,17 +190,27 @@
 		Log:           e.log,
 		MaxBodyBytes:  s.Callers.MaxBodyBytes,
 	})
-	var group [3]error
+	var group [5]error
+	var callerCert, adminCert *httpd.Certificate
+	callerCert, group[3] = httpd.LoadCertificate(s.Callers.Server.Cert, s.Callers.Server.Key)
+	adminCert, group[4] = httpd.LoadCertificate(s.Admin.Server.Cert, s.Admin.Server.Key)
+	if err := errors.Join(group[:]...); err != nil {
+		return err
+	}
 	e.callers, group[0] = httpd.NewServer(httpd.Options{
 		Address:      s.Callers.Listen,
 		Handler:      e.router.NewHandler(),
-		MaxBodyBytes: bodySlack * s.Callers.MaxBodyBytes,
+		MaxBodyBytes: s.Callers.MaxBodyBytes,
+		Refuse:       e.router.Refuse,
+		Certificate:  callerCert,
 	})
 	e.admin, group[1] = httpd.NewServer(httpd.Options{
 		Address:      s.Admin.Listen,
 		Handler:      e.newAdmin(),
-		MaxBodyBytes: config.MaxValue * bodySlack * bodySlack,
+		MaxBodyBytes: admin.MaxBody,
 		WriteBuffer:  adminWriteBuffer,
+		Refuse:       admin.Refuse,
+		Certificate:  adminCert,
 	})
 	e.metrics, group[2] = stats.NewServer(s.Metrics.Listen, e.checkReady)
 	if err := errors.Join(group[:]...); err != nil {
--- a/entry/cmds/settings.go
+++ b/entry/cmds/settings.go
@@ -19,11 +19,14 @@
 	Listen netip.AddrPort
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int
+	// Server is the certificate; the platform's balancer may hold it in place of the entry.
+	Server setup.ServerCert
 }
 
 // Register declares the keys of the section.
 func (c *Callers) Register(fs *flag.FlagSet) {
 	fs.TextVar(&c.Listen, "callers.listen", netip.AddrPort{}, "`ip:port` of the caller API")
+	c.Server.Register(fs, "callers")
 	fs.IntVar(&c.MaxBodyBytes, "callers.max-body-bytes", defaultMaxBody, "longest request body in `bytes`")
 }
 
@@ -36,7 +39,7 @@
 	if c.MaxBodyBytes < 1 {
 		faults = append(faults, errs.New("callers.max-body-bytes: must be above 0"))
 	}
-	return faults
+	return append(faults, c.Server.Check("callers")...)
 }
 
 // Admin is the table [admin]: the operators' API.
@@ -46,21 +49,28 @@
 	BootstrapSHA256 string
 	// Linger is the shortest time between announcing a stop and stopping.
 	Linger time.Duration
+	Server setup.ServerCert
 }
 
 // Register declares the keys of the section.
 func (a *Admin) Register(fs *flag.FlagSet) {
 	fs.TextVar(&a.Listen, "admin.listen", netip.AddrPort{}, "`ip:port` of the operators' API")
 	fs.StringVar(&a.BootstrapSHA256, "admin.bootstrap-sha256", "", "SHA-256 `digest` in hex of the token that counts while no configuration exists; empty: none")
+	a.Server.Register(fs, "admin")
 	fs.DurationVar(&a.Linger, "admin.linger", time.Second, "shortest `time` from announcing a stop to stopping")
 }
 
 // Check returns the faults of the section.
 func (a *Admin) Check() []error {
+	faults := a.Server.Check("admin")
 	if !a.Listen.IsValid() {
-		return []error{errs.New("admin.listen: must be set to ip:port")}
+		faults = append(faults, errs.New("admin.listen: must be set to ip:port"))
+	}
+	// Operators' tokens must not cross a network in the clear.
+	if a.Server.Cert == "" && a.Listen.IsValid() && !a.Listen.Addr().IsLoopback() {
+		faults = append(faults, errs.New("admin.listen: %s needs admin.cert; plain is for loopback only", a.Listen))
 	}
-	return nil
+	return faults
 }
 
 // Routing is the table [routing].
--- a/entry/routers/admin/commands.go
+++ b/entry/routers/admin/commands.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// maxBody holds a first configuration of 19,000 teams.
-	maxBody     = 16 << 20
+	// MaxBody holds a first configuration of 19,000 teams.
+	MaxBody     = 16 << 20
 	maxSmall    = 64 << 10
 	maxProblems = 1000
 	comeBack    = time.Second
@@ -31,7 +31,7 @@
 		c.writeError(w, err)
 		return
 	}
-	options.Text, err = readBody(w, c, maxBody)
+	options.Text, err = readBody(w, c, MaxBody)
 	if err != nil {
 		c.writeError(w, err)
 		return
--- a/entry/routers/caller/caller.go
+++ b/entry/routers/caller/caller.go
@@ -5,8 +5,10 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"encoding/json"
 	"io"
 	"net/http"
+	"path"
 	"strings"
 	"time"
 
@@ -18,6 +20,7 @@
 	"verbenaroad.example/entry/services/walk"
 	"verbenaroad.example/share/models/config"
 	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/httpd"
 	"verbenaroad.example/share/modules/spans"
 )
 
@@ -34,6 +37,7 @@
 	eventStream     = "text/event-stream"
 	maxKeyBytes     = 255
 	maxHeaderBytes  = 4096
+	maxHeadersBytes = 32 << 10
 	requestIDBytes  = 12
 	minimumDeadline = time.Millisecond
 )
@@ -75,8 +79,24 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/pipelines/{pipeline}", r.serve(r.servePipeline))
 	mux.HandleFunc("/v1/services/{service}/{path...}", r.serve(r.serveService))
+	mux.HandleFunc("/v1/services/{service}", r.serveUnknown) // else the mux redirects it to the path with a slash
 	mux.HandleFunc("/", r.serveUnknown)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if !isPlainPath(request.URL.Path) {
+			r.serveUnknown(w, request)
+			return
+		}
+		mux.ServeHTTP(w, request)
+	})
+}
+
+// isPlainPath tells whether the mux leaves the path alone. It redirects any
+// other, and a caller that follows may send its order a second time.
+func isPlainPath(given string) bool {
+	if !strings.HasPrefix(given, "/") {
+		return false
+	}
+	return strings.TrimSuffix(path.Clean(given), "/") == strings.TrimSuffix(given, "/")
 }
 
 // visit is one request on its way through the API.
@@ -95,9 +115,21 @@
 
 type handler func(ctx context.Context, v *visit) *codes.Result
 
-func (r *Router) serveUnknown(w http.ResponseWriter, _ *http.Request) {
-	v := &visit{id: newRequestID(), writer: w, started: time.Now()}
-	r.writeResult(v, codes.NewResult(codes.UnknownRoute, "see the API's pages for its paths"))
+func (r *Router) serveUnknown(w http.ResponseWriter, request *http.Request) {
+	v := &visit{id: newRequestID(), writer: w, request: request, started: time.Now()}
+	w.Header().Set(HeaderRequestID, v.id)
+	r.finish(v, codes.NewResult(codes.UnknownRoute, "see docs/CALLER-API.md for methods and paths"))
+}
+
+// Refuse answers what the server could not hand to the router.
+func (r *Router) Refuse(reason httpd.Reason, detail string) (status int, body []byte) {
+	result := codes.NewResult(httpd.CodeOf(reason), detail)
+	r.results.add(result)
+	body, err := json.Marshal(newErrorBody(newRequestID(), result))
+	if err != nil {
+		body = nil
+	}
+	return codes.GetEntry(result.Code).Status, body
 }
 
 // serve does what all routes share: identity, limits, tracing and the final result.
@@ -153,9 +185,11 @@
 }
 
 func checkHeaders(header http.Header) *codes.Result {
+	total := 0
 	for name, values := range header {
 		for _, value := range values {
-			if len(value) > maxHeaderBytes {
+			total += len(name) + len(value)
+			if len(value) > maxHeaderBytes || total > maxHeadersBytes {
 				return codes.NewResult(codes.HeaderTooLarge, name+" is too long")
 			}
 		}
--- a/entry/routers/caller/results.go
+++ b/entry/routers/caller/results.go
@@ -43,18 +43,21 @@
 		seconds := int(math.Ceil(result.RetryAfter.Seconds()))
 		v.writer.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
-	_ = writeJSON(v.writer, codes.GetEntry(result.Code).Status, newErrorBody(v.id, result))
+	_ = v.writeJSON(codes.GetEntry(result.Code).Status, newErrorBody(v.id, result))
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) *codes.Result {
+func (v *visit) writeJSON(status int, body any) *codes.Result {
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return codes.NewResult(codes.Internal, err.Error())
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
-	w.WriteHeader(status)
-	_, _ = w.Write(encoded)
+	v.writer.Header().Set("Content-Type", "application/json")
+	v.writer.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+	v.writer.WriteHeader(status)
+	if v.request.Method == http.MethodHead {
+		return nil // a body would pass for the next answer of the connection
+	}
+	_, _ = v.writer.Write(encoded)
 	return nil
 }
 
--- a/entry/routers/caller/routes.go
+++ b/entry/routers/caller/routes.go
@@ -53,7 +53,7 @@
 	if result != nil {
 		return result
 	}
-	return writeJSON(v.writer, http.StatusOK, PipelineAnswer{
+	return v.writeJSON(http.StatusOK, PipelineAnswer{
 		RequestID: v.id,
 		Text:      answer.Text,
 		Documents: answer.Documents,
@@ -120,6 +120,8 @@
 	}
 	v.writer.Header().Set("Content-Type", answer.ContentType)
 	v.writer.WriteHeader(answer.Status)
-	_, _ = v.writer.Write(answer.Body)
+	if v.request.Method != http.MethodHead {
+		_, _ = v.writer.Write(answer.Body)
+	}
 	return nil
 }
--- /dev/null
+++ b/entry/routers/caller/world_test.go
@@ -0,0 +1,276 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/entry/routers/caller"
+	"verbenaroad.example/entry/services/calls"
+	"verbenaroad.example/entry/services/direct"
+	"verbenaroad.example/entry/services/fleet"
+	"verbenaroad.example/entry/services/policy"
+	"verbenaroad.example/entry/services/walk"
+	"verbenaroad.example/share/decide/claim"
+	"verbenaroad.example/share/decide/route"
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/httpd"
+	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/spans"
+	"verbenaroad.example/share/modules/wire"
+)
+
+const (
+	maxBody   = 64 << 10
+	floodPart = 32 << 10
+)
+
+// world is an entry's caller API on nbhttp before one agent behind a session.
+type world struct {
+	server  *httpd.Server
+	router  *caller.Router
+	session *link.Session
+	claims  map[string]claim.Stored
+
+	lock sync.Mutex
+	// got holds the calls that reached the agent.
+	got []*wire.Call
+	// flooded counts the bytes of endless answers; ended is closed when one could not go on.
+	flooded int
+	ended   chan struct{}
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{claims: map[string]claim.Stored{}, ended: make(chan struct{})}
+	w.connect(t)
+	tracer, err := spans.NewTracer(t.Context(), spans.Options{})
+	must(t, err)
+	budget := policy.NewPolicy()
+	runner := calls.NewRunner(calls.Options{Fleet: w, Configuration: w, Budget: budget, Tracer: tracer, Log: zap.NewNop()})
+	w.router = caller.NewRouter(caller.Options{
+		Configuration: w,
+		Walker:        walk.NewWalker(runner, budget, w, w),
+		Direct: direct.NewCaller(direct.Options{
+			Runner: runner, Policy: budget, Agents: w, Claims: w, Configuration: w, Log: zap.NewNop(),
+		}),
+		Doorman:      w,
+		Tracer:       tracer,
+		Log:          zap.NewNop(),
+		MaxBodyBytes: maxBody,
+	})
+	w.server, err = httpd.NewServer(httpd.Options{
+		Address:      netip.MustParseAddrPort("127.0.0.1:0"),
+		Handler:      w.router.NewHandler(),
+		MaxBodyBytes: maxBody,
+		Refuse:       w.router.Refuse,
+	})
+	must(t, err)
+	t.Cleanup(func() { _ = w.server.Shutdown(context.Background()) })
+	return w
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// connect opens a session to the agent.
+func (w *world) connect(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go w.runAgent(listener)
+	w.session, err = link.Dial(t.Context(), netip.MustParseAddrPort(listener.Addr().String()), newOptions("entry-1"))
+	must(t, err)
+	t.Cleanup(func() { _ = w.session.Close() })
+}
+
+func newOptions(name string) link.Options {
+	return link.Options{
+		Hello: &wire.Hello{Version: wire.Version, Name: name, Incarnation: "i1"},
+		Beat:  func() *wire.Beat { return &wire.Beat{Revision: 1} },
+	}
+}
+
+func (w *world) runAgent(listener net.Listener) {
+	conn, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	session, err := link.Accept(conn, newOptions("agent-1"))
+	if err != nil {
+		return
+	}
+	for {
+		stream, err := session.Accept()
+		if err != nil {
+			return
+		}
+		go w.runCall(stream)
+	}
+}
+
+func (w *world) runCall(stream net.Conn) {
+	defer func() { _ = stream.Close() }()
+	frame, err := wire.NewReader(stream).Next()
+	if err != nil || frame.GetCall() == nil {
+		return
+	}
+	call := frame.GetCall()
+	w.lock.Lock()
+	w.got = append(w.got, call)
+	w.lock.Unlock()
+	if strings.Contains(string(call.GetBody()), "endless") {
+		w.flood(stream)
+		return
+	}
+	text := []byte("data: {\"choices\":[{\"text\":\"spruce\"}]}\n\ndata: [DONE]\n\n")
+	_ = wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_Part{Part: &wire.Part{Data: text}}})
+	_ = wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_End{End: &wire.End{
+		RequestId: call.GetRequestId(), Stage: call.GetStage(), Attempt: call.GetAttempt(), Incarnation: "i1",
+		Outcome: string(codes.OutcomeRan), Status: http.StatusOK, ContentType: "text/plain", Bytes: uint64(len(text)),
+	}}})
+}
+
+// flood answers without end until the entry gives the call up.
+func (w *world) flood(stream net.Conn) {
+	defer close(w.ended)
+	go runWatch(stream)
+	piece := []byte("data: {\"choices\":[{\"text\":\"" + strings.Repeat("x", floodPart) + "\"}]}\n\n")
+	for {
+		if wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_Part{Part: &wire.Part{Data: piece}}}) != nil {
+			return
+		}
+		w.lock.Lock()
+		w.flooded += len(piece)
+		w.lock.Unlock()
+	}
+}
+
+// runWatch ends the writes of a call whose entry closed its end, as an agent does.
+func runWatch(stream net.Conn) {
+	_, _ = io.Copy(io.Discard, stream)
+	_ = stream.SetWriteDeadline(time.Now())
+}
+
+func (w *world) calls() []*wire.Call {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return append([]*wire.Call{}, w.got...)
+}
+
+// ChooseAgent always chooses the one agent.
+func (w *world) ChooseAgent(time.Time, fleet.ChooseOptions) (fleet.Attempt, *codes.Result) {
+	return fleet.Attempt{Choice: route.Choice{Name: "agent-1", Incarnation: "i1"}, Session: w.session}, nil
+}
+
+func (w *world) EndAttempt(time.Time, string, route.Ended) {}
+
+func (w *world) PredictWait(time.Time, fleet.ChooseOptions) (wait, run time.Duration, refusal *codes.Result) {
+	return 0, time.Millisecond, nil
+}
+
+func (w *world) AskAgent(context.Context, string, *wire.Ask) (*wire.Told, error) {
+	return &wire.Told{State: string(claim.ToldTombstoned)}, nil
+}
+
+func (w *world) GetClaim(_ context.Context, key string) (*claim.Stored, error) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if stored, found := w.claims[key]; found {
+		return &stored, nil
+	}
+	return nil, nil
+}
+
+func (w *world) SwapClaim(_ context.Context, key string, record claim.Record, index uint64) (bool, error) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if w.claims[key].Index != index {
+		return false, nil
+	}
+	w.claims[key] = claim.Stored{Record: record, Index: index + 1}
+	return true, nil
+}
+
+func (w *world) AdmitWork(string) bool { return true }
+
+func (w *world) EndWork(string) {}
+
+func (w *world) WaitRevision(context.Context, uint64) error { return nil }
+
+func (w *world) GetUsable(context.Context) (*config.Snapshot, *codes.Result) {
+	return config.NewSnapshot(1, config.Set{
+		Teams: []config.Team{
+			{Name: "kranj", TokenSHA256: []string{config.DigestToken("kranj-token")}, Priority: config.PriorityNormal, Weight: 1},
+		},
+		Pipelines: []config.Pipeline{{
+			Name: "notes", Deadline: config.Duration(20 * time.Second),
+			Stages: []config.Stage{{Name: "generate", Kind: config.StageGenerate, Service: "llm", Limit: 16}},
+		}},
+		Services: []config.Service{
+			{Name: "llm", Kind: config.ServiceEngine, Deadline: config.Duration(20 * time.Second)},
+			{Name: "orders", Kind: config.ServicePlain, Deadline: config.Duration(20 * time.Second), Routes: []config.ServiceRoute{
+				{Method: http.MethodPost, Path: "/orders"},
+				{Method: http.MethodGet, Path: "/orders/", Idempotent: true},
+				{Method: http.MethodHead, Path: "/orders/", Idempotent: true},
+			}},
+		},
+	}), nil
+}
+
+// answer is what came back on a connection of its own.
+type answer struct {
+	status int
+	header http.Header
+	text   string
+	error  caller.ErrorBody
+}
+
+// send writes raw bytes, so that also what no client library would send can be sent.
+func (w *world) send(t *testing.T, raw string) answer {
+	t.Helper()
+	conn, err := net.Dial("tcp", w.server.Address().String())
+	must(t, err)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
+	go runWrite(conn, raw)
+	method, _, _ := strings.Cut(raw, " ")
+	got, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	must(t, err)
+	text, err := io.ReadAll(got.Body)
+	must(t, err)
+	a := answer{status: got.StatusCode, header: got.Header, text: string(text)}
+	_ = json.Unmarshal(text, &a.error)
+	return a
+}
+
+// runWrite writes beside the reading: a refusal may come before all is written.
+func runWrite(conn net.Conn, raw string) {
+	_, _ = io.WriteString(conn, raw)
+}
+
+// request returns the bytes of a request with the team's token; more are further header lines.
+func request(method, path, body string, more ...string) string {
+	lines := []string{method + " " + path + " HTTP/1.1", "Host: a", "Authorization: Bearer kranj-token"}
+	if body != "" {
+		lines = append(lines, fmt.Sprintf("Content-Length: %d", len(body)))
+	}
+	lines = append(lines, more...)
+	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+}
--- a/share/modules/httpd/server.go
+++ b/share/modules/httpd/server.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/zeebo/errs"
@@ -25,8 +27,12 @@
 type Options struct {
 	Address netip.AddrPort
 	Handler http.Handler
-	// MaxBodyBytes bounds a request body; a longer one ends its connection.
+	// MaxBodyBytes bounds a request body, and with it what one connection can make the server hold.
 	MaxBodyBytes int
+	// Refuse answers what never becomes a request for the handler; nil: the connection just closes.
+	Refuse Refuse
+	// Certificate is the server's; nil: plain.
+	Certificate *Certificate
 	// WriteBuffer bounds what may wait for one slow reader.
 	WriteBuffer int
 }
@@ -41,11 +47,17 @@
 
 // Server is an nbhttp server.
 type Server struct {
+	options  Options
 	engine   *nbhttp.Engine
 	handler  http.Handler
 	listener net.Listener
 	done     chan struct{}
 
+	// opened counts connections. nbio hands one from the accepting goroutine to
+	// a polling one through the kernel, which the race detector cannot see; this
+	// is written before and read after it.
+	opened atomic.Uint64
+
 	lock sync.Mutex
 	// running holds the cancel function of each request whose handler has not returned.
 	running map[*http.Request]runningCall
@@ -63,18 +75,14 @@
 		options.WriteBuffer = DefaultWriteBuffer
 	}
 	s := &Server{
+		options: options,
 		handler: options.Handler,
 		done:    make(chan struct{}),
 		running: map[*http.Request]runningCall{},
 	}
-	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Network:            "tcp",
-		Addrs:              []string{options.Address.String()},
-		Listen:             s.listen,
-		Handler:            http.HandlerFunc(s.serve),
-		MaxHTTPBodySize:    options.MaxBodyBytes,
-		MaxWriteBufferSize: options.WriteBuffer,
-	})
+	s.engine = nbhttp.NewEngine(s.newConfig())
+	s.engine.OnOpen(s.takeOpen)
+	s.engine.OnData(s.takeData)
 	if err := s.engine.Start(); err != nil {
 		return nil, ErrServer.Wrap(err)
 	}
@@ -82,6 +90,33 @@
 	return s, nil
 }
 
+func (s *Server) newConfig() nbhttp.Config {
+	c := nbhttp.Config{
+		Network:            "tcp",
+		Listen:             s.listen,
+		Handler:            http.HandlerFunc(s.serve),
+		MaxHTTPBodySize:    s.options.MaxBodyBytes,
+		MaxWriteBufferSize: s.options.WriteBuffer,
+	}
+	if s.options.MaxBodyBytes > 0 {
+		// The parser keeps a body of known length until it is whole, and its own
+		// limit for that is 64 MB a connection.
+		c.ReadLimit = s.options.MaxBodyBytes + maxHeadBytes + readChunk
+	}
+	address := []string{s.options.Address.String()}
+	if s.options.Certificate == nil {
+		c.Addrs = address
+		return c
+	}
+	c.AddrsTLS = address
+	c.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*s.options.Certificate}}
+	return c
+}
+
+func (s *Server) takeOpen(net.Conn) {
+	s.opened.Add(1)
+}
+
 func (s *Server) listen(network, address string) (net.Listener, error) {
 	settings := net.ListenConfig{}
 	listener, err := settings.Listen(context.Background(), network, address)
@@ -139,7 +174,7 @@
 	s.running[r] = call
 	s.lock.Unlock()
 	defer s.forget(r)
-	s.handler.ServeHTTP(w, r)
+	s.handler.ServeHTTP(newPieceWriter(w), r)
 }
 
 func connOf(response *nbhttp.Response) closable {
@@ -147,6 +182,9 @@
 	if outer, ok := conn.(*nbhttp.Conn); ok {
 		conn = outer.Conn
 	}
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.Conn()
+	}
 	inner, _ := conn.(closable)
 	return inner
 }
--- a/share/modules/setup/load.go
+++ b/share/modules/setup/load.go
@@ -4,11 +4,13 @@
 package setup
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/pelletier/go-toml/v2/unstable"
 	"github.com/peterbourgon/ff/v3"
@@ -51,33 +53,58 @@
 	return fs
 }
 
-// Load fills the sections and returns every fault of the settings at once.
+// Faults are all faults of a process's settings.
+type Faults []error
+
+// Error joins the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, fault := range f {
+		lines = append(lines, fault.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load fills the sections and returns every fault of the settings at once, as
+// Faults, each with the file and line of its key where the file holds it.
 func Load(sections []Section, options Options) (Result, error) {
 	fs := NewFlagSet(options.Program, sections)
 	fs.SetOutput(options.Output)
 	result := Result{}
 	path := fs.String("config", "", "TOML `file` of settings")
 	fs.BoolVar(&result.CheckOnly, "check-config", false, "check the settings and exit")
-	file := &fileParser{}
+	file := &fileParser{flags: fs, lines: map[string]int{}}
 	err := ff.Parse(fs, options.Args,
 		ff.WithEnvVarPrefix("VERBENA"),
 		ff.WithConfigFileFlag("config"),
 		ff.WithConfigFileParser(file.parse),
 	)
-	var faults errs.Group
-	faults.Add(err)
-	faults.Add(prefixAll(*path, file.faults)...)
+	if errors.Is(err, flag.ErrHelp) {
+		return result, err
+	}
+	var faults Faults
+	if err != nil {
+		faults = append(faults, err)
+	}
+	for _, fault := range file.faults {
+		faults = append(faults, errs.New("%s:%v", *path, fault))
+	}
 	for _, s := range sections {
-		faults.Add(s.Check()...)
+		for _, fault := range s.Check() {
+			faults = append(faults, file.locate(*path, fault)...)
+		}
 	}
-	return result, ErrSetup.Wrap(faults.Err())
+	if len(faults) > 0 {
+		return result, faults
+	}
+	return result, nil
 }
 
 // LoadOrExit loads the settings and ends the process where there is nothing to run:
 // status 0 after --check-config or --help, 2 with every fault printed when the settings are unsound.
 func LoadOrExit(sections []Section, options Options) {
 	result, err := Load(sections, options)
-	if err != nil && strings.Contains(err.Error(), flag.ErrHelp.Error()) {
+	if errors.Is(err, flag.ErrHelp) {
 		os.Exit(0)
 	}
 	if err != nil {
@@ -91,22 +118,19 @@
 }
 
 func printFaults(options Options, err error) {
-	for _, line := range strings.Split(err.Error(), "; ") {
-		_, _ = fmt.Fprintf(options.Output, "%s: %s\n", options.Program, strings.TrimPrefix(line, "settings: "))
+	for _, line := range strings.Split(err.Error(), "\n") {
+		_, _ = fmt.Fprintf(options.Output, "%s: %s\n", options.Program, line)
 	}
 }
 
-func prefixAll(path string, faults []error) []error {
-	out := make([]error, 0, len(faults))
-	for _, fault := range faults {
-		out = append(out, errs.New("%s:%v", path, fault))
-	}
-	return out
-}
-
 // fileParser hands each key of a TOML file to ff and collects the faults instead of ending at the first.
 type fileParser struct {
+	flags  *flag.FlagSet
 	faults []error
+	// lines holds the line of each key of the file.
+	lines map[string]int
+	// bad holds the keys whose fault is told already.
+	bad map[string]bool
 }
 
 func (p *fileParser) parse(r io.Reader, set func(name, value string) error) error {
@@ -114,6 +138,7 @@
 	if err != nil {
 		return ErrSetup.Wrap(err)
 	}
+	p.bad = map[string]bool{}
 	parser := unstable.Parser{}
 	parser.Reset(data)
 	table := ""
@@ -124,17 +149,89 @@
 			table = key + "."
 			continue
 		}
-		line := lineOf(data, node)
-		if err := set(table+key, valueText(node.Value())); err != nil {
-			p.faults = append(p.faults, errs.New("%d: %s: %v", line, table+key, err))
-		}
+		p.take(table+key, lineOf(data, node), valueText(node.Value()), set)
 	}
 	if err := parser.Error(); err != nil {
-		p.faults = append(p.faults, errs.New("not TOML: %v", err))
+		p.faults = append(p.faults, errs.New("%d: not TOML: %v", failedLine(data, err), err))
 	}
 	return nil
 }
 
+// take sets one key. A key that stands twice is refused, since the second
+// would silently win over the first.
+func (p *fileParser) take(key string, line int, text string, set func(name, value string) error) {
+	first, twice := p.lines[key]
+	if twice {
+		p.report(key, line, errs.New("stands already in line %d", first))
+		return
+	}
+	p.lines[key] = line
+	known := p.flags.Lookup(key)
+	if known == nil {
+		p.report(key, line, errs.New("unknown key"))
+		return
+	}
+	if err := set(key, text); err != nil {
+		p.report(key, line, errs.New("%q: want %s", text, describeValue(known)))
+	}
+}
+
+func (p *fileParser) report(key string, line int, fault error) {
+	p.bad[key] = true
+	p.faults = append(p.faults, errs.New("%d: %s: %v", line, key, fault))
+}
+
+// locate puts file and line before a fault that begins with a key of the
+// file; one of a key that could not even be read is told already.
+func (p *fileParser) locate(path string, fault error) []error {
+	key, _, _ := strings.Cut(fault.Error(), ":")
+	if p.bad[key] {
+		return nil
+	}
+	if line, found := p.lines[key]; found {
+		return []error{errs.New("%s:%d: %v", path, line, fault)}
+	}
+	return []error{fault}
+}
+
+// describeValue says what a flag takes.
+func describeValue(f *flag.Flag) string {
+	unit, _ := flag.UnquoteUsage(f)
+	getter, _ := f.Value.(flag.Getter)
+	var value any
+	if getter != nil {
+		value = getter.Get()
+	}
+	switch value.(type) {
+	case time.Duration:
+		return "a duration with its unit, such as 250ms or 2s"
+	case int:
+		return "a whole number"
+	case float64:
+		return "a number"
+	case bool:
+		return "true or false"
+	}
+	if strings.HasPrefix(unit, "ip:port") {
+		return "ip:port with an IP number; host names are refused"
+	}
+	return unit
+}
+
+// failedLine returns the line at which the parser gave up, 1 where it doesn't say.
+func failedLine(data []byte, err error) int {
+	var failed *unstable.ParserError
+	if !errors.As(err, &failed) || len(failed.Highlight) == 0 {
+		return 1
+	}
+	for offset := range data {
+		if &data[offset] == &failed.Highlight[0] {
+			return 1 + strings.Count(string(data[:offset]), "\n")
+		}
+	}
+	return 1
+}
+
 func joinKey(node *unstable.Node) string {
 	parts := []string{}
 	for it := node.Key(); it.Next(); {
--- a/share/modules/setup/sections.go
+++ b/share/modules/setup/sections.go
@@ -81,9 +81,9 @@
 // Check returns the faults of the section.
 func (i *Instance) Check() []error {
 	faults := []error{}
-	for key, value := range map[string]string{"name": i.Name, "region": i.Region, "domain": i.Domain} {
-		if value == "" {
-			faults = append(faults, errs.New("instance.%s: must be set", key))
+	for _, must := range [][2]string{{"name", i.Name}, {"region", i.Region}, {"domain", i.Domain}} {
+		if must[1] == "" {
+			faults = append(faults, errs.New("instance.%s: must be set", must[0]))
 		}
 	}
 	return faults
--- a/share/modules/setup/secure.go
+++ b/share/modules/setup/secure.go
@@ -34,7 +34,7 @@
 		}
 	}
 	if set != 0 && set != 3 {
-		return []error{errs.New("tls: cert, key and authority go together")}
+		return []error{errs.New("tls.cert: cert, key and authority go together")}
 	}
 	return nil
 }
@@ -72,3 +72,24 @@
 		ClientAuth:   tls.RequireAndVerifyClientCert,
 	}, nil
 }
+
+// ServerCert is the certificate of one HTTP API, two keys of that API's table.
+type ServerCert struct {
+	// Cert and Key are PEM files; both or none.
+	Cert string
+	Key  string
+}
+
+// Register declares the two keys of a table.
+func (c *ServerCert) Register(fs *flag.FlagSet, table string) {
+	fs.StringVar(&c.Cert, table+".cert", "", "PEM `file` with the certificate of this API; empty: plain HTTP")
+	fs.StringVar(&c.Key, table+".key", "", "PEM `file` with its private key")
+}
+
+// Check returns the faults of the two keys.
+func (c *ServerCert) Check(table string) []error {
+	if (c.Cert == "") != (c.Key == "") {
+		return []error{errs.New("%s.cert: goes together with %s.key", table, table)}
+	}
+	return nil
+}
