--- /dev/null
+++ b/agent/cmds/settings_test.go
@@ -0,0 +1,110 @@
+package cmds_test
+
+import (
+	"flag"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pelletier/go-toml/v2"
+
+	"verbenaroad.example/agent/cmds"
+	"verbenaroad.example/share/modules/setup"
+)
+
+const example = "../example.toml"
+
+func load(path string, more ...string) (setup.Result, error) {
+	settings := &cmds.Settings{}
+	return setup.Load(settings.Sections(), setup.Options{
+		Program: "agent",
+		Args:    append([]string{"--config", path}, more...),
+		Output:  io.Discard,
+	})
+}
+
+// TestExampleHoldsEveryKey fails where a flag is not in the example, the
+// example has another value than the default, or a key that is none.
+func TestExampleHoldsEveryKey(t *testing.T) {
+	is := is.New(t)
+	result, err := load(example, "--check-config")
+	is.NoErr(err) // no unknown key, every value readable and in range
+	is.True(result.CheckOnly)
+	text, err := os.ReadFile(example)
+	is.NoErr(err)
+	tables := map[string]map[string]any{}
+	is.NoErr(toml.Unmarshal(text, &tables))
+	settings := &cmds.Settings{}
+	flags := setup.NewFlagSet("agent", settings.Sections())
+	flags.VisitAll(func(f *flag.Flag) {
+		table, key, _ := strings.Cut(f.Name, ".")
+		value, found := tables[table][key]
+		if !found {
+			t.Errorf("%s is not in the example", f.Name)
+			return
+		}
+		if f.DefValue == "" || f.DefValue == "invalid AddrPort" {
+			return // the example shows a value that must be set
+		}
+		given := *f
+		is.NoErr(given.Value.Set(toText(value)))
+		is.Equal(f.Name+"="+given.Value.String(), f.Name+"="+f.DefValue)
+	})
+}
+
+func toText(value any) string {
+	text, _ := toml.Marshal(map[string]any{"v": value})
+	return strings.Trim(strings.TrimPrefix(strings.TrimSpace(string(text)), "v = "), "'\"")
+}
+
+// An operator starts a process with a settings file that has several faults.
+// All of them are told at once, one a line, each with file, line and key.
+func TestEveryFaultIsToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile(example)
+	is.NoErr(err)
+	broken := strings.NewReplacer(
+		`store = "127.0.0.1:8500"`, `store = "kv.local:8500"`,
+		`list-every = "2s"`, `list-every = "2"`,
+		`grace = "30s"`, `grace = "-1s"`,
+		`level = "info"`, `level = "loud"`,
+		`region = "osrednja"`, `zone = "osrednja"`,
+		`share = 1.0`, `share = 7.5`,
+	).Replace(string(text))
+	path := filepath.Join(t.TempDir(), "broken.toml")
+	is.NoErr(os.WriteFile(path, []byte(broken), 0o600))
+	_, err = load(path)
+	is.True(err != nil)
+	lines := strings.Split(broken, "\n")
+	at := func(text string) string {
+		for i, line := range lines {
+			if strings.HasPrefix(line, text) {
+				return path + ":" + strconv.Itoa(i+1) + ": "
+			}
+		}
+		return "no line " + text
+	}
+	want := []string{
+		at("zone") + "instance.zone: unknown key",
+		at("store = ") + `platform.store: "kv.local:8500": want ip:port with an IP number; host names are refused`,
+		at("list-every") + `platform.list-every: "2": want a duration with its unit, such as 250ms or 2s`,
+		at("level") + `log.level: "loud" is none of debug, info, warn, error`,
+		at("share") + "trace.share: 7.5 is not from 0 to 1",
+		"instance.region: must be set",
+		at("grace") + "stop.grace: must not be negative",
+	}
+	is.Equal(err.Error(), strings.Join(want, "\n"))
+}
+
+func TestPlainSessionsAreForLoopback(t *testing.T) {
+	is := is.New(t)
+	_, err := load(example, "--peers.listen", "10.1.2.3:7000")
+	is.True(err != nil)
+	is.True(strings.HasSuffix(err.Error(), "peers.listen: 10.1.2.3:7000 needs [tls]; plain is for loopback only"))
+	_, err = load(example, "--peers.listen", "10.1.2.3:7000", "--tls.cert", "a", "--tls.key", "b", "--tls.authority", "c")
+	is.NoErr(err)
+}
--- a/share/modules/setup/sections.go
+++ b/share/modules/setup/sections.go
@@ -101,8 +101,11 @@
 	return strings.Join(parts, ",")
 }
 
-// Set reads key=value pairs with commas between them.
+// Set reads key=value pairs with commas between them; an empty text holds none.
 func (l LabelList) Set(text string) error {
+	if text == "" {
+		return nil
+	}
 	for _, part := range strings.Split(text, ",") {
 		key, value, found := strings.Cut(strings.TrimSpace(part), "=")
 		if !found || key == "" {
