--- a/mk/product.mk
+++ b/mk/product.mk
@@ -12,4 +12,4 @@
 
 .PHONY: docs
 docs: ## makes the generated pages anew
-	go run ./share/modules/codes/table > docs/RESULT-CODES.md
+	go test ./share/modules/codes -run TestPage -update
