--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -15,9 +15,12 @@
 	"verbenaroad.example/entry/services/calls"
 	"verbenaroad.example/entry/services/change"
 	"verbenaroad.example/entry/services/direct"
+	"verbenaroad.example/entry/services/explan"
 	"verbenaroad.example/entry/services/fleet"
 	"verbenaroad.example/entry/services/lookup"
 	"verbenaroad.example/entry/services/policy"
+	"verbenaroad.example/entry/services/settle"
+	"verbenaroad.example/entry/services/status"
 	"verbenaroad.example/entry/services/walk"
 	"verbenaroad.example/share/decide/drain"
 	"verbenaroad.example/share/decide/route"
@@ -44,8 +47,6 @@
 	closeTimeout = 2 * time.Second
 	// entriesEvery is how often limits are divided anew among the live entries.
 	entriesEvery = time.Second
-	// bodySlack lets the API answer a body somewhat over the limit with a clear error; a longer one ends its connection.
-	bodySlack = 4
 	// adminWriteBuffer holds the documents of 19,000 teams.
 	adminWriteBuffer = 32 << 20
 )
@@ -58,6 +59,7 @@
 	store    *kvapi.Client
 	port     *kvport.Port
 	follower *follow.Follower
+	board    *status.Board
 	fleet    *fleet.Fleet
 	policy   *policy.Policy
 	runner   *calls.Runner
@@ -106,12 +108,13 @@
 	e.stopper = stops.NewStopper(drain.Settings{Grace: s.Stop.Grace, Linger: min(s.Admin.Linger, s.Stop.Grace)})
 	e.policy = policy.NewPolicy()
 	e.follower = procs.NewFollower(s.Instance.Name, s.Instance.Domain, e.port, e, e.log)
+	e.board = status.NewBoard(e.follower)
 	e.fleet = fleet.NewFleet(fleet.Options{
 		Self:      e.describeSelf(),
 		ListEvery: s.Platform.ListEvery,
 		Route:     e.routeSettings,
 		List:      roster.NewClient(roster.Options{Address: s.Platform.List, CallTimeout: s.Platform.StoreTimeout}),
-		Watcher:   e.follower,
+		Watcher:   e.board,
 		Log:       e.log,
 		Link: link.Options{
 			Hello:       e.newHello(),
@@ -187,17 +190,27 @@
 		Log:           e.log,
 		MaxBodyBytes:  s.Callers.MaxBodyBytes,
 	})
-	var group [3]error
+	var group [5]error
+	var callerCert, adminCert *httpd.Certificate
+	callerCert, group[3] = httpd.LoadCertificate(s.Callers.Server.Cert, s.Callers.Server.Key)
+	adminCert, group[4] = httpd.LoadCertificate(s.Admin.Server.Cert, s.Admin.Server.Key)
+	if err := errors.Join(group[:]...); err != nil {
+		return err
+	}
 	e.callers, group[0] = httpd.NewServer(httpd.Options{
 		Address:      s.Callers.Listen,
 		Handler:      e.router.NewHandler(),
-		MaxBodyBytes: bodySlack * s.Callers.MaxBodyBytes,
+		MaxBodyBytes: s.Callers.MaxBodyBytes,
+		Refuse:       e.router.Refuse,
+		Certificate:  callerCert,
 	})
 	e.admin, group[1] = httpd.NewServer(httpd.Options{
 		Address:      s.Admin.Listen,
 		Handler:      e.newAdmin(),
-		MaxBodyBytes: config.MaxValue * bodySlack * bodySlack,
+		MaxBodyBytes: admin.MaxBody,
 		WriteBuffer:  adminWriteBuffer,
+		Refuse:       admin.Refuse,
+		Certificate:  adminCert,
 	})
 	e.metrics, group[2] = stats.NewServer(s.Metrics.Listen, e.checkReady)
 	if err := errors.Join(group[:]...); err != nil {
@@ -225,15 +238,32 @@
 func (e *Entry) newAdmin() *admin.Router {
 	reader := store.NewReader(e.port, store.DefaultPrefix)
 	writer := store.NewWriter(e.port, reader)
+	changes := change.NewService(writer, e.follower)
 	return admin.NewRouter(admin.Options{
-		Changes:         change.NewService(writer, e.follower),
+		Changes:         changes,
 		Lookups:         lookup.NewService(reader, e.follower),
 		Snapshots:       e.follower,
+		Statuses:        e.newStatus(),
+		Drains:          change.NewDrainService(changes, e.board),
+		Explanations:    explan.NewService(e.follower, e.fleet, e.board),
+		Claims:          settle.NewService(e.port, e.fleet, e.log),
 		BootstrapSHA256: e.settings.Admin.BootstrapSHA256,
 		Log:             e.logAdmin,
 	})
 }
 
+func (e *Entry) newStatus() *status.Service {
+	return status.NewService(status.Options{
+		Self:          e.settings.Instance.Name,
+		Board:         e.board,
+		Configuration: e.follower,
+		Accounts:      e.policy,
+		Ready:         e.checkReady,
+		Calls:         e.runner.GetCounts().GetReport,
+		Results:       e.router.GetResults().GetCounts,
+	})
+}
+
 func (e *Entry) logAdmin(event admin.Event) {
 	e.log.Info("admin-request",
 		zap.String("request-id", event.RequestID),
--- a/share/modules/httpd/shutdown.go
+++ b/share/modules/httpd/shutdown.go
@@ -46,6 +46,7 @@
 }
 
 func (s *Server) noteOpen(conn net.Conn) {
+	s.opened.Add(1)
 	if c, ok := conn.(closable); ok {
 		s.lock.Lock()
 		defer s.lock.Unlock()
--- a/share/modules/setup/sections.go
+++ b/share/modules/setup/sections.go
@@ -81,9 +81,9 @@
 // Check returns the faults of the section.
 func (i *Instance) Check() []error {
 	faults := []error{}
-	for key, value := range map[string]string{"name": i.Name, "region": i.Region, "domain": i.Domain} {
-		if value == "" {
-			faults = append(faults, errs.New("instance.%s: must be set", key))
+	for _, must := range [][2]string{{"name", i.Name}, {"region", i.Region}, {"domain", i.Domain}} {
+		if must[1] == "" {
+			faults = append(faults, errs.New("instance.%s: must be set", must[0]))
 		}
 	}
 	return faults
@@ -101,8 +101,11 @@
 	return strings.Join(parts, ",")
 }
 
-// Set reads key=value pairs with commas between them.
+// Set reads key=value pairs with commas between them; an empty text holds none.
 func (l LabelList) Set(text string) error {
+	if text == "" {
+		return nil
+	}
 	for _, part := range strings.Split(text, ",") {
 		key, value, found := strings.Cut(strings.TrimSpace(part), "=")
 		if !found || key == "" {
