vload: stand-ins of peers, a meter of processes, drafts of configurations

Control costs per process could not be measured against one size at a time. stand keeps many light peers in one process with real sessions and heartbeats, meter records processor time, memory, bytes and calls over windows, draft writes configurations of any size. Follower and expvar count heartbeats, list reads, adoption and fetched bytes.

--- a/share/modules/stats/stats.go
+++ b/share/modules/stats/stats.go
@@ -47,6 +47,7 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 	})
+	publishUsage()
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	s := &Server{server: server, listener: listener}
 	go s.run()
--- a/share/services/follow/fetch.go
+++ b/share/services/follow/fetch.go
@@ -104,6 +104,7 @@
 	if len(answer.GetChunks()) == 0 {
 		return nil, ErrFollow.New("peer %s has no configuration", peer)
 	}
+	f.meter.fetched.Add(sizeOf(answer))
 	first := answer.GetChunks()[0]
 	place := config.Place{Revision: answer.GetRevision(), Manifest: config.Hash(first.GetHash())}
 	manifest, err := config.DecodeManifest(place.Manifest, first.GetData())
@@ -114,7 +115,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return config.Load(old, place, manifest, chunks)
+	started := time.Now()
+	loaded, err := config.Load(old, place, manifest, chunks)
+	f.meter.adopting.Add(int64(time.Since(started)))
+	return loaded, err
 }
 
 func (f *Follower) fetchMissing(ctx context.Context, peer string, missing []config.Hash) ([]config.Chunk, error) {
@@ -129,6 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.meter.fetched.Add(sizeOf(answer))
 	chunks := make([]config.Chunk, 0, len(answer.GetChunks()))
 	for _, chunk := range answer.GetChunks() {
 		chunks = append(chunks, config.Chunk{Hash: config.Hash(chunk.GetHash()), Data: chunk.GetData()})
--- a/share/services/follow/follow.go
+++ b/share/services/follow/follow.go
@@ -68,6 +68,15 @@
 	FailedReads   uint64
 	// Busy is the processor-bound time that the control loop spent on events.
 	Busy time.Duration
+	// Adopting is the processor-bound time spent on decoding configurations from peers.
+	Adopting time.Duration
+	// BeatsSent and BeatsReceived count heartbeats, Lists the reads of the list of instances.
+	BeatsSent     uint64
+	BeatsReceived uint64
+	Lists         uint64
+	// FetchedBytes counts chunks and manifests received from peers, ServedBytes those given to peers.
+	FetchedBytes uint64
+	ServedBytes  uint64
 }
 
 // Follower owns the configuration of one process.
@@ -85,6 +94,7 @@
 	counts  Counts
 	// stopWatch is set while a watch is held; owned by loop.
 	stopWatch context.CancelFunc
+	meter     meter
 }
 
 // NewFollower returns a follower without a configuration.
@@ -128,7 +138,7 @@
 func (f *Follower) GetCounts() Counts {
 	f.lock.RLock()
 	defer f.lock.RUnlock()
-	return f.counts
+	return f.meter.addTo(f.counts)
 }
 
 // GetUsable returns the snapshot to decide under, or why there is none now. A
@@ -201,6 +211,7 @@
 	answer := &wire.Chunks{Revision: loaded.Place.Revision}
 	if len(fetch.GetHashes()) == 0 {
 		answer.Chunks = []*wire.Chunk{{Hash: string(loaded.Place.Manifest), Data: loaded.Manifest.Encode()}}
+		f.meter.served.Add(sizeOf(answer))
 		return answer
 	}
 	hashes := make([]config.Hash, 0, len(fetch.GetHashes()))
@@ -210,6 +221,7 @@
 	for _, chunk := range loaded.FindChunks(hashes) {
 		answer.Chunks = append(answer.Chunks, &wire.Chunk{Hash: string(chunk.Hash), Data: chunk.Data})
 	}
+	f.meter.served.Add(sizeOf(answer))
 	return answer
 }
 
--- a/share/services/procs/procs.go
+++ b/share/services/procs/procs.go
@@ -102,6 +102,12 @@
 	FailedFetches   uint64  `json:"failed-fetches"`
 	FailedReads     uint64  `json:"failed-reads"`
 	ControlBusySecs float64 `json:"control-busy-seconds"`
+	AdoptingSecs    float64 `json:"adopting-seconds"`
+	BeatsSent       uint64  `json:"beats-sent"`
+	BeatsReceived   uint64  `json:"beats-received"`
+	Lists           uint64  `json:"list-reads"`
+	FetchedBytes    uint64  `json:"fetched-bytes"`
+	ServedBytes     uint64  `json:"served-bytes"`
 	Teams           int     `json:"teams"`
 }
 
@@ -118,6 +124,12 @@
 		FailedFetches:   counts.FailedFetches,
 		FailedReads:     counts.FailedReads,
 		ControlBusySecs: counts.Busy.Seconds(),
+		AdoptingSecs:    counts.Adopting.Seconds(),
+		BeatsSent:       counts.BeatsSent,
+		BeatsReceived:   counts.BeatsReceived,
+		Lists:           counts.Lists,
+		FetchedBytes:    counts.FetchedBytes,
+		ServedBytes:     counts.ServedBytes,
 	}
 	if loaded := follower.GetLoaded(); loaded != nil {
 		report.Teams = len(loaded.Snapshot.Set.Teams)
--- a/vload/cmds/root.go
+++ b/vload/cmds/root.go
@@ -25,6 +25,9 @@
 			newCompareCommand(out),
 			newFitCommand(out),
 			newSampleCommand(out),
+			newStandCommand(out),
+			newMeterCommand(out),
+			newDraftCommand(out),
 		},
 		Exec: showHelp,
 	}
--- a/vload/services/sample/process.go
+++ b/vload/services/sample/process.go
@@ -118,3 +118,25 @@
 	}
 	return 0
 }
+
+// ReadMoved returns the bytes that the process has read and written by system
+// calls so far: sockets, and the little that it logs. Pages of mapped files are not among them.
+func ReadMoved(proc string, pid int) (int64, error) {
+	text, err := os.ReadFile(filepath.Join(proc, strconv.Itoa(pid), "io"))
+	if err != nil {
+		return 0, ErrSample.Wrap(err)
+	}
+	moved := int64(0)
+	for line := range strings.Lines(string(text)) {
+		name, value, _ := strings.Cut(line, ":")
+		if name != "rchar" && name != "wchar" {
+			continue
+		}
+		count, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+		if err != nil {
+			return 0, ErrSample.Wrap(err)
+		}
+		moved += count
+	}
+	return moved, nil
+}
