--- /dev/null
+++ b/share/modules/stats/usage_test.go
@@ -0,0 +1,19 @@
+package stats_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/share/modules/stats"
+)
+
+func TestUsageGrows(t *testing.T) {
+	is := is.New(t)
+	first := stats.GetUsage()
+	second := first
+	for second.ProcessorSeconds <= first.ProcessorSeconds {
+		second = stats.GetUsage()
+	}
+	is.True(second.Goroutines > 0)
+}
--- a/vload/cmds/root.go
+++ b/vload/cmds/root.go
@@ -28,6 +28,7 @@
 			newStandCommand(out),
 			newMeterCommand(out),
 			newDraftCommand(out),
+			newCapacityCommand(out),
 		},
 		Exec: showHelp,
 	}
--- a/vload/services/meter/meter.go
+++ b/vload/services/meter/meter.go
@@ -59,7 +59,6 @@
 // state is what has been used up to a moment.
 type state struct {
 	at        time.Time
-	processor float64
 	bytes     float64
 	resident  float64
 	figures   map[string]float64
--- /dev/null
+++ b/vload/services/sheet/series.go
@@ -0,0 +1,63 @@
+package sheet
+
+import (
+	"io/fs"
+
+	"verbenaroad.example/vload/services/slope"
+)
+
+// Series are measured points in CSV files of one directory.
+type Series struct {
+	files fs.FS
+}
+
+// NewSeries returns the series of a directory.
+func NewSeries(files fs.FS) *Series {
+	return &Series{files: files}
+}
+
+// points reads two columns of a series.
+func (s *Series) points(series, x, y string) (xs, ys []float64, err error) {
+	file, err := s.files.Open(series + ".csv")
+	if err != nil {
+		return nil, nil, ErrSheet.Wrap(err)
+	}
+	defer file.Close() //nolint:errcheck // the file was only read
+	xs, ys, err = slope.ReadPoints(file, x, y)
+	if err != nil {
+		return nil, nil, ErrSheet.New("series %s: %w", series, err)
+	}
+	return xs, ys, nil
+}
+
+// fit returns the line of y over x.
+func (s *Series) fit(series, x, y string) (slope.Line, error) {
+	xs, ys, err := s.points(series, x, y)
+	if err != nil {
+		return slope.Line{}, err
+	}
+	line, err := slope.Fit(xs, ys)
+	if err != nil {
+		return slope.Line{}, ErrSheet.New("series %s: %w", series, err)
+	}
+	return line, nil
+}
+
+// mean returns the mean of y over the points at one x.
+func (s *Series) mean(series, x string, at float64, y string) (float64, error) {
+	xs, ys, err := s.points(series, x, y)
+	if err != nil {
+		return 0, err
+	}
+	sum, count := 0.0, 0
+	for i := range xs {
+		if xs[i] == at {
+			sum += ys[i]
+			count++
+		}
+	}
+	if count == 0 {
+		return 0, ErrSheet.New("series %s has no point at %s = %v", series, x, at)
+	}
+	return sum / float64(count), nil
+}
