--- a/vload/services/meter/meter.go
+++ b/vload/services/meter/meter.go
@@ -58,12 +58,12 @@
 
 // state is what has been used up to a moment.
 type state struct {
-	at        time.Time
-	bytes     float64
-	resident  float64
-	figures   map[string]float64
-	store     calls
-	list      calls
+	at       time.Time
+	bytes    float64
+	resident float64
+	figures  map[string]float64
+	store    calls
+	list     calls
 }
 
 // calls are the counts of a stand-in's control address.
