--- a/vload/cmds/capacity.go
+++ b/vload/cmds/capacity.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"verbenaroad.example/vload/services/chart"
 	"verbenaroad.example/vload/services/sheet"
 )
 
@@ -17,6 +19,7 @@
 	page   string
 	series string
 	write  bool
+	plots  string
 }
 
 // newCapacityCommand returns the subcommand that works out a page's tables from measured series.
@@ -26,9 +29,10 @@
 	flags.StringVar(&c.page, "page", "docs/CAPACITY.md", "page with tables of lines and figures")
 	flags.StringVar(&c.series, "slopes", "docs/slopes", "directory of the measured series")
 	flags.BoolVar(&c.write, "write", false, "put the figures into the page instead of checking them")
+	flags.StringVar(&c.plots, "plots", "", "directory for a plot of each line, with --write; none: no plots")
 	return &ffcli.Command{
 		Name:       "capacity",
-		ShortUsage: "vload capacity [--page FILE] [--slopes DIR] [--write]",
+		ShortUsage: "vload capacity [--page FILE] [--slopes DIR] [--write [--plots DIR]]",
 		ShortHelp:  "works out every row of a page from measured series, and fails on a difference",
 		FlagSet:    flags,
 		Exec:       c.exec,
@@ -60,8 +64,26 @@
 }
 
 func (c *capacity) rewrite(page *sheet.Page, series *sheet.Series) error {
-	if _, err := sheet.Write(page, series); err != nil {
+	result, err := sheet.Write(page, series)
+	if err != nil {
 		return err
 	}
-	return ErrCommand.Wrap(os.WriteFile(c.page, []byte(page.String()), fileMode))
+	if err := os.WriteFile(c.page, []byte(page.String()), fileMode); err != nil {
+		return ErrCommand.Wrap(err)
+	}
+	if c.plots == "" {
+		return nil
+	}
+	for i := range result.Lines {
+		if err := c.draw(&result.Lines[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// draw plots one line under its series and column.
+func (c *capacity) draw(line *sheet.Line) error {
+	file := filepath.Join(c.plots, line.Series+"-"+line.YName+".svg")
+	return chart.Fit(line.X, line.Y, &line.Fit, line.XName, line.YName, file)
 }
--- a/vload/services/meter/meter.go
+++ b/vload/services/meter/meter.go
@@ -87,7 +87,7 @@
 		"process-seconds":   "process/processor-seconds",
 		"tokens-per-second": "verbena/tokens",
 		"calls-per-second":  "verbena/calls",
-		"session-bytes":     "verbena/session-bytes",
+		"store-failed":      "verbena/store/Failed",
 	}
 }
 
@@ -196,6 +196,7 @@
 		{"lists-per-second", rate("lists-per-second")},
 		{"tokens-per-second", rate("tokens-per-second")},
 		{"calls-per-second", rate("calls-per-second")},
+		{"store-failed-per-second", rate("store-failed")},
 		{"adopted", grown("adopted-total")},
 		{"fetched-bytes", grown("fetched-bytes")},
 		{"from-peer", grown("from-peer-total")},
--- a/vload/services/sheet/series.go
+++ b/vload/services/sheet/series.go
@@ -30,15 +30,17 @@
 	return xs, ys, nil
 }
 
-// fit returns the line of y over x.
-func (s *Series) fit(series, x, y string) (slope.Line, error) {
-	xs, ys, err := s.points(series, x, y)
+// fit returns the line of y over x with its points.
+func (s *Series) fit(series, x, y string) (Line, error) {
+	line := Line{Series: series, XName: x, YName: y}
+	var err error
+	line.X, line.Y, err = s.points(series, x, y)
 	if err != nil {
-		return slope.Line{}, err
+		return line, err
 	}
-	line, err := slope.Fit(xs, ys)
+	line.Fit, err = slope.Fit(line.X, line.Y)
 	if err != nil {
-		return slope.Line{}, ErrSheet.New("series %s: %w", series, err)
+		return line, ErrSheet.New("series %s: %w", series, err)
 	}
 	return line, nil
 }
--- a/vload/services/sheet/sheet.go
+++ b/vload/services/sheet/sheet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -39,7 +40,16 @@
 	write  bool
 	faults []string
 	// rows counts the rows worked out.
-	rows int
+	rows  int
+	lines []Line
+}
+
+// Line is a fitted line of a page with its points.
+type Line struct {
+	// Name is the row's; Series, XName and YName say where the points are from.
+	Name, Series, XName, YName string
+	X, Y                       []float64
+	Fit                        slope.Line
 }
 
 // Result is what became of a page.
@@ -47,6 +57,7 @@
 	Rows int
 	// Faults name the line of each difference.
 	Faults []string
+	Lines  []Line
 }
 
 // Check works out every row and reports the differences.
@@ -80,7 +91,7 @@
 			s.rows++
 		}
 	}
-	return Result{Rows: s.rows, Faults: s.faults}, nil
+	return Result{Rows: s.rows, Faults: s.faults, Lines: s.lines}, nil
 }
 
 // pick returns what works out the rows of a table, or nil for a table of prose.
@@ -101,12 +112,15 @@
 	if err != nil {
 		return err
 	}
-	for column, value := range figuresOf(&line) {
-		if r.get(column) != "" || s.write {
-			s.compare(r, column, value)
-		}
+	line.Name = r.get(columnName)
+	s.lines = append(s.lines, line)
+	for column, value := range figuresOf(&line.Fit) {
+		s.compare(r, column, value)
+	}
+	if err := s.define(line.Name, line.Fit.Slope); err != nil {
+		return err
 	}
-	return s.define(r.get(columnName), line.Slope, r.get(columnName)+baseSuffix, line.Intercept)
+	return s.define(line.Name+baseSuffix, line.Fit.Intercept)
 }
 
 func figuresOf(line *slope.Line) map[string]float64 {
@@ -120,18 +134,13 @@
 	}
 }
 
-// define gives figures their names; a name stands once on a page.
-func (s *Sheet) define(name string, value float64, more ...any) error {
+// define gives a figure its name; a name stands once on a page.
+func (s *Sheet) define(name string, value float64) error {
 	if _, taken := s.names[name]; taken {
 		return ErrSheet.New("the name %s stands twice", name)
 	}
 	s.names[name] = value
-	if len(more) == 0 {
-		return nil
-	}
-	second, _ := more[0].(string)
-	base, _ := more[1].(float64)
-	return s.define(second, base)
+	return nil
 }
 
 // workFigure works out the formula of a row and defines its name.
@@ -212,6 +221,9 @@
 
 // compare holds a cell against a figure.
 func (s *Sheet) compare(r *row, column string, value float64) {
+	if !slices.Contains(r.header, column) {
+		return
+	}
 	if s.write {
 		r.set(column, format(value))
 		return
