--- a/vload/services/stand/stand.go
+++ b/vload/services/stand/stand.go
@@ -25,6 +25,9 @@
 // silentBeats is how many heartbeats may be missing before a session counts as silent, as in the programs.
 const silentBeats = 3.5
 
+// registerTries bounds the calls for one registration.
+const registerTries = 5
+
 // confirmedAge is the age of the confirmation in every heartbeat.
 const confirmedAge = 600 * time.Millisecond
 
@@ -73,13 +76,26 @@
 	}
 	for i := range s.options.Listed {
 		instance := s.newInstance(member.RoleEntry, fmt.Sprintf("listed-%04d", i))
-		if err := s.list.RegisterInstance(ctx, instance); err != nil {
-			return ErrStand.Wrap(err)
+		if err := s.register(ctx, instance); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// register tries again where the list does not answer: on a busy machine one
+// call of a thousand ends without an answer, and registering twice does no harm.
+func (s *Stands) register(ctx context.Context, instance member.Instance) error {
+	err := s.list.RegisterInstance(ctx, instance)
+	for range registerTries - 1 {
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		err = s.list.RegisterInstance(ctx, instance)
+	}
+	return ErrStand.Wrap(err)
+}
+
 func (s *Stands) newInstance(role member.Role, name string) member.Instance {
 	return member.Instance{
 		Name:    name,
@@ -104,7 +120,7 @@
 	}
 	a := &acceptor{listener: listener, options: s.newLink(&instance)}
 	go a.loop(ctx)
-	return ErrStand.Wrap(s.list.RegisterInstance(ctx, instance))
+	return s.register(ctx, instance)
 }
 
 func (s *Stands) startEntry(ctx context.Context, i int) error {
@@ -114,7 +130,7 @@
 		return ErrStand.Wrap(err)
 	}
 	context.AfterFunc(ctx, func() { _ = session.Close() })
-	return ErrStand.Wrap(s.list.RegisterInstance(ctx, instance))
+	return s.register(ctx, instance)
 }
 
 // newLink returns a session's settings; its heartbeats are as long as those of the programs.
