fakes relay: the links between regions

Cause: the policy experiments need the latencies between regions and a region that is cut off, which no stand-in had.

--- a/fakes/cmds/main.go
+++ b/fakes/cmds/main.go
@@ -59,6 +59,7 @@
 			newService(log, output),
 			newPool(log, output),
 			newRegister(output),
+			newRelay(log, output),
 			newWeights(log, output),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- /dev/null
+++ b/fakes/services/relay/router.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"verbenaroad.example/fakes/modules/serve"
+)
+
+// Cut is the body of PUT /cut: the regions whose links carry nothing.
+type Cut struct {
+	Regions []string `json:"regions"`
+}
+
+// Stats is the answer of GET /stats.
+type Stats struct {
+	Bytes uint64 `json:"bytes"`
+}
+
+// NewRouter returns the Handler of the relay's control address.
+func (r *Relay) NewRouter() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /cut", r.putCut)
+	mux.HandleFunc("GET /stats", r.getStats)
+	return mux
+}
+
+// KindOf counts a call under its path.
+func KindOf(r *http.Request) string {
+	return r.URL.Path
+}
+
+func (r *Relay) putCut(w http.ResponseWriter, q *http.Request) {
+	var cut Cut
+	if err := json.NewDecoder(q.Body).Decode(&cut); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.SetCut(cut.Regions)
+	serve.WriteJSON(w, cut)
+}
+
+func (r *Relay) getStats(w http.ResponseWriter, _ *http.Request) {
+	serve.WriteJSON(w, Stats{Bytes: r.Bytes()})
+}
