entry, agent: what the decisions need is measured and passed on

Cause: queue.Item.Least was 0 at the agent, so calls began that could not end in time; route.Ended.Cached was always unknown, so the hit rate never fell; a preempted batch run ended its request; an agent whose backend server was gone refused at once, looked idle and went on being chosen; admission counted the batch work ahead of urgent work that overtakes it. Change: the gate follows the 0.75 quantile of run times by stage and gives it as Least, halved where no run confirmed it; cached tokens come from the usage in a stream's last event; preempted runs are sent again within the retry budget, and batch answers are held back until whole so that they can be; a refusal by an agent without its backend server counts as a fault; an attempt without a first piece for twice the p95 of its stage is given up on within the retry budget; admission takes the agent's own estimate for normal work and leaves urgent work to the queues. [admission] mode = off is the baseline.

--- a/agent/services/gate/gate.go
+++ b/agent/services/gate/gate.go
@@ -25,6 +25,8 @@
 	// queue and tickets are guarded by lock; each ticket waits or runs in queue.
 	queue   *queue.Queue
 	tickets map[string]*Ticket
+	// times is guarded by lock.
+	times *times
 }
 
 // Ticket is one call's place.
@@ -33,10 +35,14 @@
 	Queued time.Duration
 
 	item    queue.Item
+	stage   string
 	pushed  time.Time
+	started time.Time
 	verdict chan *codes.Result
 	// preempt ends the run in favour of a higher class; nil until the run starts.
 	preempt context.CancelCauseFunc
+	// preempted is set once preempt was called; the run's time then says nothing.
+	preempted bool
 }
 
 // NewGate returns a gate with an empty queue.
@@ -45,6 +51,7 @@
 		wake:    make(chan struct{}, 1),
 		queue:   queue.New(settings),
 		tickets: map[string]*Ticket{},
+		times:   newTimes(),
 	}
 }
 
@@ -53,9 +60,9 @@
 	go g.loop(ctx)
 }
 
-// Enter waits for a slot. A refusal is not run and never will be.
-func (g *Gate) Enter(ctx context.Context, item queue.Item) (*Ticket, *codes.Result) {
-	t := &Ticket{item: item, pushed: time.Now(), verdict: make(chan *codes.Result, 1)}
+// Enter waits for a slot; stage tells the measured times apart. A refusal is not run and never will be.
+func (g *Gate) Enter(ctx context.Context, stage string, item queue.Item) (*Ticket, *codes.Result) {
+	t := &Ticket{item: item, stage: stage, pushed: time.Now(), verdict: make(chan *codes.Result, 1)}
 	if refused := g.push(t); refused != nil {
 		return nil, refused
 	}
@@ -64,7 +71,8 @@
 		if refused != nil {
 			return nil, refused
 		}
-		t.Queued = time.Since(t.pushed)
+		t.started = time.Now()
+		t.Queued = t.started.Sub(t.pushed)
 		return t, nil
 	case <-ctx.Done():
 		g.abandon(t)
@@ -76,6 +84,7 @@
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	now := time.Now()
+	t.item.Least = g.times.expect(now, t.stage, t.item.Cost)
 	pushed := g.queue.Push(now, t.item)
 	if pushed.Refused != nil {
 		return pushed.Refused
@@ -146,6 +155,9 @@
 	defer g.lock.Unlock()
 	delete(g.tickets, t.item.ID)
 	now := time.Now()
+	if !t.preempted {
+		g.times.add(now, t.stage, t.item.Cost, now.Sub(t.started))
+	}
 	g.queue.Done(now, t.item.ID, cost)
 	g.pump(now)
 }
@@ -165,6 +177,7 @@
 			return
 		}
 		if t := g.tickets[item.ID]; t != nil && t.preempt != nil {
+			t.preempted = true
 			t.preempt(codes.NewResult(codes.Preempted, "gave way to higher priority"))
 		}
 	}
--- a/agent/services/intake/intake.go
+++ b/agent/services/intake/intake.go
@@ -141,7 +141,7 @@
 			return newEnd(refusal)
 		}
 	}
-	ticket, refusal := i.options.Gate.Enter(ctx, newItem(id, call, deadline))
+	ticket, refusal := i.options.Gate.Enter(ctx, call.GetStage(), newItem(id, call, deadline))
 	if refusal != nil {
 		i.options.Keeper.DropAttempt(call.GetClaimAttempt())
 		return newEnd(refusal)
--- a/entry/cmds/settings.go
+++ b/entry/cmds/settings.go
@@ -117,12 +117,14 @@
 	Callers  Callers
 	Admin    Admin
 	Routing  Routing
+	// Admission is the table [admission].
+	Admission Admission
 }
 
 // Sections lists the tables for loading and for checks of example files.
 func (s *Settings) Sections() []setup.Section {
 	return []setup.Section{
 		&s.Log, &s.Trace, &s.Instance, &s.Platform, &s.Stop,
-		&s.Secure, &s.Metrics, &s.Callers, &s.Admin, &s.Routing,
+		&s.Secure, &s.Metrics, &s.Callers, &s.Admin, &s.Routing, &s.Admission,
 	}
 }
--- a/entry/services/calls/attempt.go
+++ b/entry/services/calls/attempt.go
@@ -78,6 +78,8 @@
 	revision uint64
 	id       answer.ID
 	body     bytes.Buffer
+	tail     tail
+	watchdog *watchdog
 	// bytes counts what was received, end is set once the end record came.
 	bytes uint64
 	end   *wire.End
@@ -99,6 +101,8 @@
 	defer func() { _ = stream.Close() }()
 	stop := link.CloseOnDone(ctx, stream)
 	defer stop()
+	e.watchdog = e.watch(stream)
+	defer e.watchdog.stop()
 	if err := wire.WriteFrame(stream, e.newCall(ctx)); err != nil {
 		return nil, e.describe(ctx, err)
 	}
@@ -153,6 +157,10 @@
 
 func (e *exchange) takePart(part *wire.Part) *codes.Result {
 	e.bytes += uint64(len(part.GetData()))
+	e.watchdog.stop()
+	if e.run.call.Stream && len(e.run.call.Prefixes) > 0 {
+		e.tail.add(part.GetData())
+	}
 	if e.run.piece.IsZero() {
 		e.run.piece = time.Now()
 	}
@@ -187,7 +195,7 @@
 		case answer.Win:
 			return e.newAnswer(), nil
 		case answer.Fail:
-			return nil, &a.Result
+			return nil, withoutBackend(&a.Result)
 		case answer.Drop:
 			e.runner.counts.dropped.Add(1)
 		}
@@ -216,9 +224,25 @@
 	if ctx.Err() != nil {
 		return codes.NewResult(codes.Canceled, "the caller went away")
 	}
+	if e.watchdog.gaveUp() {
+		e.run.gaveUp = true
+		return impatient(e.run.call.Patience)
+	}
 	return codes.NewResult(codes.BackendLost, err.Error()).WithRetryAfter(retryHint)
 }
 
+// withoutBackend marks an agent whose backend server is gone as at fault. It
+// refuses at once and so looks idle: without a fault to its name it would be
+// chosen for every next call.
+func withoutBackend(result *codes.Result) *codes.Result {
+	if result.Code != codes.NoBackend {
+		return result
+	}
+	lost := *result
+	lost.Code = codes.BackendLost
+	return &lost
+}
+
 func resultOf(end *wire.End) *codes.Result {
 	return &codes.Result{
 		Code:       codes.Code(end.GetCode()),
@@ -235,7 +259,7 @@
 		Code:     codes.OK,
 		Prefixes: e.run.call.Prefixes,
 		Expected: e.chosen.Choice.ExpectedTokens,
-		Cached:   -1,
+		Cached:   e.tail.cachedTokens(),
 	}
 	if result != nil {
 		ended.Code = result.Code
--- /dev/null
+++ b/entry/services/calls/patience.go
@@ -0,0 +1,54 @@
+package calls
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"verbenaroad.example/share/decide/retry"
+	"verbenaroad.example/share/modules/codes"
+)
+
+// watchdog gives an attempt up that stays without a first piece for longer
+// than its stage takes, while there is time and budget for another. Without it
+// a call sent over a link that was just cut waits for its whole deadline: the
+// session's heartbeats need seconds to notice.
+type watchdog struct {
+	timer *time.Timer
+	fired atomic.Bool
+}
+
+// watch starts the watchdog of an attempt; nil where none is wanted.
+func (e *exchange) watch(stream net.Conn) *watchdog {
+	call := e.run.call
+	if call.Patience <= 0 || !call.Idempotent {
+		return nil
+	}
+	w := &watchdog{}
+	w.timer = time.AfterFunc(call.Patience, func() {
+		if e.runner.budget.AllowGiveUp(call.Service, retry.Open{
+			Idempotent: true,
+			Elapsed:    call.Patience,
+			Remaining:  time.Until(call.Deadline),
+			Need:       call.Patience,
+		}) {
+			w.fired.Store(true)
+			_ = stream.Close()
+		}
+	})
+	return w
+}
+
+func (w *watchdog) stop() {
+	if w != nil {
+		w.timer.Stop()
+	}
+}
+
+func (w *watchdog) gaveUp() bool {
+	return w != nil && w.fired.Load()
+}
+
+func impatient(patience time.Duration) *codes.Result {
+	return codes.NewResult(codes.BackendLost, "no answer within "+patience.String())
+}
--- a/entry/services/fleet/fleet.go
+++ b/entry/services/fleet/fleet.go
@@ -109,6 +109,8 @@
 	Caller   config.Labels
 	Stage    config.Labels
 	Budget   time.Duration
+	// Priority is the call's class; agents let higher classes pass.
+	Priority config.Priority
 	Prefixes []route.Prefix
 	Exclude  []string
 }
@@ -157,7 +159,22 @@
 	if err != nil {
 		return 0, 0, codes.NewResult(codes.NoBackend, err.Error())
 	}
-	return choice.Wait, choice.Service, nil
+	return waitOf(options.Priority, choice), choice.Service, nil
+}
+
+// waitOf returns the queue delay that admission counts for a class. What the
+// entry counts as ahead holds lower classes too, which agents let wait: urgent
+// work would be refused for the batch work that it overtakes. Its own class is
+// left to the agents, which refuse in time what cannot start.
+func waitOf(priority config.Priority, choice route.Choice) time.Duration {
+	switch priority {
+	case config.PriorityUrgent:
+		return 0
+	case config.PriorityNormal:
+		return min(choice.Wait, choice.Reported)
+	default:
+		return choice.Wait
+	}
 }
 
 // request is the routing request of the options; adoptRules goes before it.
--- a/entry/services/policy/policy.go
+++ b/entry/services/policy/policy.go
@@ -16,8 +16,27 @@
 // defaultRetryShare applies where a service's document names none.
 const defaultRetryShare = 0.1
 
+const (
+	// patienceFactor times the high quantile of the time to a first piece is when an attempt is given up on.
+	patienceFactor = 2
+	minPatience    = 100 * time.Millisecond
+)
+
+// Admission says what may begin.
+type Admission string
+
+// The modes of admission.
+const (
+	// AdmissionDeadline admits what is within its limits and can be done in time.
+	AdmissionDeadline Admission = "deadline"
+	// AdmissionOff is the baseline for experiments: everything begins.
+	AdmissionOff Admission = "off"
+)
+
 // Policy is one entry's.
 type Policy struct {
+	admission Admission
+
 	admitLock sync.Mutex
 	// admitter is guarded by admitLock.
 	admitter *admit.Admitter
@@ -33,11 +52,12 @@
 }
 
 // NewPolicy returns a policy without history.
-func NewPolicy() *Policy {
+func NewPolicy(admission Admission) *Policy {
 	return &Policy{
-		admitter: admit.New(admit.DefaultSettings()),
-		budgets:  map[string]*retry.Budget{},
-		ledger:   spend.New(spend.DefaultSettings()),
+		admission: admission,
+		admitter:  admit.New(admit.DefaultSettings()),
+		budgets:   map[string]*retry.Budget{},
+		ledger:    spend.New(spend.DefaultSettings()),
 	}
 }
 
@@ -55,6 +75,9 @@
 func (p *Policy) DecideAdmission(now time.Time, request admit.Request) admit.Decision {
 	p.admitLock.Lock()
 	defer p.admitLock.Unlock()
+	if p.admission == AdmissionOff {
+		return admit.Decision{Shares: p.admitter.Split(now, request.Remaining, request.Stages)}
+	}
 	return p.admitter.Decide(now, request)
 }
 
@@ -93,6 +116,40 @@
 	return p.budget(service).Decide(attempt, random)
 }
 
+// AllowGiveUp says whether an attempt that stays unanswered may be given up on
+// for another, and takes that one from the service's budget.
+func (p *Policy) AllowGiveUp(service string, open retry.Open) bool {
+	p.budgetLock.Lock()
+	defer p.budgetLock.Unlock()
+	b := p.budgets[service]
+	return b != nil && b.Hedge(open)
+}
+
+// GetPatience returns how long a first piece of the stage may take: a multiple
+// of a high quantile of what it took, and 0, for no bound, before that is known.
+func (p *Policy) GetPatience(now time.Time, key string) time.Duration {
+	if p.admission == AdmissionOff {
+		return 0
+	}
+	p.admitLock.Lock()
+	defer p.admitLock.Unlock()
+	_, high := p.admitter.Expect(now, admit.Stage{Key: firstKey(key)})
+	if high <= 0 {
+		return 0
+	}
+	return max(minPatience, patienceFactor*high)
+}
+
+// AddFirstPiece takes the time from sending a stage's call to its first piece.
+func (p *Policy) AddFirstPiece(now time.Time, key string, took time.Duration) {
+	p.admitLock.Lock()
+	defer p.admitLock.Unlock()
+	p.admitter.OnStage(now, firstKey(key), took)
+}
+
+// firstKey tells the times to the first piece from those of whole stages.
+func firstKey(key string) string { return key + "/first" }
+
 func (p *Policy) budget(service *config.Service) *retry.Budget {
 	name, share := "", defaultRetryShare
 	if service != nil {
@@ -103,7 +160,9 @@
 	}
 	b := p.budgets[name]
 	if b == nil {
-		b = retry.NewBudget(retry.DefaultSettings(share))
+		settings := retry.DefaultSettings(share)
+		settings.HedgeAfter = minPatience
+		b = retry.NewBudget(settings)
 		p.budgets[name] = b
 	}
 	return b
@@ -113,7 +172,7 @@
 // service's pool without the priority for it.
 func (p *Policy) CheckSpend(now time.Time, snapshot *config.Snapshot, service string, priority config.Priority, cost float64) *codes.Result {
 	pool := poolOf(snapshot, service)
-	if pool == "" {
+	if pool == "" || p.admission == AdmissionOff {
 		return nil
 	}
 	p.spendLock.Lock()
--- a/entry/services/walk/walk.go
+++ b/entry/services/walk/walk.go
@@ -50,6 +50,11 @@
 	Sink io.Writer
 }
 
+// holdsBack is set where the answer goes to the caller when it is whole. Batch
+// runs give way to higher classes while they run; a run whose pieces had gone
+// out already could not be sent again, and its request would end incomplete.
+func (q *Request) holdsBack() bool { return q.Priority == config.PriorityBatch }
+
 // StageReport says what one stage took.
 type StageReport struct {
 	Stage    string  `json:"stage"`
@@ -157,6 +162,7 @@
 func (w *Walker) chooseOptions(snapshot *config.Snapshot, q *Request, stage *config.Stage) fleet.ChooseOptions {
 	return fleet.ChooseOptions{
 		Service:  stage.Service,
+		Priority: q.Priority,
 		Snapshot: snapshot,
 		Caller:   match.CallerLabels(q.Team),
 		Stage:    match.StageLabels(q.Pipeline.Name, stage),
@@ -182,6 +188,8 @@
 		return nil, codes.NewResult(codes.Internal, err.Error()).WithOutcome(codes.OutcomeNotRun)
 	}
 	last := n == len(q.Pipeline.Stages)-1
+	forwards := last && q.Sink != nil && built.Stream
+	started := time.Now()
 	call := &calls.Call{
 		RequestID:    q.ID,
 		Stage:        stage.Name,
@@ -192,6 +200,7 @@
 		StageLabels:  match.StageLabels(q.Pipeline.Name, &stage),
 		Deadline:     q.Deadline,
 		Budget:       w.stageBudget(q, p, n),
+		Patience:     w.patience(started, q, p.stages[n].Key),
 		Cost:         p.costs[n],
 		Method:       built.Method,
 		Path:         built.Path,
@@ -200,11 +209,12 @@
 		Prefixes:     prefixesOf(built.Prompt),
 		Idempotent:   true,
 	}
-	if last && q.Sink != nil && built.Stream {
+	if forwards && !q.holdsBack() {
 		call.Sink = q.Sink
 	}
 	got, result := w.runner.Run(ctx, call)
-	w.account(ctx, q, p, n, got, result)
+	w.learn(p, n, started, got, result)
+	w.account(ctx, q, p, n, result)
 	if result != nil {
 		return nil, result
 	}
@@ -214,6 +224,9 @@
 	if call.Sink != nil {
 		return got, nil
 	}
+	if forwards {
+		return got, hand(q.Sink, got.Body)
+	}
 	if err := stages.TakeAnswer(stage.Kind, got.Body, state); err != nil {
 		return nil, codes.NewResult(codes.BackendFailed, stage.Name+": "+err.Error())
 	}
@@ -229,11 +242,44 @@
 	return shares[0]
 }
 
-func (w *Walker) account(ctx context.Context, q *Request, p *plan, n int, got *calls.Answer, result *codes.Result) {
+// patience is how long an attempt may stay without a first piece. Batch work
+// waits in queues by design, and giving it up would only move it to another.
+func (w *Walker) patience(now time.Time, q *Request, key string) time.Duration {
+	if q.Priority == config.PriorityBatch {
+		return 0
+	}
+	return w.policy.GetPatience(now, key)
+}
+
+// hand gives a whole answer to the caller's stream.
+func hand(sink io.Writer, body []byte) *codes.Result {
+	if _, err := sink.Write(body); err != nil {
+		return codes.NewResult(codes.Canceled, "the caller went away")
+	}
+	return nil
+}
+
+// learn takes the stage's times. One that was given up on at the deadline
+// counts with the time until then: left out, the slow ones would not show.
+func (w *Walker) learn(p *plan, n int, started time.Time, got *calls.Answer, result *codes.Result) {
 	now := time.Now()
+	key := p.stages[n].Key
 	if result == nil {
-		w.policy.AddStageTime(now, p.stages[n].Key, time.Duration(got.End.GetServiceNanos()))
+		w.policy.AddStageTime(now, key, time.Duration(got.End.GetServiceNanos()))
+		if got.Attempts == 1 && !got.FirstPiece.IsZero() {
+			w.policy.AddFirstPiece(now, key, got.FirstPiece.Sub(started))
+		}
+		return
+	}
+	if result.Code == codes.DeadlineExceeded && result.Outcome != codes.OutcomeNotRun {
+		took := now.Sub(started)
+		w.policy.AddStageTime(now, key, max(took-p.stages[n].Wait, 0))
+		w.policy.AddFirstPiece(now, key, took)
 	}
+}
+
+func (w *Walker) account(ctx context.Context, q *Request, p *plan, n int, result *codes.Result) {
+	now := time.Now()
 	if result != nil && result.Outcome == codes.OutcomeNotRun {
 		return
 	}
--- a/share/decide/retry/class.go
+++ b/share/decide/retry/class.go
@@ -21,7 +21,7 @@
 		return classifyNotRun(a.Code)
 	}
 	switch a.Code {
-	case codes.BackendFailed, codes.BackendLost, codes.AnswerIncomplete, codes.OutcomeNotKnown, codes.Internal:
+	case codes.BackendFailed, codes.BackendLost, codes.AnswerIncomplete, codes.OutcomeNotKnown, codes.Internal, codes.Preempted:
 		return classRan
 	default:
 		return classFinal
--- a/share/decide/retry/retry_test.go
+++ b/share/decide/retry/retry_test.go
@@ -45,6 +45,7 @@
 		{"order refused and claimed anew", with(notRun(codes.Draining), func(a *retry.Attempt) { a.Idempotent, a.Reclaimed = false, true }), retry.ActionResend, retry.ReasonNone, 0},
 		{"no time left", with(lost(), func(a *retry.Attempt) { a.Remaining = 104 * time.Millisecond }), retry.ActionStop, retry.ReasonDeadline, 0},
 		{"part delivered", with(lost(), func(a *retry.Attempt) { a.Delivered = true }), retry.ActionStop, retry.ReasonDelivered, 0},
+		{"preempted", with(lost(), func(a *retry.Attempt) { a.Code, a.Outcome = codes.Preempted, codes.OutcomeRan }), retry.ActionRetry, retry.ReasonNone, 1},
 		{"draining", notRun(codes.Draining), retry.ActionResend, retry.ReasonNone, 0},
 		{"newer revision", notRun(codes.NewerRevision), retry.ActionResend, retry.ReasonNone, 0},
 		{"overloaded", notRun(codes.Overloaded), retry.ActionResend, retry.ReasonNone, 1},
--- a/share/decide/route/choose.go
+++ b/share/decide/route/choose.go
@@ -41,6 +41,8 @@
 	// Wait and Service are the predicted queue delay and service time.
 	Wait    time.Duration
 	Service time.Duration
+	// Reported is the agent's own estimate of a normal call's queue delay, discounted by its age.
+	Reported time.Duration
 	// Fits is false when the prediction breaks the budget; admission may refuse then.
 	Fits bool
 	// ExpectedTokens of the prompt are believed to be cached there.
@@ -82,6 +84,7 @@
 		c = r.near(q, hint, random)
 	}
 	choice := r.choice(c, q, hint)
+	choice.Reported = time.Duration(c.agent.trust(now, r.settings.ReportHalfLife) * float64(c.agent.report.Wait))
 	r.resize(now, r.bestNear())
 	return choice, nil
 }
