entry/services/calls: tests of attempts that are given up on, refused or preempted

Cause: the stream of an attempt that was given up on is ended by its read deadline alone; closed, it waits for a peer that cannot be reached. Change: the deadline, and tests with a real session and an agent that does not answer, has no backend server, preempts, or reports cached tokens.

--- /dev/null
+++ b/entry/services/calls/calls_test.go
@@ -0,0 +1,219 @@
+package calls_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"verbenaroad.example/entry/services/calls"
+	"verbenaroad.example/entry/services/fleet"
+	"verbenaroad.example/entry/services/policy"
+	"verbenaroad.example/share/decide/route"
+	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/spans"
+	"verbenaroad.example/share/modules/wire"
+)
+
+const incarnation = "one"
+
+// agent answers each call with what reply returns; nil leaves it unanswered.
+type agent struct {
+	listener net.Listener
+	reply    func(attempt uint32) *wire.End
+	data     []byte
+}
+
+func newOptions(name string) link.Options {
+	return link.Options{
+		Hello: &wire.Hello{Version: wire.Version, Name: name},
+		Beat:  func() *wire.Beat { return &wire.Beat{} },
+	}
+}
+
+func (a *agent) run() {
+	conn, err := a.listener.Accept()
+	if err != nil {
+		return
+	}
+	session, err := link.Accept(conn, newOptions("agent"))
+	if err != nil {
+		return
+	}
+	for {
+		stream, err := session.Accept()
+		if err != nil {
+			return
+		}
+		a.answer(stream)
+	}
+}
+
+func (a *agent) answer(stream net.Conn) {
+	frame, err := wire.NewReader(stream).Next()
+	if err != nil {
+		return
+	}
+	call := frame.GetCall()
+	end := a.reply(call.GetAttempt())
+	if end == nil {
+		return
+	}
+	if end.GetCode() == uint32(codes.OK) {
+		_ = wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_Part{Part: &wire.Part{Data: a.data}}})
+		end.Bytes = uint64(len(a.data))
+	}
+	end.RequestId, end.Stage, end.Attempt, end.Incarnation = call.GetRequestId(), call.GetStage(), call.GetAttempt(), incarnation
+	_ = wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_End{End: end}})
+	_ = stream.Close()
+}
+
+// oneAgent is a fleet of one agent that notes how attempts ended.
+type oneAgent struct {
+	session *link.Session
+
+	lock  sync.Mutex
+	ended []route.Ended
+}
+
+func (f *oneAgent) ChooseAgent(time.Time, fleet.ChooseOptions) (fleet.Attempt, *codes.Result) {
+	return fleet.Attempt{Choice: route.Choice{Name: "llm-1", Incarnation: incarnation}, Session: f.session}, nil
+}
+
+func (f *oneAgent) EndAttempt(_ time.Time, _ string, ended route.Ended) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.ended = append(f.ended, ended)
+}
+
+// configuration is a fixed snapshot.
+type configuration struct{ snapshot *config.Snapshot }
+
+func (c configuration) GetUsable(context.Context) (*config.Snapshot, *codes.Result) {
+	return c.snapshot, nil
+}
+
+func (c configuration) WaitRevision(context.Context, uint64) error { return nil }
+
+func newRunner(t *testing.T, a *agent) (*calls.Runner, *oneAgent) {
+	t.Helper()
+	is := is.New(t)
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	a.listener = listener
+	go a.run()
+	session, err := link.Dial(t.Context(), netip.MustParseAddrPort(listener.Addr().String()), newOptions("entry"))
+	is.NoErr(err)
+	t.Cleanup(func() { _ = session.Close(); _ = listener.Close() })
+	tracer, err := spans.NewTracer(t.Context(), spans.Options{Program: "entry"})
+	is.NoErr(err)
+	set := config.Set{Services: []config.Service{{Name: "llm", RetryShare: 1}}}
+	f := &oneAgent{session: session}
+	return calls.NewRunner(calls.Options{
+		Fleet:         f,
+		Configuration: configuration{config.NewSnapshot(1, set)},
+		Budget:        policy.NewPolicy(policy.AdmissionDeadline),
+		Tracer:        tracer,
+		Log:           zap.NewNop(),
+	}), f
+}
+
+func newCall() *calls.Call {
+	return &calls.Call{
+		RequestID:  "r-1",
+		Stage:      "generate",
+		Service:    "llm",
+		Team:       &config.Team{Name: "kranj"},
+		Priority:   config.PriorityNormal,
+		Deadline:   time.Now().Add(time.Minute),
+		Idempotent: true,
+		Stream:     true,
+		Prefixes:   []route.Prefix{{Digest: 1, Tokens: 128}},
+	}
+}
+
+func ok() *wire.End { return &wire.End{Code: uint32(codes.OK), Outcome: string(codes.OutcomeRan)} }
+
+func TestRunReportsCachedTokens(t *testing.T) {
+	usage := `data: {"choices":[],"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":7}}}` + "\n\ndata: [DONE]\n\n"
+	cases := []struct {
+		name   string
+		data   string
+		cached int
+	}{
+		{"told in the last event", "data: {\"choices\":[{\"text\":\"a\"}]}\n\n" + usage, 7},
+		{"behind a long answer", "data: " + string(make([]byte, 8192)) + "\n\n" + usage, 7},
+		{"not told", "data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n", -1},
+		{"usage without details", "data: {\"usage\":{\"prompt_tokens\":9}}\n\n", -1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			runner, f := newRunner(t, &agent{reply: func(uint32) *wire.End { return ok() }, data: []byte(tc.data)})
+			got, result := runner.Run(t.Context(), newCall())
+			is.Equal(result, nil)
+			is.Equal(string(got.Body), tc.data)
+			is.Equal(f.ended[0].Cached, tc.cached)
+		})
+	}
+}
+
+// A caller gets a timeout though other agents idle: the link to the chosen
+// agent was cut, the call stays without an answer, and heartbeats notice only
+// after seconds. The attempt is given up on and its successor answers.
+func TestRunGivesUpOnSilentAttempt(t *testing.T) {
+	is := is.New(t)
+	runner, f := newRunner(t, &agent{data: []byte("whole"), reply: func(attempt uint32) *wire.End {
+		if attempt == 1 {
+			return nil
+		}
+		return ok()
+	}})
+	call := newCall()
+	call.Patience = 200 * time.Millisecond
+	got, result := runner.Run(t.Context(), call)
+	is.Equal(result, nil)
+	is.Equal(string(got.Body), "whole")
+	is.Equal(got.Attempts, 2)
+	is.Equal(f.ended[0].Code, codes.BackendLost) // the silent agent has a fault to its name
+	is.Equal(runner.GetCounts().GetReport().GivenUp, uint64(1))
+}
+
+// All callers fail for as long as one backend server is gone: its agent refuses
+// at once, so it has no calls outstanding and looks like the best choice.
+func TestRunCountsAgentWithoutBackendAsFaulty(t *testing.T) {
+	is := is.New(t)
+	runner, f := newRunner(t, &agent{data: []byte("whole"), reply: func(attempt uint32) *wire.End {
+		if attempt == 1 {
+			return &wire.End{Code: uint32(codes.NoBackend), Outcome: string(codes.OutcomeNotRun)}
+		}
+		return ok()
+	}})
+	got, result := runner.Run(t.Context(), newCall())
+	is.Equal(result, nil)
+	is.Equal(got.Attempts, 2)
+	is.True(route.IsFault(f.ended[0].Code))
+}
+
+// A batch caller gets an error for work that was accepted: its run gave way to
+// urgent work. It is sent again, and its answer is whole.
+func TestRunSendsPreemptedCallAgain(t *testing.T) {
+	is := is.New(t)
+	runner, _ := newRunner(t, &agent{data: []byte("whole"), reply: func(attempt uint32) *wire.End {
+		if attempt == 1 {
+			return &wire.End{Code: uint32(codes.Preempted), Outcome: string(codes.OutcomeRan)}
+		}
+		return ok()
+	}})
+	got, result := runner.Run(t.Context(), newCall())
+	is.Equal(result, nil)
+	is.Equal(string(got.Body), "whole")
+	is.Equal(got.Attempts, 2)
+}
--- a/entry/services/calls/patience.go
+++ b/entry/services/calls/patience.go
@@ -33,6 +33,8 @@
 			Need:       call.Patience,
 		}) {
 			w.fired.Store(true)
+			// A closed stream goes on waiting for the peer, which cannot be reached; only the deadline ends the read.
+			_ = stream.SetReadDeadline(time.Now())
 			_ = stream.Close()
 		}
 	})
