--- a/agent/services/intake/intake.go
+++ b/agent/services/intake/intake.go
@@ -143,7 +143,7 @@
 			return newEnd(refusal)
 		}
 	}
-	ticket, refusal := i.options.Gate.Enter(ctx, newItem(id, call, deadline))
+	ticket, refusal := i.options.Gate.Enter(ctx, call.GetStage(), newItem(id, call, deadline))
 	if refusal != nil {
 		i.options.Keeper.DropAttempt(call.GetClaimAttempt())
 		return newEnd(lateOr(ctx, refusal))
--- a/entry/services/calls/attempt.go
+++ b/entry/services/calls/attempt.go
@@ -77,6 +77,8 @@
 	revision uint64
 	id       answer.ID
 	body     bytes.Buffer
+	tail     tail
+	watchdog *watchdog
 	// bytes counts what was received, end is set once the end record came.
 	bytes uint64
 	end   *wire.End
@@ -96,9 +98,11 @@
 		return nil, codes.NewResult(codes.NoBackend, err.Error())
 	}
 	stop := link.CloseOnDone(ctx, stream)
+	e.watchdog = e.watch(stream)
 	got, result := e.converse(ctx, stream)
 	untouched := stop()
-	if untouched && e.end != nil {
+	quiet := e.watchdog.stop()
+	if untouched && quiet && e.end != nil {
 		e.chosen.Session.PutStream(stream)
 	} else {
 		_ = stream.Close()
@@ -160,6 +164,10 @@
 
 func (e *exchange) takePart(part *wire.Part) *codes.Result {
 	e.bytes += uint64(len(part.GetData()))
+	e.watchdog.stop()
+	if e.run.call.Stream && len(e.run.call.Prefixes) > 0 {
+		e.tail.add(part.GetData())
+	}
 	if e.run.piece.IsZero() {
 		e.run.piece = time.Now()
 	}
@@ -194,7 +202,7 @@
 		case answer.Win:
 			return e.newAnswer(), nil
 		case answer.Fail:
-			return nil, lateOr(ctx, &a.Result)
+			return nil, lateOr(ctx, withoutBackend(&a.Result))
 		case answer.Drop:
 			e.runner.counts.dropped.Add(1)
 		}
@@ -223,6 +231,10 @@
 	if ctx.Err() != nil {
 		return codes.NewResult(codes.Canceled, "the caller went away")
 	}
+	if e.watchdog.gaveUp() {
+		e.run.gaveUp = true
+		return impatient(e.run.call.Patience)
+	}
 	return codes.NewResult(codes.BackendLost, err.Error()).WithRetryAfter(retryHint)
 }
 
@@ -237,6 +249,18 @@
 	return late.WithOutcome(result.Outcome).WithRetryAfter(retryHint)
 }
 
+// withoutBackend marks an agent whose backend server is gone as at fault. It
+// refuses at once and so looks idle: without a fault to its name it would be
+// chosen for every next call.
+func withoutBackend(result *codes.Result) *codes.Result {
+	if result.Code != codes.NoBackend {
+		return result
+	}
+	lost := *result
+	lost.Code = codes.BackendLost
+	return &lost
+}
+
 func resultOf(end *wire.End) *codes.Result {
 	return &codes.Result{
 		Code:       codes.Code(end.GetCode()),
@@ -253,7 +277,7 @@
 		Code:     codes.OK,
 		Prefixes: e.run.call.Prefixes,
 		Expected: e.chosen.Choice.ExpectedTokens,
-		Cached:   -1,
+		Cached:   e.tail.cachedTokens(),
 	}
 	if result != nil {
 		ended.Code = result.Code
