tests: the stand-in agent serves its streams as agents do; example of [admission]

Cause: the stand-in agent of entry/services/calls closed each stream after one call; since streams are used again the next attempt met a closed one (3 attempts where 2 were wanted). The assertions stand as they were.

--- a/entry/routers/caller/world_test.go
+++ b/entry/routers/caller/world_test.go
@@ -58,7 +58,7 @@
 	w.connect(t)
 	tracer, err := spans.NewTracer(t.Context(), spans.Options{})
 	must(t, err)
-	budget := policy.NewPolicy()
+	budget := policy.NewPolicy(policy.AdmissionDeadline)
 	runner := calls.NewRunner(calls.Options{Fleet: w, Configuration: w, Budget: budget, Tracer: tracer, Log: zap.NewNop()})
 	w.router = caller.NewRouter(caller.Options{
 		Configuration: w,
--- a/entry/services/calls/calls_test.go
+++ b/entry/services/calls/calls_test.go
@@ -52,15 +52,24 @@
 		if err != nil {
 			return
 		}
-		a.answer(stream)
+		go a.runStream(stream)
 	}
 }
 
-func (a *agent) answer(stream net.Conn) {
-	frame, err := wire.NewReader(stream).Next()
-	if err != nil {
-		return
+// runStream answers one call after the other, as agents do.
+func (a *agent) runStream(stream net.Conn) {
+	defer func() { _ = stream.Close() }()
+	reader := wire.NewReader(stream)
+	for {
+		frame, err := reader.Next()
+		if err != nil {
+			return
+		}
+		a.answer(stream, frame)
 	}
+}
+
+func (a *agent) answer(stream net.Conn, frame *wire.Frame) {
 	call := frame.GetCall()
 	end := a.reply(call.GetAttempt())
 	if end == nil {
@@ -72,7 +81,6 @@
 	}
 	end.RequestId, end.Stage, end.Attempt, end.Incarnation = call.GetRequestId(), call.GetStage(), call.GetAttempt(), incarnation
 	_ = wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_End{End: end}})
-	_ = stream.Close()
 }
 
 // oneAgent is a fleet of one agent that notes how attempts ended.
