--- a/mk/product.mk
+++ b/mk/product.mk
@@ -13,3 +13,10 @@
 .PHONY: docs
 docs: ## makes the generated pages anew
 	go test ./share/modules/codes -run TestPage -update
+
+# Pages lie outside the modules, so that the cache of test results does not see them change.
+.PHONY: check-pages
+check-pages: ## checks pages and example files against the code
+	go test -count=1 -run 'Page|Example|Deploy' ./share/models/config ./share/modules/codes ./vctl/cmds ./entry/cmds ./agent/cmds
+
+unit: check-pages
--- a/share/modules/codes/page_test.go
+++ b/share/modules/codes/page_test.go
@@ -32,7 +32,7 @@
 | outcome | idempotent call | call with an Idempotency-Key |
 |---|---|---|
 | ` + "`not-run`" + ` | send again, after retry-after where it is given | send again with the same key |
-| ` + "`ran`" + ` | send again if the answer is still wanted | send again with the same key: the kept answer comes back |
+| ` + "`ran`" + ` | send again if the answer is still wanted | send again with the same key: it does not run twice; a kept answer comes back |
 | ` + "`unknown`" + ` | send again | send again with the same key; never with a new one |
 `
 
--- a/share/modules/httpd/refuse.go
+++ b/share/modules/httpd/refuse.go
@@ -180,16 +180,23 @@
 }
 
 func (s *Server) writeRefusal(parser *nbhttp.Parser, reason Reason, err error) {
-	detail := string(reason)
-	if err != nil {
-		detail = err.Error()
-	}
-	status, body := s.options.Refuse(reason, detail)
+	status, body := s.options.Refuse(reason, s.describe(reason, err))
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
 		status, http.StatusText(status), len(body))
 	_, _ = parser.Conn.Write(append([]byte(head), body...))
 }
 
+func (s *Server) describe(reason Reason, err error) string {
+	switch reason {
+	case ReasonHeadTooLong:
+		return fmt.Sprintf("the header lines are over %d bytes", maxHeadBytes)
+	case ReasonBodyTooLong:
+		return fmt.Sprintf("the body is over %d bytes", s.options.MaxBodyBytes)
+	default:
+		return fmt.Sprintf("not HTTP: %v", err)
+	}
+}
+
 // isRunning tells whether a request of the connection is with its handler.
 func (s *Server) isRunning(c *nbio.Conn) bool {
 	s.lock.Lock()
--- /dev/null
+++ b/vctl/cmds/page_test.go
@@ -0,0 +1,83 @@
+package cmds_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/vctl/cmds"
+)
+
+// findCommands returns the command lines of vctl on a page: indented lines, with or without a prompt.
+func findCommands(t *testing.T, page string) []string {
+	t.Helper()
+	text, err := os.ReadFile(page)
+	is.New(t).NoErr(err)
+	command := regexp.MustCompile(`(?m)^ {4,}(?:\$ )?vctl ([a-z].*)$`)
+	var found []string
+	for _, match := range command.FindAllStringSubmatch(string(text), -1) {
+		// A line without a prompt is a command; with "vctl:" it is what vctl printed.
+		found = append(found, match[1])
+	}
+	return found
+}
+
+// splitLine splits as a shell does, as far as the pages need it.
+func splitLine(line string) []string {
+	word := regexp.MustCompile(`"[^"]*"|[^\s"]+`)
+	args := word.FindAllString(line, -1)
+	for i := range args {
+		args[i] = strings.Trim(args[i], `"`)
+	}
+	return args
+}
+
+// refuseAll answers every request, so that each command gets as far as its own checks let it.
+func refuseAll(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusNotFound)
+	_, _ = io.WriteString(w, `{"code":4006,"name":"not-found","outcome":"not-run"}`)
+}
+
+// TestPagesParse runs every vctl line of the pages as far as the server's
+// answer: a subcommand, flag or argument that is none ends with the usage code.
+func TestPagesParse(t *testing.T) {
+	for _, page := range []string{"OPERATING.md", "CONFIGURATION.md", "CALLER-API.md", "decisions/drain-command.md"} {
+		lines := findCommands(t, "../../docs/"+page)
+		if page == "OPERATING.md" && len(lines) < 15 {
+			t.Errorf("%s: %d commands found", page, len(lines))
+		}
+		for _, line := range lines {
+			t.Run(page+" "+line, func(t *testing.T) { checkLine(t, line) })
+		}
+	}
+}
+
+func checkLine(t *testing.T, line string) {
+	listening := httptest.NewServer(http.HandlerFunc(refuseAll))
+	defer listening.Close()
+	directory := t.TempDir()
+	args := splitLine(strings.Split(line, "  ")[0])
+	for i, arg := range args {
+		switch {
+		case strings.HasSuffix(arg, ".toml"):
+			args[i] = filepath.Join(directory, "documents.toml")
+			is.New(t).NoErr(os.WriteFile(args[i], []byte(operator+team), 0o600))
+		case i > 0 && args[i-1] == "--server":
+			args[i] = listening.Listener.Addr().String()
+		case i > 0 && args[i-1] == "--ca-file":
+			args[i-1], args[i] = "--timeout", "10s" // the stand-in speaks plain HTTP
+		}
+	}
+	t.Setenv("VCTL_SERVER", listening.Listener.Addr().String())
+	r := run(t, args...)
+	if r.code == cmds.ExitUsage {
+		t.Errorf("vctl %s: %s", line, r.err)
+	}
+}
