--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -6,7 +6,9 @@
 cd "$(dirname "$0")/.."
 DEPLOYMENT=${1:-ljubljana}
 RUN=$(mktemp -d)
-AGENT_FLAGS=() ENTRY_FLAGS=()
+# Further flags of every agent and entry, for trials.
+read -ra AGENT_FLAGS <<<"${AGENT_FLAGS:-}"
+read -ra ENTRY_FLAGS <<<"${ENTRY_FLAGS:-}"
 # shellcheck source=scripts/lib.sh
 source scripts/lib.sh
 # shellcheck source=/dev/null
