--- a/agent/cmds/settings_test.go
+++ b/agent/cmds/settings_test.go
@@ -108,3 +108,18 @@
 	_, err = load(example, "--peers.listen", "10.1.2.3:7000", "--tls.cert", "a", "--tls.key", "b", "--tls.authority", "c")
 	is.NoErr(err)
 }
+
+// TestDeployments checks the settings that stand as examples in deploy/.
+func TestDeployments(t *testing.T) {
+	is := is.New(t)
+	files, err := filepath.Glob("../../deploy/*/settings/agent*.toml")
+	is.NoErr(err)
+	is.True(len(files) >= 2)
+	for _, file := range files {
+		t.Run(file, func(t *testing.T) {
+			_, err := load(file)
+			is := is.New(t)
+			is.NoErr(err)
+		})
+	}
+}
--- a/entry/cmds/settings_test.go
+++ b/entry/cmds/settings_test.go
@@ -109,3 +109,18 @@
 	is.True(err != nil)
 	is.True(strings.HasSuffix(err.Error(), "callers.cert: goes together with callers.key"))
 }
+
+// TestDeployments checks the settings that stand as examples in deploy/.
+func TestDeployments(t *testing.T) {
+	is := is.New(t)
+	files, err := filepath.Glob("../../deploy/*/settings/entry*.toml")
+	is.NoErr(err)
+	is.True(len(files) >= 2)
+	for _, file := range files {
+		t.Run(file, func(t *testing.T) {
+			_, err := load(file)
+			is := is.New(t)
+			is.NoErr(err)
+		})
+	}
+}
--- a/vctl/cmds/cmds_test.go
+++ b/vctl/cmds/cmds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -205,3 +206,42 @@
 	is.Equal(s.requests[1], "GET /admin/v1/claims/kranj/a%2Fb?")
 	is.True(strings.Contains(r.out, `"state": "done"`))
 }
+
+func TestDrainWaitsUntilNothingRuns(t *testing.T) {
+	is := is.New(t)
+	const accepted = `{"verdict":"accepted","change-id":"d1","revision":8}`
+	status := func(state string, revision, running int) answer {
+		return answer{status: 200, body: fmt.Sprintf(`{"instances":[{"name":"llm-2","state":%q,"revision":%d,"running":%d}]}`, state, revision, running)}
+	}
+	s, address := startServer(t, answer{status: 200, body: accepted},
+		status("connected", 7, 0), status("drained", 7, 0), status("drained", 8, 2), answer{status: 503, body: "{}"}, status("drained", 8, 0))
+	r := run(t, "drain", "--server", address, "--change-id", "d1", "--wait", "llm-2")
+	is.Equal(r.code, cmds.ExitOK)
+	is.Equal(s.requests[0], "POST /admin/v1/drains/llm-2?")
+	is.Equal(s.bodies[0], `{"change-id":"d1"}`)
+	is.Equal(len(s.requests), 6)
+
+	_, address = startServer(t, answer{status: 200, body: accepted}, status("drained", 8, 1), status("drained", 8, 1), status("drained", 8, 1))
+	r = run(t, "drain", "--server", address, "--wait", "--timeout", "1200ms", "llm-2")
+	is.Equal(r.code, cmds.ExitRefused)
+	is.True(strings.Contains(r.err, "still runs work"))
+}
+
+func TestStatusAndExplainTables(t *testing.T) {
+	is := is.New(t)
+	_, address := startServer(t,
+		answer{status: 200, body: `{"instance":"entry-1","revision":3,"confirmed-age":"1s","use":"ready","instances":[{"name":"llm-1","state":"drained","wait":"2ms"}],"pools":[{"name":"gpu","window":"55s","idle":40}],"teams":[{"pool":"gpu","stage":"notes/generate","team":"kranj"}],"stages":[{"stage":"llm/generate","runs":2,"busy":"1s"}],"results":[{"name":"ok","count":2}]}`},
+		answer{status: 200, body: `{"revision":3,"team":"kranj","stages":[{"pipeline":"notes","stage":"generate","service":"llm","servers":[{"instance":"llm-1","chosen":true,"rank":1,"score":"3ms","rules":[{"rule":"near","effect":"prefer","matched":true},{"rule":"far","effect":"require"}]},{"instance":"llm-2","reason":"forbidden","rules":[{"rule":"x","effect":"forbid","matched":true,"drops":true}]}]}]}`},
+		answer{status: 200, body: `{"revision":3}`})
+	r := run(t, "status", "--server", address)
+	for _, want := range []string{"entry-1: revision 3, confirmed 1s ago, ready", "drained", "55s", "notes/generate", "ok      2"} {
+		is.True(strings.Contains(r.out, want))
+	}
+	r = run(t, "explain", "--server", address, "--team", "kranj", "--pipeline", "notes")
+	for _, want := range []string{"pipeline notes, stage generate, service llm", "+near(prefer) -far(require)", "forbidden", "!x(forbid)"} {
+		is.True(strings.Contains(r.out, want))
+	}
+	is.Equal(run(t, "explain", "--server", address, "--team", "kranj").code, cmds.ExitUsage)
+	r = run(t, "explain", "--server", address, "--team", "kranj", "--service", "orders", "--output", "json")
+	is.True(strings.Contains(r.out, `"revision": 3`))
+}
--- a/vctl/cmds/label.go
+++ b/vctl/cmds/label.go
@@ -45,7 +45,8 @@
 	if err != nil {
 		return newUsageError("%v", err)
 	}
-	return a.sendChange(ctx, request{method: http.MethodPost, path: "/admin/v1/labels", body: body, command: true}, change.ChangeID)
+	_, err = a.sendChange(ctx, request{method: http.MethodPost, path: "/admin/v1/labels", body: body, command: true}, change.ChangeID)
+	return err
 }
 
 // tellChangeID adds the id with which to ask again to an unknown outcome.
