a call tells its agent the entry's revision and confirmation

Cause: an agent that a call found behind waited for the entry's next heartbeat (up to 1 s) to learn where the new configuration is, and then for a read of the key-value service to confirm it. Ruled out: the fetch itself (12 ms). Change: the call names the revision's confirmation and the last heartbeat of the agent, so that a call which lay in a buffer while the agent was frozen confirms nothing; the agent fetches from the entry at once. Sessions without TLS are refused beyond loopback at the dialing end as well.

--- a/agent/services/intake/intake.go
+++ b/agent/services/intake/intake.go
@@ -109,6 +109,8 @@
 
 func (i *Intake) runCall(ctx context.Context, session *link.Session, l *line) {
 	i.counts.calls.Add(1)
+	notBefore := session.NotBefore(l.call.GetEcho(), time.Duration(l.call.GetEchoHoldNanos()))
+	i.options.Follower.OnPeerCall(session.Peer().GetName(), l.call, notBefore)
 	ctx, span := i.options.Tracer.Start(i.options.Tracer.Extract(ctx, l.call.GetTraceparent()), "agent.call",
 		attribute.String("request-id", l.call.GetRequestId()),
 		attribute.String("stage", l.call.GetStage()),
--- a/entry/routers/caller/world_test.go
+++ b/entry/routers/caller/world_test.go
@@ -214,6 +214,10 @@
 
 func (w *world) WaitRevision(context.Context, uint64) error { return nil }
 
+func (w *world) OnPeerRevision(string, uint64) {}
+
+func (w *world) GetRevision(time.Time) (uint64, time.Duration) { return 1, 0 }
+
 func (w *world) GetUsable(context.Context) (*config.Snapshot, *codes.Result) {
 	return config.NewSnapshot(1, config.Set{
 		Teams: []config.Team{
--- a/entry/services/calls/attempt.go
+++ b/entry/services/calls/attempt.go
@@ -46,7 +46,7 @@
 	r.fleet.EndAttempt(time.Now(), s.call.Service, e.ended(result))
 	if result != nil {
 		s.excluded = append(s.excluded, chosen.Choice.Name)
-		r.catchUp(ctx, result, e.end)
+		r.catchUp(ctx, chosen.Choice.Name, result, e.end)
 	}
 	return got, result
 }
@@ -60,10 +60,11 @@
 }
 
 // catchUp waits for the configuration that the agent decided under, so that the next attempt is decided under it too.
-func (r *Runner) catchUp(ctx context.Context, result *codes.Result, end *wire.End) {
+func (r *Runner) catchUp(ctx context.Context, agent string, result *codes.Result, end *wire.End) {
 	if result.Code != codes.NewerRevision || end == nil {
 		return
 	}
+	r.config.OnPeerRevision(agent, end.GetRevision())
 	wait, cancel := context.WithTimeout(ctx, retryHint)
 	defer cancel()
 	_ = r.config.WaitRevision(wait, end.GetRevision())
@@ -119,27 +120,32 @@
 
 func (e *exchange) newCall(ctx context.Context) *wire.Frame {
 	call := e.run.call
+	_, age := e.runner.config.GetRevision(time.Now())
+	echo, hold := e.chosen.Session.GetEcho()
 	return &wire.Frame{Body: &wire.Frame_Call{Call: &wire.Call{
-		RequestId:      call.RequestID,
-		Stage:          call.Stage,
-		Attempt:        e.run.sent,
-		Incarnation:    e.chosen.Choice.Incarnation,
-		Revision:       e.revision,
-		RemainingNanos: int64(time.Until(call.Deadline)),
-		Team:           call.Team.Name,
-		Priority:       string(call.Priority),
-		Weight:         call.Team.Weight,
-		Cost:           call.Cost,
-		Idempotent:     call.Idempotent,
-		ClaimKey:       call.ClaimKey,
-		ClaimAttempt:   call.ClaimAttempt,
-		BodyDigest:     call.BodyDigest,
-		Method:         call.Method,
-		Path:           call.Path,
-		Headers:        call.Headers,
-		Body:           call.Body,
-		Stream:         call.Stream,
-		Traceparent:    e.runner.tracer.Inject(ctx),
+		RequestId:         call.RequestID,
+		Stage:             call.Stage,
+		Attempt:           e.run.sent,
+		Incarnation:       e.chosen.Choice.Incarnation,
+		Revision:          e.revision,
+		RemainingNanos:    int64(time.Until(call.Deadline)),
+		Team:              call.Team.Name,
+		Priority:          string(call.Priority),
+		Weight:            call.Team.Weight,
+		Cost:              call.Cost,
+		Idempotent:        call.Idempotent,
+		ClaimKey:          call.ClaimKey,
+		ClaimAttempt:      call.ClaimAttempt,
+		BodyDigest:        call.BodyDigest,
+		Method:            call.Method,
+		Path:              call.Path,
+		Headers:           call.Headers,
+		Body:              call.Body,
+		Stream:            call.Stream,
+		ConfirmedAgeNanos: int64(age),
+		Echo:              echo,
+		EchoHoldNanos:     int64(hold),
+		Traceparent:       e.runner.tracer.Inject(ctx),
 	}}}
 }
 
--- a/entry/services/calls/calls.go
+++ b/entry/services/calls/calls.go
@@ -41,6 +41,10 @@
 type Configuration interface {
 	GetUsable(ctx context.Context) (*config.Snapshot, *codes.Result)
 	WaitRevision(ctx context.Context, revision uint64) error
+	// GetRevision returns the revision in force and the age of its confirmation.
+	GetRevision(now time.Time) (uint64, time.Duration)
+	// OnPeerRevision takes the revision that an agent decided under.
+	OnPeerRevision(peer string, revision uint64)
 }
 
 // Budget decides on retries by service; *policy.Policy is one.
--- a/entry/services/calls/calls_test.go
+++ b/entry/services/calls/calls_test.go
@@ -110,6 +110,10 @@
 
 func (c configuration) WaitRevision(context.Context, uint64) error { return nil }
 
+func (c configuration) OnPeerRevision(string, uint64) {}
+
+func (c configuration) GetRevision(time.Time) (uint64, time.Duration) { return 1, 0 }
+
 func newRunner(t *testing.T, a *agent) (*calls.Runner, *oneAgent) {
 	t.Helper()
 	is := is.New(t)
--- a/share/modules/link/beat.go
+++ b/share/modules/link/beat.go
@@ -79,6 +79,26 @@
 	}
 }
 
+// GetEcho returns the peer's last heartbeat and how long it has been held
+// here. A message that carries both lets the peer tell when it can have been written.
+func (s *Session) GetEcho() (sequence uint64, hold time.Duration) {
+	sequence = s.peerSequence.Load()
+	if sequence == 0 {
+		return 0, 0
+	}
+	return sequence, time.Since(s.started) - time.Duration(s.heardAt.Load())
+}
+
+// NotBefore returns the earliest local time at which a message with this echo
+// can have been written; zero when the echo tells nothing.
+func (s *Session) NotBefore(echo uint64, hold time.Duration) time.Time {
+	sent := s.findSent(echo)
+	if sent.IsZero() {
+		return sent
+	}
+	return sent.Add(hold)
+}
+
 // findSent returns when the heartbeat of the sequence was sent, zero when it is not remembered any more.
 func (s *Session) findSent(sequence uint64) time.Time {
 	s.sentLock.Lock()
--- a/share/modules/link/link_test.go
+++ b/share/modules/link/link_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -110,6 +111,13 @@
 	is.Equal(result.Outcome, codes.OutcomeNotRun)
 }
 
+func TestPlainSessionsStayOnLoopback(t *testing.T) {
+	is := is.New(t)
+	_, err := link.Dial(context.Background(), netip.MustParseAddrPort("192.0.2.1:7000"), newOptions("entry-1"))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "needs TLS"))
+}
+
 // An open connection goes silent for good: a firewall between the two ends has
 // lost track of it, so nothing arrives and no error shows. A user would see
 // every call through this session hang until its deadline. The heartbeats stop
--- a/share/modules/link/session.go
+++ b/share/modules/link/session.go
@@ -50,6 +50,9 @@
 // Dial connects to a peer and exchanges hellos.
 func Dial(ctx context.Context, address netip.AddrPort, options Options) (*Session, error) {
 	options = options.withDefaults()
+	if options.TLS == nil && !address.Addr().IsLoopback() {
+		return nil, ErrLink.New("%s is beyond loopback and needs TLS", address)
+	}
 	ctx, cancel := context.WithTimeout(ctx, options.HelloTimeout)
 	defer cancel()
 	dialer := net.Dialer{}
--- a/share/services/follow/watch.go
+++ b/share/services/follow/watch.go
@@ -8,6 +8,9 @@
 	"verbenaroad.example/share/modules/wire"
 )
 
+// neverConfirmed marks a message that says nothing of a confirmation.
+const neverConfirmed = -1
+
 // OnPeerBeat takes what a peer's heartbeat says of its configuration.
 func (f *Follower) OnPeerBeat(peer string, beat *wire.Beat, notBefore time.Time) {
 	f.meter.beatsReceived.Add(1)
@@ -19,6 +22,31 @@
 	})
 }
 
+// OnPeerCall takes the revision under which a peer decided a call. The peer has
+// that configuration, so it can be fetched at once; the peer's next heartbeat
+// would tell it up to a second later, and the call waits meanwhile.
+func (f *Follower) OnPeerCall(peer string, call *wire.Call, notBefore time.Time) {
+	known, _ := f.GetRevision(time.Now())
+	if call.GetRevision() <= known {
+		return
+	}
+	f.Tell(spread.PeerBeat{
+		Peer:         peer,
+		Revision:     call.GetRevision(),
+		ConfirmedAge: time.Duration(call.GetConfirmedAgeNanos()),
+		NotBefore:    notBefore,
+	})
+}
+
+// OnPeerRevision takes a revision that a peer's answer named.
+func (f *Follower) OnPeerRevision(peer string, revision uint64) {
+	known, _ := f.GetRevision(time.Now())
+	if revision <= known {
+		return
+	}
+	f.Tell(spread.PeerBeat{Peer: peer, Revision: revision, ConfirmedAge: neverConfirmed})
+}
+
 // OnPeerGone notes that the session with a peer ended.
 func (f *Follower) OnPeerGone(peer string) {
 	f.Tell(spread.PeerGone{Peer: peer})
