entry, head, follow: an accepted change is in force where it was made

Cause: the key-value service went down within milliseconds of accepting a change. No process had fetched it, so the operator's accepted change was in force nowhere until the service was back; peers had nothing to spread. Ruled out: spread by peers (works once one process has the revision). Conclusion: the writer's accepted answer carries the configuration, whose parts it has just written, and the entry's follower adopts it as a finished fetch.

--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -226,7 +226,7 @@
 	reader := store.NewReader(e.port, store.DefaultPrefix)
 	writer := store.NewWriter(e.port, reader)
 	return admin.NewRouter(admin.Options{
-		Changes:         change.NewService(writer, e.follower),
+		Changes:         change.NewService(&adopter{Writer: writer, follower: e.follower}, e.follower),
 		Lookups:         lookup.NewService(reader, e.follower),
 		Snapshots:       e.follower,
 		BootstrapSHA256: e.settings.Admin.BootstrapSHA256,
--- a/share/decide/head/head.go
+++ b/share/decide/head/head.go
@@ -132,6 +132,9 @@
 	// Changes is the submission's own effect, or on conflict what others changed since the base.
 	Changes []config.Change
 	Detail  string
+	// Loaded is the whole accepted configuration where this submission's own swap
+	// is known to have moved the head; nil otherwise.
+	Loaded *config.Loaded
 }
 
 func (ReadHead) isAction()    {}
@@ -334,10 +337,24 @@
 	return w.submission.Base
 }
 
+// loadNext returns the accepted configuration at its place. Every part is at hand, since it was just written.
+func (w *Writer) loadNext() *config.Loaded {
+	loaded, err := config.Load(w.plan.Next, w.next, w.plan.Manifest, nil)
+	if err != nil {
+		return nil // the process fetches it as others do
+	}
+	return loaded
+}
+
 func (w *Writer) handleSwap(outcome SwapOutcome) []Action {
 	switch outcome {
 	case SwapDone:
-		return w.answer(Answer{Verdict: VerdictAccepted, Revision: w.next.Revision, Changes: w.plan.Changes})
+		return w.answer(Answer{
+			Verdict:  VerdictAccepted,
+			Revision: w.next.Revision,
+			Changes:  w.plan.Changes,
+			Loaded:   w.loadNext(),
+		})
 	case SwapLost:
 		// After a doubtful swap the loss may be to that one's own late effect,
 		// so the head's moves decide and not this answer.
--- a/share/decide/head/head_test.go
+++ b/share/decide/head/head_test.go
@@ -178,6 +178,19 @@
 	is.Equal(w.chain, []string{"one"})
 }
 
+// A change is accepted and the key-value service goes down at once. The process
+// that made the change has it whole, at its revision, and need not fetch it.
+func TestAcceptedChangeComesWhole(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	answer := w.run(w.submit(newSubmission("first", 0, 1)))
+	is.Equal(answer.Verdict, head.VerdictAccepted)
+	is.Equal(answer.Loaded.Place.Revision, answer.Revision)
+	is.Equal(answer.Loaded.Snapshot.Revision, answer.Revision)
+	is.Equal(answer.Loaded.Place.Manifest, config.HashBytes(answer.Loaded.Manifest.Encode()))
+	is.Equal(answer.Loaded.Snapshot.Set.Count(), len(answer.Loaded.FindChunks(answer.Loaded.Manifest.Hashes())))
+}
+
 // An operator applies a change, the write takes effect and its answer is lost.
 // She sees "accepted", not an error and not a second revision: the writer
 // reads the head back and finds its own change id.
--- a/share/services/follow/watch.go
+++ b/share/services/follow/watch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenaroad.example/share/decide/spread"
+	"verbenaroad.example/share/models/config"
 	"verbenaroad.example/share/models/member"
 	"verbenaroad.example/share/modules/wire"
 )
@@ -40,3 +41,13 @@
 	revision, age := f.GetRevision(time.Now())
 	return &wire.Beat{Revision: revision, ConfirmedAgeNanos: int64(age), Leaving: leaving}
 }
+
+// Adopt takes a configuration that this process itself saw accepted.
+//
+// Guards against an outage that begins right after a change: the operator was
+// told "accepted", and no process could fetch it until the key-value service
+// was back. The one that made the change has every part, and its peers take it
+// from there.
+func (f *Follower) Adopt(loaded *config.Loaded) {
+	f.Tell(spread.FetchDone{Loaded: loaded})
+}
