--- a/proofs/harns/config_test.go
+++ b/proofs/harns/config_test.go
@@ -387,3 +387,26 @@
 		checkText(t, "still here", answerTokens, d.send(n, draft("still here", answerTokens, false)))
 	}
 }
+
+// Operators change the configuration again and again while makers order and
+// estimators draft. An order that meets an agent with a newer configuration
+// is not handed back to its maker: every request is answered, each order runs once.
+func TestRequestsUnderChanges(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := deploy(t, drainPlan(2))
+	callers := d.startLoad("change")
+	waitAnswers(t, callers, 1)
+	for n := range 10 {
+		file := d.write("changing.toml", teamText("kranj", n+2))
+		is.Equal(d.vctl(n%2, operatorToken, "apply", file).code, exitOK)
+		waitAnswers(t, callers[:2], 1)
+	}
+	whole, _ := finishWhole(t, callers, nil)
+	is.True(whole > 0)
+	for key, runs := range d.allRuns() {
+		if strings.Contains(key, "order") {
+			is.Equal(runs, 1)
+		}
+	}
+}
