follow: a deadline that passed before the confirmation is no hang-up

Cause: GetUsable answers 'canceled: caller went away' whenever the context ends, also where the deadline ended the wait for a confirmed configuration. Ruled out: the outcome, which was right ('not-run'). Conclusion: as at the agent's queue, whoever still waits has not gone away.

--- a/proofs/harns/config_test.go
+++ b/proofs/harns/config_test.go
@@ -163,6 +163,8 @@
 		o := &operator{d: d, id: id, rounds: 6, done: make(chan struct{}), record: r, started: time.Now()}
 		operators = append(operators, o)
 	}
+	w := &watcher{d: d, stop: make(chan struct{}), done: make(chan struct{})}
+	go w.run()
 	started := time.Now()
 	for _, o := range operators {
 		o.started = started
@@ -184,6 +186,42 @@
 	last, _ := d.revision(0, "")
 	is.Equal(last, uint64(counts[exitOK])+1)
 	d.waitRevision(last)
+	close(w.stop)
+	<-w.done
+	is.Equal(w.reverted, "")
+	is.True(w.looks > len(d.all()))
+}
+
+// watcher looks at the revision in force at every process until it is stopped.
+type watcher struct {
+	d          *deployment
+	stop, done chan struct{}
+	looks      int
+	// reverted names a process whose revision fell.
+	reverted string
+}
+
+func (w *watcher) run() {
+	defer close(w.done)
+	highest := map[string]uint64{}
+	for {
+		select {
+		case <-w.stop:
+			return
+		default:
+		}
+		for _, p := range w.d.all() {
+			f := figures{}
+			if !getJSON("http://"+p.address("", "metrics=").String()+"/debug/vars", &f) {
+				continue
+			}
+			w.looks++
+			if f.Verbena.Config.Revision < highest[p.name] {
+				w.reverted = fmt.Sprintf("%s from %d to %d", p.name, highest[p.name], f.Verbena.Config.Revision)
+			}
+			highest[p.name] = max(highest[p.name], f.Verbena.Config.Revision)
+		}
+	}
 }
 
 // Two operators make a change for the same revision. One wins; the other is
@@ -325,7 +363,14 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			d := deploy(t, plan{entries: 2, backends: []backend{modelServer("llm-1"), modelServer("llm-2")}})
+			p := plan{entries: 2, backends: []backend{modelServer("llm-1"), modelServer("llm-2")}}
+			if alsoAgent {
+				// The sessions outlive the freeze, so that nothing but the expired confirmation holds the two back.
+				p.entryFlags = []string{"--routing.beat-every", "10s"}
+				p.backends[0].agentFlags = []string{"--peers.beat-every", "10s"}
+				p.backends[1].agentFlags = p.backends[0].agentFlags
+			}
+			d := deploy(t, p)
 			for n := range 8 {
 				checkText(t, "before", answerTokens, d.send(n%2, draft("before", answerTokens, false)))
 			}
--- a/share/services/follow/follow.go
+++ b/share/services/follow/follow.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -149,11 +150,19 @@
 			return nil, codes.NewResult(codes.NotReady, "no confirmed configuration yet").WithRetryAfter(confirmWait)
 		}
 		if err := waitChange(ctx, changed, left); err != nil {
-			return nil, codes.NewResult(codes.Canceled, "caller went away").WithOutcome(codes.OutcomeNotRun)
+			return nil, refuseEnded(ctx)
 		}
 	}
 }
 
+// refuseEnded says why the wait for a configuration ended: a caller whose deadline passed has not gone away.
+func refuseEnded(ctx context.Context) *codes.Result {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return codes.NewResult(codes.DeadlineExceeded, "the deadline passed before the configuration was confirmed").WithOutcome(codes.OutcomeNotRun)
+	}
+	return codes.NewResult(codes.Canceled, "caller went away").WithOutcome(codes.OutcomeNotRun)
+}
+
 func (f *Follower) look() (spread.Use, *config.Snapshot, <-chan struct{}) {
 	f.lock.RLock()
 	defer f.lock.RUnlock()
