--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -238,7 +238,7 @@
 func (e *Entry) newAdmin() *admin.Router {
 	reader := store.NewReader(e.port, store.DefaultPrefix)
 	writer := store.NewWriter(e.port, reader)
-	changes := change.NewService(writer, e.follower)
+	changes := change.NewService(&adopter{Writer: writer, follower: e.follower}, e.follower)
 	return admin.NewRouter(admin.Options{
 		Changes:         changes,
 		Lookups:         lookup.NewService(reader, e.follower),
