--- a/vload/services/sheet/sheet.go
+++ b/vload/services/sheet/sheet.go
@@ -186,9 +186,9 @@
 	return nil
 }
 
-// evaluate works out arithmetic over the names so far; mean(series, x, at, y) reads a measured point.
+// evaluate works out arithmetic over the names so far; mean(series, x, at, y) reads a measured point, log is the natural logarithm.
 func (s *Sheet) evaluate(formula string) (float64, error) {
-	env := map[string]any{"mean": s.series.mean, "sqrt": math.Sqrt}
+	env := map[string]any{"mean": s.series.mean, "log": math.Log}
 	for name, value := range s.names {
 		env[name] = value
 	}
