--- a/scripts/bench/slopes.sh
+++ b/scripts/bench/slopes.sh
@@ -4,7 +4,7 @@
 #
 #   scripts/bench/slopes.sh [PART...]
 #
-# Parts: peers list teams pipelines changes requests tokens orders store outage.
+# Parts: peers list teams pipelines changes requests tokens orders store outage whole.
 # Each rewrites its own CSV files in docs/slopes; WINDOW and WINDOWS shorten a trial,
 # OUT takes the files elsewhere.
 #
@@ -20,7 +20,7 @@
 WINDOWS=${WINDOWS:-3}
 SETTLE=${SETTLE:-4}
 PARTS=("$@")
-[ ${#PARTS[@]} -gt 0 ] || PARTS=(peers list teams pipelines changes requests tokens orders store outage)
+[ ${#PARTS[@]} -gt 0 ] || PARTS=(peers list teams pipelines changes requests tokens orders store outage whole)
 mkdir -p "$OUT"
 RUN=$(mktemp -d)
 # shellcheck source=scripts/lib.sh
@@ -232,7 +232,8 @@
 part_changes() {
   fresh entry-changes agent-changes store-head
   local rate n
-  TEAMS=19000 EXTRA_AGENT=() EXTRA_ENTRY=()
+  # The list is read often, so that only two of the domain's four processes watch.
+  TEAMS=19000 LIST_EVERY=2s EXTRA_AGENT=() EXTRA_ENTRY=()
   begin
   for n in 1 2 3; do
     start_agent "agent-$n" real north north-1 127.0.0.1:9 tier=reserved 8
@@ -256,7 +257,7 @@
     [ "$n" = 4 ] || many_changes 35
   done
   finish
-  TEAMS=
+  TEAMS='' LIST_EVERY=''
 }
 
 # many_changes N applies N changes one after the other.
@@ -477,6 +478,29 @@
   for ((i = 1; i <= $1; i++)); do wait_file "$RUN/agent-$i.addr"; done
 }
 
+# part_whole puts one entry and one agent into the target's state at once, with
+# the settings of docs/CAPACITY.md, to hold the worked-out rows against; GC is
+# the runtime's GOGC, on which memory depends.
+part_whole() {
+  fresh entry-whole agent-whole
+  local gc
+  TEAMS=19000 PIPELINES=29 SERVICES=23
+  EXTRA_ENTRY=(--routing.subset-size 8 --routing.subset-max 16 --routing.beat-every 5s)
+  EXTRA_AGENT=(--peers.beat-every 5s)
+  for gc in 100 50; do
+    GOGC=$gc begin
+    stand --agents 790 --services 29 --beat-every 5s
+    stand --listed 297 --domain north-1
+    GOGC=$gc start_agent_under_test
+    stand --entries 123 --target "$AGENT_PEERS" --beat-every 5s
+    GOGC=$gc start_entry_under_test
+    sleep "$SETTLE"
+    WINDOW=10s WINDOWS=2 meter_pair whole "gogc=$gc"
+    finish
+  done
+  TEAMS='' PIPELINES='' SERVICES=''
+}
+
 for part in "${PARTS[@]}"; do
   echo "== $part"
   "part_$part"
--- a/vload/services/meter/meter.go
+++ b/vload/services/meter/meter.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -206,9 +208,22 @@
 		{"store-watches-per-second", (after.store.Calls["watch"] - before.store.Calls["watch"]) / seconds},
 		{"watches-open", after.store.Open["watch"]},
 		{"list-reads-per-second", (after.list.Calls["read"] - before.list.Calls["read"]) / seconds},
+		{"machine-load", m.readLoad()},
 	}
 }
 
+// readLoad returns the machine's load of the last minute, which tells a
+// disturbed window from a quiet one; 0 where the system does not tell it.
+func (m *Meter) readLoad() float64 {
+	text, err := os.ReadFile(filepath.Join(m.options.Proc, "loadavg"))
+	if err != nil {
+		return 0
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	load, _ := strconv.ParseFloat(first, 64)
+	return load
+}
+
 // Append adds a record to a CSV file, with a header where the file is new.
 func Append(file string, record []Column) error {
 	out, err := os.OpenFile(file, os.O_APPEND|os.O_CREATE|os.O_WRONLY, fileMode)
