--- a/vload/services/meter/meter.go
+++ b/vload/services/meter/meter.go
@@ -89,7 +89,8 @@
 		"process-seconds":   "process/processor-seconds",
 		"tokens-per-second": "verbena/tokens",
 		"calls-per-second":  "verbena/calls",
-		"store-failed":      "verbena/store/Failed",
+		"store-reads":       "verbena/store/Reads",
+		"store-watches":     "verbena/store/Watches",
 	}
 }
 
@@ -198,7 +199,7 @@
 		{"lists-per-second", rate("lists-per-second")},
 		{"tokens-per-second", rate("tokens-per-second")},
 		{"calls-per-second", rate("calls-per-second")},
-		{"store-failed-per-second", rate("store-failed")},
+		{"own-store-calls-per-second", rate("store-reads") + rate("store-watches")},
 		{"adopted", grown("adopted-total")},
 		{"fetched-bytes", grown("fetched-bytes")},
 		{"from-peer", grown("from-peer-total")},
