--- a/vload/services/meter/meter.go
+++ b/vload/services/meter/meter.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -87,7 +89,8 @@
 		"process-seconds":   "process/processor-seconds",
 		"tokens-per-second": "verbena/tokens",
 		"calls-per-second":  "verbena/calls",
-		"store-failed":      "verbena/store/Failed",
+		"store-reads":       "verbena/store/Reads",
+		"store-watches":     "verbena/store/Watches",
 	}
 }
 
@@ -196,7 +199,7 @@
 		{"lists-per-second", rate("lists-per-second")},
 		{"tokens-per-second", rate("tokens-per-second")},
 		{"calls-per-second", rate("calls-per-second")},
-		{"store-failed-per-second", rate("store-failed")},
+		{"own-store-calls-per-second", rate("store-reads") + rate("store-watches")},
 		{"adopted", grown("adopted-total")},
 		{"fetched-bytes", grown("fetched-bytes")},
 		{"from-peer", grown("from-peer-total")},
@@ -206,9 +209,22 @@
 		{"store-watches-per-second", (after.store.Calls["watch"] - before.store.Calls["watch"]) / seconds},
 		{"watches-open", after.store.Open["watch"]},
 		{"list-reads-per-second", (after.list.Calls["read"] - before.list.Calls["read"]) / seconds},
+		{"machine-load", m.readLoad()},
 	}
 }
 
+// readLoad returns the machine's load of the last minute, which tells a
+// disturbed window from a quiet one; 0 where the system does not tell it.
+func (m *Meter) readLoad() float64 {
+	text, err := os.ReadFile(filepath.Join(m.options.Proc, "loadavg"))
+	if err != nil {
+		return 0
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	load, _ := strconv.ParseFloat(first, 64)
+	return load
+}
+
 // Append adds a record to a CSV file, with a header where the file is new.
 func Append(file string, record []Column) error {
 	out, err := os.OpenFile(file, os.O_APPEND|os.O_CREATE|os.O_WRONLY, fileMode)
