entry/services/calls: a first piece and the giving up exclude each other

Cause: an attempt was given up on while its first piece was being passed on, so that the caller's stream ended incomplete.

--- a/entry/services/calls/attempt.go
+++ b/entry/services/calls/attempt.go
@@ -157,7 +157,10 @@
 
 func (e *exchange) takePart(part *wire.Part) *codes.Result {
 	e.bytes += uint64(len(part.GetData()))
-	e.watchdog.stop()
+	if !e.watchdog.takePiece() {
+		e.run.gaveUp = true
+		return impatient(e.run.call.Patience)
+	}
 	if e.run.call.Stream && len(e.run.call.Prefixes) > 0 {
 		e.tail.add(part.GetData())
 	}
--- a/entry/services/calls/patience.go
+++ b/entry/services/calls/patience.go
@@ -15,9 +15,16 @@
 // session's heartbeats need seconds to notice.
 type watchdog struct {
 	timer *time.Timer
-	fired atomic.Bool
+	// verdict is set once, by the first piece or by the timer, whichever comes
+	// first: a piece that was passed on must not be followed by a given-up attempt.
+	verdict atomic.Int32
 }
 
+const (
+	verdictPiece  = 1
+	verdictGaveUp = 2
+)
+
 // watch starts the watchdog of an attempt; nil where none is wanted.
 func (e *exchange) watch(stream net.Conn) *watchdog {
 	call := e.run.call
@@ -32,7 +39,9 @@
 			Remaining:  time.Until(call.Deadline),
 			Need:       call.Patience,
 		}) {
-			w.fired.Store(true)
+			if !w.verdict.CompareAndSwap(0, verdictGaveUp) {
+				return
+			}
 			// A closed stream goes on waiting for the peer, which cannot be reached; only the deadline ends the read.
 			_ = stream.SetReadDeadline(time.Now())
 			_ = stream.Close()
@@ -47,8 +56,17 @@
 	}
 }
 
+// takePiece reports whether the attempt's pieces still count.
+func (w *watchdog) takePiece() bool {
+	if w == nil {
+		return true
+	}
+	w.verdict.CompareAndSwap(0, verdictPiece)
+	return w.verdict.Load() == verdictPiece
+}
+
 func (w *watchdog) gaveUp() bool {
-	return w != nil && w.fired.Load()
+	return w != nil && w.verdict.Load() == verdictGaveUp
 }
 
 func impatient(patience time.Duration) *codes.Result {
--- a/entry/services/policy/policy.go
+++ b/entry/services/policy/policy.go
@@ -19,7 +19,7 @@
 const (
 	// patienceFactor times the high quantile of the time to a first piece is when an attempt is given up on.
 	patienceFactor = 2
-	minPatience    = 100 * time.Millisecond
+	minPatience    = 250 * time.Millisecond
 )
 
 // Admission says what may begin.
