entry: [admission] give-up, so that its worth can be measured

Cause: giving attempts up must show that it pays. Change: a setting, and variants of the policy in the benchmark: deadline-keep gives nothing up, deadline-open admits everything.

--- a/entry/services/calls/calls_test.go
+++ b/entry/services/calls/calls_test.go
@@ -119,7 +119,7 @@
 	return calls.NewRunner(calls.Options{
 		Fleet:         f,
 		Configuration: configuration{config.NewSnapshot(1, set)},
-		Budget:        policy.NewPolicy(policy.AdmissionDeadline),
+		Budget:        policy.NewPolicy(policy.Options{Admission: policy.AdmissionDeadline, GiveUp: true}),
 		Tracer:        tracer,
 		Log:           zap.NewNop(),
 	}), f
--- a/entry/services/policy/policy.go
+++ b/entry/services/policy/policy.go
@@ -35,7 +35,7 @@
 
 // Policy is one entry's.
 type Policy struct {
-	admission Admission
+	options Options
 
 	admitLock sync.Mutex
 	// admitter is guarded by admitLock.
@@ -51,13 +51,20 @@
 	revision uint64
 }
 
+// Options are the settings of a Policy.
+type Options struct {
+	Admission Admission
+	// GiveUp lets attempts without a first piece be given up on for another.
+	GiveUp bool
+}
+
 // NewPolicy returns a policy without history.
-func NewPolicy(admission Admission) *Policy {
+func NewPolicy(options Options) *Policy {
 	return &Policy{
-		admission: admission,
-		admitter:  admit.New(admit.DefaultSettings()),
-		budgets:   map[string]*retry.Budget{},
-		ledger:    spend.New(spend.DefaultSettings()),
+		options:  options,
+		admitter: admit.New(admit.DefaultSettings()),
+		budgets:  map[string]*retry.Budget{},
+		ledger:   spend.New(spend.DefaultSettings()),
 	}
 }
 
@@ -75,7 +82,7 @@
 func (p *Policy) DecideAdmission(now time.Time, request admit.Request) admit.Decision {
 	p.admitLock.Lock()
 	defer p.admitLock.Unlock()
-	if p.admission == AdmissionOff {
+	if p.options.Admission == AdmissionOff {
 		return admit.Decision{Shares: p.admitter.Split(now, request.Remaining, request.Stages)}
 	}
 	return p.admitter.Decide(now, request)
@@ -128,7 +135,7 @@
 // GetPatience returns how long a first piece of the stage may take: a multiple
 // of a high quantile of what it took, and 0, for no bound, before that is known.
 func (p *Policy) GetPatience(now time.Time, key string) time.Duration {
-	if p.admission == AdmissionOff {
+	if !p.options.GiveUp {
 		return 0
 	}
 	p.admitLock.Lock()
@@ -172,7 +179,7 @@
 // service's pool without the priority for it.
 func (p *Policy) CheckSpend(now time.Time, snapshot *config.Snapshot, service string, priority config.Priority, cost float64) *codes.Result {
 	pool := poolOf(snapshot, service)
-	if pool == "" || p.admission == AdmissionOff {
+	if pool == "" || p.options.Admission == AdmissionOff {
 		return nil
 	}
 	p.spendLock.Lock()
--- a/entry/services/policy/policy_test.go
+++ b/entry/services/policy/policy_test.go
@@ -24,13 +24,13 @@
 	}
 	t.Run("by deadline", func(t *testing.T) {
 		is := is.New(t)
-		decision := policy.NewPolicy(policy.AdmissionDeadline).DecideAdmission(start(), late)
+		decision := policy.NewPolicy(policy.Options{Admission: policy.AdmissionDeadline, GiveUp: true}).DecideAdmission(start(), late)
 		is.True(decision.Refused != nil)
 		is.Equal(decision.Refused.Code, codes.DeadlineUnmeetable)
 	})
 	t.Run("off", func(t *testing.T) {
 		is := is.New(t)
-		decision := policy.NewPolicy(policy.AdmissionOff).DecideAdmission(start(), late)
+		decision := policy.NewPolicy(policy.Options{Admission: policy.AdmissionOff}).DecideAdmission(start(), late)
 		is.Equal(decision.Refused, nil)
 		is.Equal(len(decision.Shares), 1)
 	})
@@ -38,7 +38,7 @@
 
 func TestGetPatience(t *testing.T) {
 	is := is.New(t)
-	p := policy.NewPolicy(policy.AdmissionDeadline)
+	p := policy.NewPolicy(policy.Options{Admission: policy.AdmissionDeadline, GiveUp: true})
 	is.Equal(p.GetPatience(start(), key), time.Duration(0)) // nothing is known yet
 	for range 20 {
 		p.AddFirstPiece(start(), key, time.Second)
@@ -53,7 +53,7 @@
 // The service's retry budget bounds what is given up on.
 func TestAllowGiveUpIsBounded(t *testing.T) {
 	is := is.New(t)
-	p := policy.NewPolicy(policy.AdmissionDeadline)
+	p := policy.NewPolicy(policy.Options{Admission: policy.AdmissionDeadline, GiveUp: true})
 	const first, asked = 100, 100
 	is.Equal(p.AllowGiveUp("llm", retry.Open{}), false) // no attempt went there yet
 	for range first {
--- a/scripts/bench/policy.sh
+++ b/scripts/bench/policy.sh
@@ -93,7 +93,16 @@
   done
 }
 
-mode_of() { if [ "$1" = deadline ] || [ "${1#ours}" != "$1" ]; then echo fair; else echo fifo; fi; }
+# mode_of POLICY prints the queue mode of its agents; variants of the policy are named deadline-...
+mode_of() { case $1 in deadline*) echo fair ;; *) echo fifo ;; esac; }
+
+# variant POLICY prints the flags of a variant of the policy.
+variant() {
+  case $1 in
+    deadline-keep) echo "--admission.give-up=false" ;;
+    deadline-open) echo "--admission.mode=off" ;;
+  esac
+}
 
 # start_entries POLICY starts an entry in each region.
 start_entries() {
@@ -102,9 +111,9 @@
   for region in "${REGIONS[@]}"; do
     LIST=$(cat "$RUN/list-$mode-$region.addr")
     ENTRY_FLAGS=(--trace.share 0 --log.level warn --routing.policy "$1")
-    [ "$mode" = fair ] || ENTRY_FLAGS+=(--routing.subset-size 20 --admission.mode off)
-    [ "$mode" = fifo ] || read -ra MORE <<<"${OURS_FLAGS:-}"
-    [ "$mode" = fifo ] || ENTRY_FLAGS+=("${MORE[@]}")
+    [ "$mode" = fair ] || ENTRY_FLAGS+=(--routing.subset-size 20 --admission.mode off --admission.give-up=false)
+    # shellcheck disable=SC2207 # flags hold no spaces
+    [ "$mode" = fifo ] || ENTRY_FLAGS=(--trace.share 0 --log.level warn --routing.policy deadline $(variant "$1"))
     start_entry "entry-$1-$region" "$region" "$region-1"
   done
   for region in "${REGIONS[@]}"; do
