route, retry: an agent without its backend server is out at once; half of the retry budget is kept for faults

Change: an agent that says that its backend server is gone is ejected with the first refusal, whatever share is out; refusals for load and given-up attempts use half of the budget, faults the other half as well.

--- a/entry/services/calls/attempt.go
+++ b/entry/services/calls/attempt.go
@@ -234,9 +234,8 @@
 	return codes.NewResult(codes.BackendLost, err.Error()).WithRetryAfter(retryHint)
 }
 
-// withoutBackend marks an agent whose backend server is gone as at fault. It
-// refuses at once and so looks idle: without a fault to its name it would be
-// chosen for every next call.
+// withoutBackend lets a call that found an agent without its backend server go
+// to another agent; NoBackend alone means that none is left.
 func withoutBackend(result *codes.Result) *codes.Result {
 	if result.Code != codes.NoBackend {
 		return result
@@ -266,6 +265,9 @@
 	}
 	if result != nil {
 		ended.Code = result.Code
+		if codes.Code(e.end.GetCode()) == codes.NoBackend {
+			ended.Code = codes.NoBackend
+		}
 		ended.Silent = e.end == nil && e.bytes == 0 && result.Code == codes.DeadlineExceeded
 	}
 	if e.end != nil {
--- a/share/decide/retry/retry.go
+++ b/share/decide/retry/retry.go
@@ -37,6 +37,9 @@
 	ReasonDeadline      Reason = "deadline"
 )
 
+// halves divides a budget into what is open and what is kept for faults.
+const halves = 2
+
 // Settings are fixed for the life of a Budget.
 type Settings struct {
 	// Share of the first attempts that may be sent once more, 0 to 1.
@@ -93,34 +96,60 @@
 	After time.Duration
 }
 
-// Budget holds what a service may still send more than once.
+// Budget holds what a service may still send more than once. Half of it is
+// kept for faults: a minute of overload would empty it else, and a replica lost
+// right after could not be made up for. Callers would get errors for work that
+// another replica had room for.
 type Budget struct {
 	settings Settings
-	tokens   float64
+	// open may be used after any result, kept only after faults; each is at most half of Cap.
+	open float64
+	kept float64
 }
 
 // NewBudget returns a budget with its reserve.
 func NewBudget(s Settings) *Budget {
-	return &Budget{settings: s, tokens: min(s.Reserve, s.Cap)}
+	half := min(s.Reserve, s.Cap) / halves
+	return &Budget{settings: s, open: half, kept: half}
 }
 
 // Tokens returns the number of calls that may be sent once more now.
-func (b *Budget) Tokens() float64 { return b.tokens }
+func (b *Budget) Tokens() float64 { return b.open + b.kept }
 
 // OnFirst notes a first attempt, which earns its share of a retry.
 func (b *Budget) OnFirst() {
-	b.tokens = min(b.settings.Cap, b.tokens+b.settings.Share)
+	b.open = min(b.settings.Cap/halves, b.open+b.settings.Share/halves)
+	b.kept = min(b.settings.Cap/halves, b.kept+b.settings.Share/halves)
 }
 
-// withdraw takes one call from the budget; false when it holds less.
+// withdraw takes one call from the open half; false when it holds less.
 func (b *Budget) withdraw() bool {
-	if b.tokens < 1 {
+	if b.open < 1 {
 		return false
 	}
-	b.tokens--
+	b.open--
+	return true
+}
+
+// withdrawFault takes one call from what is kept for faults, and from the open half when that is used.
+func (b *Budget) withdrawFault() bool {
+	if b.kept < 1 {
+		return b.withdraw()
+	}
+	b.kept--
 	return true
 }
 
+// pay takes the call that follows the attempt from the budget.
+func (b *Budget) pay(a Attempt) bool {
+	switch a.Code {
+	case codes.Overloaded, codes.DeadlineUnmeetable:
+		return b.withdraw()
+	default:
+		return b.withdrawFault()
+	}
+}
+
 // Decide says what follows the attempt and takes it from the budget; random is in [0, 1).
 func (b *Budget) Decide(a Attempt, random float64) Decision {
 	class := classify(a)
@@ -136,7 +165,7 @@
 	}
 	// A refusal that says nothing about load cannot feed a storm: the agent did no
 	// work for it and MaxResends bounds it. All others come out of the budget.
-	if class != classMoved && !b.withdraw() {
+	if class != classMoved && !b.pay(a) {
 		return stop(ReasonBudget)
 	}
 	if class == classRan {
--- a/share/decide/retry/retry_test.go
+++ b/share/decide/retry/retry_test.go
@@ -174,3 +174,28 @@
 		})
 	}
 }
+
+// Callers get errors when a replica is lost after a minute of overload, though
+// others have room: refusals for load had used up what may be sent again.
+func TestLoadLeavesHalfOfTheBudgetToFaults(t *testing.T) {
+	is := is.New(t)
+	s := retry.DefaultSettings(0.1)
+	b := retry.NewBudget(s)
+	for range 1000 {
+		b.OnFirst()
+	}
+	resent := 0
+	for range 100 {
+		if b.Decide(notRun(codes.DeadlineUnmeetable), 0).Action == retry.ActionResend {
+			resent++
+		}
+	}
+	is.Equal(resent, int(s.Cap)/2)
+	retried := 0
+	for range 100 {
+		if b.Decide(lost(), 0).Action == retry.ActionRetry {
+			retried++
+		}
+	}
+	is.Equal(retried, int(s.Cap)/2)
+}
--- a/share/decide/route/route_test.go
+++ b/share/decide/route/route_test.go
@@ -244,6 +244,27 @@
 	is.Equal(r.Explain(now.Add(s.SlowStart), route.Request{})[2].Slow, time.Duration(0))
 }
 
+// A third of the callers get errors after a third of the backend servers went:
+// their agents refuse at once, look idle and are chosen again and again until
+// enough faults in a row have come together.
+func TestAgentWithoutBackendIsEjectedAtOnce(t *testing.T) {
+	is := is.New(t)
+	list := members(6, "osrednja")
+	r := router(settings(), list)
+	for _, m := range list[:5] {
+		r.OnSent(start, m.Name)
+		r.OnEnded(start, route.Ended{Name: m.Name, Code: codes.NoBackend, Cached: -1})
+	}
+	for seed := range uint64(20) {
+		choice, err := r.Choose(start, route.Request{}, source(seed))
+		is.NoErr(err)
+		is.Equal(choice.Name, list[5].Name)
+	}
+	choice, err := r.Choose(start.Add(settings().EjectBase+time.Millisecond), route.Request{Exclude: []string{list[5].Name}}, source(1))
+	is.NoErr(err) // they are tried again
+	is.True(choice.Name != list[5].Name)
+}
+
 func TestSubsetSpreadsKeepsFarAndWidens(t *testing.T) {
 	is := is.New(t)
 	s := settings()
--- a/share/decide/route/router.go
+++ b/share/decide/route/router.go
@@ -105,6 +105,10 @@
 		r.OnLeaving(now, e.Name)
 		return
 	}
+	if e.Code == codes.NoBackend {
+		r.ejectGone(now, a)
+		return
+	}
 	fault := e.Silent || IsFault(e.Code)
 	if fault || e.Code == codes.OK {
 		r.judge(now, a, fault)
@@ -145,6 +149,18 @@
 	a.slowSince = a.health.ejectedUntil
 }
 
+// ejectGone takes out an agent that said that its backend server is gone. It
+// refuses at once and looks idle, so that it would be chosen again and again
+// until enough faults in a row had come together. No bound applies: this is
+// what the agent knows, not what the entry infers.
+func (r *Router) ejectGone(now time.Time, a *agent) {
+	if a.health.ejected(now) {
+		return
+	}
+	a.health.eject(now, &r.settings)
+	a.slowSince = a.health.ejectedUntil
+}
+
 func (r *Router) ejected(now time.Time) int {
 	count := 0
 	for _, a := range r.agents {
