--- a/entry/cmds/admission.go
+++ b/entry/cmds/admission.go
@@ -12,14 +12,11 @@
 type Admission struct {
 	// Mode is deadline, or off as a baseline for experiments.
 	Mode string
-	// GiveUp lets attempts without a first piece be given up on for another, within the retry budgets.
-	GiveUp bool
 }
 
 // Register declares the keys of the section.
 func (a *Admission) Register(fs *flag.FlagSet) {
 	fs.StringVar(&a.Mode, "admission.mode", string(policy.AdmissionDeadline), "`mode`: deadline, or off as a baseline: every request begins")
-	fs.BoolVar(&a.GiveUp, "admission.give-up", true, "give an attempt up for another when it stays without a first piece")
 }
 
 // Check returns the faults of the section.
--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -104,7 +104,7 @@
 	e.store = kvapi.NewClient(kvapi.Options{Address: s.Platform.Store, CallTimeout: s.Platform.StoreTimeout})
 	e.port = kvport.NewPort(e.store)
 	e.stopper = stops.NewStopper(drain.Settings{Grace: s.Stop.Grace, Linger: min(s.Admin.Linger, s.Stop.Grace)})
-	e.policy = policy.NewPolicy(policy.Options{Admission: policy.Admission(s.Admission.Mode), GiveUp: s.Admission.GiveUp})
+	e.policy = policy.NewPolicy(policy.Admission(s.Admission.Mode))
 	e.follower = procs.NewFollower(s.Instance.Name, s.Instance.Domain, e.port, e, e.log)
 	e.fleet = fleet.NewFleet(fleet.Options{
 		Self:      e.describeSelf(),
--- a/entry/services/calls/attempt.go
+++ b/entry/services/calls/attempt.go
@@ -79,7 +79,6 @@
 	id       answer.ID
 	body     bytes.Buffer
 	tail     tail
-	watchdog *watchdog
 	// bytes counts what was received, end is set once the end record came.
 	bytes uint64
 	end   *wire.End
@@ -101,8 +100,6 @@
 	defer func() { _ = stream.Close() }()
 	stop := link.CloseOnDone(ctx, stream)
 	defer stop()
-	e.watchdog = e.watch(stream)
-	defer e.watchdog.stop()
 	if err := wire.WriteFrame(stream, e.newCall(ctx)); err != nil {
 		return nil, e.describe(ctx, err)
 	}
@@ -157,10 +154,6 @@
 
 func (e *exchange) takePart(part *wire.Part) *codes.Result {
 	e.bytes += uint64(len(part.GetData()))
-	if !e.watchdog.takePiece() {
-		e.run.gaveUp = true
-		return impatient(e.run.call.Patience)
-	}
 	if e.run.call.Stream && len(e.run.call.Prefixes) > 0 {
 		e.tail.add(part.GetData())
 	}
@@ -227,10 +220,6 @@
 	if ctx.Err() != nil {
 		return codes.NewResult(codes.Canceled, "the caller went away")
 	}
-	if e.watchdog.gaveUp() {
-		e.run.gaveUp = true
-		return impatient(e.run.call.Patience)
-	}
 	return codes.NewResult(codes.BackendLost, err.Error()).WithRetryAfter(retryHint)
 }
 
--- a/entry/services/calls/calls.go
+++ b/entry/services/calls/calls.go
@@ -49,8 +49,6 @@
 	DepositFirst(service *config.Service)
 	// DecideRetry says what follows an attempt that brought no answer.
 	DecideRetry(service *config.Service, attempt retry.Attempt, random float64) retry.Decision
-	// AllowGiveUp says whether an attempt without an answer may be given up on for another.
-	AllowGiveUp(service string, open retry.Open) bool
 }
 
 // Call is one stage's work.
@@ -68,8 +66,6 @@
 	Deadline time.Time
 	// Budget is the part of the time left that this stage should take; 0: all of it.
 	Budget time.Duration
-	// Patience is the time within which an attempt's first piece should come; 0: no bound.
-	Patience time.Duration
 	// Cost is the estimate in cost units.
 	Cost     float64
 	Method   string
@@ -149,9 +145,7 @@
 	resends  int
 	excluded []string
 	last     *codes.Result
-	// gaveUp is set when the last attempt was given up on; its successor is paid for already.
-	gaveUp bool
-	piece  time.Time
+	piece    time.Time
 }
 
 // Run returns the call's whole answer, or the final result at once when it is given up on.
@@ -200,13 +194,6 @@
 		s.excluded = nil
 		return waitFor(ctx, noBackendPause)
 	}
-	if s.gaveUp && s.stage.Retryable() {
-		s.gaveUp = false
-		s.retries++
-		r.counts.retries.Add(1)
-		r.counts.givenUp.Add(1)
-		return true
-	}
 	decision := r.budget.DecideRetry(r.serviceOf(ctx, s.call.Service), retry.Attempt{
 		Retries:    s.retries,
 		Resends:    s.resends,
--- a/entry/services/calls/counts.go
+++ b/entry/services/calls/counts.go
@@ -15,7 +15,6 @@
 	retries atomic.Uint64
 	resends atomic.Uint64
 	dropped atomic.Uint64
-	givenUp atomic.Uint64
 	// crossBytes counts bodies and answers that left the entry's region or came from another.
 	crossBytes atomic.Uint64
 
@@ -40,7 +39,6 @@
 	Retries    uint64              `json:"retries"`
 	Resends    uint64              `json:"resends"`
 	Dropped    uint64              `json:"dropped"`
-	GivenUp    uint64              `json:"given-up"`
 	CrossBytes uint64              `json:"cross-region-bytes"`
 	Stages     map[string]StageUse `json:"stages"`
 }
@@ -63,7 +61,6 @@
 		Retries:    c.retries.Load(),
 		Resends:    c.resends.Load(),
 		Dropped:    c.dropped.Load(),
-		GivenUp:    c.givenUp.Load(),
 		CrossBytes: c.crossBytes.Load(),
 		Stages:     stages,
 	}
--- a/entry/services/policy/policy.go
+++ b/entry/services/policy/policy.go
@@ -16,12 +16,6 @@
 // defaultRetryShare applies where a service's document names none.
 const defaultRetryShare = 0.1
 
-const (
-	// patienceFactor times the high quantile of the time to a first piece is when an attempt is given up on.
-	patienceFactor = 2
-	minPatience    = 250 * time.Millisecond
-)
-
 // Admission says what may begin.
 type Admission string
 
@@ -35,7 +29,7 @@
 
 // Policy is one entry's.
 type Policy struct {
-	options Options
+	admission Admission
 
 	admitLock sync.Mutex
 	// admitter is guarded by admitLock.
@@ -51,20 +45,13 @@
 	revision uint64
 }
 
-// Options are the settings of a Policy.
-type Options struct {
-	Admission Admission
-	// GiveUp lets attempts without a first piece be given up on for another.
-	GiveUp bool
-}
-
 // NewPolicy returns a policy without history.
-func NewPolicy(options Options) *Policy {
+func NewPolicy(admission Admission) *Policy {
 	return &Policy{
-		options:  options,
-		admitter: admit.New(admit.DefaultSettings()),
-		budgets:  map[string]*retry.Budget{},
-		ledger:   spend.New(spend.DefaultSettings()),
+		admission: admission,
+		admitter:  admit.New(admit.DefaultSettings()),
+		budgets:   map[string]*retry.Budget{},
+		ledger:    spend.New(spend.DefaultSettings()),
 	}
 }
 
@@ -82,7 +69,7 @@
 func (p *Policy) DecideAdmission(now time.Time, request admit.Request) admit.Decision {
 	p.admitLock.Lock()
 	defer p.admitLock.Unlock()
-	if p.options.Admission == AdmissionOff {
+	if p.admission == AdmissionOff {
 		return admit.Decision{Shares: p.admitter.Split(now, request.Remaining, request.Stages)}
 	}
 	return p.admitter.Decide(now, request)
@@ -123,40 +110,6 @@
 	return p.budget(service).Decide(attempt, random)
 }
 
-// AllowGiveUp says whether an attempt that stays unanswered may be given up on
-// for another, and takes that one from the service's budget.
-func (p *Policy) AllowGiveUp(service string, open retry.Open) bool {
-	p.budgetLock.Lock()
-	defer p.budgetLock.Unlock()
-	b := p.budgets[service]
-	return b != nil && b.Hedge(open)
-}
-
-// GetPatience returns how long a first piece of the stage may take: a multiple
-// of a high quantile of what it took, and 0, for no bound, before that is known.
-func (p *Policy) GetPatience(now time.Time, key string) time.Duration {
-	if !p.options.GiveUp {
-		return 0
-	}
-	p.admitLock.Lock()
-	defer p.admitLock.Unlock()
-	_, high := p.admitter.Expect(now, admit.Stage{Key: firstKey(key)})
-	if high <= 0 {
-		return 0
-	}
-	return max(minPatience, patienceFactor*high)
-}
-
-// AddFirstPiece takes the time from sending a stage's call to its first piece.
-func (p *Policy) AddFirstPiece(now time.Time, key string, took time.Duration) {
-	p.admitLock.Lock()
-	defer p.admitLock.Unlock()
-	p.admitter.OnStage(now, firstKey(key), took)
-}
-
-// firstKey tells the times to the first piece from those of whole stages.
-func firstKey(key string) string { return key + "/first" }
-
 func (p *Policy) budget(service *config.Service) *retry.Budget {
 	name, share := "", defaultRetryShare
 	if service != nil {
@@ -167,9 +120,7 @@
 	}
 	b := p.budgets[name]
 	if b == nil {
-		settings := retry.DefaultSettings(share)
-		settings.HedgeAfter = minPatience
-		b = retry.NewBudget(settings)
+		b = retry.NewBudget(retry.DefaultSettings(share))
 		p.budgets[name] = b
 	}
 	return b
@@ -179,7 +130,7 @@
 // service's pool without the priority for it.
 func (p *Policy) CheckSpend(now time.Time, snapshot *config.Snapshot, service string, priority config.Priority, cost float64) *codes.Result {
 	pool := poolOf(snapshot, service)
-	if pool == "" || p.options.Admission == AdmissionOff {
+	if pool == "" || p.admission == AdmissionOff {
 		return nil
 	}
 	p.spendLock.Lock()
--- a/entry/services/walk/walk.go
+++ b/entry/services/walk/walk.go
@@ -200,7 +200,6 @@
 		StageLabels:  match.StageLabels(q.Pipeline.Name, &stage),
 		Deadline:     q.Deadline,
 		Budget:       w.stageBudget(q, p, n),
-		Patience:     w.patience(started, q, p.stages[n].Key),
 		Cost:         p.costs[n],
 		Method:       built.Method,
 		Path:         built.Path,
@@ -242,15 +241,6 @@
 	return shares[0]
 }
 
-// patience is how long an attempt may stay without a first piece. Batch work
-// waits in queues by design, and giving it up would only move it to another.
-func (w *Walker) patience(now time.Time, q *Request, key string) time.Duration {
-	if q.Priority == config.PriorityBatch {
-		return 0
-	}
-	return w.policy.GetPatience(now, key)
-}
-
 // hand gives a whole answer to the caller's stream.
 func hand(sink io.Writer, body []byte) *codes.Result {
 	if _, err := sink.Write(body); err != nil {
@@ -266,15 +256,11 @@
 	key := p.stages[n].Key
 	if result == nil {
 		w.policy.AddStageTime(now, key, time.Duration(got.End.GetServiceNanos()))
-		if got.Attempts == 1 && !got.FirstPiece.IsZero() {
-			w.policy.AddFirstPiece(now, key, got.FirstPiece.Sub(started))
-		}
 		return
 	}
 	if result.Code == codes.DeadlineExceeded && result.Outcome != codes.OutcomeNotRun {
 		took := now.Sub(started)
 		w.policy.AddStageTime(now, key, max(took-p.stages[n].Wait, 0))
-		w.policy.AddFirstPiece(now, key, took)
 	}
 }
 
