--- a/scripts/bench/policy/report.sh
+++ b/scripts/bench/policy/report.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
 # Sets the policies side by side: a table, the figures as CSV, one plot for each scenario.
+# SECONDS_MEASURED is the length of a run without its warm-up, COMMITTED the
+# committed amount of the engines' pool in cost units a second.
 #
 #   scripts/bench/policy/report.sh DIR TO
 set -euo pipefail
@@ -11,7 +13,7 @@
 mkdir -p "$TO"
 bin/vload compare --dir "$DIR" --to "$WORK" --class '^(all|priority:.*)$' >/dev/null
 mv "$WORK"/*.svg "$TO"/
-awk -F, 'NR == 1 || ($2 ~ /^(all|priority:|team:)/ && $3 ~ /^(offered|attain|late|timeout|incomplete|refused|latency-p(50|95|99)|first-token-p(50|95|99)|send-lag-p99|jain|cost|cross|sent|retries|resends)/)' \
+awk -F, 'NR == 1 || ($2 ~ /^team:/ && $3 == "attainment") || ($2 ~ /^(all|priority:)/ && $3 ~ /^(offered|attain|late|timeout|incomplete|refused|latency-p(50|95|99)|first-token-p(50|95|99)|send-lag-p99|jain|cost|cross|sent|retries|resends)/)' \
   "$WORK/compare.csv" >"$TO/compare.csv"
-awk -F, -f scripts/bench/policy/table.awk "$TO/compare.csv" >"$TO/table.md"
+awk -F, -v seconds="${SECONDS_MEASURED:-5}" -v committed="${COMMITTED:-30}" -f scripts/bench/policy/table.awk "$TO/compare.csv" >"$TO/table.md"
 echo "$TO/table.md"
