--- a/entry/cmds/admission.go
+++ b/entry/cmds/admission.go
@@ -16,7 +16,7 @@
 
 // Register declares the keys of the section.
 func (a *Admission) Register(fs *flag.FlagSet) {
-	fs.StringVar(&a.Mode, "admission.mode", string(policy.AdmissionDeadline), "`mode`: deadline, or off as a baseline: every request begins, and no attempt is given up on early")
+	fs.StringVar(&a.Mode, "admission.mode", string(policy.AdmissionDeadline), "`mode`: deadline, or off as a baseline: every request begins")
 }
 
 // Check returns the faults of the section.
--- a/entry/services/calls/attempt.go
+++ b/entry/services/calls/attempt.go
@@ -79,7 +79,6 @@
 	id       answer.ID
 	body     bytes.Buffer
 	tail     tail
-	watchdog *watchdog
 	// bytes counts what was received, end is set once the end record came.
 	bytes uint64
 	end   *wire.End
@@ -99,11 +98,9 @@
 		return nil, codes.NewResult(codes.NoBackend, err.Error())
 	}
 	stop := link.CloseOnDone(ctx, stream)
-	e.watchdog = e.watch(stream)
 	got, result := e.converse(ctx, stream)
 	untouched := stop()
-	quiet := e.watchdog.stop()
-	if untouched && quiet && e.end != nil {
+	if untouched && e.end != nil {
 		e.chosen.Session.PutStream(stream)
 	} else {
 		_ = stream.Close()
@@ -170,7 +167,6 @@
 
 func (e *exchange) takePart(part *wire.Part) *codes.Result {
 	e.bytes += uint64(len(part.GetData()))
-	e.watchdog.stop()
 	if e.run.call.Stream && len(e.run.call.Prefixes) > 0 {
 		e.tail.add(part.GetData())
 	}
@@ -237,10 +233,6 @@
 	if ctx.Err() != nil {
 		return codes.NewResult(codes.Canceled, "the caller went away")
 	}
-	if e.watchdog.gaveUp() {
-		e.run.gaveUp = true
-		return impatient(e.run.call.Patience)
-	}
 	return codes.NewResult(codes.BackendLost, err.Error()).WithRetryAfter(retryHint)
 }
 
@@ -255,9 +247,8 @@
 	return late.WithOutcome(result.Outcome).WithRetryAfter(retryHint)
 }
 
-// withoutBackend marks an agent whose backend server is gone as at fault. It
-// refuses at once and so looks idle: without a fault to its name it would be
-// chosen for every next call.
+// withoutBackend lets a call that found an agent without its backend server go
+// to another agent; NoBackend alone means that none is left.
 func withoutBackend(result *codes.Result) *codes.Result {
 	if result.Code != codes.NoBackend {
 		return result
@@ -287,6 +278,9 @@
 	}
 	if result != nil {
 		ended.Code = result.Code
+		if codes.Code(e.end.GetCode()) == codes.NoBackend {
+			ended.Code = codes.NoBackend
+		}
 		ended.Silent = e.end == nil && e.bytes == 0 && result.Code == codes.DeadlineExceeded
 	}
 	if e.end != nil {
