--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	@for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
 
 .PHONY: test
-test: build lint unit spec check-goroutines ## passes every test, lint and spec check
+test: build lint unit spec check-goroutines check-capacity ## passes every test, lint and spec check
 
 .PHONY: unit
 unit: build ## runs the Go tests of every module
