settled claims age out; open ones never do

Change: one entry, picked by rendezvous hash from the lagging list, looks at every claim each 10 minutes and deletes what has expired by compare-and-swap, at 20 a second. Conclusion: carries what runs today; at the target's rate of orders one sweeper of 20 reads a second does not keep up, and records by expiry bucket would be needed.

--- a/agent/services/claims/keeper.go
+++ b/agent/services/claims/keeper.go
@@ -144,7 +144,9 @@
 		return err
 	}
 	if stored == nil {
-		return ErrClaims.New("claim %s is gone", write.Key)
+		// Swept after its retention, or lost with the service's data: nothing is left to settle.
+		k.log.Error("claim-gone", zap.String("key", write.Key), zap.String("attempt", write.Attempt))
+		return nil
 	}
 	record, ok := claim.Finish(stored.Record, write.Attempt, write.Answer, time.Now())
 	if !ok {
--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -21,6 +21,7 @@
 	"verbenaroad.example/entry/services/policy"
 	"verbenaroad.example/entry/services/settle"
 	"verbenaroad.example/entry/services/status"
+	"verbenaroad.example/entry/services/sweep"
 	"verbenaroad.example/entry/services/walk"
 	"verbenaroad.example/share/decide/drain"
 	"verbenaroad.example/share/decide/route"
@@ -282,6 +283,14 @@
 	e.follower.Start(ctx)
 	e.fleet.Start(ctx)
 	go e.loopEntries(ctx)
+	sweep.NewSweeper(sweep.Options{
+		Claims:    e.port,
+		Snapshots: e.follower,
+		Turn:      e.fleet,
+		Every:     sweep.DefaultEvery,
+		Pause:     sweep.DefaultPause,
+		Log:       e.log,
+	}).Start(ctx)
 	e.log.Info("started",
 		zap.Stringer("callers", e.callers.Address()),
 		zap.Stringer("admin", e.admin.Address()),
--- a/entry/services/fleet/fleet.go
+++ b/entry/services/fleet/fleet.go
@@ -70,6 +70,8 @@
 	peers map[string]*peer
 	// entries is the number of live entries, itself included; at least 1.
 	entries int
+	// entryNames are those on the list.
+	entryNames []string
 	// retired counts the bytes of sessions that have ended, by region.
 	crossRetired uint64
 }
--- a/entry/services/fleet/peers.go
+++ b/entry/services/fleet/peers.go
@@ -63,6 +63,7 @@
 	if err == nil {
 		f.lock.Lock()
 		f.entries = max(1, len(entries))
+		f.entryNames = namesOf(entries)
 		f.lock.Unlock()
 		f.options.Watcher.OnInstances(append(entries, agents...))
 	}
--- a/share/decide/claim/record.go
+++ b/share/decide/claim/record.go
@@ -83,9 +83,12 @@
 	Index uint64
 }
 
+// KeyPrefix begins the key of every claim.
+const KeyPrefix = "claims/"
+
 // Key returns the key-value service's key of a caller's idempotency key; two teams never share one.
 func Key(team, key string) string {
-	return "claims/" + url.PathEscape(team) + "/" + url.PathEscape(key)
+	return KeyPrefix + url.PathEscape(team) + "/" + url.PathEscape(key)
 }
 
 // Encode writes r as JSON.
--- a/share/services/kvport/kvport.go
+++ b/share/services/kvport/kvport.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -78,3 +79,22 @@
 	}
 	return p.CompareAndSwap(ctx, claimPrefix+key, data, index)
 }
+
+// FindClaimKeys returns the keys of all claims.
+func (p *Port) FindClaimKeys(ctx context.Context) ([]string, error) {
+	found, err := p.client.FindKeys(ctx, claimPrefix+claim.KeyPrefix)
+	if err != nil {
+		return nil, ErrPort.Wrap(err)
+	}
+	keys := make([]string, 0, len(found))
+	for _, key := range found {
+		keys = append(keys, strings.TrimPrefix(key, claimPrefix))
+	}
+	return keys, nil
+}
+
+// DeleteClaim deletes a claim if its index still is index.
+func (p *Port) DeleteClaim(ctx context.Context, key string, index uint64) error {
+	_, err := p.client.DeleteIf(ctx, claimPrefix+key, index)
+	return ErrPort.Wrap(err)
+}
