fakes list: compressed answers, as Consul gives them

Cause: the list is the largest part of a process's control bytes at the target (docs/CAPACITY.md), measured with a stand-in that does not compress; Consul compresses answers for clients that take it, as net/http does. Change: the stand-in does so too. The series of the list is to be measured anew.

--- a/fakes/services/roster/list.go
+++ b/fakes/services/roster/list.go
@@ -79,7 +79,7 @@
 }
 
 func (l *List) getService(w http.ResponseWriter, r *http.Request) {
-	serve.WriteJSON(w, l.find(r.PathValue("name")))
+	writeCompressed(w, r, l.find(r.PathValue("name")))
 }
 
 func (l *List) find(name string) []node {
--- a/scripts/bench/slopes.sh
+++ b/scripts/bench/slopes.sh
@@ -160,7 +160,7 @@
 list_bytes() {
   local role sum=0
   for role in agent entry; do
-    sum=$((sum + $(curl -s "http://$LIST/v1/catalog/service/$role" | wc -c)))
+    sum=$((sum + $(curl -s -H "Accept-Encoding: gzip" "http://$LIST/v1/catalog/service/$role" | wc -c)))
   done
   echo "$sum"
 }
