agent/services/gate: run times by stage and size of the run

Costs and times do not go together: a prompt token costs what a generated one costs and takes a hundredth of its time, so the time per cost unit learnt from long prompts gave short runs a fraction of what they need. Change: an estimate for each power of two of the cost; one that has aged out starts anew with the next run.

--- a/agent/services/gate/gate_test.go
+++ b/agent/services/gate/gate_test.go
@@ -67,6 +67,28 @@
 	})
 }
 
+// Short prompts' answers come late above capacity after a minute of long
+// prompts: those cost five times as much and take hardly longer, so that a time
+// per cost unit taken from them lets short ones begin with a fifth of their time.
+func TestGateTellsLongPromptsFromShortOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGate()
+		learn(t, g)
+		for n := range 30 * runs {
+			long := item("long-"+strconv.Itoa(n), config.PriorityNormal, time.Second)
+			long.Cost = 5
+			ticket, refused := g.Enter(t.Context(), "generate", long)
+			is.Equal(refused, nil)
+			time.Sleep(runTime)
+			g.Leave(ticket, long.Cost)
+		}
+		learn(t, g) // the estimate of the short ones is fresh again
+		_, refused := g.Enter(t.Context(), "generate", item("short", config.PriorityUrgent, runTime/2))
+		is.True(refused != nil)
+	})
+}
+
 // Callers stay refused after a slow minute has passed: runs were refused as too
 // late to start, so that none told that the backend server is fast again.
 func TestGateForgetsASlowStage(t *testing.T) {
--- a/agent/services/gate/times.go
+++ b/agent/services/gate/times.go
@@ -12,8 +12,8 @@
 	step = 0.05
 	// settled is the number of runs before an estimate counts.
 	settled = 8
-	// maxStages bounds the stages told apart.
-	maxStages = 256
+	// maxKinds bounds the kinds told apart.
+	maxKinds = 1024
 	// fresh is the age up to which an estimate stands; halfLife halves an older one. Without it a slow
 	// minute would last: calls would be refused as too late to start, and no
 	// run would tell that the backend server is fast again.
@@ -21,9 +21,23 @@
 	halfLife = 2 * time.Second
 )
 
-// times estimates how long a run of each stage takes, in time per cost unit.
+// times estimates how long a run of each kind takes, in time per cost unit.
 type times struct {
-	stages map[string]*estimate
+	kinds map[kind]*estimate
+}
+
+// kind tells runs apart by stage and by the power of two of their cost. Time
+// does not grow with cost: a prompt token costs as much as a generated one and
+// takes a hundredth of its time. One estimate for all would tell short prompts'
+// runs a fraction of their time after a minute of long ones.
+type kind struct {
+	stage  string
+	octave int
+}
+
+func kindOf(stage string, cost float64) kind {
+	_, octave := math.Frexp(cost)
+	return kind{stage: stage, octave: octave}
 }
 
 // estimate follows a quantile: it rises with runs above it and falls with
@@ -35,7 +49,7 @@
 }
 
 func newTimes() *times {
-	return &times{stages: map[string]*estimate{}}
+	return &times{kinds: map[kind]*estimate{}}
 }
 
 // add takes a run's time.
@@ -43,15 +57,19 @@
 	if cost <= 0 || took <= 0 {
 		return
 	}
-	e := t.stages[stage]
+	k := kindOf(stage, cost)
+	e := t.kinds[k]
 	if e == nil {
-		if len(t.stages) >= maxStages {
+		if len(t.kinds) >= maxKinds {
 			return
 		}
 		e = &estimate{unit: float64(took) / cost}
-		t.stages[stage] = e
+		t.kinds[k] = e
+	}
+	if !e.at.IsZero() && now.Sub(e.at) > fresh+halfLife {
+		// Too old to follow from: a faded value would need many runs to climb back.
+		*e = estimate{unit: float64(took) / cost}
 	}
-	e.unit = e.faded(now)
 	e.at = now
 	e.runs++
 	if float64(took)/cost > e.unit {
@@ -63,7 +81,7 @@
 
 // expect returns the time that a run should be given; 0 while too little is known.
 func (t *times) expect(now time.Time, stage string, cost float64) time.Duration {
-	e := t.stages[stage]
+	e := t.kinds[kindOf(stage, cost)]
 	if e == nil || e.runs < settled {
 		return 0
 	}
