target: read buffers are used again

Cause: in the profile of an agent at 2,400 requests/s the collector takes some 20 % and large allocations 5 %: a 32 KB buffer a call. Change: a pool of buffers.

--- a/agent/services/target/target.go
+++ b/agent/services/target/target.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -56,7 +57,7 @@
 	Tokens      uint64
 }
 
-// Sink takes the pieces of an answer in order; an error ends the call.
+// Sink takes the pieces of an answer in order and keeps none of their memory; an error ends the call.
 type Sink interface {
 	Write(p []byte) (int, error)
 }
@@ -72,6 +73,13 @@
 	// server would run a non-idempotent call twice. On a connection that was
 	// never used before the transport does not send again.
 	single *http.Client
+	// pieces holds read buffers between calls; a sink does not keep what it is given.
+	pieces sync.Pool
+}
+
+func newPiece() any {
+	piece := make([]byte, pieceBytes)
+	return &piece
 }
 
 // NewServer returns the backend server at the address.
@@ -80,6 +88,7 @@
 		address: address,
 		shared:  &http.Client{Transport: newTransport(false)},
 		single:  &http.Client{Transport: newTransport(true)},
+		pieces:  sync.Pool{New: newPiece},
 	}
 }
 
@@ -156,7 +165,9 @@
 }
 
 func (s *Server) copyAnswer(ctx context.Context, call Call, body io.Reader, sink Sink, ending *Ending) {
-	piece := make([]byte, pieceBytes)
+	pooled, _ := s.pieces.Get().(*[]byte)
+	defer s.pieces.Put(pooled)
+	piece := *pooled
 	tail := []byte{}
 	for {
 		n, err := body.Read(piece)
