--- a/agent/cmds/settings_test.go
+++ b/agent/cmds/settings_test.go
@@ -69,7 +69,7 @@
 	is.NoErr(err)
 	broken := strings.NewReplacer(
 		`store = "127.0.0.1:8500"`, `store = "kv.local:8500"`,
-		`list-every = "2s"`, `list-every = "2"`,
+		`list-every = "5s"`, `list-every = "2"`,
 		`grace = "30s"`, `grace = "-1s"`,
 		`level = "info"`, `level = "loud"`,
 		`region = "osrednja"`, `zone = "osrednja"`,
--- a/share/modules/setup/sections.go
+++ b/share/modules/setup/sections.go
@@ -158,7 +158,7 @@
 	fs.TextVar(&p.Store, "platform.store", netip.AddrPort{}, "`ip:port` of the key-value service")
 	fs.DurationVar(&p.StoreTimeout, "platform.store-timeout", 2*time.Second, "longest `time` for one call of the key-value service")
 	fs.TextVar(&p.List, "platform.list", netip.AddrPort{}, "`ip:port` of the list of instances")
-	fs.DurationVar(&p.ListEvery, "platform.list-every", 2*time.Second, "`time` between two reads of the list")
+	fs.DurationVar(&p.ListEvery, "platform.list-every", 5*time.Second, "`time` between two reads of the list")
 }
 
 // Check returns the faults of the section.
