--- a/share/modules/httpd/linger.go
+++ b/share/modules/httpd/linger.go
@@ -32,8 +32,9 @@
 // linger begins the wait for the caller of an answered request to close.
 func (s *Server) linger(conn closable) {
 	s.lock.Lock()
-	defer s.lock.Unlock()
 	s.lingering = append(s.lingering, lingering{conn: conn, since: time.Now()})
+	s.lock.Unlock()
+	s.wakeLoop()
 }
 
 // closeLingering closes what its callers left open; called under the lock.
--- a/share/modules/httpd/server.go
+++ b/share/modules/httpd/server.go
@@ -53,6 +53,8 @@
 	handler  http.Handler
 	listener net.Listener
 	done     chan struct{}
+	// wake asks the loop to sweep; it holds one request at most.
+	wake chan struct{}
 
 	// opened counts connections. nbio hands one from the accepting goroutine to
 	// a polling one through the kernel, which the race detector cannot see; this
@@ -83,6 +85,7 @@
 		options: options,
 		handler: options.Handler,
 		done:    make(chan struct{}),
+		wake:    make(chan struct{}, 1),
 		running: map[*http.Request]runningCall{},
 		fresh:   map[closable]bool{},
 	}
@@ -160,6 +163,7 @@
 	s.running[r] = call
 	delete(s.fresh, call.conn)
 	s.lock.Unlock()
+	s.wakeLoop()
 	defer s.forget(r)
 	s.handler.ServeHTTP(newPieceWriter(w), r)
 }
@@ -182,21 +186,47 @@
 	delete(s.running, r)
 }
 
-// loop looks for requests whose caller has gone.
+// loop sweeps while there is something to look at, and rests otherwise: an
+// idle server's timer would cost as much processor time as its heartbeats.
 func (s *Server) loop() {
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-s.wake:
+		}
+		if !s.sweepUntilIdle() {
+			return
+		}
+	}
+}
+
+// sweepUntilIdle returns false once the server is closed.
+func (s *Server) sweepUntilIdle() bool {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-s.done:
-			return
+			return false
 		case <-ticker.C:
-			s.cancelGone()
 		}
+		if s.cancelGone() {
+			return true
+		}
+	}
+}
+
+// wakeLoop begins the sweep; called after something to look at was noted.
+func (s *Server) wakeLoop() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
 	}
 }
 
-func (s *Server) cancelGone() {
+// cancelGone looks once for requests whose caller has gone, and reports whether nothing is left to look at.
+func (s *Server) cancelGone() (idle bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.closeLingering(time.Now())
@@ -208,4 +238,5 @@
 			call.cancel()
 		}
 	}
+	return len(s.running) == 0 && len(s.lingering) == 0
 }
