fakes: callers close, as at share/modules/httpd; the drain tests accept no lost answer any more

Cause: the stand-ins' HTTP server closed about 1 in 3,400 new connections without an answer (nbhttp acts on a reused descriptor); the drain tests accepted what that did. Change: the stand-ins leave closing to the caller too; the acceptance is taken out.

--- a/fakes/modules/serve/handler.go
+++ b/fakes/modules/serve/handler.go
@@ -40,6 +40,10 @@
 		// The connection went silent while the call waited its turn: it takes no effect.
 		return
 	}
+	if r.Close {
+		leaveOpen(w, r)
+		defer c.closeLater()
+	}
 	settings := s.faults.GetFor(r.Method)
 	if !s.hold(r.Method, time.Duration(settings.Slow)) {
 		return
--- a/proofs/harns/drain_test.go
+++ b/proofs/harns/drain_test.go
@@ -113,9 +113,6 @@
 			case refused != nil && refused(a.reply):
 				other++
 				continue
-			case c.d.isLostByStandIn(a.id, a.reply):
-				t.Logf("%s: a stand-in closed the connection: %s", a.id, a.reply)
-				continue
 			case a.visit.key != "":
 				checkOrder(t, a.id, a.reply)
 			default:
@@ -127,29 +124,6 @@
 	return whole, other
 }
 
-// isLostByStandIn tells whether a stand-in closed the connection of an order's
-// call, or of its claim's write, without an answer. The stand-ins do so to about
-// one new connection in several thousand (their HTTP server takes a hang-up on
-// an earlier connection's descriptor for the new one's). The order's outcome
-// is then truly unknown, or it truly did not run, and no stop is at fault.
-func (d *deployment) isLostByStandIn(key string, r reply) bool {
-	if r.failure.Name == "claims-unavailable" && r.notRun() {
-		return d.countRuns(key) == 0
-	}
-	if r.failure.Name != "outcome-unknown" || r.requestID == "" {
-		return false
-	}
-	for name := range d.agents {
-		for _, line := range strings.Split(d.agents[name].text(), "\n") {
-			lost := strings.Contains(line, "event=call-ended") && strings.Contains(line, "code=3003")
-			if lost && strings.Contains(line, r.requestID) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 func drainPlan(entries int) plan {
 	return plan{entries: entries, backends: []backend{
 		modelServer("llm-1"), modelServer("llm-2"), slowDesk("ord-1", "100ms"), slowDesk("ord-2", "100ms"),
--- a/scripts/bench/policy.sh
+++ b/scripts/bench/policy.sh
@@ -233,7 +233,7 @@
   for region in "${REGIONS[@]}"; do wait_ready "entry-$policy-$region"; done
 done
 sleep 2
-echo "started ${#PIDS[@]} processes"
+echo "started ${#PID_OF[@]} processes"
 read -r _ user nice system idle rest </proc/stat
 for name in "${SCENARIOS[@]}"; do
   for ((run = FIRST; run < FIRST + RUNS; run++)); do
