--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -13,13 +13,9 @@
 	"verbenaroad.example/entry/routers/admin"
 	"verbenaroad.example/entry/routers/caller"
 	"verbenaroad.example/entry/services/calls"
-	"verbenaroad.example/entry/services/change"
 	"verbenaroad.example/entry/services/direct"
-	"verbenaroad.example/entry/services/explan"
 	"verbenaroad.example/entry/services/fleet"
-	"verbenaroad.example/entry/services/lookup"
 	"verbenaroad.example/entry/services/policy"
-	"verbenaroad.example/entry/services/settle"
 	"verbenaroad.example/entry/services/status"
 	"verbenaroad.example/entry/services/sweep"
 	"verbenaroad.example/entry/services/walk"
@@ -39,7 +35,6 @@
 	"verbenaroad.example/share/services/kvport"
 	"verbenaroad.example/share/services/procs"
 	"verbenaroad.example/share/services/stops"
-	"verbenaroad.example/share/services/store"
 )
 
 const (
@@ -236,46 +231,6 @@
 	})
 }
 
-func (e *Entry) newAdmin() *admin.Router {
-	reader := store.NewReader(e.port, store.DefaultPrefix)
-	writer := store.NewWriter(e.port, reader)
-	changes := change.NewService(&adopter{Writer: writer, follower: e.follower}, e.follower)
-	return admin.NewRouter(admin.Options{
-		Changes:         changes,
-		Lookups:         lookup.NewService(reader, e.follower),
-		Snapshots:       e.follower,
-		Statuses:        e.newStatus(),
-		Drains:          change.NewDrainService(changes, e.board),
-		Explanations:    explan.NewService(e.follower, e.fleet, e.board),
-		Claims:          settle.NewService(e.port, e.fleet, e.log),
-		BootstrapSHA256: e.settings.Admin.BootstrapSHA256,
-		Log:             e.logAdmin,
-	})
-}
-
-func (e *Entry) newStatus() *status.Service {
-	return status.NewService(status.Options{
-		Self:          e.settings.Instance.Name,
-		Board:         e.board,
-		Configuration: e.follower,
-		Accounts:      e.policy,
-		Ready:         e.checkReady,
-		Calls:         e.runner.GetCounts().GetReport,
-		Results:       e.router.GetResults().GetCounts,
-	})
-}
-
-func (e *Entry) logAdmin(event admin.Event) {
-	e.log.Info("admin-request",
-		zap.String("request-id", event.RequestID),
-		zap.String("operator", event.Operator),
-		zap.String("method", event.Method),
-		zap.String("path", event.Path),
-		zap.Int("status", event.Status),
-		zap.Duration("took", event.Duration),
-	)
-}
-
 // serve runs until the drain is over.
 func (e *Entry) serve(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -320,27 +275,3 @@
 		}
 	}
 }
-
-// report is the process's expvar.
-func (e *Entry) report() any {
-	calls := e.runner.GetCounts().GetReport()
-	costs := make(map[string]float64, len(calls.Stages))
-	for name, use := range calls.Stages {
-		costs[name] = use.Cost
-	}
-	return map[string]any{
-		"role":               "entry",
-		"cost-by-stage":      costs,
-		"cross-region-bytes": calls.CrossBytes,
-		"sent":               calls.Sent,
-		"retries":            calls.Retries,
-		"resends":            calls.Resends,
-		"results":            e.router.GetResults().GetCounts(),
-		"calls":              calls,
-		"fleet":              e.fleet.GetReport(),
-		"pools":              e.policy.FindReports(time.Now()),
-		"active-teams":       e.policy.CountTeams(),
-		"config":             procs.DescribeConfig(e.follower),
-		"store":              e.store.Stats(),
-	}
-}
