--- a/share/decide/spend/report.go
+++ b/share/decide/spend/report.go
@@ -8,27 +8,27 @@
 
 // Line is the use of one stage by one team over the window, in cost units.
 type Line struct {
-	Stage string
-	Team  string
+	Stage string `json:"stage"`
+	Team  string `json:"team"`
 	// Used lies within the committed amount, Beyond above it.
-	Used   float64
-	Beyond float64
+	Used   float64 `json:"used"`
+	Beyond float64 `json:"beyond"`
 }
 
 // Report is the account of one pool over the window. Used plus Idle is Committed.
 type Report struct {
-	Pool string
+	Pool string `json:"pool"`
 	// Span is the time that the amounts cover.
-	Span      time.Duration
-	Committed float64
-	Used      float64
-	Idle      float64
-	Beyond    float64
+	Span      time.Duration `json:"span"`
+	Committed float64       `json:"committed"`
+	Used      float64       `json:"used"`
+	Idle      float64       `json:"idle"`
+	Beyond    float64       `json:"beyond"`
 	// CommittedSpend is owed whether used or not; BeyondSpend comes on top of it.
-	CommittedSpend float64
-	BeyondSpend    float64
+	CommittedSpend float64 `json:"committed-spend"`
+	BeyondSpend    float64 `json:"beyond-spend"`
 	// Lines are sorted by stage, then team.
-	Lines []Line
+	Lines []Line `json:"lines"`
 }
 
 // Reports returns the account of every pool by name, over the whole cells of the window; the current one is not yet whole.
