--- a/agent/services/claims/keeper.go
+++ b/agent/services/claims/keeper.go
@@ -12,6 +12,7 @@
 
 	"verbenaroad.example/share/decide/claim"
 	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/pauses"
 	"verbenaroad.example/share/modules/wire"
 )
 
@@ -134,7 +135,7 @@
 			return
 		}
 		k.log.Warn("claim-write-failed", zap.String("attempt", write.Attempt), zap.Error(err))
-		sleep(ctx, retryPause)
+		pauses.Wait(ctx, retryPause)
 	}
 }
 
@@ -161,12 +162,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -125,7 +125,6 @@
 		Configuration: e.follower,
 		Budget:        e.policy,
 		Tracer:        e.tracer,
-		Log:           e.log,
 	})
 	return nil
 }
--- a/entry/routers/caller/world_test.go
+++ b/entry/routers/caller/world_test.go
@@ -59,7 +59,7 @@
 	tracer, err := spans.NewTracer(t.Context(), spans.Options{})
 	must(t, err)
 	budget := policy.NewPolicy(policy.AdmissionDeadline)
-	runner := calls.NewRunner(calls.Options{Fleet: w, Configuration: w, Budget: budget, Tracer: tracer, Log: zap.NewNop()})
+	runner := calls.NewRunner(calls.Options{Fleet: w, Configuration: w, Budget: budget, Tracer: tracer})
 	w.router = caller.NewRouter(caller.Options{
 		Configuration: w,
 		Walker:        walk.NewWalker(runner, budget, w, w),
--- a/entry/services/calls/calls.go
+++ b/entry/services/calls/calls.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
-	"go.uber.org/zap"
 
 	"verbenaroad.example/entry/services/fleet"
 	"verbenaroad.example/share/decide/answer"
@@ -18,6 +17,7 @@
 	"verbenaroad.example/share/decide/route"
 	"verbenaroad.example/share/models/config"
 	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/pauses"
 	"verbenaroad.example/share/modules/spans"
 	"verbenaroad.example/share/modules/wire"
 )
@@ -111,7 +111,6 @@
 	config Configuration
 	budget Budget
 	tracer *spans.Tracer
-	log    *zap.Logger
 	counts *Counts
 }
 
@@ -121,7 +120,6 @@
 	Configuration Configuration
 	Budget        Budget
 	Tracer        *spans.Tracer
-	Log           *zap.Logger
 }
 
 // NewRunner returns a runner.
@@ -131,7 +129,6 @@
 		config: options.Configuration,
 		budget: options.Budget,
 		tracer: options.Tracer,
-		log:    options.Log,
 		counts: NewCounts(),
 	}
 }
@@ -196,7 +193,7 @@
 		// Sessions may just be coming up; the wait counts as an attempt, so it is bounded too.
 		s.sent++
 		s.excluded = nil
-		return waitFor(ctx, noBackendPause)
+		return pauses.Wait(ctx, noBackendPause)
 	}
 	decision := r.budget.DecideRetry(r.serviceOf(ctx, s.call.Service), retry.Attempt{
 		Retries:    s.retries,
@@ -215,7 +212,7 @@
 	case retry.ActionRetry:
 		s.retries++
 		r.counts.retries.Add(1)
-		return waitFor(ctx, decision.After)
+		return pauses.Wait(ctx, decision.After)
 	default:
 		return false
 	}
@@ -229,17 +226,6 @@
 	return snapshot.GetServiceByName(name)
 }
 
-func waitFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Release gives back an agent that was chosen and not used.
 func (r *Runner) Release(service string, chosen *fleet.Attempt) {
 	r.fleet.EndAttempt(time.Now(), service, route.Ended{Name: chosen.Choice.Name, Code: codes.Canceled, Cached: -1})
--- a/entry/services/calls/calls_test.go
+++ b/entry/services/calls/calls_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"go.uber.org/zap"
 
 	"verbenaroad.example/entry/services/calls"
 	"verbenaroad.example/entry/services/fleet"
@@ -133,7 +132,6 @@
 		Configuration: configuration{config.NewSnapshot(1, set)},
 		Budget:        policy.NewPolicy(policy.AdmissionDeadline),
 		Tracer:        tracer,
-		Log:           zap.NewNop(),
 	}), f
 }
 
--- a/entry/services/sweep/sweep.go
+++ b/entry/services/sweep/sweep.go
@@ -10,6 +10,7 @@
 
 	"verbenaroad.example/share/decide/claim"
 	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/modules/pauses"
 )
 
 const (
@@ -103,7 +104,7 @@
 		if gone {
 			deleted++
 		}
-		if !sleep(ctx, s.options.Pause) {
+		if !pauses.Wait(ctx, s.options.Pause) {
 			return deleted, ctx.Err()
 		}
 	}
@@ -120,14 +121,3 @@
 	}
 	return true, s.options.Claims.DeleteClaim(ctx, key, stored.Index)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/share/services/follow/fetch.go
+++ b/share/services/follow/fetch.go
@@ -8,6 +8,7 @@
 
 	"verbenaroad.example/share/decide/spread"
 	"verbenaroad.example/share/models/config"
+	"verbenaroad.example/share/modules/pauses"
 	"verbenaroad.example/share/modules/wire"
 )
 
@@ -37,27 +38,18 @@
 		if err != nil {
 			f.countFailedRead(err)
 			index = 0
-			sleep(ctx, watchPause)
+			pauses.Wait(ctx, watchPause)
 			continue
 		}
 		index = answer.Index
 		// The answer may be as old as the request, so the request's time is the safe one.
 		f.Tell(spread.HeadSeen{Head: answer.Head, AskedAt: answer.AskedAt, Watch: true})
 		if index == 0 {
-			sleep(ctx, watchPause)
+			pauses.Wait(ctx, watchPause)
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (f *Follower) runFetchStore(ctx context.Context) {
 	answer, err := f.options.Store.ReadHead(ctx)
 	if err != nil {
