--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,8 @@
 GOLANGCI_VERSION := v2.15.0
 PROTOC_GEN_VERSION := v1.36.12
 TOOLS := $(CURDIR)/bin/tools
-MODULES := agent entry fakes proofs share vctl vload
-PROGRAMS := agent entry fakes vctl vload
+MODULES := agent entry fakes ingress platform proofs share vctl vload
+PROGRAMS := agent entry fakes ingress vctl vload
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 DEPLOYMENT ?= ljubljana
 export GOFLAGS := -buildvcs=false
--- a/agent/cmds/serve.go
+++ b/agent/cmds/serve.go
@@ -12,7 +12,6 @@
 	"verbenaroad.example/agent/services/claims"
 	"verbenaroad.example/agent/services/gate"
 	"verbenaroad.example/agent/services/intake"
-	"verbenaroad.example/agent/services/peers"
 	"verbenaroad.example/agent/services/target"
 	"verbenaroad.example/share/decide/claim"
 	"verbenaroad.example/share/decide/drain"
@@ -26,6 +25,7 @@
 	"verbenaroad.example/share/modules/wire"
 	"verbenaroad.example/share/services/follow"
 	"verbenaroad.example/share/services/kvport"
+	"verbenaroad.example/share/services/peers"
 	"verbenaroad.example/share/services/procs"
 	"verbenaroad.example/share/services/stops"
 )
--- /dev/null
+++ b/ingress/cmds/serve.go
@@ -0,0 +1,259 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/ingress/routers/ops"
+	"verbenaroad.example/ingress/routers/public"
+	"verbenaroad.example/ingress/services/flow"
+	"verbenaroad.example/ingress/services/mesh"
+	"verbenaroad.example/ingress/services/meters"
+	"verbenaroad.example/ingress/services/pieces"
+	"verbenaroad.example/ingress/services/reach"
+	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/platform/heads"
+	"verbenaroad.example/platform/keyval"
+	"verbenaroad.example/platform/pools"
+	"verbenaroad.example/platform/record"
+	"verbenaroad.example/share/decide/drain"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/wire"
+	"verbenaroad.example/share/services/peers"
+	"verbenaroad.example/share/services/procs"
+	"verbenaroad.example/share/services/stops"
+)
+
+const (
+	// silentBeats is how many heartbeats of a link may be missing.
+	silentBeats = 3.5
+	// closeTimeout bounds closing what is left after the drain.
+	closeTimeout = 300 * time.Millisecond
+	// graceReserve is kept of the grace time for closing and leaving.
+	graceReserve = 700 * time.Millisecond
+	// staleGrace is how much longer than a watch's wait the store may be silent before peers are asked.
+	staleGrace = 400 * time.Millisecond
+	// flushTimeout bounds writing the last log lines.
+	flushTimeout = 200 * time.Millisecond
+)
+
+// Ingress is the assembled process.
+type Ingress struct {
+	settings *Settings
+	log      *zap.Logger
+	lines    *logs.Bounded
+	meters   *meters.Meters
+	self     site.Ingress
+	store    *keyval.Client
+	book     *state.Book
+	mesh     *mesh.Mesh
+	owner    *pieces.Owner
+	maker    *pieces.Maker
+	flow     *flow.Server
+	stopper  *stops.Stopper
+	front    *Front
+	ready    *http.Server
+	metrics  *http.Server
+	links    *peers.Server
+}
+
+// Serve runs the ingress until a signal has stopped it.
+func Serve(ctx context.Context, settings *Settings, output io.Writer) error {
+	i := &Ingress{settings: settings}
+	i.meters = meters.NewMeters(func() time.Duration { return i.book.Age() })
+	log, lines, err := logs.NewBounded(output, settings.Log.Level, i.meters.CountDropped)
+	if err != nil {
+		return err
+	}
+	i.log = log.With(zap.String("instance", settings.Place.Name))
+	i.lines = lines
+	i.build()
+	if err := i.listen(ctx); err != nil {
+		return err
+	}
+	return i.serve(ctx)
+}
+
+// build wires the services; none of them does I/O yet.
+func (i *Ingress) build() {
+	s := i.settings
+	i.self = site.Ingress{
+		Name: s.Place.Name, Address: s.Peers.Listen, Domain: s.Place.Domain, Incarnation: procs.NewIncarnation(),
+	}
+	i.stopper = stops.NewStopper(drain.Settings{
+		Grace: s.Stop.Grace - graceReserve, Linger: s.Stop.Admit, Admit: s.Stop.Admit,
+	})
+	i.store = keyval.NewClient(keyval.Options{Address: s.Store.Address, CallTimeout: s.Store.Timeout})
+	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.takeView})
+	i.mesh = mesh.NewMesh(mesh.Options{Self: i.self, Link: i.newLink(), Log: i.log})
+	client := reach.NewClient(heads.Codec{})
+	i.owner = pieces.NewOwner(pieces.OwnerOptions{
+		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Repeats: s.Repeats.Settings, Log: i.log,
+	})
+	i.maker = pieces.NewMaker(i.mesh, i.owner, i.log)
+	i.flow = flow.NewServer(flow.Options{
+		Views: i.book, Sender: client, Maker: i.maker, Meter: i.meters, Log: i.log,
+		Domain: s.Place.Domain, Region: s.Place.Region, Regions: s.Place.Regions, Repeats: s.Repeats.Settings,
+	})
+}
+
+func (i *Ingress) newLink() link.Options {
+	beat := i.settings.Peers.BeatEvery
+	return link.Options{
+		Hello: &wire.Hello{
+			Version: wire.Version, Name: i.self.Name, Incarnation: i.self.Incarnation, Role: "ingress",
+			Region: i.settings.Place.Region, Domain: i.self.Domain,
+		},
+		Private:     i.settings.Peers.Private,
+		BeatEvery:   beat,
+		SilentAfter: time.Duration(silentBeats * float64(beat)),
+		Beat:        func() *wire.Beat { return &wire.Beat{Leaving: i.stopper.IsLeaving()} },
+	}
+}
+
+func (i *Ingress) takeView(v *state.View) {
+	i.flow.TakeView(v)
+	i.owner.TakeView(v)
+	i.mesh.TakeView(v)
+	i.meters.SetVersion(v.Version())
+}
+
+// checkReady says why the process takes no new connections.
+func (i *Ingress) checkReady() error {
+	if i.stopper.IsLeaving() {
+		return errors.New("leaving")
+	}
+	v := i.book.View()
+	if v.Table == nil {
+		return errors.New("no configuration yet")
+	}
+	if len(v.Servers) == 0 {
+		return errors.New("no backend servers yet")
+	}
+	return nil
+}
+
+func (i *Ingress) listen(ctx context.Context) error {
+	s := i.settings
+	security, err := s.Secure.BuildConfig()
+	if err != nil {
+		return err
+	}
+	options := i.newLink()
+	options.TLS = security
+	i.links, err = peers.NewServer(peers.Options{
+		Address: s.Peers.Listen, Link: options,
+		Handler: &mesh.Handler{Book: i.book, Maker: i.maker, Log: i.log}, Log: i.log,
+	})
+	if err != nil {
+		return err
+	}
+	i.front, err = NewFront(ctx, FrontOptions{
+		Address: s.Callers.Listen, Views: i.book, Log: i.log,
+		Handler: public.NewRouter(public.Options{
+			Codec: heads.Codec{}, Views: i.book, Flow: i.flow, Doorman: i.stopper, Log: i.log,
+		}),
+	})
+	if err != nil {
+		return err
+	}
+	o := ops.Options{
+		ReadyPath: s.Callers.ReadyPath, Ready: i.checkReady, MetricsPath: s.Metrics.Path, Metrics: i.meters.Handler(),
+	}
+	i.ready, err = listenHTTP(ctx, s.Callers.Ready, ops.NewReady(o))
+	if err != nil {
+		return err
+	}
+	i.metrics, err = listenHTTP(ctx, s.Metrics.Listen, ops.NewMetrics(o))
+	return err
+}
+
+// side is one of the small HTTP servers beside the callers'.
+type side struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (s side) run() { _ = s.server.Serve(s.listener) } // ends when the server is closed
+
+func listenHTTP(ctx context.Context, address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+	settings := net.ListenConfig{}
+	listener, err := settings.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	go side{server: server, listener: listener}.run()
+	return server, nil
+}
+
+// serve runs until the drain is over.
+func (i *Ingress) serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := i.settings
+	for _, prefix := range i.book.Prefixes() {
+		w := &state.Watcher{Book: i.book, Store: i.store, Prefix: prefix, Wait: s.Store.Wait, HistoryGone: keyval.ErrHistoryGone}
+		w.Start(ctx)
+	}
+	registrar := &state.Registrar{Leases: i.store, Codec: record.Codec{}, Self: i.self, TTL: s.Store.Lease, Log: i.log}
+	registrar.Start(ctx)
+	(&state.Sweeper{Book: i.book}).Start(ctx)
+	(&mesh.Puller{Mesh: i.mesh, Book: i.book, StaleAfter: s.Store.Wait + staleGrace, Log: i.log}).Start(ctx)
+	i.owner.Start(ctx)
+	i.links.Start(ctx)
+	i.log.Info("started", zap.Stringer("callers", s.Callers.Listen), zap.Stringer("peers", s.Peers.Listen),
+		zap.Stringer("metrics", s.Metrics.Listen), zap.Stringer("store", s.Store.Address),
+		zap.String("incarnation", i.self.Incarnation))
+	i.waitStop(ctx)
+	closing, done := context.WithTimeout(context.Background(), closeTimeout)
+	defer done()
+	err := errors.Join(i.front.Close(closing), i.ready.Close(), i.metrics.Close())
+	cancel()
+	i.links.Close()
+	registrar.Close(closing)
+	i.log.Info("ended")
+	i.lines.Flush(flushTimeout)
+	return err
+}
+
+// waitStop waits for the signal, lets the callers' connections end, and waits for the drain.
+func (i *Ingress) waitStop(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	stopped := make(chan struct{})
+	go waiter{stopper: i.stopper, log: i.log, stopped: stopped}.run(ctx)
+	for {
+		select {
+		case <-signals:
+			i.log.Info("reload", zap.String("outcome", "kept"), zap.String("reason", "settings are read at the start only"))
+		case <-stopped:
+			return
+		}
+	}
+}
+
+// waiter waits for the drain beside the other signals.
+type waiter struct {
+	stopper *stops.Stopper
+	log     *zap.Logger
+	stopped chan struct{}
+}
+
+func (w waiter) run(ctx context.Context) {
+	procs.WaitStop(ctx, w.stopper, w.log)
+	close(w.stopped)
+}
--- /dev/null
+++ b/ingress/main.go
@@ -0,0 +1,21 @@
+// Command ingress takes callers' requests and sends them to the backend
+// servers directly, on a platform that holds the configuration and the list of servers.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"verbenaroad.example/ingress/cmds"
+	"verbenaroad.example/share/modules/setup"
+)
+
+func main() {
+	settings := &cmds.Settings{}
+	setup.LoadOrExit(settings.Sections(), setup.Options{Program: "ingress", Args: os.Args[1:], Output: os.Stderr})
+	if err := cmds.Serve(context.Background(), settings, os.Stdout); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "ingress:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/ingress/services/flow/flow.go
@@ -0,0 +1,261 @@
+// Package flow takes one request from its admission to its final answer. In:
+// a caller's request. Out: the backend server's answer unchanged, or a refusal
+// that says whether the request ran.
+package flow
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/ingress/services/pieces"
+	"verbenaroad.example/ingress/services/reach"
+	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/decide/access"
+	"verbenaroad.example/share/decide/budget"
+	"verbenaroad.example/share/decide/place"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/codes"
+)
+
+// Views tells what is known of the deployment.
+type Views interface {
+	View() *state.View
+}
+
+// Sender sends one attempt.
+type Sender interface {
+	Send(ctx context.Context, r reach.Request) (*reach.Reply, error)
+}
+
+// Maker has the results of stages made.
+type Maker interface {
+	MakeChain(ctx context.Context, c pieces.Chain) (*pieces.Results, *codes.Result)
+}
+
+// Meter counts what is served.
+type Meter interface {
+	CountAnswer(route, outcome string, took time.Duration)
+	CountFirstEvent(route string, took time.Duration)
+	CountRepeat(service, reason string)
+}
+
+// Options are the settings of a Server.
+type Options struct {
+	Views  Views
+	Sender Sender
+	Maker  Maker
+	Meter  Meter
+	Log    *zap.Logger
+	// Domain and Region are where this ingress stands, Regions where each failure domain does.
+	Domain  string
+	Region  string
+	Regions map[string]string
+	// Repeats bounds what is sent once more.
+	Repeats budget.Settings
+}
+
+// Server serves requests; its methods may be used by many goroutines.
+type Server struct {
+	options Options
+
+	lock sync.Mutex
+	// pools are by the name of their service.
+	pools map[string]*pool
+	// ingresses is the highest number of them seen lately.
+	ingresses int
+}
+
+// pool is what this ingress knows of one service.
+type pool struct {
+	chooser *place.Chooser
+	repeats *budget.Budget
+}
+
+// NewServer returns a server that knows no backend servers.
+func NewServer(options Options) *Server {
+	return &Server{options: options, pools: map[string]*pool{}}
+}
+
+// TakeView takes the backend servers of a new view.
+func (s *Server) TakeView(v *state.View) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.ingresses = max(s.ingresses, len(v.Ingresses))
+	for name := range v.Servers {
+		s.getPool(name)
+	}
+	for name, p := range s.pools {
+		var engine *site.Engine
+		if v.Table != nil {
+			if service := v.Table.FindService(name); service != nil {
+				engine = service.Engine
+			}
+		}
+		p.chooser.SetServers(v.Servers[name], engine)
+	}
+}
+
+// getPool returns what is known of a service; called under the lock.
+func (s *Server) getPool(service string) *pool {
+	p := s.pools[service]
+	if p == nil {
+		p = &pool{chooser: place.NewChooser(s.options.Regions), repeats: budget.NewBudget(s.options.Repeats)}
+		s.pools[service] = p
+	}
+	return p
+}
+
+// Request is what the router read of a caller's request.
+type Request struct {
+	site.Request
+	Method  string
+	Target  string
+	Path    string
+	Host    string
+	Header  http.Header
+	Body    []byte
+	Arrived time.Time
+	// Grant is what the request may do, under the view that it was checked with.
+	Grant access.Grant
+	View  *state.View
+}
+
+// exchange is one request under way.
+type exchange struct {
+	*Request
+	server  *Server
+	route   *site.Route
+	service string
+	log     *zap.Logger
+	// ends is when the request must have its final answer.
+	ends time.Time
+	// tried holds the servers that had the request.
+	tried []string
+	// runs counts the attempts that ran or may have.
+	runs int
+	// sends counts what was sent to the service, refused attempts included.
+	sends int
+}
+
+// defaultPatience stands for that of a caller that does not say how long it waits.
+const defaultPatience = 30 * time.Second
+
+// Serve answers one request.
+func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, q *Request) {
+	x := s.newExchange(q)
+	var result *codes.Result
+	if x.route.Kind == site.KindStream {
+		result = x.serveStream(ctx, w)
+	} else {
+		result = x.servePlain(ctx, w)
+	}
+	x.finish(ctx, w, result)
+}
+
+func (s *Server) newExchange(q *Request) *exchange {
+	r := q.Grant.Route
+	patience := q.Patience
+	if patience == 0 {
+		patience = defaultPatience
+	}
+	if r.Timeout > 0 {
+		patience = min(patience, r.Timeout)
+	}
+	service := access.PickService(r, rand.Float64()) //nolint:gosec // a share of traffic, no secret
+	return &exchange{
+		Request: q,
+		server:  s,
+		route:   r,
+		service: service,
+		ends:    q.Arrived.Add(patience),
+		log: s.options.Log.With(zap.String("request", q.AttemptID), zap.String("route", r.Name),
+			zap.String("service", service), zap.Uint64("config", q.View.Version())),
+	}
+}
+
+// finish answers what got no answer of a backend server, and logs the outcome.
+func (x *exchange) finish(ctx context.Context, w http.ResponseWriter, result *codes.Result) {
+	took := time.Since(x.Arrived)
+	if result == nil {
+		x.log.Info("answered", zap.Duration("took", took), zap.Int("sends", x.sends), zap.Strings("servers", x.tried))
+		x.server.options.Meter.CountAnswer(x.route.Name, "answered", took)
+		return
+	}
+	if ctx.Err() != nil && result.Code == codes.Canceled {
+		x.log.Info("caller-left", zap.Duration("took", took), zap.Int("sends", x.sends), zap.Strings("servers", x.tried))
+		x.server.options.Meter.CountAnswer(x.route.Name, "caller-left", took)
+		return
+	}
+	x.log.Warn("failed", zap.String("code", result.Code.Name()), zap.String("outcome", string(result.Outcome)),
+		zap.String("detail", result.Detail), zap.Duration("took", took), zap.Duration("retry-after", result.RetryAfter),
+		zap.Int("sends", x.sends), zap.Strings("servers", x.tried))
+	x.server.options.Meter.CountAnswer(x.route.Name, result.Code.Name(), took)
+	WriteResult(w, result)
+}
+
+// left returns how long the request still has.
+func (x *exchange) left() time.Duration { return time.Until(x.ends) }
+
+// pick chooses the next backend server and counts the request there.
+func (x *exchange) pick(q place.Query) (site.Server, bool) {
+	s := x.server
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	p := s.getPool(x.service)
+	server, found := p.chooser.Pick(time.Now(), q)
+	if found {
+		p.chooser.Start(server.ID, q.PromptTokens)
+	}
+	return server, found
+}
+
+func (x *exchange) newQuery() place.Query {
+	return place.Query{
+		Domain:       x.server.options.Domain,
+		Region:       x.server.options.Region,
+		Exclude:      x.tried,
+		Parts:        x.Parts,
+		PromptTokens: x.PromptTokens,
+	}
+}
+
+// mayRepeat takes one further arrival from the budget that all ingresses share.
+func (x *exchange) mayRepeat(reason string) bool {
+	s := x.server
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if !s.getPool(x.service).repeats.TakeRepeats(time.Now(), 1, s.ingresses) {
+		x.log.Info("repeat-denied", zap.String("reason", reason), zap.Int("ingresses", s.ingresses))
+		return false
+	}
+	s.options.Meter.CountRepeat(x.service, reason)
+	return true
+}
+
+func (x *exchange) countRequest() {
+	s := x.server
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.getPool(x.service).repeats.CountRequest(time.Now())
+}
+
+func (x *exchange) begin(server site.Server) {
+	s := x.server
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.getPool(x.service).chooser.Begin(server.ID, x.PromptTokens)
+}
+
+func (x *exchange) end(server site.Server, result place.Result, took time.Duration, load *site.Load) {
+	s := x.server
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	p := s.getPool(x.service)
+	p.chooser.Begin(server.ID, 0)
+	p.chooser.End(time.Now(), server.ID, result, took, load)
+}
--- /dev/null
+++ b/ingress/services/flow/stream.go
@@ -0,0 +1,246 @@
+package flow
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/ingress/services/pieces"
+	"verbenaroad.example/ingress/services/reach"
+	"verbenaroad.example/share/decide/place"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/logs"
+)
+
+// serveStream has the stages' results made and relays the events of an engine.
+func (x *exchange) serveStream(ctx context.Context, w http.ResponseWriter) *codes.Result {
+	ctx, cancel := context.WithDeadline(ctx, x.ends)
+	defer cancel()
+	handles, release, result := x.makeResults(ctx)
+	if result != nil {
+		return x.leftOr(ctx, result)
+	}
+	defer release()
+	x.countRequest()
+	r := &relay{exchange: x, writer: w, handles: handles, release: release}
+	return x.leftOr(ctx, r.run(ctx))
+}
+
+// leftOr tells a request whose caller left from one whose time ran out.
+func (x *exchange) leftOr(ctx context.Context, result *codes.Result) *codes.Result {
+	if result != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return codes.NewResult(codes.Canceled, "the caller left")
+	}
+	return result
+}
+
+// makeResults returns the handles that the engine is given, and what releases them.
+func (x *exchange) makeResults(ctx context.Context) ([]string, func(), *codes.Result) {
+	if len(x.route.Stages) == 0 {
+		return nil, func() {}, nil
+	}
+	results, failed := x.server.options.Maker.MakeChain(ctx, pieces.Chain{
+		AttemptID: x.AttemptID,
+		Key:       x.ItemKey,
+		Items:     x.Items,
+		Stages:    x.route.Stages,
+		Priority:  x.Grant.Priority,
+		Target:    x.Arrived.Add(x.route.Target),
+		Ends:      x.ends,
+		Log:       x.log,
+	})
+	if failed != nil {
+		return nil, nil, failed
+	}
+	return results.Handles, results.Release, nil
+}
+
+// relay forwards the events of one stream, over more than one engine where the route allows it.
+type relay struct {
+	*exchange
+	writer  http.ResponseWriter
+	handles []string
+	// release gives up the results; it may be called more than once.
+	release func()
+	// headed is set once the head of the answer went to the caller.
+	headed bool
+	// lastID is the ID of the last event that went to the caller.
+	lastID string
+}
+
+// run relays until the stream is complete or cannot go on.
+func (r *relay) run(ctx context.Context) *codes.Result {
+	r.lastID = r.LastEventID
+	for {
+		server, found := r.pick(r.newQuery())
+		if !found {
+			return r.stop(r.refuseNoServer())
+		}
+		v := r.try(ctx, server)
+		if !v.again || r.left() <= 0 {
+			return r.stop(v.result)
+		}
+	}
+}
+
+// stop ends the answer. One whose head went out cannot be refused any more; the
+// connection is cut, so that the caller sees that the stream is incomplete.
+func (r *relay) stop(result *codes.Result) *codes.Result {
+	if result == nil || !r.headed {
+		return result
+	}
+	r.log.Warn("stream-cut", zap.String("code", result.Code.Name()), zap.String("detail", result.Detail),
+		zap.String("last-event", r.lastID), zap.Duration("took", time.Since(r.Arrived)))
+	r.server.options.Meter.CountAnswer(r.route.Name, "stream-cut", time.Since(r.Arrived))
+	panic(http.ErrAbortHandler)
+}
+
+func (r *relay) try(ctx context.Context, server site.Server) verdict {
+	r.tried = append(r.tried, server.ID)
+	r.sends++
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	send := r.newSend(server, r.handles)
+	send.Forward.LastEventID = r.lastID
+	began := time.Now()
+	reply, err := r.server.options.Sender.Send(ctx, send)
+	if err != nil {
+		return r.judgeBreak(ctx, server, err, time.Since(began))
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if v, unusable := r.judgeHead(server, reply, time.Since(began)); unusable {
+		return v
+	}
+	r.runs++
+	err = r.forward(server, reply)
+	took := time.Since(began)
+	if err != nil {
+		r.runs-- // counted by judgeBreak
+		return r.judgeBreak(ctx, server, err, took)
+	}
+	r.end(server, outcomeOf(reply.Status < http.StatusInternalServerError), took, reply.Load)
+	return verdict{}
+}
+
+// judgeBreak decides after a stream that broke off or never began. Only a
+// resumable one may go on, at another server, after the last event that arrived.
+func (r *relay) judgeBreak(ctx context.Context, server site.Server, err error, took time.Duration) verdict {
+	var caller *callerError
+	if errors.As(err, &caller) {
+		r.end(server, place.ResultLeft, took, nil)
+		return verdict{result: codes.NewResult(codes.Canceled, "the caller left")}
+	}
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) && (errors.Is(err, reach.ErrNotSent) || ctx.Err() != nil || !r.route.Resumable) {
+		return r.judgeError(ctx, server, err, took)
+	}
+	r.log.Warn("stream-broken", zap.String("server", server.ID), zap.String("last-event", r.lastID),
+		zap.Duration("took", took), logs.Err(err))
+	r.end(server, place.ResultBroken, took, nil)
+	r.runs++
+	if ctx.Err() != nil || r.left() <= 0 {
+		return verdict{result: codes.NewResult(codes.DeadlineExceeded, "the stream did not end in time")}
+	}
+	if r.route.Resumable && r.mayRunAgain("resume") {
+		return verdict{again: true, result: codes.NewResult(codes.AnswerIncomplete, "the stream broke off")}
+	}
+	return verdict{result: codes.NewResult(codes.AnswerIncomplete, "the stream broke off")}
+}
+
+// callerError says that the caller could not be written to.
+type callerError struct{ cause error }
+
+func (e *callerError) Error() string { return "caller: " + e.cause.Error() }
+
+const (
+	relayBytes = 16 << 10
+	// maxEventBytes bounds one event; a longer one breaks the stream.
+	maxEventBytes = 1 << 20
+	// writeTimeout bounds a write to a caller that does not read.
+	writeTimeout = 20 * time.Second
+)
+
+// forward relays whole events as they come.
+func (r *relay) forward(server site.Server, reply *reach.Reply) error {
+	if !r.headed {
+		copyHeader(r.writer.Header(), reply.Header)
+		r.writer.WriteHeader(reply.Status)
+		r.headed = true
+	}
+	control := http.NewResponseController(r.writer)
+	buffer := make([]byte, relayBytes)
+	pending := []byte{}
+	begun := false
+	for {
+		n, err := reply.Body.Read(buffer)
+		if n > 0 && !begun {
+			begun = true
+			r.noteFirst(server)
+		}
+		pending = append(pending, buffer[:n]...)
+		whole := wholeEvents(pending)
+		if whole > 0 {
+			if failed := r.write(control, pending[:whole]); failed != nil {
+				return failed
+			}
+			pending = append(pending[:0], pending[whole:]...)
+		}
+		switch {
+		case errors.Is(err, io.EOF) && len(pending) == 0:
+			return nil
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF // it ended in the middle of an event
+		case err != nil:
+			return err
+		case len(pending) > maxEventBytes:
+			return errors.New("an event is too long")
+		}
+	}
+}
+
+func (r *relay) noteFirst(server site.Server) {
+	r.release() // the engine has fetched its inputs
+	r.begin(server)
+	took := time.Since(r.Arrived)
+	r.log.Info("stream-begun", zap.String("server", server.ID), zap.Duration("took", took))
+	r.server.options.Meter.CountFirstEvent(r.route.Name, took)
+}
+
+func (r *relay) write(control *http.ResponseController, events []byte) error {
+	if id, found := lastEventID(events); found {
+		r.lastID = id
+	}
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout)) // not all writers have one
+	if _, err := r.writer.Write(events); err != nil {
+		return &callerError{cause: err}
+	}
+	if err := control.Flush(); err != nil {
+		return &callerError{cause: err}
+	}
+	return nil
+}
+
+// wholeEvents returns the length of the whole events at the begin of data.
+func wholeEvents(data []byte) int {
+	n := bytes.LastIndex(data, []byte("\n\n"))
+	if n < 0 {
+		return 0
+	}
+	return n + 2
+}
+
+// lastEventID returns the ID of the last event that has one.
+func lastEventID(events []byte) (string, bool) {
+	lines := bytes.Split(events, []byte("\n"))
+	for i := len(lines) - 1; i >= 0; i-- {
+		if id, found := bytes.CutPrefix(lines[i], []byte("id:")); found {
+			return string(bytes.TrimSpace(id)), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/ingress/services/mesh/mesh.go
@@ -0,0 +1,200 @@
+// Package mesh reaches the other ingresses: it opens a session when one is
+// needed, tells which of them can be reached, and asks them for records when
+// the store does not answer here.
+package mesh
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/rhash"
+	"verbenaroad.example/share/modules/wire"
+)
+
+// ErrMesh is the class of errors of this package.
+var ErrMesh = errs.Class("mesh") //nolint:gochecknoglobals // an error class is a constant in all but syntax
+
+const (
+	// failedPause is how long an ingress that could not be reached is left alone.
+	failedPause = 1500 * time.Millisecond
+	// dialTimeout bounds opening a session; a link between regions needs three ways of 12 ms.
+	dialTimeout = 600 * time.Millisecond
+)
+
+// Options are the settings of a Mesh.
+type Options struct {
+	Self site.Ingress
+	Link link.Options
+	Log  *zap.Logger
+}
+
+// Mesh holds the sessions that this ingress opened.
+type Mesh struct {
+	options Options
+
+	lock sync.Mutex
+	// known are the registered ingresses by name, without this one.
+	known map[string]site.Ingress
+	peers map[string]*peer
+}
+
+// peer is one other ingress.
+type peer struct {
+	address netip.AddrPort
+	// dialing guards the session against being opened twice.
+	dialing sync.Mutex
+	session *link.Session
+	// failedUntil is when it is tried again; leaving peers are not given work.
+	failedUntil time.Time
+	leaving     bool
+}
+
+// NewMesh returns a mesh without peers.
+func NewMesh(options Options) *Mesh {
+	return &Mesh{options: options, known: map[string]site.Ingress{}, peers: map[string]*peer{}}
+}
+
+// Self returns the name of this ingress.
+func (m *Mesh) Self() string { return m.options.Self.Name }
+
+// TakeView takes the registered ingresses of a new view.
+func (m *Mesh) TakeView(v *state.View) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.known = map[string]site.Ingress{}
+	for _, i := range v.Ingresses {
+		if i.Name == m.options.Self.Name {
+			continue
+		}
+		m.known[i.Name] = i
+		p := m.peers[i.Name]
+		if p == nil || p.address != i.Address {
+			m.peers[i.Name] = &peer{address: i.Address}
+		}
+	}
+}
+
+// Rank lists the ingresses that can be reached, this one included, by their score for a key.
+func (m *Mesh) Rank(key string) []string {
+	names := m.listLive()
+	return rhash.Pick(key, append(names, m.options.Self.Name), len(names)+1)
+}
+
+// listLive returns the names of the other ingresses that can be reached.
+func (m *Mesh) listLive() []string {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	now := time.Now()
+	names := []string{}
+	for name := range m.known {
+		p := m.peers[name]
+		if now.Before(p.failedUntil) || p.leaving {
+			continue
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Produce has another ingress make the results of a stage.
+func (m *Mesh) Produce(ctx context.Context, name string, p *wire.Produce) (*wire.Produced, error) {
+	session, err := m.getSession(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	got, err := link.Produce(ctx, session, p)
+	if err != nil && ctx.Err() == nil {
+		m.fail(name, err)
+	}
+	return got, err
+}
+
+// Discard has another ingress release results.
+func (m *Mesh) Discard(name string, d *wire.Discard) error {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	session, err := m.getSession(ctx, name)
+	if err != nil {
+		return err
+	}
+	return link.Discard(session, d)
+}
+
+// Sync asks another ingress for records.
+func (m *Mesh) Sync(ctx context.Context, name string, s *wire.Sync) (*wire.Records, error) {
+	session, err := m.getSession(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	return link.Sync(ctx, session, s)
+}
+
+func (m *Mesh) getSession(ctx context.Context, name string) (*link.Session, error) {
+	m.lock.Lock()
+	p := m.peers[name]
+	m.lock.Unlock()
+	if p == nil {
+		return nil, ErrMesh.New("%s is not registered", name)
+	}
+	p.dialing.Lock()
+	defer p.dialing.Unlock()
+	if p.session != nil && !p.session.IsClosed() {
+		return p.session, nil
+	}
+	m.lock.Lock()
+	failed := time.Now().Before(p.failedUntil)
+	m.lock.Unlock()
+	if failed {
+		return nil, ErrMesh.New("%s could not be reached lately", name)
+	}
+	options := m.options.Link
+	options.OnBeat = func(_ *link.Session, beat *wire.Beat, _ time.Time) { m.noteBeat(name, beat) }
+	options.OnDown = func(_ *link.Session, reason error) { m.fail(name, reason) }
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	session, err := link.Dial(dialCtx, p.address, options)
+	if err != nil {
+		if ctx.Err() == nil {
+			m.fail(name, err)
+		}
+		return nil, err
+	}
+	p.session = session
+	m.options.Log.Info("peer-reached", zap.String("ingress", name), zap.Stringer("address", p.address))
+	return session, nil
+}
+
+func (m *Mesh) noteBeat(name string, beat *wire.Beat) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	p := m.peers[name]
+	if p == nil || p.leaving == beat.GetLeaving() {
+		return
+	}
+	p.leaving = beat.GetLeaving()
+	m.options.Log.Info("peer-leaving", zap.String("ingress", name), zap.Bool("leaving", p.leaving))
+}
+
+// fail leaves an ingress alone for a while, so that jobs go on at the next one at once.
+func (m *Mesh) fail(name string, reason error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	p := m.peers[name]
+	if p == nil {
+		return
+	}
+	p.failedUntil = time.Now().Add(failedPause)
+	p.leaving = false
+	m.options.Log.Warn("peer-lost", zap.String("ingress", name), zap.Stringer("address", p.address), logs.Err(reason))
+}
--- /dev/null
+++ b/ingress/services/mesh/puller.go
@@ -0,0 +1,69 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/pauses"
+	"verbenaroad.example/share/modules/wire"
+)
+
+const (
+	// pullEvery is how often peers are asked while the store does not answer here.
+	pullEvery = 250 * time.Millisecond
+	// pullFrom is how many peers are asked each time: one of them may be cut off as well.
+	pullFrom = 2
+	// pullTimeout bounds one question.
+	pullTimeout = 700 * time.Millisecond
+)
+
+// Puller learns from other ingresses what the store does not tell here.
+//
+// Guards against a stale configuration at an ingress that the store turns
+// away while it serves the others: requests would be handled as only an old
+// version allows. An ingress whose store answers asks nobody.
+type Puller struct {
+	Mesh *Mesh
+	Book *state.Book
+	// StaleAfter is how long the store may not answer before peers are asked.
+	StaleAfter time.Duration
+	Log        *zap.Logger
+}
+
+// Start pulls until the context ends.
+func (p *Puller) Start(ctx context.Context) {
+	go p.loop(ctx)
+}
+
+func (p *Puller) loop(ctx context.Context) {
+	for pauses.Wait(ctx, pullEvery) {
+		if !p.Book.IsLost() && p.Book.Age() < p.StaleAfter {
+			continue
+		}
+		names := p.Mesh.listLive()
+		rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		for _, name := range names[:min(pullFrom, len(names))] {
+			p.pull(ctx, name)
+		}
+	}
+}
+
+func (p *Puller) pull(ctx context.Context, name string) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	marks := []*wire.Mark{}
+	for prefix, revision := range p.Book.Marks() {
+		marks = append(marks, &wire.Mark{Prefix: prefix, Revision: revision})
+	}
+	got, err := p.Mesh.Sync(ctx, name, &wire.Sync{Marks: marks})
+	if err != nil {
+		p.Log.Info("pull-failed", zap.String("ingress", name), logs.Err(err))
+		return
+	}
+	p.Book.Learn(decodeRecords(got))
+}
--- /dev/null
+++ b/ingress/services/mesh/serve.go
@@ -0,0 +1,102 @@
+package mesh
+
+import (
+	"context"
+	"net"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/wire"
+)
+
+// Maker does jobs for other ingresses.
+type Maker interface {
+	ServeProduce(ctx context.Context, p *wire.Produce) *wire.Produced
+	ServeDiscard(d *wire.Discard)
+}
+
+// Handler serves the sessions that other ingresses open.
+type Handler struct {
+	Book  *state.Book
+	Maker Maker
+	Log   *zap.Logger
+}
+
+// ServeSession serves the streams of a session until it ends.
+func (h *Handler) ServeSession(ctx context.Context, session *link.Session) {
+	for {
+		stream, err := session.Accept()
+		if err != nil {
+			return
+		}
+		go h.runStream(ctx, stream)
+	}
+}
+
+// runStream answers the one question of a stream.
+func (h *Handler) runStream(ctx context.Context, stream net.Conn) {
+	defer func() { _ = stream.Close() }()
+	reader := wire.NewReader(stream)
+	frame, err := reader.Next()
+	if err != nil {
+		return // the peer gave up before it asked
+	}
+	switch {
+	case frame.GetSync() != nil:
+		h.answer(stream, &wire.Frame{Body: &wire.Frame_Records{Records: h.collect(frame.GetSync())}})
+	case frame.GetProduce() != nil:
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go watcher{reader: reader, cancel: cancel}.run()
+		made := h.Maker.ServeProduce(ctx, frame.GetProduce())
+		h.answer(stream, &wire.Frame{Body: &wire.Frame_Produced{Produced: made}})
+	case frame.GetDiscard() != nil:
+		h.Maker.ServeDiscard(frame.GetDiscard())
+	default:
+		h.Log.Warn("frame-unknown")
+	}
+}
+
+func (h *Handler) answer(stream net.Conn, frame *wire.Frame) {
+	if err := wire.WriteFrame(stream, frame); err != nil {
+		h.Log.Info("answer-lost", logs.Err(err))
+	}
+}
+
+// collect returns the records that are younger than the asker's marks.
+func (h *Handler) collect(s *wire.Sync) *wire.Records {
+	records := &wire.Records{}
+	for _, mark := range s.GetMarks() {
+		for _, r := range h.Book.Since(mark.GetPrefix(), mark.GetRevision()) {
+			records.Records = append(records.Records, &wire.Record{
+				Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted,
+			})
+		}
+	}
+	return records
+}
+
+// watcher cancels the work behind a stream when the peer closes it.
+type watcher struct {
+	reader *wire.Reader
+	cancel context.CancelFunc
+}
+
+func (w watcher) run() {
+	_, _ = w.reader.Next() // nothing more comes; its return is the end of the stream
+	w.cancel()
+}
+
+func decodeRecords(records *wire.Records) []site.Record {
+	list := make([]site.Record, 0, len(records.GetRecords()))
+	for _, r := range records.GetRecords() {
+		list = append(list, site.Record{
+			Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted(),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/ingress/services/pieces/chain.go
@@ -0,0 +1,231 @@
+// Package pieces has the results of a request's stages made. In: the stages of
+// one request. Out: the handles that its engine fetches, or why there are none.
+// One ingress batches for each service; the others hand their jobs to it.
+package pieces
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/share/decide/batch"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/codes"
+)
+
+// Chain is what one request needs.
+type Chain struct {
+	AttemptID string
+	Key       string
+	// Items is the number of results of each stage.
+	Items    []int
+	Stages   []site.Stage
+	Priority int
+	// Target is when the request should begin to answer, Ends when it must have ended.
+	Target time.Time
+	Ends   time.Time
+	Log    *zap.Logger
+}
+
+// count returns the number of results of a stage.
+func (c *Chain) count(stage int) int {
+	if stage >= len(c.Items) {
+		return 0
+	}
+	return c.Items[stage]
+}
+
+// isLast tells whether no other stage takes the results of this one.
+func (c *Chain) isLast(stage int) bool {
+	for _, s := range c.Stages {
+		if slices.Contains(s.After, stage) {
+			return false
+		}
+	}
+	return true
+}
+
+// Results are what an engine fetches before it reads the prompt.
+type Results struct {
+	Handles []string
+	release func()
+}
+
+// Release gives up the results; further calls do nothing.
+func (r *Results) Release() { r.release() }
+
+// walk is one chain under way.
+type walk struct {
+	Chain
+	maker *Maker
+
+	lock sync.Mutex
+	// handles are by stage.
+	handles [][]string
+	// users counts the stages that still need a stage's results.
+	users []int
+}
+
+// ended is how one stage ended.
+type ended struct {
+	stage int
+	done  batch.Done
+}
+
+// MakeChain makes the results of all stages, each as soon as its inputs are there.
+func (m *Maker) MakeChain(ctx context.Context, c Chain) (*Results, *codes.Result) {
+	w := &walk{Chain: c, maker: m, handles: make([][]string, len(c.Stages)), users: make([]int, len(c.Stages))}
+	for _, s := range c.Stages {
+		for _, before := range s.After {
+			w.users[before]++
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if result := w.makeAll(ctx); result != nil {
+		w.releaseAll()
+		return nil, result
+	}
+	final := []string{}
+	for stage := range c.Stages {
+		if c.isLast(stage) {
+			final = append(final, w.handles[stage]...)
+		}
+	}
+	return &Results{Handles: final, release: sync.OnceFunc(w.releaseAll)}, nil
+}
+
+// makeAll starts each stage when the stages before it have ended.
+func (w *walk) makeAll(ctx context.Context) *codes.Result {
+	ends := make(chan ended, len(w.Stages))
+	waiting := make([]int, len(w.Stages))
+	running := 0
+	for stage, s := range w.Stages {
+		waiting[stage] = len(s.After)
+		if waiting[stage] == 0 {
+			running++
+			go w.runStage(ctx, stage, ends)
+		}
+	}
+	var failed *codes.Result
+	for running > 0 {
+		e := <-ends
+		running--
+		if e.done.Outcome != batch.OutcomeMade && failed == nil {
+			failed = w.describe(e)
+		}
+		if failed != nil {
+			if ctx.Err() == nil {
+				w.cancelOthers(ends, &running)
+			}
+			continue
+		}
+		w.take(e)
+		for stage, s := range w.Stages {
+			if !slices.Contains(s.After, e.stage) {
+				continue
+			}
+			waiting[stage]--
+			if waiting[stage] == 0 {
+				running++
+				go w.runStage(ctx, stage, ends)
+			}
+		}
+	}
+	return failed
+}
+
+// cancelOthers collects what still runs beside a failed stage, so that it is released.
+func (w *walk) cancelOthers(ends chan ended, running *int) {
+	for *running > 0 {
+		e := <-ends
+		*running--
+		w.take(e)
+	}
+}
+
+func (w *walk) runStage(ctx context.Context, stage int, ends chan<- ended) {
+	n := w.count(stage)
+	if n == 0 {
+		ends <- ended{stage: stage, done: batch.Done{Outcome: batch.OutcomeMade}}
+		return
+	}
+	began := time.Now()
+	s := w.Stages[stage]
+	done := w.maker.produce(ctx, s.Service, batch.Job{
+		AttemptID:   w.AttemptID,
+		Stage:       stage,
+		Count:       n,
+		Key:         w.keyOf(stage),
+		Inputs:      w.inputsOf(stage),
+		ResultBytes: s.ResultBytes,
+		Target:      w.Target,
+		Expires:     w.Ends,
+		Priority:    w.Priority,
+	})
+	w.Log.Info("stage-ended", zap.Int("stage", stage), zap.String("stage-service", s.Service), zap.Int("items", n),
+		zap.String("outcome", string(done.Outcome)), zap.Duration("took", time.Since(began)))
+	ends <- ended{stage: stage, done: done}
+}
+
+func (w *walk) keyOf(stage int) string {
+	if len(w.Stages[stage].After) > 0 {
+		return ""
+	}
+	return w.Key
+}
+
+func (w *walk) inputsOf(stage int) []string {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	inputs := []string{}
+	for _, before := range w.Stages[stage].After {
+		inputs = append(inputs, w.handles[before]...)
+	}
+	return inputs
+}
+
+// take notes a stage's results and releases the inputs that nobody needs any more.
+func (w *walk) take(e ended) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.handles[e.stage] = e.done.Handles
+	for _, before := range w.Stages[e.stage].After {
+		w.users[before]--
+		if w.users[before] == 0 {
+			w.maker.discard(w.Stages[before].Service, w.handles[before])
+			w.handles[before] = nil
+		}
+	}
+}
+
+func (w *walk) releaseAll() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for stage, handles := range w.handles {
+		w.maker.discard(w.Stages[stage].Service, handles)
+		w.handles[stage] = nil
+	}
+}
+
+// describe turns the end of a stage into the answer of a request, which has not run.
+func (w *walk) describe(e ended) *codes.Result {
+	service := w.Stages[e.stage].Service
+	switch e.done.Outcome {
+	case batch.OutcomeCanceled:
+		return codes.NewResult(codes.Canceled, "the request was given up").WithOutcome(codes.OutcomeNotRun)
+	case batch.OutcomeBusy, batch.OutcomeExpired:
+		return codes.NewResult(codes.DeadlineUnmeetable, "no time is left for "+service).WithRetryAfter(e.done.RetryAfter)
+	case batch.OutcomeNoServer:
+		return codes.NewResult(codes.NoBackend, "no server of "+service+" takes work").WithRetryAfter(e.done.RetryAfter)
+	default:
+		return codes.NewResult(codes.Overloaded, "a result of "+service+" could not be made: "+string(e.done.Outcome)).
+			WithRetryAfter(max(e.done.RetryAfter, minPause))
+	}
+}
+
+// minPause is the shortest time that a caller is told to wait after a stage failed.
+const minPause = 200 * time.Millisecond
--- /dev/null
+++ b/ingress/services/pieces/maker.go
@@ -0,0 +1,122 @@
+package pieces
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/share/decide/batch"
+	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/wire"
+)
+
+// Peers reaches the other ingresses.
+type Peers interface {
+	// Rank lists the ingresses that can be reached, the one that batches for a service first.
+	Rank(service string) []string
+	// Self is the name of this ingress.
+	Self() string
+	Produce(ctx context.Context, name string, p *wire.Produce) (*wire.Produced, error)
+	Discard(name string, d *wire.Discard) error
+}
+
+// Maker gives each job to the ingress that batches for its service.
+type Maker struct {
+	peers Peers
+	owner *Owner
+	log   *zap.Logger
+}
+
+// NewMaker returns a maker; owner batches for the services that fall to this ingress.
+func NewMaker(peers Peers, owner *Owner, log *zap.Logger) *Maker {
+	return &Maker{peers: peers, owner: owner, log: log}
+}
+
+// maxOwners bounds the ingresses that are tried in turn for one job.
+const maxOwners = 3
+
+// produce has a job done. Where the ingress that batches is lost the next one
+// takes the job; results of the lost one end by themselves.
+func (m *Maker) produce(ctx context.Context, service string, j batch.Job) batch.Done {
+	for range maxOwners {
+		ranked := m.peers.Rank(service)
+		if len(ranked) == 0 || ranked[0] == m.peers.Self() {
+			return m.owner.Produce(ctx, service, j)
+		}
+		done, err := m.produceAt(ctx, ranked[0], service, j)
+		if err == nil {
+			return done
+		}
+		if ctx.Err() != nil {
+			return batch.Done{Outcome: batch.OutcomeCanceled}
+		}
+		m.log.Warn("batcher-lost", zap.String("service", service), zap.String("ingress", ranked[0]),
+			zap.String("request", j.AttemptID), logs.Err(err))
+	}
+	return m.owner.Produce(ctx, service, j)
+}
+
+func (m *Maker) produceAt(ctx context.Context, name, service string, j batch.Job) (batch.Done, error) {
+	now := time.Now()
+	got, err := m.peers.Produce(ctx, name, &wire.Produce{
+		Service:        service,
+		AttemptId:      j.AttemptID,
+		Stage:          uint32(j.Stage), //nolint:gosec // a small number
+		Count:          uint32(j.Count), //nolint:gosec // a small number
+		Key:            j.Key,
+		Inputs:         j.Inputs,
+		TargetNanos:    int64(j.Target.Sub(now)),
+		RemainingNanos: int64(j.Expires.Sub(now)),
+		ResultBytes:    j.ResultBytes,
+		Priority:       uint32(max(j.Priority, 0)), //nolint:gosec // a small number
+		Domain:         j.Domain,
+	})
+	if err != nil {
+		return batch.Done{}, err
+	}
+	return batch.Done{
+		Outcome:    batch.Outcome(got.GetOutcome()),
+		Handles:    got.GetHandles(),
+		RetryAfter: time.Duration(got.GetRetryAfterNanos()),
+	}, nil
+}
+
+// discard releases results at the ingress that batches for their service, which plans with their memory.
+func (m *Maker) discard(service string, handles []string) {
+	if len(handles) == 0 {
+		return
+	}
+	ranked := m.peers.Rank(service)
+	if len(ranked) > 0 && ranked[0] != m.peers.Self() {
+		err := m.peers.Discard(ranked[0], &wire.Discard{Service: service, Handles: handles})
+		if err == nil {
+			return
+		}
+		m.log.Info("discard-here", zap.String("service", service), logs.Err(err))
+	}
+	m.owner.Discard(service, handles)
+}
+
+// ServeProduce does a job for another ingress.
+func (m *Maker) ServeProduce(ctx context.Context, p *wire.Produce) *wire.Produced {
+	now := time.Now()
+	done := m.owner.Produce(ctx, p.GetService(), batch.Job{
+		AttemptID:   p.GetAttemptId(),
+		Stage:       int(p.GetStage()),
+		Count:       int(p.GetCount()),
+		Key:         p.GetKey(),
+		Inputs:      p.GetInputs(),
+		ResultBytes: p.GetResultBytes(),
+		Target:      now.Add(time.Duration(p.GetTargetNanos())),
+		Expires:     now.Add(time.Duration(p.GetRemainingNanos())),
+		Priority:    int(p.GetPriority()),
+		Domain:      p.GetDomain(),
+	})
+	return &wire.Produced{Outcome: string(done.Outcome), Handles: done.Handles, RetryAfterNanos: int64(done.RetryAfter)}
+}
+
+// ServeDiscard releases results for another ingress.
+func (m *Maker) ServeDiscard(d *wire.Discard) {
+	m.owner.Discard(d.GetService(), d.GetHandles())
+}
--- /dev/null
+++ b/ingress/services/pieces/owner.go
@@ -0,0 +1,258 @@
+package pieces
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/decide/batch"
+	"verbenaroad.example/share/decide/budget"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/pauses"
+)
+
+// Pools calls the backend servers that make results.
+type Pools interface {
+	Make(ctx context.Context, server site.Server, items []site.Item) ([]site.ItemResult, *site.Load, error)
+	Release(ctx context.Context, holder netip.AddrPort, handles []string) error
+}
+
+// Meter counts calls.
+type Meter interface {
+	CountBatch(service, outcome string, items int, took time.Duration)
+}
+
+// OwnerOptions are the settings of an Owner.
+type OwnerOptions struct {
+	Pools   Pools
+	Meter   Meter
+	Repeats budget.Settings
+	Log     *zap.Logger
+}
+
+const (
+	// tickEvery is how soon a planner looks again at servers and jobs that it held back.
+	tickEvery = 20 * time.Millisecond
+	// releaseEvery is how long released handles gather, so that one call names many.
+	releaseEvery = 25 * time.Millisecond
+	// releaseTimeout bounds a release; the result ends by itself a few seconds later.
+	releaseTimeout = 2 * time.Second
+)
+
+// Owner batches for services. Several ingresses may do so for the same one for
+// a while; their calls then meet full servers and nothing worse.
+type Owner struct {
+	options OwnerOptions
+
+	lock  sync.Mutex
+	units map[string]*unit
+	// released gathers handles by the server that holds them.
+	released  map[netip.AddrPort][]heldHandle
+	ingresses int
+	lastJob   uint64
+}
+
+type heldHandle struct {
+	service string
+	handle  string
+}
+
+// unit is one service's queue with the callers that wait for its jobs.
+type unit struct {
+	planner *batch.Planner
+	repeats *budget.Budget
+	waiting map[uint64]chan batch.Done
+}
+
+// NewOwner returns an owner that knows no servers.
+func NewOwner(options OwnerOptions) *Owner {
+	return &Owner{options: options, units: map[string]*unit{}, released: map[netip.AddrPort][]heldHandle{}}
+}
+
+// Start plans and releases until the context ends.
+func (o *Owner) Start(ctx context.Context) {
+	go o.loopTick(ctx)
+	go o.loopRelease(ctx)
+}
+
+// TakeView takes the servers of a new view.
+func (o *Owner) TakeView(v *state.View) {
+	if v.Table == nil {
+		return
+	}
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.ingresses = max(o.ingresses, len(v.Ingresses))
+	for _, s := range v.Table.Config().Services {
+		if s.Pool == nil {
+			continue
+		}
+		u := o.units[s.Name]
+		if u == nil {
+			u = o.newUnit(*s.Pool)
+			o.units[s.Name] = u
+		}
+		u.planner.SetPool(*s.Pool)
+		o.perform(s.Name, u, u.planner.SetServers(time.Now(), v.Servers[s.Name]))
+	}
+}
+
+func (o *Owner) newUnit(pool site.Pool) *unit {
+	u := &unit{repeats: budget.NewBudget(o.options.Repeats), waiting: map[uint64]chan batch.Done{}}
+	u.planner = batch.NewPlanner(pool, func(now time.Time, n int) bool {
+		return u.repeats.TakeRepeats(now, n, o.ingresses)
+	})
+	return u
+}
+
+// Produce does a job and waits for its end.
+func (o *Owner) Produce(ctx context.Context, service string, j batch.Job) batch.Done {
+	o.lock.Lock()
+	u := o.units[service]
+	if u == nil {
+		o.lock.Unlock()
+		return batch.Done{Outcome: batch.OutcomeNoServer, RetryAfter: time.Second}
+	}
+	o.lastJob++
+	j.ID = o.lastJob
+	done := make(chan batch.Done, 1)
+	u.waiting[j.ID] = done
+	u.repeats.CountRequest(time.Now())
+	o.perform(service, u, u.planner.Add(time.Now(), j))
+	o.lock.Unlock()
+	select {
+	case d := <-done:
+		return d
+	case <-ctx.Done():
+	}
+	o.lock.Lock()
+	o.perform(service, u, u.planner.Cancel(time.Now(), j.ID))
+	o.lock.Unlock()
+	d := <-done // the planner ends each job once
+	if d.Outcome == batch.OutcomeMade {
+		o.Discard(service, d.Handles)
+	}
+	return batch.Done{Outcome: batch.OutcomeCanceled}
+}
+
+// Discard releases results soon.
+func (o *Owner) Discard(service string, handles []string) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.gather(service, handles)
+}
+
+func (o *Owner) gather(service string, handles []string) {
+	for _, h := range handles {
+		address, _, _ := strings.Cut(h, "/")
+		holder, err := netip.ParseAddrPort(address)
+		if err != nil {
+			o.options.Log.Warn("handle-unreadable", zap.String("handle", h), logs.Err(err))
+			continue
+		}
+		o.released[holder] = append(o.released[holder], heldHandle{service: service, handle: h})
+	}
+}
+
+// perform does what a planner wants; called under the lock.
+func (o *Owner) perform(service string, u *unit, a batch.Actions) {
+	for _, d := range a.Done {
+		if waiter := u.waiting[d.JobID]; waiter != nil {
+			delete(u.waiting, d.JobID)
+			waiter <- d
+		}
+	}
+	o.gather(service, a.Release)
+	for _, c := range a.Calls {
+		go o.runCall(service, u, c)
+	}
+}
+
+// runCall sends one call and hands its end to the planner.
+func (o *Owner) runCall(service string, u *unit, c batch.Call) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	results, load, err := o.options.Pools.Make(ctx, c.Server, c.Items)
+	took := time.Since(began)
+	outcome := "answered"
+	if err != nil {
+		outcome = "broken"
+	} else if len(results) > 0 && results[0].Outcome == site.ItemRefused {
+		outcome = "refused"
+	}
+	o.options.Meter.CountBatch(service, outcome, len(c.Items), took)
+	o.options.Log.Info("batch", zap.String("service", service), zap.String("server", c.Server.ID), zap.Int("items", len(c.Items)),
+		zap.String("outcome", outcome), zap.String("results", countOutcomes(results)), zap.Stringer("load", load),
+		zap.Duration("took", took), logs.Err(err))
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.perform(service, u, u.planner.End(time.Now(), c.ID, results, err != nil))
+}
+
+// countOutcomes describes the results of a call, such as "made=12,no-room=2".
+func countOutcomes(results []site.ItemResult) string {
+	counts := map[string]int{}
+	for _, r := range results {
+		counts[string(r.Outcome)]++
+	}
+	parts := []string{}
+	for _, outcome := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", outcome, counts[outcome]))
+	}
+	return strings.Join(parts, ",")
+}
+
+// loopTick lets the planners look again at what they held back.
+func (o *Owner) loopTick(ctx context.Context) {
+	for pauses.Wait(ctx, tickEvery) {
+		o.lock.Lock()
+		for service, u := range o.units {
+			if u.planner.Count() > 0 {
+				o.perform(service, u, u.planner.Tick(time.Now()))
+			}
+		}
+		o.lock.Unlock()
+	}
+}
+
+// loopRelease sends the gathered handles, one call for each server that holds some.
+func (o *Owner) loopRelease(ctx context.Context) {
+	for pauses.Wait(ctx, releaseEvery) {
+		o.lock.Lock()
+		released := o.released
+		o.released = map[netip.AddrPort][]heldHandle{}
+		o.lock.Unlock()
+		for holder, held := range released {
+			go o.runRelease(ctx, holder, held)
+		}
+	}
+}
+
+func (o *Owner) runRelease(ctx context.Context, holder netip.AddrPort, held []heldHandle) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	handles := make([]string, 0, len(held))
+	for _, h := range held {
+		handles = append(handles, h.handle)
+	}
+	if err := o.options.Pools.Release(ctx, holder, handles); err != nil {
+		o.options.Log.Info("release-failed", zap.Stringer("holder", holder), zap.Int("handles", len(handles)), logs.Err(err))
+	}
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	for _, h := range held {
+		if u := o.units[h.service]; u != nil {
+			o.perform(h.service, u, u.planner.Released(time.Now(), []string{h.handle}))
+		}
+	}
+}
--- /dev/null
+++ b/ingress/services/state/take.go
@@ -0,0 +1,98 @@
+package state
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/share/decide/access"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/logs"
+)
+
+// takeRecord applies one changed record.
+func (b *Book) takeRecord(r site.Record, source string) {
+	c := b.options.Codec
+	switch {
+	case c.IsConfig(r.Key):
+		b.takeConfig(r, source)
+	case strings.HasPrefix(r.Key, c.ServerPrefix()):
+		b.takeServer(r, source)
+	case strings.HasPrefix(r.Key, c.IngressPrefix()):
+		b.takeIngress(r)
+	}
+}
+
+// takeConfig puts a higher version in force. A lower one comes from a peer or a
+// page that is behind, and an unreadable one must not take the routes away.
+func (b *Book) takeConfig(r site.Record, source string) {
+	if r.Deleted {
+		b.options.Log.Warn("config-kept", zap.String("reason", "the record was deleted"), zap.Uint64("revision", r.Revision))
+		return
+	}
+	config, err := b.options.Codec.ReadConfig(r.Value)
+	if err != nil {
+		b.options.Log.Error("config-kept", zap.String("reason", "unreadable"), zap.Uint64("revision", r.Revision), logs.Err(err))
+		return
+	}
+	if b.table != nil && config.Version <= b.table.Config().Version {
+		b.options.Log.Info("config-kept", zap.String("reason", "not newer"),
+			zap.Uint64("version", config.Version), zap.Uint64("revision", r.Revision))
+		return
+	}
+	b.table = access.NewTable(config)
+	b.options.Log.Info("config-applied",
+		zap.Uint64("version", config.Version), zap.Uint64("revision", r.Revision), zap.String("source", source),
+		zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("teams", len(config.Teams)))
+}
+
+func (b *Book) takeServer(r site.Record, source string) {
+	id := b.options.Codec.ServerID(r.Key)
+	if r.Deleted {
+		kept := b.servers.Remove(id, time.Now())
+		b.options.Log.Info("server-removed", zap.String("server", id), zap.Uint64("revision", r.Revision),
+			zap.String("source", source), zap.Bool("kept-for-now", kept))
+		return
+	}
+	server, err := b.options.Codec.ReadServer(r.Key, r.Value)
+	if err != nil {
+		b.servers.Remove(id, time.Now())
+		b.options.Log.Warn("server-unreadable", zap.String("key", r.Key), zap.Uint64("revision", r.Revision), logs.Err(err))
+		return
+	}
+	b.servers.Put(server)
+	b.options.Log.Info("server-seen", zap.String("server", id), zap.String("service", server.Service),
+		zap.Stringer("address", server.Address), zap.String("state", string(server.State)),
+		zap.Uint64("revision", r.Revision), zap.String("source", source))
+}
+
+func (b *Book) takeIngress(r site.Record) {
+	name := strings.TrimPrefix(r.Key, b.options.Codec.IngressPrefix())
+	if r.Deleted {
+		delete(b.peers, name)
+		b.options.Log.Info("ingress-removed", zap.String("ingress", name))
+		return
+	}
+	ingress, err := b.options.Codec.ReadIngress(r.Key, r.Value)
+	if err != nil {
+		b.options.Log.Warn("ingress-unreadable", zap.String("key", r.Key), logs.Err(err))
+		return
+	}
+	b.peers[name] = ingress
+	b.options.Log.Info("ingress-seen", zap.String("ingress", name), zap.Stringer("address", ingress.Address))
+}
+
+// publish makes a new view; called under the lock.
+func (b *Book) publish() {
+	v := &View{Table: b.table, Servers: b.servers.List()}
+	for _, name := range slices.Sorted(maps.Keys(b.peers)) {
+		v.Ingresses = append(v.Ingresses, b.peers[name])
+	}
+	b.view.Store(v)
+	if b.options.OnChange != nil {
+		b.options.OnChange(v)
+	}
+}
--- /dev/null
+++ b/share/decide/batch/batch.go
@@ -0,0 +1,313 @@
+// Package batch decides how the results that stages need are made: which
+// items of which requests share a call, at which backend server, and when.
+//
+// One planner holds the whole queue of a service. Many callers that each
+// batch alone send calls that are nearly empty, and a call costs mostly its fixed
+// time; one queue fills the calls. Two planners for the same service, as after
+// a change of membership, cost calls that are refused and nothing else.
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"verbenaroad.example/share/models/site"
+)
+
+// Job asks for the results of one stage of one request.
+type Job struct {
+	// ID is given by the planner's caller and unique in it.
+	ID        uint64
+	AttemptID string
+	Stage     int
+	Count     int
+	Key       string
+	Inputs    []string
+	// ResultBytes is about the size of one result.
+	ResultBytes int64
+	// Target is when the results must be made for the request to be on time,
+	// Expires when they are of no use at all.
+	Target  time.Time
+	Expires time.Time
+	// Priority ranks the request; 0 is the most urgent.
+	Priority int
+	// Domain is where the results will be used; empty: open.
+	Domain string
+}
+
+// Outcome says how a job ended.
+type Outcome string
+
+// The outcomes.
+const (
+	OutcomeMade Outcome = "made"
+	// OutcomeBusy jobs cannot be done in time.
+	OutcomeBusy Outcome = "busy"
+	// OutcomeExpired jobs ran out of time in the queue.
+	OutcomeExpired Outcome = "expired"
+	// OutcomeGone jobs miss an input, which the caller may make again.
+	OutcomeGone Outcome = "gone"
+	// OutcomeFailed jobs failed too often.
+	OutcomeFailed Outcome = "failed"
+	// OutcomeNoServer jobs found no backend server of the service.
+	OutcomeNoServer Outcome = "no-server"
+	// OutcomeCanceled jobs were given up by their caller.
+	OutcomeCanceled Outcome = "canceled"
+)
+
+// Call is one call to be sent to a backend server.
+type Call struct {
+	ID     uint64
+	Server site.Server
+	Items  []site.Item
+	// Timeout is when the call is given up.
+	Timeout time.Duration
+	jobs    []placed
+	started time.Time
+	// expected is how long the call takes at the service's stated pace.
+	expected time.Duration
+}
+
+// placed says which result of which job an item of a call is.
+type placed struct {
+	job   *job
+	index int
+}
+
+// Done is the end of a job. Handles of a job that was not made are to be released.
+type Done struct {
+	JobID      uint64
+	Outcome    Outcome
+	Handles    []string
+	RetryAfter time.Duration
+}
+
+// Actions are what the planner wants done.
+type Actions struct {
+	Calls []Call
+	Done  []Done
+	// Release holds the handles to be given up.
+	Release []string
+}
+
+// RepeatFunc asks for permission to send n items once more.
+type RepeatFunc func(now time.Time, n int) bool
+
+// Planner holds the queue of one service; its caller guards it.
+type Planner struct {
+	pool    site.Pool
+	repeat  RepeatFunc
+	workers map[string]*worker
+	queue   []*job
+	jobs    map[uint64]*job
+	calls   map[uint64]*Call
+	lastID  uint64
+	// ready are the workers by ID, so that choices do not depend on the order of a map.
+	ready []*worker
+}
+
+type job struct {
+	Job
+	arrived time.Time
+	// todo holds the numbers of the items that are in no call.
+	todo    []int
+	handles []string
+	made    int
+	repeats int
+	over    bool
+	// refusedUntil holds the job back after a backend server had no memory for its results.
+	refusedUntil time.Time
+}
+
+// NewPlanner returns a planner without backend servers.
+func NewPlanner(pool site.Pool, repeat RepeatFunc) *Planner {
+	return &Planner{
+		pool:    pool,
+		repeat:  repeat,
+		workers: map[string]*worker{},
+		jobs:    map[uint64]*job{},
+		calls:   map[uint64]*Call{},
+	}
+}
+
+// SetPool takes the service's new description.
+func (p *Planner) SetPool(pool site.Pool) { p.pool = pool }
+
+// SetServers takes the backend servers that accept work.
+func (p *Planner) SetServers(now time.Time, servers []site.Server) Actions {
+	live := map[string]bool{}
+	p.ready = p.ready[:0]
+	for _, s := range servers {
+		live[s.ID] = true
+		w := p.workers[s.ID]
+		if w == nil || w.server.Born != s.Born || w.server.Address != s.Address {
+			w = newWorker(s)
+			p.workers[s.ID] = w
+		}
+		w.server = s
+		p.ready = append(p.ready, w)
+	}
+	slices.SortFunc(p.ready, func(a, b *worker) int { return compareText(a.server.ID, b.server.ID) })
+	for id := range p.workers {
+		if !live[id] {
+			delete(p.workers, id)
+		}
+	}
+	return p.plan(now)
+}
+
+// Add takes a job. A job that cannot be done in time is refused at once, so
+// that its caller learns when to come back while it still can.
+func (p *Planner) Add(now time.Time, j Job) Actions {
+	if len(p.ready) == 0 {
+		return Actions{Done: []Done{{JobID: j.ID, Outcome: OutcomeNoServer, RetryAfter: noServerPause}}}
+	}
+	wait := p.predictWait(j)
+	if now.Add(wait + p.pool.CallTime).After(j.Expires) {
+		return Actions{Done: []Done{{JobID: j.ID, Outcome: OutcomeBusy, RetryAfter: wait}}}
+	}
+	queued := &job{Job: j, arrived: now, handles: make([]string, j.Count)}
+	for i := range j.Count {
+		queued.todo = append(queued.todo, i)
+	}
+	p.jobs[j.ID] = queued
+	p.queue = append(p.queue, queued)
+	return p.plan(now)
+}
+
+// Cancel gives up a job; what was made of it is released.
+func (p *Planner) Cancel(now time.Time, id uint64) Actions {
+	j := p.jobs[id]
+	if j == nil {
+		return Actions{}
+	}
+	a := Actions{}
+	p.finish(&a, j, Done{JobID: id, Outcome: OutcomeCanceled})
+	a.add(p.plan(now))
+	return a
+}
+
+// Tick drops what ran out of time and sends what can be sent.
+func (p *Planner) Tick(now time.Time) Actions { return p.plan(now) }
+
+// Count returns the number of jobs that are not over.
+func (p *Planner) Count() int { return len(p.jobs) }
+
+// CountItems returns how many items wait for a call.
+func (p *Planner) CountItems() int {
+	n := 0
+	for _, j := range p.queue {
+		n += len(j.todo)
+	}
+	return n
+}
+
+// Released notes that a result is not held any more.
+func (p *Planner) Released(now time.Time, handles []string) Actions {
+	for _, w := range p.workers {
+		for _, h := range handles {
+			w.release(h)
+		}
+	}
+	return p.plan(now)
+}
+
+// End takes the end of a call. Err tells that nothing is known of its items.
+func (p *Planner) End(now time.Time, callID uint64, results []site.ItemResult, failed bool) Actions {
+	call := p.calls[callID]
+	if call == nil {
+		return Actions{}
+	}
+	delete(p.calls, callID)
+	w := p.workers[call.Server.ID]
+	if w != nil {
+		w.end(now, call, results, failed, p.pool.KeepTime)
+	}
+	a := Actions{}
+	for i, place := range call.jobs {
+		result := site.ItemResult{Outcome: site.ItemUnknown}
+		if !failed {
+			result = results[i]
+		}
+		p.takeResult(&a, now, place, result)
+	}
+	a.add(p.plan(now))
+	return a
+}
+
+func (p *Planner) takeResult(a *Actions, now time.Time, place placed, result site.ItemResult) {
+	j := place.job
+	if result.Outcome == site.ItemMade && j.over {
+		a.Release = append(a.Release, result.Handle)
+		return
+	}
+	if j.over {
+		return
+	}
+	switch result.Outcome {
+	case site.ItemMade:
+		j.handles[place.index] = result.Handle
+		j.made++
+		if j.made == j.Count {
+			p.finish(a, j, Done{JobID: j.ID, Outcome: OutcomeMade})
+		}
+	case site.ItemGone:
+		p.finish(a, j, Done{JobID: j.ID, Outcome: OutcomeGone})
+	case site.ItemLate:
+		p.finish(a, j, Done{JobID: j.ID, Outcome: OutcomeExpired})
+	default:
+		p.sendAgain(a, now, place, result.Outcome)
+	}
+}
+
+// sendAgain puts an item back into the queue. Each further arrival counts
+// against the budget that all callers share, refused ones too.
+func (p *Planner) sendAgain(a *Actions, now time.Time, place placed, outcome site.ItemOutcome) {
+	j := place.job
+	j.repeats++
+	if j.repeats > maxRepeats*j.Count || !p.repeat(now, 1) {
+		p.finish(a, j, Done{JobID: j.ID, Outcome: OutcomeFailed, RetryAfter: p.predictWait(j.Job)})
+		return
+	}
+	if outcome == site.ItemNoRoom {
+		j.refusedUntil = now.Add(noRoomPause)
+	}
+	j.todo = append(j.todo, place.index)
+	if !slices.Contains(p.queue, j) {
+		p.queue = append(p.queue, j)
+	}
+}
+
+// finish ends a job; what was made of one that fails is released.
+func (p *Planner) finish(a *Actions, j *job, done Done) {
+	j.over = true
+	delete(p.jobs, j.ID)
+	p.queue = slices.DeleteFunc(p.queue, func(q *job) bool { return q == j })
+	if done.Outcome == OutcomeMade {
+		done.Handles = j.handles
+	} else {
+		for _, h := range j.handles {
+			if h != "" {
+				a.Release = append(a.Release, h)
+			}
+		}
+	}
+	a.Done = append(a.Done, done)
+}
+
+func (a *Actions) add(b Actions) {
+	a.Calls = append(a.Calls, b.Calls...)
+	a.Done = append(a.Done, b.Done...)
+	a.Release = append(a.Release, b.Release...)
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/share/decide/batch/worker.go
@@ -0,0 +1,118 @@
+package batch
+
+import (
+	"time"
+
+	"verbenaroad.example/share/models/site"
+)
+
+const (
+	// paceShare is the weight of a new call in a server's pace.
+	paceShare = 0.4
+	// timeoutRatio is how much longer than expected a call may take before it is given up:
+	// servers that turn slow take four to five times as long, dark ones forever.
+	timeoutRatio = 4
+	// minTimeout leaves room for fetching inputs over a busy link.
+	minTimeout = 900 * time.Millisecond
+	// firstPause is how long a server that failed is left alone; it doubles up to maxPause.
+	firstPause = 250 * time.Millisecond
+	maxPause   = 4 * time.Second
+)
+
+// worker is what the planner knows of one backend server.
+type worker struct {
+	server site.Server
+	// calls counts the calls under way.
+	calls int
+	// pace is how long calls take against what the service states; 1 at the start.
+	pace float64
+	// used is about the memory that results take, planned ones included.
+	used int64
+	// planned is the memory of each call under way.
+	planned map[uint64]int64
+	// held has the size and the end of each result.
+	held map[string]holding
+	// failures counts failed calls in a row; suspectUntil is when the server is tried again.
+	failures     int
+	suspectUntil time.Time
+}
+
+type holding struct {
+	bytes int64
+	until time.Time
+}
+
+func newWorker(s site.Server) *worker {
+	return &worker{server: s, pace: 1, planned: map[uint64]int64{}, held: map[string]holding{}}
+}
+
+func (w *worker) start(callID uint64, bytes int64) {
+	w.calls++
+	w.used += bytes
+	w.planned[callID] = bytes
+}
+
+// timeout is generous to a server that is known to be slow.
+func (w *worker) timeout(expected time.Duration) time.Duration {
+	return max(minTimeout, time.Duration(timeoutRatio*max(w.pace, 1)*float64(expected)))
+}
+
+func (w *worker) end(now time.Time, call *Call, results []site.ItemResult, failed bool, keep time.Duration) {
+	planned, known := w.planned[call.ID]
+	if !known {
+		return // the server started anew meanwhile
+	}
+	w.calls--
+	w.used -= planned
+	delete(w.planned, call.ID)
+	if failed {
+		w.fail(now)
+		return
+	}
+	refused := len(results) > 0 && results[0].Outcome == site.ItemRefused
+	if refused {
+		// Another planner's call is there; ours waits for about one call.
+		w.suspectUntil = now.Add(call.expected / refusedPart)
+		return
+	}
+	w.failures = 0
+	w.suspectUntil = time.Time{}
+	took := float64(now.Sub(call.started)) / float64(call.expected)
+	w.pace += paceShare * (took - w.pace)
+	for i, r := range results {
+		if r.Outcome == site.ItemMade {
+			w.hold(r.Handle, call.jobs[i].job.ResultBytes, now.Add(keep))
+		}
+	}
+}
+
+// refusedPart divides a call's time into the pause after a refusal.
+const refusedPart = 2
+
+func (w *worker) hold(handle string, bytes int64, until time.Time) {
+	w.used += bytes
+	w.held[handle] = holding{bytes: bytes, until: until}
+}
+
+func (w *worker) release(handle string) {
+	h, known := w.held[handle]
+	if !known {
+		return
+	}
+	w.used -= h.bytes
+	delete(w.held, handle)
+}
+
+func (w *worker) expire(now time.Time) {
+	for handle, h := range w.held {
+		if now.After(h.until) {
+			w.release(handle)
+		}
+	}
+}
+
+func (w *worker) fail(now time.Time) {
+	pause := firstPause << min(w.failures, 4)
+	w.failures++
+	w.suspectUntil = now.Add(min(pause, maxPause))
+}
--- a/share/decide/drain/instance.go
+++ b/share/decide/drain/instance.go
@@ -67,6 +67,12 @@
 	// Guards against work sent by a peer that has not heard: it would meet a
 	// closed connection and count as "outcome unknown" instead of "not run".
 	Linger time.Duration
+	// Admit is how long after announcing new work is still taken; 0: none is.
+	//
+	// Guards against refusing callers that a balancer still sends: it notices
+	// the announcement only after some missed questions, and a caller whose
+	// connection was opened before that has no other instance to go to.
+	Admit time.Duration
 }
 
 // Instance is one process's own stop.
@@ -104,7 +110,7 @@
 	case StopRequested:
 		return i.stopRequested(now)
 	case WorkOffered:
-		return i.offered(v)
+		return i.offered(now, v)
 	case WorkEnded:
 		delete(i.running, v.ID)
 		return i.stopIfDue(now)
@@ -128,8 +134,9 @@
 	return append([]Action{Announce{}}, i.stopIfDue(now)...)
 }
 
-func (i *Instance) offered(e WorkOffered) []Action {
-	if i.state != StateServing {
+func (i *Instance) offered(now time.Time, e WorkOffered) []Action {
+	admitting := i.state == StateDraining && now.Before(i.since.Add(i.settings.Admit))
+	if i.state != StateServing && !admitting {
 		return []Action{Refuse(e)}
 	}
 	i.running[e.ID] = true
--- /dev/null
+++ b/share/decide/place/place.go
@@ -0,0 +1,297 @@
+// Package place decides which backend server takes a request.
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/rhash"
+)
+
+const (
+	// latencyShare is the weight of a new answer in a server's smoothed latency,
+	// failureShare that of a new outcome in its share of failures.
+	latencyShare = 0.2
+	failureShare = 0.2
+	// failureWeight is how much a server whose every answer fails seems slower than it is.
+	failureWeight = 8
+	// firstPause is how long a server that could not be reached is left alone; it doubles up to maxPause.
+	firstPause = 250 * time.Millisecond
+	maxPause   = 4 * time.Second
+	// loadAge is how long a server's own report of its load counts.
+	loadAge = 300 * time.Millisecond
+	// defaultLatency stands for that of a server that has not answered yet.
+	defaultLatency = 50 * time.Millisecond
+	// otherRegion and otherDomain are added to the predicted latency for the way there and back.
+	// The links of both deployments need about 24 ms and 2 ms.
+	otherRegion = 25 * time.Millisecond
+	otherDomain = 2 * time.Millisecond
+)
+
+// Result says how a request at a server ended.
+type Result string
+
+// The results.
+const (
+	// ResultServed requests got their answer.
+	ResultServed Result = "served"
+	// ResultFailed requests were answered with a failure of the server's.
+	ResultFailed Result = "failed"
+	// ResultRefused requests were not run: the server is full.
+	ResultRefused Result = "refused"
+	// ResultBroken requests ended without an answer.
+	ResultBroken Result = "broken"
+	// ResultUnreached requests found no connection.
+	ResultUnreached Result = "unreached"
+	// ResultLeft requests were given up by their caller and say nothing of the server.
+	ResultLeft Result = "left"
+)
+
+// Query describes a request.
+type Query struct {
+	// Domain and Region are where the caller's ingress stands.
+	Domain string
+	Region string
+	// Exclude holds the IDs of servers that had the request before.
+	Exclude []string
+	// Parts are the shared parts of the prompt.
+	Parts []site.PromptPart
+	// PromptTokens is the length of the whole prompt.
+	PromptTokens int
+}
+
+// Chooser holds what one ingress knows of the servers of one service; its caller guards it.
+type Chooser struct {
+	engine  *site.Engine
+	regions map[string]string
+	servers map[string]*server
+	list    []*server
+}
+
+type server struct {
+	site.Server
+	// open counts the requests of this ingress that the server has.
+	open int
+	// tokens counts the prompt tokens of the open requests that have not begun to answer.
+	tokens int
+	// latency is smoothed; 0 before the first answer.
+	latency time.Duration
+	// failed is the smoothed share of failures, 0 to 1.
+	failed float64
+	// load is the server's own report, taken at loadAt.
+	load   site.Load
+	loadAt time.Time
+	// misses counts the requests in a row that did not reach it; it is left alone until pausedUntil.
+	misses      int
+	pausedUntil time.Time
+}
+
+// NewChooser returns a chooser without servers. Regions maps failure domains to their regions.
+func NewChooser(regions map[string]string) *Chooser {
+	return &Chooser{regions: regions, servers: map[string]*server{}}
+}
+
+// SetServers takes the servers that accept new work; engine is nil for a plain service.
+func (c *Chooser) SetServers(servers []site.Server, engine *site.Engine) {
+	c.engine = engine
+	c.list = c.list[:0]
+	live := map[string]bool{}
+	for _, s := range servers {
+		live[s.ID] = true
+		known := c.servers[s.ID]
+		if known == nil || known.Born != s.Born || known.Address != s.Address {
+			known = &server{}
+			c.servers[s.ID] = known
+		}
+		known.Server = s
+		c.list = append(c.list, known)
+	}
+	for id, s := range c.servers {
+		if !live[id] && s.open == 0 {
+			delete(c.servers, id)
+		}
+	}
+	slices.SortFunc(c.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Count returns the number of servers that accept new work.
+func (c *Chooser) Count() int { return len(c.list) }
+
+// Pick returns the server for a request; false where there is none.
+func (c *Chooser) Pick(now time.Time, q Query) (site.Server, bool) {
+	candidates := c.filter(now, q.Exclude)
+	if len(candidates) == 0 {
+		return site.Server{}, false
+	}
+	if c.engine != nil && len(q.Parts) > 0 {
+		return c.pickEngine(now, q, candidates).Server, true
+	}
+	best := slices.MinFunc(candidates, func(a, b *server) int {
+		return cmp.Compare(c.predict(now, q, a), c.predict(now, q, b))
+	})
+	return best.Server, true
+}
+
+// filter leaves out servers that could not be reached lately, unless there is no other.
+func (c *Chooser) filter(now time.Time, exclude []string) []*server {
+	others := []*server{}
+	paused := []*server{}
+	for _, s := range c.list {
+		switch {
+		case slices.Contains(exclude, s.ID):
+		case now.Before(s.pausedUntil):
+			paused = append(paused, s)
+		default:
+			others = append(others, s)
+		}
+	}
+	if len(others) > 0 {
+		return others
+	}
+	return paused
+}
+
+// predict estimates the time until a plain server answers.
+func (c *Chooser) predict(now time.Time, q Query, s *server) time.Duration {
+	latency := s.latency
+	if latency == 0 {
+		latency = defaultLatency
+	}
+	ahead := s.open
+	if now.Sub(s.loadAt) < loadAge {
+		ahead = max(ahead, s.load.Running+s.load.Waiting)
+	}
+	queued := 1 + float64(ahead)/float64(max(s.Slots, 1))
+	wait := time.Duration(float64(latency) * queued * (1 + failureWeight*s.failed))
+	return wait + c.distance(q, s)
+}
+
+func (c *Chooser) distance(q Query, s *server) time.Duration {
+	switch {
+	case s.Domain == q.Domain:
+		return 0
+	case c.regions[s.Domain] == q.Region:
+		return otherDomain
+	default:
+		return otherRegion
+	}
+}
+
+const (
+	// groupPart is the share of the engines among which the requests with the same
+	// first part are spread. Each engine of the group reads that part once, and the
+	// group must carry the part's requests.
+	groupPart = 0.34
+	// minGroup is the fewest engines of a group.
+	minGroup = 2
+	// openLead and tokensLead bound how much more an engine may have than the average
+	// before the next one of the group is taken: a cached part saves less than a queue costs.
+	openLead   = 4
+	tokensLead = 16000
+)
+
+// pickEngine returns the engine that most likely holds the parts of the prompt.
+// All ingresses compute the same order from the parts alone, so none needs to
+// know what the others sent where.
+func (c *Chooser) pickEngine(now time.Time, q Query, candidates []*server) *server {
+	group := c.rank(q, candidates)
+	open, tokens := 0, 0
+	for _, s := range c.list {
+		open += s.open
+		tokens += s.tokens
+	}
+	n := max(len(c.list), 1)
+	maxOpen := 2*open/n + openLead
+	maxTokens := 2*tokens/n + tokensLead
+	for _, s := range group {
+		if s.open <= maxOpen && s.tokens <= maxTokens && s.failed < 0.5 && !c.isFull(now, s) {
+			return s
+		}
+	}
+	return slices.MinFunc(candidates, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.tokens, b.tokens), cmp.Compare(a.open, b.open))
+	})
+}
+
+func (c *Chooser) isFull(now time.Time, s *server) bool {
+	return now.Sub(s.loadAt) < loadAge && s.load.Slots > 0 && s.load.Running+s.load.Waiting >= s.load.Slots
+}
+
+// rank orders the candidates: first the group of the first part by the session's part, then the rest.
+func (c *Chooser) rank(q Query, candidates []*server) []*server {
+	first := q.Parts[0].ID
+	session := q.Parts[len(q.Parts)-1].ID
+	names := make([]string, 0, len(candidates))
+	byID := map[string]*server{}
+	for _, s := range candidates {
+		names = append(names, s.ID)
+		byID[s.ID] = s
+	}
+	size := max(minGroup, int(groupPart*float64(len(c.list))))
+	ordered := rhash.Pick(first, names, len(names))
+	size = min(size, len(ordered))
+	group := rhash.Pick(session, ordered[:size], size)
+	rest := rhash.Pick(session, ordered[size:], len(ordered)-size)
+	ranked := make([]*server, 0, len(candidates))
+	for _, id := range append(group, rest...) {
+		ranked = append(ranked, byID[id])
+	}
+	return ranked
+}
+
+// Start notes that a request is sent to a server.
+func (c *Chooser) Start(id string, promptTokens int) {
+	if s := c.servers[id]; s != nil {
+		s.open++
+		s.tokens += promptTokens
+	}
+}
+
+// Begin notes that a request's answer has begun.
+func (c *Chooser) Begin(id string, promptTokens int) {
+	if s := c.servers[id]; s != nil {
+		s.tokens = max(s.tokens-promptTokens, 0)
+	}
+}
+
+// End notes how a request ended that took a time; load is nil where the server did not report it.
+func (c *Chooser) End(now time.Time, id string, result Result, took time.Duration, load *site.Load) {
+	s := c.servers[id]
+	if s == nil {
+		return
+	}
+	s.open = max(s.open-1, 0)
+	if load != nil {
+		s.load = *load
+		s.loadAt = now
+	}
+	switch result {
+	case ResultServed:
+		s.succeed(took)
+	case ResultFailed:
+		s.fail()
+		s.misses = 0
+	case ResultBroken, ResultUnreached:
+		s.fail()
+		s.pausedUntil = now.Add(min(firstPause<<min(s.misses, 4), maxPause))
+		s.misses++
+	case ResultRefused, ResultLeft:
+	}
+}
+
+func (s *server) succeed(took time.Duration) {
+	s.misses = 0
+	s.pausedUntil = time.Time{}
+	s.failed -= failureShare * s.failed
+	if s.latency == 0 {
+		s.latency = took
+		return
+	}
+	s.latency += time.Duration(latencyShare * float64(took-s.latency))
+}
+
+func (s *server) fail() {
+	s.failed += failureShare * (1 - s.failed)
+}
--- a/share/modules/link/exchange.go
+++ b/share/modules/link/exchange.go
@@ -32,6 +32,41 @@
 	return frame.GetTold(), nil
 }
 
+// Sync asks a peer for store records that it knows and this process does not.
+func Sync(ctx context.Context, s *Session, sync *wire.Sync) (*wire.Records, error) {
+	frame, err := exchange(ctx, s, &wire.Frame{Body: &wire.Frame_Sync{Sync: sync}})
+	if err != nil {
+		return nil, err
+	}
+	if frame.GetRecords() == nil {
+		return nil, ErrLink.New("the answer to a sync holds no records")
+	}
+	return frame.GetRecords(), nil
+}
+
+// Produce has a peer make the results of a stage and waits until they are made or given up.
+// The end of the context closes the stream, which tells the peer to cancel.
+func Produce(ctx context.Context, s *Session, produce *wire.Produce) (*wire.Produced, error) {
+	frame, err := exchange(ctx, s, &wire.Frame{Body: &wire.Frame_Produce{Produce: produce}})
+	if err != nil {
+		return nil, err
+	}
+	if frame.GetProduced() == nil {
+		return nil, ErrLink.New("the answer to a produce holds no outcome")
+	}
+	return frame.GetProduced(), nil
+}
+
+// Discard tells a peer that results are of no use any more.
+func Discard(s *Session, discard *wire.Discard) error {
+	stream, err := s.Open()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	return wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_Discard{Discard: discard}})
+}
+
 // exchange gives the stream its own deadline, since yamux's acknowledgements
 // are of the session and not of the call.
 func exchange(ctx context.Context, s *Session, frame *wire.Frame) (*wire.Frame, error) {
--- a/share/modules/link/options.go
+++ b/share/modules/link/options.go
@@ -33,8 +33,11 @@
 type Options struct {
 	// Hello is sent to the peer; its revision is filled in by Beat.
 	Hello *wire.Hello
-	// TLS is nil for plain sessions on loopback.
+	// TLS is nil for plain sessions.
 	TLS *tls.Config
+	// Private allows plain sessions beyond loopback, on a network that only the
+	// deployment's own instances reach.
+	Private bool
 	// BeatEvery is the time between two heartbeats.
 	BeatEvery time.Duration
 	// SilentAfter is how long the peer may be silent. An open connection can go
--- a/share/modules/link/session.go
+++ b/share/modules/link/session.go
@@ -50,7 +50,7 @@
 // Dial connects to a peer and exchanges hellos.
 func Dial(ctx context.Context, address netip.AddrPort, options Options) (*Session, error) {
 	options = options.withDefaults()
-	if options.TLS == nil && !address.Addr().IsLoopback() {
+	if options.TLS == nil && !options.Private && !address.Addr().IsLoopback() {
 		return nil, ErrLink.New("%s is beyond loopback and needs TLS", address)
 	}
 	ctx, cancel := context.WithTimeout(ctx, options.HelloTimeout)
--- a/share/modules/logs/logs.go
+++ b/share/modules/logs/logs.go
@@ -19,12 +19,15 @@
 	if err != nil {
 		return nil, ErrLogs.Wrap(err)
 	}
-	encoding := zap.NewProductionEncoderConfig()
-	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	encoding.EncodeDuration = zapcore.StringDurationEncoder
-	encoding.MessageKey = "event"
-	encoding.TimeKey = "time"
-	encoder := zaplogfmt.NewEncoder(encoding)
+	encoder := zaplogfmt.NewEncoder(newEncoding())
 	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), minimum)
 	return zap.New(core), nil
 }
+
+// Err is the field of an error: its text alone, without the stack that zap adds for some classes.
+func Err(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/agent/services/peers/server.go
+++ b/share/services/peers/server.go
@@ -1,4 +1,4 @@
-// Package peers accepts the sessions of entries.
+// Package peers accepts the sessions that other processes open.
 package peers
 
 import (
@@ -35,7 +35,7 @@
 	listener net.Listener
 
 	lock sync.Mutex
-	// sessions holds the open ones by the name of their entry.
+	// sessions holds the open ones by the name of the process that opened them.
 	sessions map[string]*link.Session
 }
 
@@ -73,7 +73,7 @@
 	}
 }
 
-// GetSession returns the open session of an entry, or nil.
+// GetSession returns the open session of a process, or nil.
 func (s *Server) GetSession(name string) *link.Session {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -120,11 +120,11 @@
 	}
 	name := session.Peer().GetName()
 	s.lock.Lock()
-	// An entry that connects again has given up on its old session, which may
+	// A process that connects again has given up on its old session, which may
 	// be silent here; the old one keeps its streams until it ends by itself.
 	s.sessions[name] = session
 	s.lock.Unlock()
-	s.options.Log.Info("session-up", zap.String("entry", name))
+	s.options.Log.Info("session-up", zap.String("peer", name))
 	s.options.Handler.ServeSession(ctx, session)
 }
 
@@ -135,5 +135,5 @@
 	if s.sessions[name] == session {
 		delete(s.sessions, name)
 	}
-	s.options.Log.Info("session-down", zap.String("entry", name), zap.Error(reason))
+	s.options.Log.Info("session-down", zap.String("peer", name), zap.Error(reason))
 }
