engines are placed by one ingress a service; results are made in the engine's domain

Cause: each ingress chose engines by a hash of the prompt's parts and by its own open requests alone, so bursts met on the same engine and sessions moved: 850,000 shared tokens were read again, 25 requests ran out of time; 4.1 GB of results crossed domains. One ingress a service now sees every request and weighs queue, cache and distance; the stages' batcher prefers servers in the engine's domain and takes others after half a call's time.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -16,6 +16,7 @@
 
 	"verbenaroad.example/ingress/routers/ops"
 	"verbenaroad.example/ingress/routers/public"
+	"verbenaroad.example/ingress/services/assign"
 	"verbenaroad.example/ingress/services/flow"
 	"verbenaroad.example/ingress/services/mesh"
 	"verbenaroad.example/ingress/services/meters"
@@ -61,6 +62,8 @@
 	mesh     *mesh.Mesh
 	owner    *pieces.Owner
 	maker    *pieces.Maker
+	placer   *assign.Placer
+	desk     *assign.Desk
 	flow     *flow.Server
 	stopper  *stops.Stopper
 	front    *Front
@@ -102,9 +105,11 @@
 	i.owner = pieces.NewOwner(pieces.OwnerOptions{
 		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Repeats: s.Repeats.Settings, Log: i.log,
 	})
+	i.placer = assign.NewPlacer(s.Place.Regions)
+	i.desk = assign.NewDesk(i.mesh, i.book, i.placer, i.log)
 	i.maker = pieces.NewMaker(i.mesh, i.owner, i.log)
 	i.flow = flow.NewServer(flow.Options{
-		Views: i.book, Sender: client, Maker: i.maker, Meter: i.meters, Log: i.log,
+		Views: i.book, Sender: client, Maker: i.maker, Desk: i.desk, Meter: i.meters, Log: i.log,
 		Domain: s.Place.Domain, Region: s.Place.Region, Regions: s.Place.Regions, Repeats: s.Repeats.Settings,
 	})
 }
@@ -125,6 +130,7 @@
 
 func (i *Ingress) takeView(v *state.View) {
 	i.flow.TakeView(v)
+	i.placer.TakeView(v)
 	i.owner.TakeView(v)
 	i.mesh.TakeView(v)
 	i.meters.SetVersion(v.Version())
@@ -155,7 +161,7 @@
 	options.TLS = security
 	i.links, err = peers.NewServer(peers.Options{
 		Address: s.Peers.Listen, Link: options,
-		Handler: &mesh.Handler{Book: i.book, Maker: i.maker, Log: i.log}, Log: i.log,
+		Handler: &mesh.Handler{Book: i.book, Maker: i.maker, Placer: i.desk, Log: i.log}, Log: i.log,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/ingress/services/assign/desk.go
@@ -0,0 +1,137 @@
+package assign
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/decide/place"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/wire"
+)
+
+// Peers reaches the other ingresses.
+type Peers interface {
+	// Rank lists the ingresses that can be reached, the one that places for a key first.
+	Rank(key string) []string
+	Self() string
+	Assign(ctx context.Context, name string, a *wire.Assign) (*link.Assignment, error)
+}
+
+// Views tells what is known of the deployment.
+type Views interface {
+	View() *state.View
+}
+
+const (
+	// askTimeout bounds asking another ingress: a way between regions and back, and some work there.
+	askTimeout = 300 * time.Millisecond
+	// keyPrefix has the ingress that places for a service chosen apart from those that batch.
+	keyPrefix = "engines/"
+)
+
+// Desk gives each request a seat, from the ingress that places for its service.
+type Desk struct {
+	peers  Peers
+	views  Views
+	placer *Placer
+	log    *zap.Logger
+}
+
+// NewDesk returns a desk; placer places for the services that fall to this ingress.
+func NewDesk(peers Peers, views Views, placer *Placer, log *zap.Logger) *Desk {
+	return &Desk{peers: peers, views: views, placer: placer, log: log}
+}
+
+// Place returns a seat, or nil where no engine takes the request.
+func (d *Desk) Place(ctx context.Context, service string, q place.Query) *Seat {
+	ranked := d.peers.Rank(keyPrefix + service)
+	if len(ranked) == 0 || ranked[0] == d.peers.Self() {
+		return d.placer.Place(service, q)
+	}
+	seat, err := d.askPeer(ctx, ranked[0], service, q)
+	if err == nil {
+		return seat
+	}
+	d.log.Warn("placer-lost", zap.String("service", service), zap.String("ingress", ranked[0]), logs.Err(err))
+	return d.placer.Place(service, q)
+}
+
+func (d *Desk) askPeer(ctx context.Context, name, service string, q place.Query) (*Seat, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	ask := &wire.Assign{Service: service, Domain: q.Domain, Region: q.Region, Exclude: q.Exclude}
+	if g := q.Generation; g != nil {
+		ask.PromptTokens = uint32(g.PromptTokens)       //nolint:gosec // read as a small number
+		ask.MaxOutputTokens = uint32(g.MaxOutputTokens) //nolint:gosec // read as a small number
+		for _, p := range g.Parts {
+			ask.Parts = append(ask.Parts, &wire.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)}) //nolint:gosec // as above
+		}
+	}
+	got, err := d.peers.Assign(ctx, name, ask)
+	if err != nil {
+		return nil, err
+	}
+	server, found := FindServer(d.views.View(), service, got.Answer.GetServerId())
+	if !found {
+		got.Close()
+		return d.placer.Place(service, q), nil
+	}
+	return &Seat{server: server, By: name, Wait: time.Duration(got.Answer.GetWaitNanos()), remote: got}, nil
+}
+
+// FindServer returns a server that takes new work.
+func FindServer(v *state.View, service, id string) (site.Server, bool) {
+	for _, s := range v.Servers[service] {
+		if s.ID == id {
+			return s, true
+		}
+	}
+	return site.Server{}, false
+}
+
+// ServeAssign places a request for another ingress and follows it until its end.
+func (d *Desk) ServeAssign(stream net.Conn, reader *wire.Reader, a *wire.Assign) {
+	seat := d.placer.Place(a.GetService(), decodeQuery(a))
+	answer := &wire.Assigned{}
+	if seat != nil {
+		answer.ServerId = seat.Server().ID
+		answer.WaitNanos = int64(seat.Wait)
+	}
+	if err := wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_Assigned{Assigned: answer}}); err != nil {
+		d.log.Info("answer-lost", logs.Err(err))
+	}
+	if seat == nil {
+		return
+	}
+	// A stream that ends without a word, as with its ingress, frees the seat too.
+	defer seat.Ended(place.ResultLeft)
+	for {
+		frame, err := reader.Next()
+		if err != nil || frame.GetProgress() == nil {
+			return
+		}
+		switch told := frame.GetProgress().GetState(); told {
+		case stateSent:
+			seat.Sent()
+		case stateBegun:
+			seat.Begun()
+		default:
+			seat.Ended(place.Result(told))
+			return
+		}
+	}
+}
+
+func decodeQuery(a *wire.Assign) place.Query {
+	g := &place.Generation{PromptTokens: int(a.GetPromptTokens()), MaxOutputTokens: int(a.GetMaxOutputTokens())}
+	for _, p := range a.GetParts() {
+		g.Parts = append(g.Parts, site.PromptPart{ID: p.GetId(), Tokens: int(p.GetTokens())})
+	}
+	return place.Query{Domain: a.GetDomain(), Region: a.GetRegion(), Exclude: a.GetExclude(), Generation: g}
+}
--- /dev/null
+++ b/ingress/services/assign/placer.go
@@ -0,0 +1,68 @@
+package assign
+
+import (
+	"sync"
+	"time"
+
+	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/decide/place"
+)
+
+// Placer places the requests of all services at this ingress.
+type Placer struct {
+	regions map[string]string
+
+	lock  sync.Mutex
+	units map[string]*unit
+}
+
+// unit is one service's engines.
+type unit struct {
+	engines *place.Engines
+}
+
+// NewPlacer returns a placer that knows no engines.
+func NewPlacer(regions map[string]string) *Placer {
+	return &Placer{regions: regions, units: map[string]*unit{}}
+}
+
+// TakeView takes the engines of a new view.
+func (p *Placer) TakeView(v *state.View) {
+	if v.Table == nil {
+		return
+	}
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	for _, s := range v.Table.Config().Services {
+		if s.Engine == nil {
+			continue
+		}
+		u := p.units[s.Name]
+		if u == nil {
+			u = &unit{engines: place.NewEngines(p.regions)}
+			p.units[s.Name] = u
+		}
+		u.engines.SetServers(v.Servers[s.Name], *s.Engine)
+	}
+}
+
+// Place returns a seat, or nil where no engine takes the request.
+func (p *Placer) Place(service string, q place.Query) *Seat {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	u := p.units[service]
+	if u == nil {
+		return nil
+	}
+	placed, found := u.engines.Place(time.Now(), q)
+	if !found {
+		return nil
+	}
+	return &Seat{server: placed.Server, Wait: placed.Wait, local: p, id: placed.ID, unit: u}
+}
+
+func (p *Placer) step(change func(now time.Time)) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	change(time.Now())
+}
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/services/assign"
 	"verbenaroad.example/ingress/services/pieces"
 	"verbenaroad.example/ingress/services/reach"
 	"verbenaroad.example/ingress/services/state"
@@ -37,6 +38,12 @@
 	MakeChain(ctx context.Context, c pieces.Chain) (*pieces.Results, *codes.Result)
 }
 
+// Desk gives requests to engines their places.
+type Desk interface {
+	// Place returns nil where no engine takes the request.
+	Place(ctx context.Context, service string, q place.Query) *assign.Seat
+}
+
 // Meter counts what is served.
 type Meter interface {
 	CountAnswer(route, outcome string, took time.Duration)
@@ -49,6 +56,7 @@
 	Views  Views
 	Sender Sender
 	Maker  Maker
+	Desk   Desk
 	Meter  Meter
 	Log    *zap.Logger
 	// Domain and Region are where this ingress stands, Regions where each failure domain does.
@@ -90,13 +98,7 @@
 		s.getPool(name)
 	}
 	for name, p := range s.pools {
-		var engine *site.Engine
-		if v.Table != nil {
-			if service := v.Table.FindService(name); service != nil {
-				engine = service.Engine
-			}
-		}
-		p.chooser.SetServers(v.Servers[name], engine)
+		p.chooser.SetServers(v.Servers[name])
 	}
 }
 
@@ -134,6 +136,8 @@
 	log     *zap.Logger
 	// ends is when the request must have its final answer.
 	ends time.Time
+	// seat is the place at an engine; nil for plain services.
+	seat *assign.Seat
 	// tried holds the servers that had the request.
 	tried []string
 	// runs counts the attempts that ran or may have.
@@ -201,26 +205,29 @@
 // left returns how long the request still has.
 func (x *exchange) left() time.Duration { return time.Until(x.ends) }
 
-// pick chooses the next backend server and counts the request there.
-func (x *exchange) pick(q place.Query) (site.Server, bool) {
+// pick chooses the next backend server of a plain service and counts the request there.
+func (x *exchange) pick() (site.Server, bool) {
 	s := x.server
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	p := s.getPool(x.service)
-	server, found := p.chooser.Pick(time.Now(), q)
+	server, found := p.chooser.Pick(time.Now(), x.newQuery())
 	if found {
-		p.chooser.Start(server.ID, q.PromptTokens)
+		p.chooser.Start(server.ID)
 	}
 	return server, found
 }
 
 func (x *exchange) newQuery() place.Query {
 	return place.Query{
-		Domain:       x.server.options.Domain,
-		Region:       x.server.options.Region,
-		Exclude:      x.tried,
-		Parts:        x.Parts,
-		PromptTokens: x.PromptTokens,
+		Domain:  x.server.options.Domain,
+		Region:  x.server.options.Region,
+		Exclude: x.tried,
+		Generation: &place.Generation{
+			Parts:           x.Parts,
+			PromptTokens:    x.PromptTokens,
+			MaxOutputTokens: x.MaxOutputTokens,
+		},
 	}
 }
 
@@ -244,18 +251,14 @@
 	s.getPool(x.service).repeats.CountRequest(time.Now())
 }
 
-func (x *exchange) begin(server site.Server) {
-	s := x.server
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.getPool(x.service).chooser.Begin(server.ID, x.PromptTokens)
-}
-
+// end notes how an attempt ended at its server.
 func (x *exchange) end(server site.Server, result place.Result, took time.Duration, load *site.Load) {
+	if x.seat != nil {
+		x.seat.Ended(result)
+		return
+	}
 	s := x.server
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	p := s.getPool(x.service)
-	p.chooser.Begin(server.ID, 0)
-	p.chooser.End(time.Now(), server.ID, result, took, load)
+	s.getPool(x.service).chooser.End(time.Now(), server.ID, result, took, load)
 }
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -44,7 +44,7 @@
 func (x *exchange) servePlain(ctx context.Context, w http.ResponseWriter) *codes.Result {
 	x.countRequest()
 	for {
-		server, found := x.pick(x.newQuery())
+		server, found := x.pick()
 		if !found {
 			return x.refuseNoServer()
 		}
@@ -136,7 +136,7 @@
 	notSent := errors.Is(err, reach.ErrNotSent)
 	x.log.Warn("attempt-broken", zap.String("server", server.ID), zap.Stringer("address", server.Address),
 		zap.Bool("not-sent", notSent), zap.Duration("took", took), logs.Err(err))
-	if ctx.Err() != nil {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		x.end(server, place.ResultLeft, took, nil)
 		return verdict{result: codes.NewResult(codes.Canceled, "the caller left")}
 	}
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/services/assign"
 	"verbenaroad.example/ingress/services/pieces"
 	"verbenaroad.example/ingress/services/reach"
 	"verbenaroad.example/share/decide/place"
@@ -22,6 +23,11 @@
 func (x *exchange) serveStream(ctx context.Context, w http.ResponseWriter) *codes.Result {
 	ctx, cancel := context.WithDeadline(ctx, x.ends)
 	defer cancel()
+	defer x.giveUpSeat()
+	// The engine is chosen first, so that results are made where they will be used.
+	if !x.takeSeat(ctx) {
+		return x.leftOr(ctx, x.refuseNoServer())
+	}
 	handles, release, result := x.makeResults(ctx)
 	if result != nil {
 		return x.leftOr(ctx, result)
@@ -32,6 +38,32 @@
 	return x.leftOr(ctx, r.run(ctx))
 }
 
+// takeSeat asks for a place at an engine.
+func (x *exchange) takeSeat(ctx context.Context) bool {
+	x.giveUpSeat()
+	x.seat = x.server.options.Desk.Place(ctx, x.service, x.newQuery())
+	if x.seat == nil {
+		return false
+	}
+	x.log.Info("placed", zap.String("server", x.seat.Server().ID), zap.String("by", x.seat.By),
+		zap.Duration("predicted-wait", x.seat.Wait))
+	return true
+}
+
+// giveUpSeat frees the place of a request that did not get to its end there.
+func (x *exchange) giveUpSeat() {
+	if x.seat != nil {
+		x.seat.Ended(place.ResultLeft)
+	}
+}
+
+// isSeatGood tells whether the engine still takes new work: it may have begun
+// to leave while the results were made.
+func (x *exchange) isSeatGood() bool {
+	_, found := assign.FindServer(x.server.options.Views.View(), x.service, x.seat.Server().ID)
+	return found
+}
+
 // leftOr tells a request whose caller left from one whose time ran out.
 func (x *exchange) leftOr(ctx context.Context, result *codes.Result) *codes.Result {
 	if result != nil && errors.Is(ctx.Err(), context.Canceled) {
@@ -53,6 +85,7 @@
 		Priority:  x.Grant.Priority,
 		Target:    x.Arrived.Add(x.route.Target),
 		Ends:      x.ends,
+		Domain:    x.seat.Server().Domain,
 		Log:       x.log,
 	})
 	if failed != nil {
@@ -78,11 +111,13 @@
 func (r *relay) run(ctx context.Context) *codes.Result {
 	r.lastID = r.LastEventID
 	for {
-		server, found := r.pick(r.newQuery())
-		if !found {
-			return r.stop(r.refuseNoServer())
+		if len(r.tried) > 0 || !r.isSeatGood() {
+			if !r.takeSeat(ctx) {
+				return r.stop(r.refuseNoServer())
+			}
 		}
-		v := r.try(ctx, server)
+		r.seat.Sent()
+		v := r.try(ctx, r.seat.Server())
 		if !v.again || r.left() <= 0 {
 			return r.stop(v.result)
 		}
@@ -136,7 +171,8 @@
 		r.end(server, place.ResultLeft, took, nil)
 		return verdict{result: codes.NewResult(codes.Canceled, "the caller left")}
 	}
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) && (errors.Is(err, reach.ErrNotSent) || ctx.Err() != nil || !r.route.Resumable) {
+	left := errors.Is(ctx.Err(), context.Canceled)
+	if left || errors.Is(err, reach.ErrNotSent) || ctx.Err() == nil && !r.route.Resumable {
 		return r.judgeError(ctx, server, err, took)
 	}
 	r.log.Warn("stream-broken", zap.String("server", server.ID), zap.String("last-event", r.lastID),
@@ -205,7 +241,7 @@
 
 func (r *relay) noteFirst(server site.Server) {
 	r.release() // the engine has fetched its inputs
-	r.begin(server)
+	r.seat.Begun()
 	took := time.Since(r.Arrived)
 	r.log.Info("stream-begun", zap.String("server", server.ID), zap.Duration("took", took))
 	r.server.options.Meter.CountFirstEvent(r.route.Name, took)
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -120,6 +120,15 @@
 	return got, err
 }
 
+// Assign has another ingress place a request.
+func (m *Mesh) Assign(ctx context.Context, name string, a *wire.Assign) (*link.Assignment, error) {
+	session, err := m.getSession(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	return link.Assign(ctx, session, a)
+}
+
 // Discard has another ingress release results.
 func (m *Mesh) Discard(name string, d *wire.Discard) error {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
--- a/ingress/services/mesh/serve.go
+++ b/ingress/services/mesh/serve.go
@@ -19,11 +19,17 @@
 	ServeDiscard(d *wire.Discard)
 }
 
+// Placer places requests for other ingresses.
+type Placer interface {
+	ServeAssign(stream net.Conn, reader *wire.Reader, a *wire.Assign)
+}
+
 // Handler serves the sessions that other ingresses open.
 type Handler struct {
-	Book  *state.Book
-	Maker Maker
-	Log   *zap.Logger
+	Book   *state.Book
+	Maker  Maker
+	Placer Placer
+	Log    *zap.Logger
 }
 
 // ServeSession serves the streams of a session until it ends.
@@ -56,6 +62,8 @@
 		h.answer(stream, &wire.Frame{Body: &wire.Frame_Produced{Produced: made}})
 	case frame.GetDiscard() != nil:
 		h.Maker.ServeDiscard(frame.GetDiscard())
+	case frame.GetAssign() != nil:
+		h.Placer.ServeAssign(stream, reader, frame.GetAssign())
 	default:
 		h.Log.Warn("frame-unknown")
 	}
--- a/ingress/services/pieces/chain.go
+++ b/ingress/services/pieces/chain.go
@@ -27,6 +27,8 @@
 	// Target is when the request should begin to answer, Ends when it must have ended.
 	Target time.Time
 	Ends   time.Time
+	// Domain is the failure domain of the engine.
+	Domain string
 	Log    *zap.Logger
 }
 
@@ -165,6 +167,7 @@
 		Target:      w.Target,
 		Expires:     w.Ends,
 		Priority:    w.Priority,
+		Domain:      w.Domain,
 	})
 	w.Log.Info("stage-ended", zap.Int("stage", stage), zap.String("stage-service", s.Service), zap.Int("items", n),
 		zap.String("outcome", string(done.Outcome)), zap.Duration("took", time.Since(began)))
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -35,12 +35,17 @@
 		return a
 	}
 	p.order(now)
-	for {
-		w := p.chooseWorker(now)
-		if w == nil || !p.fill(&a, now, w) {
+	passed := map[*worker]bool{}
+	for len(p.queue) > 0 {
+		w := p.chooseWorker(now, passed)
+		if w == nil {
 			return a
 		}
+		if !p.fill(&a, now, w) {
+			passed[w] = true // it has no memory, or nothing is for its domain yet
+		}
 	}
+	return a
 }
 
 func (p *Planner) expire(a *Actions, now time.Time) {
@@ -76,7 +81,7 @@
 }
 
 // chooseWorker returns the fastest idle server, or nil where waiting for a busy one is better.
-func (p *Planner) chooseWorker(now time.Time) *worker {
+func (p *Planner) chooseWorker(now time.Time, passed map[*worker]bool) *worker {
 	idle := []*worker{}
 	fastest := math.Inf(1)
 	healthy := 0
@@ -86,12 +91,12 @@
 		}
 		healthy++
 		fastest = min(fastest, w.pace)
-		if w.calls == 0 {
+		if w.calls == 0 && !passed[w] {
 			idle = append(idle, w)
 		}
 	}
 	if healthy == 0 {
-		return p.probeWorker()
+		return p.probeWorker(passed)
 	}
 	items := p.CountItems()
 	idle = slices.DeleteFunc(idle, func(w *worker) bool {
@@ -113,10 +118,10 @@
 
 // probeWorker returns the server whose failure is the oldest: with all of them
 // in doubt, refusing everything would leave none to be tried again.
-func (p *Planner) probeWorker() *worker {
+func (p *Planner) probeWorker(passed map[*worker]bool) *worker {
 	var best *worker
 	for _, w := range p.ready {
-		if w.calls > 0 {
+		if w.calls > 0 || passed[w] {
 			continue
 		}
 		if best == nil || w.suspectUntil.Before(best.suspectUntil) {
@@ -131,10 +136,7 @@
 	room := int64(roomPart*float64(p.pool.RoomBytes)) - w.used
 	call := Call{Server: w.server, started: now}
 	bytes := int64(0)
-	for _, j := range p.queue {
-		if now.Before(j.refusedUntil) {
-			continue
-		}
+	for _, j := range p.sortFor(now, w) {
 		for len(j.todo) > 0 && len(call.Items) < p.pool.Batch {
 			// A result larger than the whole memory is tried alone: its size is approximate.
 			if bytes+j.ResultBytes > room && (w.used > 0 || len(call.Items) > 0) {
@@ -172,6 +174,32 @@
 	}
 }
 
+// sortFor returns the jobs that may go to a server: first those whose results
+// are used in its failure domain, then those that have waited for a server of
+// their own domain long enough. Results are fetched over the links between
+// domains otherwise, which are slow and charged for.
+func (p *Planner) sortFor(now time.Time, w *worker) []*job {
+	near, far := []*job{}, []*job{}
+	for _, j := range p.queue {
+		switch {
+		case now.Before(j.refusedUntil):
+		case j.Domain == "" || j.Domain == w.server.Domain || !p.serves(j.Domain):
+			near = append(near, j)
+		case now.Sub(j.arrived) >= p.pool.CallTime/foreignPart:
+			far = append(far, j)
+		}
+	}
+	return append(near, far...)
+}
+
+// foreignPart divides a call's time into how long a job waits for a server of its domain.
+const foreignPart = 2
+
+// serves tells whether a server stands in the failure domain.
+func (p *Planner) serves(domain string) bool {
+	return slices.ContainsFunc(p.ready, func(w *worker) bool { return w.server.Domain == domain })
+}
+
 // predictWait estimates how long a job waits until its last item is in a call.
 func (p *Planner) predictWait(j Job) time.Duration {
 	ahead := j.Count
--- /dev/null
+++ b/share/decide/place/engines.go
@@ -0,0 +1,319 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"verbenaroad.example/share/models/site"
+)
+
+const (
+	// readRate is about how many prompt tokens an engine reads in a second. It weighs
+	// a queue against a cache; an error scales both sides alike.
+	readRate = 30000.0
+	// rereadWeight is how much more a prompt part counts that another engine holds:
+	// reading it again takes the engine's time from every stream that runs there, and
+	// is charged for.
+	rereadWeight = 3.0
+	// regionCost and domainCost stand for the way to another region and domain and the
+	// price of the bytes on it.
+	regionCost = 80 * time.Millisecond
+	domainCost = 5 * time.Millisecond
+	// streamCost is what each running stream adds to a new one's wait.
+	streamCost = 2 * time.Millisecond
+	// fullCost puts an engine behind all others whose memory or slots are taken.
+	fullCost = 5 * time.Second
+	// failingCost puts an engine that fails behind those that answer.
+	failingCost = 2 * time.Second
+	// memoryPart is the part of an engine's memory that is filled on purpose.
+	memoryPart = 0.9
+	// outputPart is how much of the longest output a request is expected to make.
+	outputPart = 0.5
+	// cacheTime is how long an unused part is expected to stay in an engine's memory.
+	cacheTime = 30 * time.Second
+	// sharedWindow is how long after its last use a part is worth looking for.
+	sharedWindow = 12 * time.Second
+	// minPace and maxPace bound how fast an engine is taken to be.
+	minPace, maxPace = 0.5, 6.0
+	// paceShare is the weight of a new answer in an engine's pace.
+	paceShare = 0.15
+	// minPaceSample is the shortest predicted time that tells something of the pace.
+	minPaceSample = 60 * time.Millisecond
+)
+
+// Engines holds what is known of the engines of one service. One instance of
+// it, at the ingress that places requests for the service, sees every request;
+// many that each see a part act on stale reports and send the same burst to
+// the same engine. Its caller guards it.
+type Engines struct {
+	engine  site.Engine
+	regions map[string]string
+	engines map[string]*engine
+	list    []*engine
+	lastID  uint64
+	open    map[uint64]*seat
+	// seen holds when any engine was last sent each part.
+	seen map[string]time.Time
+}
+
+// engine is one engine.
+type engine struct {
+	site.Server
+	// reading counts the tokens that are to be read, sent those of them whose requests the engine has.
+	reading float64
+	sent    float64
+	streams int
+	// memory counts the tokens of the open requests.
+	memory int
+	// parts holds when each cached part was last used.
+	parts map[string]time.Time
+	// pace is how long answers take to begin against what was predicted.
+	pace        float64
+	failed      float64
+	misses      int
+	pausedUntil time.Time
+}
+
+// seat is one request at an engine.
+type seat struct {
+	engine    *engine
+	reading   float64
+	memory    int
+	sent      bool
+	begun     bool
+	started   time.Time
+	predicted time.Duration
+}
+
+// Placement is a request's engine.
+type Placement struct {
+	// ID names the placement in Begin and End.
+	ID     uint64
+	Server site.Server
+	// Wait predicts the time until the answer begins.
+	Wait time.Duration
+}
+
+// NewEngines returns a set without engines. Regions maps failure domains to their regions.
+func NewEngines(regions map[string]string) *Engines {
+	return &Engines{
+		regions: regions,
+		engines: map[string]*engine{},
+		open:    map[uint64]*seat{},
+		seen:    map[string]time.Time{},
+	}
+}
+
+// SetServers takes the engines that accept new work.
+func (e *Engines) SetServers(servers []site.Server, description site.Engine) {
+	e.engine = description
+	e.list = e.list[:0]
+	live := map[string]bool{}
+	for _, s := range servers {
+		live[s.ID] = true
+		known := e.engines[s.ID]
+		if known == nil || known.Born != s.Born || known.Address != s.Address {
+			known = &engine{parts: map[string]time.Time{}, pace: 1}
+			e.engines[s.ID] = known
+		}
+		known.Server = s
+		e.list = append(e.list, known)
+	}
+	for id := range e.engines {
+		if !live[id] {
+			delete(e.engines, id)
+		}
+	}
+	slices.SortFunc(e.list, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Place chooses the engine at which the request costs the least, counting its
+// own wait and what it takes from the others; false where there is none.
+func (e *Engines) Place(now time.Time, q Query) (Placement, bool) {
+	var best *engine
+	lowest := time.Duration(0)
+	paused := true
+	for _, c := range e.list {
+		if slices.Contains(q.Exclude, c.ID) {
+			continue
+		}
+		isPaused := now.Before(c.pausedUntil)
+		if isPaused && !paused {
+			continue
+		}
+		cost := e.cost(now, q, c)
+		if best == nil || paused && !isPaused || cost < lowest {
+			best, lowest, paused = c, cost, isPaused
+		}
+	}
+	if best == nil {
+		return Placement{}, false
+	}
+	return e.take(now, q, best), true
+}
+
+// cost weighs one engine for a request.
+func (e *Engines) cost(now time.Time, q Query, c *engine) time.Duration {
+	own, again := e.uncached(now, q.Generation, c)
+	cost := seconds(c.pace * (c.reading + own + rereadWeight*again) / readRate)
+	cost += time.Duration(c.streams) * streamCost
+	switch {
+	case c.Domain == q.Domain:
+	case e.regions[c.Domain] == q.Region:
+		cost += domainCost
+	default:
+		cost += regionCost
+	}
+	if e.isFull(q, c) {
+		cost += fullCost
+	}
+	return cost + time.Duration(c.failed*float64(failingCost))
+}
+
+func (e *Engines) isFull(q Query, c *engine) bool {
+	if e.engine.Slots > 0 && c.streams >= e.engine.Slots {
+		return true
+	}
+	need := memoryOf(q.Generation)
+	return e.engine.CacheTokens > 0 && float64(c.memory+need) > memoryPart*float64(e.engine.CacheTokens)
+}
+
+func memoryOf(g *Generation) int {
+	if g == nil {
+		return 0
+	}
+	return g.PromptTokens + int(outputPart*float64(g.MaxOutputTokens))
+}
+
+// uncached returns the tokens that the engine has to read, and how many of
+// them another engine holds. A part counts as cached only behind cached parts.
+func (e *Engines) uncached(now time.Time, g *Generation, c *engine) (own, again float64) {
+	if g == nil {
+		return 0, 0
+	}
+	own = float64(g.PromptTokens)
+	cached := true
+	for _, p := range g.Parts {
+		used, known := c.parts[p.ID]
+		cached = cached && known && now.Sub(used) < cacheTime
+		if cached {
+			own -= float64(p.Tokens)
+			continue
+		}
+		if seen, shared := e.seen[p.ID]; shared && now.Sub(seen) < sharedWindow {
+			again += float64(p.Tokens)
+		}
+	}
+	return max(own, 0), again
+}
+
+func (e *Engines) take(now time.Time, q Query, c *engine) Placement {
+	own, _ := e.uncached(now, q.Generation, c)
+	wait := seconds(c.pace * (c.reading + own) / readRate)
+	e.lastID++
+	s := &seat{engine: c, reading: own, memory: memoryOf(q.Generation)}
+	e.open[e.lastID] = s
+	c.reading += own
+	c.streams++
+	c.memory += s.memory
+	if q.Generation != nil {
+		for _, p := range q.Generation.Parts {
+			c.parts[p.ID] = now
+			e.seen[p.ID] = now
+		}
+	}
+	e.forget(now)
+	return Placement{ID: e.lastID, Server: c.Server, Wait: wait}
+}
+
+// maxParts bounds the parts that are remembered; above it the old ones are dropped.
+const maxParts = 20000
+
+func (e *Engines) forget(now time.Time) {
+	if len(e.seen) < maxParts {
+		return
+	}
+	for id, used := range e.seen {
+		if now.Sub(used) > sharedWindow {
+			delete(e.seen, id)
+		}
+	}
+	for _, c := range e.list {
+		for id, used := range c.parts {
+			if now.Sub(used) > cacheTime {
+				delete(c.parts, id)
+			}
+		}
+	}
+}
+
+// Start notes that the request is sent to the engine, which may be long after it was placed.
+func (e *Engines) Start(now time.Time, id uint64) {
+	s := e.open[id]
+	if s == nil || s.sent {
+		return
+	}
+	s.sent = true
+	s.started = now
+	s.engine.sent += s.reading
+	s.predicted = seconds(s.engine.pace * s.engine.sent / readRate)
+}
+
+// Begin notes that the answer has begun: the prompt is read.
+func (e *Engines) Begin(now time.Time, id uint64) {
+	s := e.open[id]
+	if s == nil || s.begun {
+		return
+	}
+	s.stopReading()
+	if s.predicted < minPaceSample {
+		return
+	}
+	c := s.engine
+	ratio := c.pace * float64(now.Sub(s.started)) / float64(s.predicted)
+	c.pace += paceShare * (min(max(ratio, minPace), maxPace) - c.pace)
+}
+
+func (s *seat) stopReading() {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.engine.reading = max(s.engine.reading-s.reading, 0)
+	if s.sent {
+		s.engine.sent = max(s.engine.sent-s.reading, 0)
+	}
+}
+
+// End notes how a request ended.
+func (e *Engines) End(now time.Time, id uint64, result Result) {
+	s := e.open[id]
+	if s == nil {
+		return
+	}
+	delete(e.open, id)
+	c := s.engine
+	c.streams--
+	c.memory -= s.memory
+	s.stopReading()
+	switch result {
+	case ResultServed:
+		c.misses = 0
+		c.pausedUntil = time.Time{}
+		c.failed -= failureShare * c.failed
+	case ResultFailed:
+		c.failed += failureShare * (1 - c.failed)
+	case ResultBroken, ResultUnreached:
+		c.failed += failureShare * (1 - c.failed)
+		c.pausedUntil = now.Add(min(firstPause<<min(c.misses, 4), maxPause))
+		c.misses++
+	case ResultRefused:
+		c.pausedUntil = now.Add(firstPause)
+	case ResultLeft:
+	}
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- a/share/decide/place/place.go
+++ b/share/decide/place/place.go
@@ -1,4 +1,6 @@
-// Package place decides which backend server takes a request.
+// Package place decides which backend server takes a request: a Chooser for
+// plain services, by predicted latency; Engines for services that generate
+// tokens, by what their caches hold and what waits to be read.
 package place
 
 import (
@@ -7,7 +9,6 @@
 	"time"
 
 	"verbenaroad.example/share/models/site"
-	"verbenaroad.example/share/modules/rhash"
 )
 
 const (
@@ -56,15 +57,21 @@
 	Region string
 	// Exclude holds the IDs of servers that had the request before.
 	Exclude []string
-	// Parts are the shared parts of the prompt.
+	// Generation sizes a request to an engine; nil for a plain service.
+	Generation *Generation
+}
+
+// Generation sizes a request to an engine.
+type Generation struct {
+	// Parts are the shared parts of the prompt, in order.
 	Parts []site.PromptPart
-	// PromptTokens is the length of the whole prompt.
-	PromptTokens int
+	// PromptTokens is the length of the whole prompt, shared parts included.
+	PromptTokens    int
+	MaxOutputTokens int
 }
 
 // Chooser holds what one ingress knows of the servers of one service; its caller guards it.
 type Chooser struct {
-	engine  *site.Engine
 	regions map[string]string
 	servers map[string]*server
 	list    []*server
@@ -74,8 +81,6 @@
 	site.Server
 	// open counts the requests of this ingress that the server has.
 	open int
-	// tokens counts the prompt tokens of the open requests that have not begun to answer.
-	tokens int
 	// latency is smoothed; 0 before the first answer.
 	latency time.Duration
 	// failed is the smoothed share of failures, 0 to 1.
@@ -93,9 +98,8 @@
 	return &Chooser{regions: regions, servers: map[string]*server{}}
 }
 
-// SetServers takes the servers that accept new work; engine is nil for a plain service.
-func (c *Chooser) SetServers(servers []site.Server, engine *site.Engine) {
-	c.engine = engine
+// SetServers takes the servers that accept new work.
+func (c *Chooser) SetServers(servers []site.Server) {
 	c.list = c.list[:0]
 	live := map[string]bool{}
 	for _, s := range servers {
@@ -125,9 +129,6 @@
 	if len(candidates) == 0 {
 		return site.Server{}, false
 	}
-	if c.engine != nil && len(q.Parts) > 0 {
-		return c.pickEngine(now, q, candidates).Server, true
-	}
 	best := slices.MinFunc(candidates, func(a, b *server) int {
 		return cmp.Compare(c.predict(now, q, a), c.predict(now, q, b))
 	})
@@ -179,80 +180,10 @@
 	}
 }
 
-const (
-	// groupPart is the share of the engines among which the requests with the same
-	// first part are spread. Each engine of the group reads that part once, and the
-	// group must carry the part's requests.
-	groupPart = 0.34
-	// minGroup is the fewest engines of a group.
-	minGroup = 2
-	// openLead and tokensLead bound how much more an engine may have than the average
-	// before the next one of the group is taken: a cached part saves less than a queue costs.
-	openLead   = 4
-	tokensLead = 16000
-)
-
-// pickEngine returns the engine that most likely holds the parts of the prompt.
-// All ingresses compute the same order from the parts alone, so none needs to
-// know what the others sent where.
-func (c *Chooser) pickEngine(now time.Time, q Query, candidates []*server) *server {
-	group := c.rank(q, candidates)
-	open, tokens := 0, 0
-	for _, s := range c.list {
-		open += s.open
-		tokens += s.tokens
-	}
-	n := max(len(c.list), 1)
-	maxOpen := 2*open/n + openLead
-	maxTokens := 2*tokens/n + tokensLead
-	for _, s := range group {
-		if s.open <= maxOpen && s.tokens <= maxTokens && s.failed < 0.5 && !c.isFull(now, s) {
-			return s
-		}
-	}
-	return slices.MinFunc(candidates, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(a.tokens, b.tokens), cmp.Compare(a.open, b.open))
-	})
-}
-
-func (c *Chooser) isFull(now time.Time, s *server) bool {
-	return now.Sub(s.loadAt) < loadAge && s.load.Slots > 0 && s.load.Running+s.load.Waiting >= s.load.Slots
-}
-
-// rank orders the candidates: first the group of the first part by the session's part, then the rest.
-func (c *Chooser) rank(q Query, candidates []*server) []*server {
-	first := q.Parts[0].ID
-	session := q.Parts[len(q.Parts)-1].ID
-	names := make([]string, 0, len(candidates))
-	byID := map[string]*server{}
-	for _, s := range candidates {
-		names = append(names, s.ID)
-		byID[s.ID] = s
-	}
-	size := max(minGroup, int(groupPart*float64(len(c.list))))
-	ordered := rhash.Pick(first, names, len(names))
-	size = min(size, len(ordered))
-	group := rhash.Pick(session, ordered[:size], size)
-	rest := rhash.Pick(session, ordered[size:], len(ordered)-size)
-	ranked := make([]*server, 0, len(candidates))
-	for _, id := range append(group, rest...) {
-		ranked = append(ranked, byID[id])
-	}
-	return ranked
-}
-
 // Start notes that a request is sent to a server.
-func (c *Chooser) Start(id string, promptTokens int) {
+func (c *Chooser) Start(id string) {
 	if s := c.servers[id]; s != nil {
 		s.open++
-		s.tokens += promptTokens
-	}
-}
-
-// Begin notes that a request's answer has begun.
-func (c *Chooser) Begin(id string, promptTokens int) {
-	if s := c.servers[id]; s != nil {
-		s.tokens = max(s.tokens-promptTokens, 0)
 	}
 }
 
--- a/share/modules/link/exchange.go
+++ b/share/modules/link/exchange.go
@@ -67,6 +67,48 @@
 	return wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_Discard{Discard: discard}})
 }
 
+// Assignment is an open question about one request's engine.
+type Assignment struct {
+	stream net.Conn
+	Answer *wire.Assigned
+}
+
+// Assign asks a peer for an engine; the assignment is to be closed when the engine has ended the request.
+func Assign(ctx context.Context, s *Session, assign *wire.Assign) (*Assignment, error) {
+	stream, err := s.Open()
+	if err != nil {
+		return nil, err
+	}
+	stop := CloseOnDone(ctx, stream)
+	frame, err := ask(stream, &wire.Frame{Body: &wire.Frame_Assign{Assign: assign}})
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err == nil && frame.GetAssigned() == nil {
+		err = ErrLink.New("the answer to an assign names no server")
+	}
+	if err != nil {
+		_ = stream.Close()
+		return nil, err
+	}
+	return &Assignment{stream: stream, Answer: frame.GetAssigned()}, nil
+}
+
+// Tell tells the peer how far the request is. A peer that has gone needs no news.
+func (a *Assignment) Tell(state string) {
+	_ = wire.WriteFrame(a.stream, &wire.Frame{Body: &wire.Frame_Progress{Progress: &wire.Progress{State: state}}})
+}
+
+// Close ends the assignment.
+func (a *Assignment) Close() { _ = a.stream.Close() }
+
+func ask(stream net.Conn, frame *wire.Frame) (*wire.Frame, error) {
+	if err := wire.WriteFrame(stream, frame); err != nil {
+		return nil, err
+	}
+	return wire.NewReader(stream).Next()
+}
+
 // exchange gives the stream its own deadline, since yamux's acknowledgements
 // are of the session and not of the call.
 func exchange(ctx context.Context, s *Session, frame *wire.Frame) (*wire.Frame, error) {
@@ -77,10 +119,7 @@
 	defer func() { _ = stream.Close() }()
 	stop := CloseOnDone(ctx, stream)
 	defer stop()
-	if err := wire.WriteFrame(stream, frame); err != nil {
-		return nil, err
-	}
-	return wire.NewReader(stream).Next()
+	return ask(stream, frame)
 }
 
 // CloseOnDone closes the stream when the context ends; the returned function
