stages of a request are planned together

Cause: each stage was ordered by the whole request's objective and deadline, so requests that could no longer be on time kept their place, and the large results of stages that nothing waits for (1.5 MB each) lay at their server until the others had ended. share/decide/chain now sets each stage's own limits by what follows, begins such stages as late as possible, and refuses at once what cannot end in time.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -131,6 +131,7 @@
 func (i *Ingress) takeView(v *state.View) {
 	i.flow.TakeView(v)
 	i.placer.TakeView(v)
+	i.maker.TakeView(v)
 	i.owner.TakeView(v)
 	i.mesh.TakeView(v)
 	i.meters.SetVersion(v.Version())
--- a/ingress/services/pieces/chain.go
+++ b/ingress/services/pieces/chain.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"verbenaroad.example/share/decide/batch"
+	"verbenaroad.example/share/decide/chain"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/codes"
 )
@@ -63,6 +64,7 @@
 type walk struct {
 	Chain
 	maker *Maker
+	plan  chain.Plan
 
 	lock sync.Mutex
 	// handles are by stage.
@@ -79,7 +81,12 @@
 
 // MakeChain makes the results of all stages, each as soon as its inputs are there.
 func (m *Maker) MakeChain(ctx context.Context, c Chain) (*Results, *codes.Result) {
-	w := &walk{Chain: c, maker: m, handles: make([][]string, len(c.Stages)), users: make([]int, len(c.Stages))}
+	plan := m.newPlan(&c)
+	if verdict, pause := plan.Admit(time.Now(), c.Ends); verdict == chain.Refuse {
+		return nil, codes.NewResult(codes.DeadlineUnmeetable, "the stages would take "+plan.Total.Round(time.Millisecond).String()).
+			WithRetryAfter(max(pause, minPause))
+	}
+	w := &walk{Chain: c, maker: m, plan: plan, handles: make([][]string, len(c.Stages)), users: make([]int, len(c.Stages))}
 	for _, s := range c.Stages {
 		for _, before := range s.After {
 			w.users[before]++
@@ -100,53 +107,69 @@
 	return &Results{Handles: final, release: sync.OnceFunc(w.releaseAll)}, nil
 }
 
-// makeAll starts each stage when the stages before it have ended.
+// makeAll starts each stage when its inputs are there and its turn has come.
 func (w *walk) makeAll(ctx context.Context) *codes.Result {
 	ends := make(chan ended, len(w.Stages))
-	waiting := make([]int, len(w.Stages))
-	running := 0
-	for stage, s := range w.Stages {
-		waiting[stage] = len(s.After)
-		if waiting[stage] == 0 {
-			running++
-			go w.runStage(ctx, stage, ends)
-		}
-	}
+	states := make([]stageState, len(w.Stages))
+	running := w.startReady(ctx, states, ends)
 	var failed *codes.Result
 	for running > 0 {
 		e := <-ends
 		running--
-		if e.done.Outcome != batch.OutcomeMade && failed == nil {
-			failed = w.describe(e)
-		}
-		if failed != nil {
-			if ctx.Err() == nil {
-				w.cancelOthers(ends, &running)
+		states[e.stage] = stageEnded
+		if e.done.Outcome != batch.OutcomeMade {
+			if failed == nil {
+				failed = w.describe(e)
 			}
 			continue
 		}
 		w.take(e)
-		for stage, s := range w.Stages {
-			if !slices.Contains(s.After, e.stage) {
-				continue
-			}
-			waiting[stage]--
-			if waiting[stage] == 0 {
-				running++
-				go w.runStage(ctx, stage, ends)
-			}
+		if failed == nil {
+			running += w.startReady(ctx, states, ends)
 		}
 	}
 	return failed
 }
 
-// cancelOthers collects what still runs beside a failed stage, so that it is released.
-func (w *walk) cancelOthers(ends chan ended, running *int) {
-	for *running > 0 {
-		e := <-ends
-		*running--
-		w.take(e)
+// stageState is how far a stage is.
+type stageState string
+
+// The states; a stage that was not begun has none.
+const (
+	stageRunning stageState = "running"
+	stageEnded   stageState = "ended"
+)
+
+// startReady starts what can begin and returns how many stages that are.
+func (w *walk) startReady(ctx context.Context, states []stageState, ends chan<- ended) int {
+	deepest := 0
+	for stage, s := range states {
+		if s != stageEnded && w.count(stage) > 0 {
+			deepest = max(deepest, w.plan.Level[stage])
+		}
 	}
+	started := 0
+	for stage := range w.Stages {
+		if states[stage] != "" || !w.hasInputs(stage, states) {
+			continue
+		}
+		if w.count(stage) > 0 && !w.plan.Begin(stage, deepest) {
+			continue
+		}
+		states[stage] = stageRunning
+		started++
+		go w.runStage(ctx, stage, ends)
+	}
+	return started
+}
+
+func (w *walk) hasInputs(stage int, states []stageState) bool {
+	for _, before := range w.Stages[stage].After {
+		if states[before] != stageEnded {
+			return false
+		}
+	}
+	return true
 }
 
 func (w *walk) runStage(ctx context.Context, stage int, ends chan<- ended) {
@@ -157,6 +180,7 @@
 	}
 	began := time.Now()
 	s := w.Stages[stage]
+	target, expires := w.plan.Limits(stage, w.Target, w.Ends)
 	done := w.maker.produce(ctx, s.Service, batch.Job{
 		AttemptID:   w.AttemptID,
 		Stage:       stage,
@@ -164,8 +188,8 @@
 		Key:         w.keyOf(stage),
 		Inputs:      w.inputsOf(stage),
 		ResultBytes: s.ResultBytes,
-		Target:      w.Target,
-		Expires:     w.Ends,
+		Target:      target,
+		Expires:     expires,
 		Priority:    w.Priority,
 		Domain:      w.Domain,
 	})
--- a/ingress/services/pieces/maker.go
+++ b/ingress/services/pieces/maker.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/batch"
+	"verbenaroad.example/share/decide/chain"
+	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/wire"
 )
@@ -26,11 +30,46 @@
 	peers Peers
 	owner *Owner
 	log   *zap.Logger
+
+	lock sync.Mutex
+	// pools and waits are by service.
+	pools map[string]*site.Pool
+	waits map[string]chain.Wait
 }
 
 // NewMaker returns a maker; owner batches for the services that fall to this ingress.
 func NewMaker(peers Peers, owner *Owner, log *zap.Logger) *Maker {
-	return &Maker{peers: peers, owner: owner, log: log}
+	return &Maker{peers: peers, owner: owner, log: log, waits: map[string]chain.Wait{}}
+}
+
+// TakeView takes the services of a new view.
+func (m *Maker) TakeView(v *state.View) {
+	if v.Table == nil {
+		return
+	}
+	pools := map[string]*site.Pool{}
+	for _, s := range v.Table.Config().Services {
+		pools[s.Name] = s.Pool
+	}
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.pools = pools
+}
+
+// newPlan predicts a chain by what the batchers told last.
+func (m *Maker) newPlan(c *Chain) chain.Plan {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return chain.NewPlan(time.Now(), c.Stages, c.Items, chain.Known{Pools: m.pools, Waits: m.waits})
+}
+
+func (m *Maker) noteWait(service string, done batch.Done) {
+	if done.Outcome == batch.OutcomeCanceled {
+		return
+	}
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.waits[service] = chain.Wait{Time: done.Wait, At: time.Now()}
 }
 
 // maxOwners bounds the ingresses that are tried in turn for one job.
@@ -39,6 +78,12 @@
 // produce has a job done. Where the ingress that batches is lost the next one
 // takes the job; results of the lost one end by themselves.
 func (m *Maker) produce(ctx context.Context, service string, j batch.Job) batch.Done {
+	done := m.produceAnywhere(ctx, service, j)
+	m.noteWait(service, done)
+	return done
+}
+
+func (m *Maker) produceAnywhere(ctx context.Context, service string, j batch.Job) batch.Done {
 	for range maxOwners {
 		ranked := m.peers.Rank(service)
 		if len(ranked) == 0 || ranked[0] == m.peers.Self() {
@@ -79,6 +124,7 @@
 		Outcome:    batch.Outcome(got.GetOutcome()),
 		Handles:    got.GetHandles(),
 		RetryAfter: time.Duration(got.GetRetryAfterNanos()),
+		Wait:       time.Duration(got.GetWaitNanos()),
 	}, nil
 }
 
@@ -113,7 +159,10 @@
 		Priority:    int(p.GetPriority()),
 		Domain:      p.GetDomain(),
 	})
-	return &wire.Produced{Outcome: string(done.Outcome), Handles: done.Handles, RetryAfterNanos: int64(done.RetryAfter)}
+	return &wire.Produced{
+		Outcome: string(done.Outcome), Handles: done.Handles,
+		RetryAfterNanos: int64(done.RetryAfter), WaitNanos: int64(done.Wait),
+	}
 }
 
 // ServeDiscard releases results for another ingress.
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -80,6 +80,8 @@
 	Outcome    Outcome
 	Handles    []string
 	RetryAfter time.Duration
+	// Wait predicts how long a new job of one result waits now.
+	Wait time.Duration
 }
 
 // Actions are what the planner wants done.
@@ -164,7 +166,7 @@
 	}
 	wait := p.predictWait(j)
 	if now.Add(wait + p.pool.CallTime).After(j.Expires) {
-		return Actions{Done: []Done{{JobID: j.ID, Outcome: OutcomeBusy, RetryAfter: wait}}}
+		return Actions{Done: []Done{{JobID: j.ID, Outcome: OutcomeBusy, RetryAfter: wait, Wait: wait}}}
 	}
 	queued := &job{Job: j, arrived: now, handles: make([]string, j.Count)}
 	for i := range j.Count {
@@ -292,6 +294,7 @@
 			}
 		}
 	}
+	done.Wait = p.predictWait(Job{Count: 1, Priority: j.Priority})
 	a.Done = append(a.Done, done)
 }
 
