batcher: learns the memory that others take; a stopping ingress gives its work away

Cause: after a change of the batching ingress the new one sent items again and again to servers that were full of the old one's results, and each item that found no memory was charged to the shared budget of repeats, which ran out. Ingresses whose lease ran out while the store was away were dropped at different times, so several batched for one service.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -100,7 +100,9 @@
 	})
 	i.store = keyval.NewClient(keyval.Options{Address: s.Store.Address, CallTimeout: s.Store.Timeout})
 	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.takeView})
-	i.mesh = mesh.NewMesh(mesh.Options{Self: i.self, Link: i.newLink(), Log: i.log})
+	i.mesh = mesh.NewMesh(mesh.Options{
+		Self: i.self, IsLeaving: i.stopper.IsLeaving, Link: i.newLink(), Log: i.log,
+	})
 	client := reach.NewClient(heads.Codec{})
 	i.owner = pieces.NewOwner(pieces.OwnerOptions{
 		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Repeats: s.Repeats.Settings, Log: i.log,
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -34,8 +34,10 @@
 // Options are the settings of a Mesh.
 type Options struct {
 	Self site.Ingress
-	Link link.Options
-	Log  *zap.Logger
+	// IsLeaving tells whether this process is stopping.
+	IsLeaving func() bool
+	Link      link.Options
+	Log       *zap.Logger
 }
 
 // Mesh holds the sessions that this ingress opened.
@@ -84,9 +86,13 @@
 	}
 }
 
-// Rank lists the ingresses that can be reached, this one included, by their score for a key.
+// Rank lists the ingresses that can be reached by their score for a key. This one is
+// among them, unless it is stopping and another can take its work.
 func (m *Mesh) Rank(key string) []string {
 	names := m.listLive()
+	if len(names) > 0 && m.options.IsLeaving() {
+		return rhash.Pick(key, names, len(names))
+	}
 	return rhash.Pick(key, append(names, m.options.Self.Name), len(names)+1)
 }
 
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -72,6 +72,8 @@
 	servers *alive.Set
 	table   *access.Table
 	peers   map[string]site.Ingress
+	// peersGone holds since when registrations of ingresses are missing.
+	peersGone map[string]time.Time
 	// lost holds the prefixes whose watch has no answer.
 	lost map[string]bool
 }
@@ -79,12 +81,13 @@
 // NewBook returns a book that knows nothing.
 func NewBook(options Options) *Book {
 	b := &Book{
-		options: options,
-		started: time.Now(),
-		mirrors: map[string]*mirror.Mirror{},
-		servers: alive.NewSet(),
-		peers:   map[string]site.Ingress{},
-		lost:    map[string]bool{},
+		options:   options,
+		started:   time.Now(),
+		mirrors:   map[string]*mirror.Mirror{},
+		servers:   alive.NewSet(),
+		peers:     map[string]site.Ingress{},
+		peersGone: map[string]time.Time{},
+		lost:      map[string]bool{},
 	}
 	for _, prefix := range b.Prefixes() {
 		b.mirrors[prefix] = mirror.NewMirror(prefix)
@@ -199,13 +202,31 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	dropped := b.servers.Expire(now)
-	if len(dropped) == 0 {
-		return
+	if len(dropped) > 0 {
+		b.options.Log.Info("servers-not-back", zap.Strings("servers", dropped))
+	}
+	for name, since := range b.peersGone {
+		if now.Sub(since) < keepIngress {
+			continue
+		}
+		delete(b.peersGone, name)
+		delete(b.peers, name)
+		dropped = append(dropped, name)
+		b.options.Log.Info("ingress-dropped", zap.String("ingress", name))
+	}
+	if len(dropped) > 0 {
+		b.publish()
 	}
-	b.options.Log.Info("servers-not-back", zap.Strings("servers", dropped))
-	b.publish()
 }
 
+// keepIngress is how long an ingress whose registration ended still counts as one.
+//
+// Guards against a service whose work is batched at several places: leases run
+// out while the store is away, and ingresses that hear of that at different
+// times would choose differently. One that is really gone cannot be reached,
+// which its peers find by themselves.
+const keepIngress = 10 * time.Second
+
 // take applies changed records; called under the lock.
 func (b *Book) take(changed []site.Record, source string) {
 	if len(changed) == 0 {
--- a/ingress/services/state/take.go
+++ b/ingress/services/state/take.go
@@ -72,7 +72,7 @@
 func (b *Book) takeIngress(r site.Record) {
 	name := strings.TrimPrefix(r.Key, b.options.Codec.IngressPrefix())
 	if r.Deleted {
-		delete(b.peers, name)
+		b.peersGone[name] = time.Now()
 		b.options.Log.Info("ingress-removed", zap.String("ingress", name))
 		return
 	}
@@ -82,6 +82,7 @@
 		return
 	}
 	b.peers[name] = ingress
+	delete(b.peersGone, name)
 	b.options.Log.Info("ingress-seen", zap.String("ingress", name), zap.Stringer("address", ingress.Address))
 }
 
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -92,7 +92,7 @@
 	Release []string
 }
 
-// RepeatFunc asks for permission to send n items once more.
+// RepeatFunc asks for permission to send n calls once more.
 type RepeatFunc func(now time.Time, n int) bool
 
 // Planner holds the queue of one service; its caller guards it.
@@ -117,8 +117,6 @@
 	made    int
 	repeats int
 	over    bool
-	// refusedUntil holds the job back after a backend server had no memory for its results.
-	refusedUntil time.Time
 }
 
 // NewPlanner returns a planner without backend servers.
@@ -223,21 +221,30 @@
 	delete(p.calls, callID)
 	w := p.workers[call.Server.ID]
 	if w != nil {
-		w.end(now, call, results, failed, p.pool.KeepTime)
+		w.end(now, call, results, failed, p.pool)
 	}
 	a := Actions{}
+	again := true
+	if failed || isRefused(results) {
+		again = p.repeat(now, 1)
+	}
 	for i, place := range call.jobs {
 		result := site.ItemResult{Outcome: site.ItemUnknown}
 		if !failed {
 			result = results[i]
 		}
-		p.takeResult(&a, now, place, result)
+		p.takeResult(&a, now, place, result, again)
 	}
 	a.add(p.plan(now))
 	return a
 }
 
-func (p *Planner) takeResult(a *Actions, now time.Time, place placed, result site.ItemResult) {
+func isRefused(results []site.ItemResult) bool {
+	return len(results) > 0 && results[0].Outcome == site.ItemRefused
+}
+
+// takeResult takes the end of one item; again tells whether it may be sent once more.
+func (p *Planner) takeResult(a *Actions, now time.Time, place placed, result site.ItemResult, again bool) {
 	j := place.job
 	if result.Outcome == site.ItemMade && j.over {
 		a.Release = append(a.Release, result.Handle)
@@ -258,22 +265,21 @@
 	case site.ItemLate:
 		p.finish(a, j, Done{JobID: j.ID, Outcome: OutcomeExpired})
 	default:
-		p.sendAgain(a, now, place, result.Outcome)
+		p.sendAgain(a, now, place, again)
 	}
 }
 
-// sendAgain puts an item back into the queue. Each further arrival counts
-// against the budget that all callers share, refused ones too.
-func (p *Planner) sendAgain(a *Actions, now time.Time, place placed, outcome site.ItemOutcome) {
+// sendAgain puts an item back into the queue. A call that was refused or broke
+// off counts against the budget that all ingresses share, once: what arrives at a
+// server is the call. Items that found no memory or failed wait for a call that
+// goes anyway.
+func (p *Planner) sendAgain(a *Actions, now time.Time, place placed, again bool) {
 	j := place.job
 	j.repeats++
-	if j.repeats > maxRepeats*j.Count || !p.repeat(now, 1) {
+	if !again || j.repeats > maxRepeats*j.Count {
 		p.finish(a, j, Done{JobID: j.ID, Outcome: OutcomeFailed, RetryAfter: p.predictWait(j.Job)})
 		return
 	}
-	if outcome == site.ItemNoRoom {
-		j.refusedUntil = now.Add(noRoomPause)
-	}
 	j.todo = append(j.todo, place.index)
 	if !slices.Contains(p.queue, j) {
 		p.queue = append(p.queue, j)
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -15,8 +15,6 @@
 	// noServerPause is what a caller is told to wait for while no backend server is registered:
 	// a registration shows about a heartbeat after a start.
 	noServerPause = time.Second
-	// noRoomPause is the time in which memory is likely to get free, about half a call.
-	noRoomPause = 100 * time.Millisecond
 	// priorityLead is how much earlier a job counts as arrived for each rank of urgency.
 	// It lets the urgent pass within about one call and starves nobody.
 	priorityLead = 150 * time.Millisecond
@@ -133,13 +131,14 @@
 
 // fill sends one call with the first items of the queue that fit the server; false where none does.
 func (p *Planner) fill(a *Actions, now time.Time, w *worker) bool {
-	room := int64(roomPart*float64(p.pool.RoomBytes)) - w.used
+	used := w.used + w.foreignAt(now, p.pool.KeepTime)
+	room := int64(roomPart*float64(p.pool.RoomBytes)) - used
 	call := Call{Server: w.server, started: now}
 	bytes := int64(0)
 	for _, j := range p.sortFor(now, w) {
 		for len(j.todo) > 0 && len(call.Items) < p.pool.Batch {
 			// A result larger than the whole memory is tried alone: its size is approximate.
-			if bytes+j.ResultBytes > room && (w.used > 0 || len(call.Items) > 0) {
+			if bytes+j.ResultBytes > room && (used > 0 || len(call.Items) > 0) {
 				break
 			}
 			index := j.todo[0]
@@ -182,7 +181,6 @@
 	near, far := []*job{}, []*job{}
 	for _, j := range p.queue {
 		switch {
-		case now.Before(j.refusedUntil):
 		case j.Domain == "" || j.Domain == w.server.Domain || !p.serves(j.Domain):
 			near = append(near, j)
 		case now.Sub(j.arrived) >= p.pool.CallTime/foreignPart:
--- a/share/decide/batch/worker.go
+++ b/share/decide/batch/worker.go
@@ -32,6 +32,10 @@
 	planned map[uint64]int64
 	// held has the size and the end of each result.
 	held map[string]holding
+	// foreign is memory that something else takes, as seen at foreignOf: results that
+	// another planner had made before this one took over, or larger ones than stated.
+	foreign   int64
+	foreignOf time.Time
 	// failures counts failed calls in a row; suspectUntil is when the server is tried again.
 	failures     int
 	suspectUntil time.Time
@@ -57,7 +61,7 @@
 	return max(minTimeout, time.Duration(timeoutRatio*max(w.pace, 1)*float64(expected)))
 }
 
-func (w *worker) end(now time.Time, call *Call, results []site.ItemResult, failed bool, keep time.Duration) {
+func (w *worker) end(now time.Time, call *Call, results []site.ItemResult, failed bool, pool site.Pool) {
 	planned, known := w.planned[call.ID]
 	if !known {
 		return // the server started anew meanwhile
@@ -69,8 +73,7 @@
 		w.fail(now)
 		return
 	}
-	refused := len(results) > 0 && results[0].Outcome == site.ItemRefused
-	if refused {
+	if isRefused(results) {
 		// Another planner's call is there; ours waits for about one call.
 		w.suspectUntil = now.Add(call.expected / refusedPart)
 		return
@@ -81,11 +84,39 @@
 	w.pace += paceShare * (took - w.pace)
 	for i, r := range results {
 		if r.Outcome == site.ItemMade {
-			w.hold(r.Handle, call.jobs[i].job.ResultBytes, now.Add(keep))
+			w.hold(r.Handle, call.jobs[i].job.ResultBytes, now.Add(pool.KeepTime))
 		}
 	}
+	w.noteRoom(now, results, pool)
 }
 
+// noteRoom learns from results that found no memory though the plan had some for them.
+//
+// Guards against items that are sent again and again to a full server after
+// another planner's batches: this planner does not know what those hold there.
+func (w *worker) noteRoom(now time.Time, results []site.ItemResult, pool site.Pool) {
+	for _, r := range results {
+		if r.Outcome == site.ItemNoRoom {
+			w.foreign = max(pool.RoomBytes-w.used, 0)
+			w.foreignOf = now
+			return
+		}
+	}
+}
+
+// foreignAt returns what is left of the foreign memory. Its results end within
+// the time that a server keeps them, most of them much sooner.
+func (w *worker) foreignAt(now time.Time, keep time.Duration) int64 {
+	if w.foreign == 0 || keep <= 0 {
+		return 0
+	}
+	left := 1 - float64(now.Sub(w.foreignOf))/float64(keep/foreignPace)
+	return int64(max(left, 0) * float64(w.foreign))
+}
+
+// foreignPace divides the time that results are kept into how soon those of others are taken to be gone.
+const foreignPace = 3
+
 // refusedPart divides a call's time into the pause after a refusal.
 const refusedPart = 2
 
