links: readers rest while a session closes; what can be on time goes first

Cause: stopping processes took a whole core. yamux's Stream.Read loops without waiting from the mark of a shutdown until the streams are closed, and closes the connection in between, which waited up to a second for what was pending. The connection is now closed before; a failed read ends the wait. Ruled out: the log's loop, the batcher's and the watchers' loops.

Chains: the outlook tells two waits, of those that can be on time and of the late; late ones are held where they hold nothing, or refused at once.

--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -201,6 +201,10 @@
 	x.log.Info("attempt-refused", zap.String("server", server.ID), zap.Int("status", reply.Status), zap.Stringer("load", reply.Load))
 	x.end(server, place.ResultRefused, took, reply.Load)
 	refused := codes.NewResult(codes.Overloaded, "the servers of "+x.service+" are full").WithRetryAfter(x.overloadPause())
+	if reply.Status == http.StatusConflict {
+		// A result has gone; any other engine would miss it as well.
+		return verdict{result: codes.NewResult(codes.Overloaded, "a result of the stages has gone").WithRetryAfter(briefPause)}
+	}
 	if x.sends < maxSends && x.mayRepeat("refused") {
 		return verdict{again: true, result: refused}
 	}
--- a/ingress/services/pieces/maker.go
+++ b/ingress/services/pieces/maker.go
@@ -35,6 +35,8 @@
 	// pools and waits are by service.
 	pools map[string]*site.Pool
 	waits map[string]chain.Wait
+	// lateTurn is when the last held request began.
+	lateTurn time.Time
 }
 
 // NewMaker returns a maker; owner batches for the services that fall to this ingress.
@@ -69,7 +71,7 @@
 	}
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	m.waits[service] = chain.Wait{Time: done.Wait, At: time.Now()}
+	m.waits[service] = chain.Wait{OnTime: done.OnTime, Late: done.Late, At: time.Now()}
 }
 
 // maxOwners bounds the ingresses that are tried in turn for one job.
@@ -124,7 +126,8 @@
 		Outcome:    batch.Outcome(got.GetOutcome()),
 		Handles:    got.GetHandles(),
 		RetryAfter: time.Duration(got.GetRetryAfterNanos()),
-		Wait:       time.Duration(got.GetWaitNanos()),
+		OnTime:     time.Duration(got.GetOnTimeNanos()),
+		Late:       time.Duration(got.GetLateNanos()),
 	}, nil
 }
 
@@ -161,7 +164,7 @@
 	})
 	return &wire.Produced{
 		Outcome: string(done.Outcome), Handles: done.Handles,
-		RetryAfterNanos: int64(done.RetryAfter), WaitNanos: int64(done.Wait),
+		RetryAfterNanos: int64(done.RetryAfter), OnTimeNanos: int64(done.OnTime), LateNanos: int64(done.Late),
 	}
 }
 
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -80,8 +80,10 @@
 	Outcome    Outcome
 	Handles    []string
 	RetryAfter time.Duration
-	// Wait predicts how long a new job of one result waits now.
-	Wait time.Duration
+	// OnTime and Late predict how long a new job of one result waits now, one that can
+	// be on time and one that cannot.
+	OnTime time.Duration
+	Late   time.Duration
 }
 
 // Actions are what the planner wants done.
@@ -159,12 +161,15 @@
 // Add takes a job. A job that cannot be done in time is refused at once, so
 // that its caller learns when to come back while it still can.
 func (p *Planner) Add(now time.Time, j Job) Actions {
+	a := Actions{}
 	if len(p.ready) == 0 {
-		return Actions{Done: []Done{{JobID: j.ID, Outcome: OutcomeNoServer, RetryAfter: noServerPause}}}
+		p.tell(&a, now, Done{JobID: j.ID, Outcome: OutcomeNoServer, RetryAfter: noServerPause})
+		return a
 	}
-	wait := p.predictWait(j)
+	wait := p.predictWait(now, j.Count, p.isOnTime(now, j))
 	if now.Add(wait + p.pool.CallTime).After(j.Expires) {
-		return Actions{Done: []Done{{JobID: j.ID, Outcome: OutcomeBusy, RetryAfter: wait, Wait: wait}}}
+		p.tell(&a, now, Done{JobID: j.ID, Outcome: OutcomeBusy, RetryAfter: wait})
+		return a
 	}
 	queued := &job{Job: j, arrived: now, handles: make([]string, j.Count)}
 	for i := range j.Count {
@@ -182,7 +187,7 @@
 		return Actions{}
 	}
 	a := Actions{}
-	p.finish(&a, j, Done{JobID: id, Outcome: OutcomeCanceled})
+	p.finish(&a, now, j, Done{JobID: id, Outcome: OutcomeCanceled})
 	a.add(p.plan(now))
 	return a
 }
@@ -258,12 +263,12 @@
 		j.handles[place.index] = result.Handle
 		j.made++
 		if j.made == j.Count {
-			p.finish(a, j, Done{JobID: j.ID, Outcome: OutcomeMade})
+			p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeMade})
 		}
 	case site.ItemGone:
-		p.finish(a, j, Done{JobID: j.ID, Outcome: OutcomeGone})
+		p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeGone})
 	case site.ItemLate:
-		p.finish(a, j, Done{JobID: j.ID, Outcome: OutcomeExpired})
+		p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeExpired})
 	default:
 		p.sendAgain(a, now, place, again)
 	}
@@ -277,7 +282,7 @@
 	j := place.job
 	j.repeats++
 	if !again || j.repeats > maxRepeats*j.Count {
-		p.finish(a, j, Done{JobID: j.ID, Outcome: OutcomeFailed, RetryAfter: p.predictWait(j.Job)})
+		p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeFailed, RetryAfter: p.predictWait(now, j.Count, false)})
 		return
 	}
 	j.todo = append(j.todo, place.index)
@@ -287,7 +292,7 @@
 }
 
 // finish ends a job; what was made of one that fails is released.
-func (p *Planner) finish(a *Actions, j *job, done Done) {
+func (p *Planner) finish(a *Actions, now time.Time, j *job, done Done) {
 	j.over = true
 	delete(p.jobs, j.ID)
 	p.queue = slices.DeleteFunc(p.queue, func(q *job) bool { return q == j })
@@ -300,7 +305,13 @@
 			}
 		}
 	}
-	done.Wait = p.predictWait(Job{Count: 1, Priority: j.Priority})
+	p.tell(a, now, done)
+}
+
+// tell ends a job with the outlook for the next ones.
+func (p *Planner) tell(a *Actions, now time.Time, done Done) {
+	done.OnTime = p.predictWait(now, 1, true)
+	done.Late = p.predictWait(now, 1, false)
 	a.Done = append(a.Done, done)
 }
 
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -49,7 +49,7 @@
 func (p *Planner) expire(a *Actions, now time.Time) {
 	for _, j := range slices.Clone(p.queue) {
 		if !now.Add(p.pool.CallTime).Before(j.Expires) {
-			p.finish(a, j, Done{JobID: j.ID, Outcome: OutcomeExpired})
+			p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeExpired})
 		}
 	}
 	for _, w := range p.workers {
@@ -61,9 +61,8 @@
 // urgency; what is late anyway gets what is left. Ordering by deadline alone
 // spends an overload on requests that are about to be late.
 func (p *Planner) order(now time.Time) {
-	onTime := func(j *job) bool { return now.Add(p.pool.CallTime).Before(j.Target) }
 	slices.SortStableFunc(p.queue, func(a, b *job) int {
-		aOn, bOn := onTime(a), onTime(b)
+		aOn, bOn := p.isOnTime(now, a.Job), p.isOnTime(now, b.Job)
 		if aOn != bOn {
 			if aOn {
 				return -1
@@ -74,6 +73,11 @@
 	})
 }
 
+// isOnTime tells whether a job that is in a call now is done before its target.
+func (p *Planner) isOnTime(now time.Time, j Job) bool {
+	return now.Add(p.pool.CallTime).Before(j.Target)
+}
+
 func (j *job) rank() time.Time {
 	return j.arrived.Add(time.Duration(j.Priority) * priorityLead)
 }
@@ -198,17 +202,21 @@
 	return slices.ContainsFunc(p.ready, func(w *worker) bool { return w.server.Domain == domain })
 }
 
-// predictWait estimates how long a job waits until its last item is in a call.
-func (p *Planner) predictWait(j Job) time.Duration {
-	ahead := j.Count
+// predictWait estimates how long a new job waits until its last item is in a
+// call: behind those that can be on time, and behind all others too if it cannot.
+func (p *Planner) predictWait(now time.Time, count int, onTime bool) time.Duration {
+	ahead := count
 	for _, q := range p.queue {
-		if q.Priority <= j.Priority {
+		if !onTime || p.isOnTime(now, q.Job) {
 			ahead += len(q.todo)
 		}
 	}
 	rate := 0.0 // items a second
 	full := p.pool.CallTime + time.Duration(p.pool.Batch)*p.pool.ItemTime
 	for _, w := range p.ready {
+		if now.Before(w.suspectUntil) {
+			continue
+		}
 		rate += float64(p.pool.Batch) / (full.Seconds() * w.pace)
 	}
 	if rate == 0 {
--- a/share/decide/chain/chain.go
+++ b/share/decide/chain/chain.go
@@ -23,8 +23,10 @@
 
 // Wait is what the batcher of a service last told of its queue.
 type Wait struct {
-	// Time that a new job waits until it is in a call.
-	Time time.Duration
+	// OnTime is how long a new job that can still be on time waits until it is in a
+	// call, Late how long one that cannot. The first go before the second.
+	OnTime time.Duration
+	Late   time.Duration
 	// At is when it was told.
 	At time.Time
 }
@@ -37,40 +39,47 @@
 
 // Plan is the outlook of one request's stages.
 type Plan struct {
-	// Total predicts the time until the engine begins its answer.
-	Total time.Duration
+	// Total predicts the time until the engine begins its answer, LateTotal the same
+	// for a request that goes behind those that can be on time.
+	Total     time.Duration
+	LateTotal time.Duration
 	// After predicts, by stage, the time from the end of a stage to that.
 	After []time.Duration
 	// Level is, by stage, how many stages still follow on the longest way to the engine.
 	Level []int
+	// held is the longest wait of a late request's results for the next stage,
+	// against the time that they are kept.
+	held float64
 }
 
 // NewPlan predicts a chain. Counts holds the number of results of each stage; a
 // stage without results takes no time.
 func NewPlan(now time.Time, stages []site.Stage, counts []int, k Known) Plan {
 	p := Plan{After: make([]time.Duration, len(stages)), Level: make([]int, len(stages))}
+	late := make([]time.Duration, len(stages))
 	for i := range stages {
 		p.After[i] = engineTime
+		late[i] = engineTime
 	}
 	// A stage takes results of stages with lower numbers only.
 	for i := len(stages) - 1; i >= 0; i-- {
-		own := p.After[i] + stageTime(now, stages[i].Service, countOf(counts, i), k)
-		for _, before := range stages[i].After {
+		s := stages[i]
+		n := countOf(counts, i)
+		wait := k.wait(now, s.Service)
+		own := p.After[i] + k.stageTime(s.Service, n, wait.OnTime)
+		ownLate := late[i] + k.stageTime(s.Service, n, wait.Late)
+		for _, before := range s.After {
 			p.After[before] = max(p.After[before], own)
-			p.Level[before] = max(p.Level[before], p.Level[i]+levelOf(counts, i))
+			late[before] = max(late[before], ownLate)
+			p.Level[before] = max(p.Level[before], p.Level[i]+min(n, 1))
+			p.held = max(p.held, k.heldShare(stages[before].Service, n, wait.Late))
 		}
 		p.Total = max(p.Total, own)
+		p.LateTotal = max(p.LateTotal, ownLate)
 	}
 	return p
 }
 
-func levelOf(counts []int, stage int) int {
-	if countOf(counts, stage) == 0 {
-		return 0
-	}
-	return 1
-}
-
 func countOf(counts []int, stage int) int {
 	if stage >= len(counts) {
 		return 0
@@ -79,23 +88,29 @@
 }
 
 // stageTime predicts the time from handing a stage in to its results.
-func stageTime(now time.Time, service string, count int, k Known) time.Duration {
+func (k Known) stageTime(service string, count int, wait time.Duration) time.Duration {
 	pool := k.Pools[service]
 	if count == 0 || pool == nil {
 		return 0
 	}
 	items := min(max(count, pool.Batch/typicalFill), pool.Batch)
-	return k.wait(now, service) + pool.CallTime + time.Duration(items)*pool.ItemTime
+	return wait + pool.CallTime + time.Duration(items)*pool.ItemTime
 }
 
-// wait returns the last told wait, faded by its age.
-func (k Known) wait(now time.Time, service string) time.Duration {
-	w, known := k.Waits[service]
-	if !known {
+// heldShare returns the part of the time that a server keeps results for which they would wait.
+func (k Known) heldShare(maker string, count int, wait time.Duration) float64 {
+	pool := k.Pools[maker]
+	if count == 0 || pool == nil || pool.KeepTime <= 0 {
 		return 0
 	}
-	left := 1 - float64(now.Sub(w.At))/float64(waitAge)
-	return time.Duration(max(left, 0) * float64(w.Time))
+	return float64(wait) / float64(pool.KeepTime)
+}
+
+// wait returns the last told waits, faded by their age.
+func (k Known) wait(now time.Time, service string) Wait {
+	w := k.Waits[service]
+	left := max(1-float64(now.Sub(w.At))/float64(waitAge), 0)
+	return Wait{OnTime: time.Duration(left * float64(w.OnTime)), Late: time.Duration(left * float64(w.Late))}
 }
 
 // Begin tells whether a stage whose inputs are there begins now. Deepest is the
@@ -116,17 +131,43 @@
 const (
 	// Go begins.
 	Go Verdict = "go"
+	// Hold waits: the request will be late, and its results would lie at their
+	// servers for too long while others that can be on time go first.
+	Hold Verdict = "hold"
 	// Refuse answers at once that the request was not run.
 	Refuse Verdict = "refuse"
 )
 
-// Admit decides on a request that must begin its answer before ends. RetryAfter says when it could.
-func (p Plan) Admit(now, ends time.Time) (v Verdict, retryAfter time.Duration) {
-	over := now.Add(p.Total + endReserve).Sub(ends)
-	if over <= 0 {
+const (
+	// optimism is how much of the predicted time a request must have to count as on
+	// time: predictions take every wait to its full length.
+	optimism = 0.85
+	// maxHeld is the part of the time that results are kept for which they may wait.
+	maxHeld = 0.3
+	// lateReserve is how much longer than predicted a late request must have: whatever
+	// can be on time goes before it.
+	lateReserve = 1.6
+)
+
+// Admit decides on a request that should begin its answer before target and
+// must before ends. RetryAfter says when one that is refused could be served.
+//
+// Overload makes all requests late where each waits its turn. So what can be
+// on time goes at once; what cannot, but would be done with some certainty
+// when the others have passed, waits where it holds nothing; the rest is told
+// at once when to come back.
+func (p Plan) Admit(now, target, ends time.Time) (v Verdict, retryAfter time.Duration) {
+	if !now.Add(time.Duration(optimism * float64(p.Total))).After(target) {
 		return Go, 0
 	}
-	return Refuse, over
+	needed := time.Duration(lateReserve*float64(p.LateTotal)) + endReserve
+	if over := now.Add(needed).Sub(ends); over > 0 {
+		return Refuse, over
+	}
+	if p.held > maxHeld {
+		return Hold, 0
+	}
+	return Go, 0
 }
 
 // Limits returns until when a stage must have ended for the request to be on
--- a/share/modules/link/batch.go
+++ b/share/modules/link/batch.go
@@ -24,8 +24,10 @@
 	reader *bufio.Reader
 
 	lock sync.Mutex
-	// changed is signaled when pending, failed or closed change.
+	// changed is signaled when pending, failed, readFailed or closed change.
 	changed *sync.Cond
+	// readFailed is set once a read brought an error.
+	readFailed bool
 	// pending is not written yet; writing is the buffer that the loop is writing out.
 	pending []byte
 	writing []byte
@@ -42,9 +44,17 @@
 	return c
 }
 
-// Read returns what has arrived.
+// Read returns what has arrived. A connection that brings nothing more takes nothing
+// more either, so its close need not wait for what is pending.
 func (c *batchConn) Read(p []byte) (int, error) {
-	return c.reader.Read(p)
+	n, err := c.reader.Read(p)
+	if err != nil {
+		c.lock.Lock()
+		c.readFailed = true
+		c.changed.Broadcast()
+		c.lock.Unlock()
+	}
+	return n, err
 }
 
 // Write takes p over; an error of the connection shows at a later write.
@@ -105,7 +115,7 @@
 	c.lock.Lock()
 	c.closed = true
 	c.changed.Broadcast()
-	for (len(c.pending) > 0 || c.busy) && c.failed == nil {
+	for (len(c.pending) > 0 || c.busy) && c.failed == nil && !c.readFailed {
 		c.changed.Wait()
 	}
 	c.lock.Unlock()
--- a/share/modules/link/session.go
+++ b/share/modules/link/session.go
@@ -19,6 +19,8 @@
 type Session struct {
 	options Options
 	mux     *yamux.Session
+	// conn carries mux.
+	conn    net.Conn
 	control *yamux.Stream
 	reader  *wire.Reader
 	counter *countingConn
@@ -90,7 +92,7 @@
 		_ = mux.Close()
 		return nil, ErrLink.Wrap(err)
 	}
-	s := newSession(mux, control, options)
+	s := newSession(mux, conn, control, options)
 	if err := s.writeHello(); err != nil {
 		_ = mux.Close()
 		return nil, err
@@ -121,7 +123,7 @@
 		_ = mux.Close()
 		return nil, ErrLink.Wrap(err)
 	}
-	s := newSession(mux, control, options)
+	s := newSession(mux, conn, control, options)
 	if err := s.answerHello(); err != nil {
 		_ = mux.Close()
 		return nil, err
@@ -132,10 +134,11 @@
 	return s, nil
 }
 
-func newSession(mux *yamux.Session, control *yamux.Stream, options Options) *Session {
+func newSession(mux *yamux.Session, conn net.Conn, control *yamux.Stream, options Options) *Session {
 	return &Session{
 		options: options,
 		mux:     mux,
+		conn:    conn,
 		control: control,
 		reader:  wire.NewReader(control),
 		started: time.Now(),
@@ -233,9 +236,21 @@
 	return nil
 }
 
+// closeConn closes the connection before yamux does.
+//
+// Guards against readers that take a whole core: from the moment at which yamux
+// marks a session as shut down until it has closed its streams, each blocked
+// Stream.Read loops without waiting. It closes the connection in between, which
+// here waits until what is pending is written, up to closeFlush. With the
+// connection closed before, nothing is left to wait for in between.
+func (s *Session) closeConn() {
+	_ = s.conn.Close()
+}
+
 func (s *Session) end(reason error) {
 	s.closeOnce.Do(func() {
 		close(s.closed)
+		s.closeConn()
 		_ = s.mux.Close()
 		if s.options.OnDown != nil {
 			s.options.OnDown(s, reason)
