--- a/ingress/services/pieces/owner.go
+++ b/ingress/services/pieces/owner.go
@@ -43,7 +43,7 @@
 	// tickEvery is how soon a planner looks again at servers and jobs that it held back.
 	tickEvery = 20 * time.Millisecond
 	// releaseEvery is how long released handles gather, so that one call names many.
-	releaseEvery = 25 * time.Millisecond
+	releaseEvery = 10 * time.Millisecond
 	// releaseTimeout bounds a release; the result ends by itself a few seconds later.
 	releaseTimeout = 2 * time.Second
 )
@@ -193,6 +193,7 @@
 	o.options.Meter.CountBatch(service, outcome, len(c.Items), took)
 	o.options.Log.Info("batch", zap.String("service", service), zap.String("server", c.Server.ID), zap.Int("items", len(c.Items)),
 		zap.String("outcome", outcome), zap.String("results", countOutcomes(results)), zap.Stringer("load", load),
+		zap.Int64("held-bytes", c.Held), zap.Int("waiting", c.Waiting),
 		zap.Duration("took", took), logs.Err(err))
 	o.lock.Lock()
 	defer o.lock.Unlock()
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -62,6 +62,10 @@
 	Items  []site.Item
 	// Timeout is when the call is given up.
 	Timeout time.Duration
+	// Held is the memory in bytes that other results took at the server, as planned;
+	// Waiting the number of items that stayed in the queue.
+	Held    int64
+	Waiting int
 	jobs    []placed
 	started time.Time
 	// expected is how long the call takes at the service's stated pace.
--- a/share/decide/batch/worker.go
+++ b/share/decide/batch/worker.go
@@ -36,6 +36,8 @@
 	// another planner had made before this one took over, or larger ones than stated.
 	foreign   int64
 	foreignOf time.Time
+	// waitingSince is when the server began to wait for memory; zero while it does not.
+	waitingSince time.Time
 	// failures counts failed calls in a row; suspectUntil is when the server is tried again.
 	failures     int
 	suspectUntil time.Time
@@ -87,23 +89,32 @@
 			w.hold(r.Handle, call.jobs[i].job.ResultBytes, now.Add(pool.KeepTime))
 		}
 	}
-	w.noteRoom(now, results, pool)
+	w.noteRoom(now, call, results, pool)
 }
 
 // noteRoom learns from results that found no memory though the plan had some for them.
 //
 // Guards against items that are sent again and again to a full server after
 // another planner's batches: this planner does not know what those hold there.
-func (w *worker) noteRoom(now time.Time, results []site.ItemResult, pool site.Pool) {
-	for _, r := range results {
+func (w *worker) noteRoom(now time.Time, call *Call, results []site.ItemResult, pool site.Pool) {
+	missed := int64(0)
+	for i, r := range results {
 		if r.Outcome == site.ItemNoRoom {
-			w.foreign = max(pool.RoomBytes-w.used, 0)
-			w.foreignOf = now
-			return
+			missed += call.jobs[i].job.ResultBytes
 		}
 	}
+	if missed == 0 {
+		return
+	}
+	w.foreign = min(w.foreignAt(now, pool.KeepTime)+missedWeight*missed, pool.RoomBytes)
+	w.foreignOf = now
 }
 
+// missedWeight is how much memory is taken to be foreign for each byte that was
+// missed: some caution, and not the whole server, since one result that
+// is larger than stated misses it too.
+const missedWeight = 2
+
 // foreignAt returns what is left of the foreign memory. Its results end within
 // the time that a server keeps them, most of them much sooner.
 func (w *worker) foreignAt(now time.Time, keep time.Duration) int64 {
