engines in the domains as their pools stand; results released on kept connections

Cause: three zones have equal engines and 2, 2 and 1 servers of each pool, so the requests placed in the third waited for its one server and then crossed; and each release of results opened a connection (40% of all).

--- a/ingress/services/assign/desk.go
+++ b/ingress/services/assign/desk.go
@@ -69,6 +69,7 @@
 	if g := q.Generation; g != nil {
 		ask.PromptTokens = uint32(g.PromptTokens)       //nolint:gosec // read as a small number
 		ask.MaxOutputTokens = uint32(g.MaxOutputTokens) //nolint:gosec // read as a small number
+		ask.Staged = g.Staged
 		for _, p := range g.Parts {
 			ask.Parts = append(ask.Parts, &wire.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)}) //nolint:gosec // as above
 		}
@@ -129,7 +130,9 @@
 }
 
 func decodeQuery(a *wire.Assign) place.Query {
-	g := &place.Generation{PromptTokens: int(a.GetPromptTokens()), MaxOutputTokens: int(a.GetMaxOutputTokens())}
+	g := &place.Generation{
+		PromptTokens: int(a.GetPromptTokens()), MaxOutputTokens: int(a.GetMaxOutputTokens()), Staged: a.GetStaged(),
+	}
 	for _, p := range a.GetParts() {
 		g.Parts = append(g.Parts, site.PromptPart{ID: p.GetId(), Tokens: int(p.GetTokens())})
 	}
--- a/ingress/services/assign/placer.go
+++ b/ingress/services/assign/placer.go
@@ -31,6 +31,15 @@
 	if v.Table == nil {
 		return
 	}
+	pools := map[string]int{}
+	for _, s := range v.Table.Config().Services {
+		if s.Pool == nil {
+			continue
+		}
+		for _, server := range v.Servers[s.Name] {
+			pools[server.Domain]++
+		}
+	}
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	for _, s := range v.Table.Config().Services {
@@ -42,6 +51,7 @@
 			u = &unit{engines: place.NewEngines(p.regions)}
 			p.units[s.Name] = u
 		}
+		u.engines.SetPools(pools)
 		u.engines.SetServers(v.Servers[s.Name], *s.Engine)
 	}
 }
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -227,10 +227,21 @@
 			Parts:           x.Parts,
 			PromptTokens:    x.PromptTokens,
 			MaxOutputTokens: x.MaxOutputTokens,
+			Staged:          x.isStaged(),
 		},
 	}
 }
 
+// isStaged tells whether results are to be made for the request.
+func (x *exchange) isStaged() bool {
+	for i := range min(len(x.route.Stages), len(x.Items)) {
+		if x.Items[i] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // mayRepeat takes one further arrival from the budget that all ingresses share.
 func (x *exchange) mayRepeat(reason string) bool {
 	s := x.server
--- a/ingress/services/reach/reach.go
+++ b/ingress/services/reach/reach.go
@@ -79,11 +79,18 @@
 	// neither a late answer to an earlier request nor bytes after it can be
 	// taken for this one's.
 	fresh *http.Transport
+	// kept uses connections again. It is for calls that may be done twice and whose
+	// answers say nothing but that they were done.
+	kept *http.Transport
 }
 
 // NewClient returns a client.
 func NewClient(codec Codec) *Client {
-	return &Client{codec: codec, fresh: newTransport()}
+	kept := newTransport()
+	kept.DisableKeepAlives = false
+	kept.MaxIdleConnsPerHost = idlePerServer
+	kept.IdleConnTimeout = idleTime
+	return &Client{codec: codec, fresh: newTransport(), kept: kept}
 }
 
 func newTransport() *http.Transport {
@@ -102,6 +109,12 @@
 	}
 }
 
+const (
+	// idlePerServer and idleTime bound the connections that are kept.
+	idlePerServer = 1
+	idleTime      = 4 * time.Second
+)
+
 // maxHeadBytes bounds the header of an answer.
 const maxHeadBytes = 64 << 10
 
@@ -116,11 +129,26 @@
 	return errors.Join(err, failed)
 }
 
-// Do sends a request that an adapter made.
+// Do sends a request that an adapter made, on a connection of its own.
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
 	return c.fresh.RoundTrip(r)
 }
 
+// DoAgain sends a request that an adapter made and that may be done twice: once more
+// on a connection of its own where a kept one was found closed.
+func (c *Client) DoAgain(r *http.Request) (*http.Response, error) {
+	response, err := c.kept.RoundTrip(r)
+	if err == nil || r.Context().Err() != nil || r.GetBody == nil {
+		return response, err
+	}
+	again := r.Clone(r.Context())
+	again.Body, err = r.GetBody()
+	if err != nil {
+		return nil, err
+	}
+	return c.fresh.RoundTrip(again)
+}
+
 // Send sends one attempt. The end of the context ends the connection, at which
 // most backend servers drop the request.
 func (c *Client) Send(ctx context.Context, r Request) (*Reply, error) {
--- a/share/decide/place/engines.go
+++ b/share/decide/place/engines.go
@@ -22,6 +22,9 @@
 	domainCost = 5 * time.Millisecond
 	// streamCost is what each running stream adds to a new one's wait.
 	streamCost = 2 * time.Millisecond
+	// stagedCost is what each request adds whose results wait for the pools of a
+	// domain, for one server there: about ten items of a few milliseconds each.
+	stagedCost = 60 * time.Millisecond
 	// fullCost puts an engine behind all others whose memory or slots are taken.
 	fullCost = 5 * time.Second
 	// failingCost puts an engine that fails behind those that answer.
@@ -55,6 +58,10 @@
 	open    map[uint64]*seat
 	// seen holds when any engine was last sent each part.
 	seen map[string]time.Time
+	// pools counts the backend servers that make results, by failure domain.
+	pools map[string]int
+	// staged counts the open requests whose results are still to be made, by failure domain.
+	staged map[string]int
 }
 
 // engine is one engine.
@@ -82,6 +89,7 @@
 	memory    int
 	sent      bool
 	begun     bool
+	staged    bool
 	started   time.Time
 	predicted time.Duration
 }
@@ -102,9 +110,14 @@
 		engines: map[string]*engine{},
 		open:    map[uint64]*seat{},
 		seen:    map[string]time.Time{},
+		pools:   map[string]int{},
+		staged:  map[string]int{},
 	}
 }
 
+// SetPools takes the number of backend servers that make results, by failure domain.
+func (e *Engines) SetPools(pools map[string]int) { e.pools = pools }
+
 // SetServers takes the engines that accept new work.
 func (e *Engines) SetServers(servers []site.Server, description site.Engine) {
 	e.engine = description
@@ -165,12 +178,23 @@
 	default:
 		cost += regionCost
 	}
+	cost += e.stageCost(q, c)
 	if e.isFull(q, c) {
 		cost += fullCost
 	}
 	return cost + time.Duration(c.failed*float64(failingCost))
 }
 
+// stageCost spreads the requests with stages over the failure domains as their
+// pools are spread: results are made beside the engine, and a domain with one
+// server of a pool makes half as many as one with two.
+func (e *Engines) stageCost(q Query, c *engine) time.Duration {
+	if q.Generation == nil || !q.Generation.Staged || e.pools[c.Domain] == 0 {
+		return 0
+	}
+	return time.Duration(float64(e.staged[c.Domain]) / float64(e.pools[c.Domain]) * float64(stagedCost))
+}
+
 func (e *Engines) isFull(q Query, c *engine) bool {
 	if e.engine.Slots > 0 && c.streams >= e.engine.Slots {
 		return true
@@ -218,6 +242,10 @@
 	c.streams++
 	c.memory += s.memory
 	if q.Generation != nil {
+		s.staged = q.Generation.Staged
+		if s.staged {
+			e.staged[c.Domain]++
+		}
 		for _, p := range q.Generation.Parts {
 			c.parts[p.ID] = now
 			e.seen[p.ID] = now
@@ -255,6 +283,7 @@
 		return
 	}
 	s.sent = true
+	e.endStages(s)
 	s.started = now
 	s.engine.sent += s.reading
 	s.predicted = seconds(s.engine.pace * s.engine.sent / readRate)
@@ -275,6 +304,13 @@
 	c.pace += paceShare * (min(max(ratio, minPace), maxPace) - c.pace)
 }
 
+func (e *Engines) endStages(s *seat) {
+	if s.staged {
+		s.staged = false
+		e.staged[s.engine.Domain]--
+	}
+}
+
 func (s *seat) stopReading() {
 	if s.begun {
 		return
@@ -293,6 +329,7 @@
 		return
 	}
 	delete(e.open, id)
+	e.endStages(s)
 	c := s.engine
 	c.streams--
 	c.memory -= s.memory
--- a/share/decide/place/place.go
+++ b/share/decide/place/place.go
@@ -68,6 +68,8 @@
 	// PromptTokens is the length of the whole prompt, shared parts included.
 	PromptTokens    int
 	MaxOutputTokens int
+	// Staged requests need results that pools make.
+	Staged bool
 }
 
 // Chooser holds what one ingress knows of the servers of one service; its caller guards it.
