--- /dev/null
+++ b/share/decide/access/access_test.go
@@ -0,0 +1,66 @@
+package access_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/share/decide/access"
+	"verbenaroad.example/share/models/site"
+)
+
+func newTable() *access.Table {
+	urgent := 0
+	return access.NewTable(&site.Config{
+		Version: 3,
+		Routes: []site.Route{
+			{Name: "all", Host: "kits.example", Prefix: "/", Priority: 4},
+			{Name: "orders", Host: "kits.example", Prefix: "/orders/", Priority: 2},
+			{Name: "spruce", Host: "kits.example", Prefix: "/orders/spruce/", Priority: 2},
+			{Name: "open", Host: "open.example", Prefix: "/", Public: true},
+		},
+		Teams: []site.Team{
+			{Name: "workshop", Keys: []string{"k1", "k2"}},
+			{Name: "press", Keys: []string{"k3"}, Priority: &urgent},
+		},
+	})
+}
+
+func TestCheck(t *testing.T) {
+	for _, c := range []struct {
+		name, host, path, key string
+		verdict               access.Verdict
+		route, team           string
+		priority              int
+	}{
+		{"longest prefix", "kits.example", "/orders/spruce/1", "k1", access.Granted, "spruce", "workshop", 2},
+		{"prefix ends at its slash", "kits.example", "/orders/spruc", "k2", access.Granted, "orders", "workshop", 2},
+		{"host with port and capitals", "KITS.example:8080", "/x", "k1", access.Granted, "all", "workshop", 4},
+		{"the team's priority goes first", "kits.example", "/orders/1", "k3", access.Granted, "orders", "press", 0},
+		{"unknown key", "kits.example", "/x", "k9", access.UnknownKey, "all", "", 4},
+		{"no key", "kits.example", "/x", "", access.UnknownKey, "all", "", 4},
+		{"public", "open.example", "/x", "k9", access.Granted, "open", "", 0},
+		{"unknown host", "other.example", "/x", "k1", access.NoRoute, "", "", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newTable().Check(c.host, c.path, c.key)
+			is.Equal(g.Verdict, c.verdict)
+			is.Equal(g.Team, c.team)
+			is.Equal(g.Priority, c.priority)
+			if c.route != "" {
+				is.Equal(g.Route.Name, c.route)
+			}
+		})
+	}
+}
+
+func TestPickServiceByWeight(t *testing.T) {
+	is := is.New(t)
+	r := &site.Route{Backends: []site.Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	is.Equal(access.PickService(r, 0), "a")
+	is.Equal(access.PickService(r, 0.899), "a")
+	is.Equal(access.PickService(r, 0.9), "b")
+	is.Equal(access.PickService(r, 0.999), "b")
+	is.Equal(access.PickService(&site.Route{}, 0.5), "")
+}
--- /dev/null
+++ b/share/decide/alive/alive_test.go
@@ -0,0 +1,66 @@
+package alive_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/share/decide/alive"
+	"verbenaroad.example/share/models/site"
+)
+
+func server(id string, state site.ServerState) site.Server {
+	return site.Server{ID: id, Service: "orders", State: state}
+}
+
+func count(s *alive.Set) int { return len(s.List()["orders"]) }
+
+// The store is away for six seconds and all registrations run out meanwhile.
+// When it is back its listing is empty, and every request would be refused, though
+// the servers are well. They are kept until they had time to register again.
+func TestLapsedServersAreKeptForAWhile(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	s := alive.NewSet()
+	s.Put(server("a", site.ServerReady))
+	s.Put(server("b", site.ServerReady))
+	s.LoseStore(now)
+	now = now.Add(6 * time.Second)
+	s.RegainStore(now)
+	is.True(s.Remove("a", now))
+	is.True(s.Remove("b", now))
+	is.Equal(count(s), 2)
+
+	s.Put(server("a", site.ServerReady)) // it is back
+	now = now.Add(alive.ReturnTime)
+	is.Equal(s.Expire(now), []string{"b"})
+	is.Equal(count(s), 1)
+}
+
+// A server says that it leaves, and then the store goes away. The server must
+// get no new work although nobody can tell any more.
+func TestDrainingServersAreNotKept(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	s := alive.NewSet()
+	s.Put(server("a", site.ServerDraining))
+	is.Equal(count(s), 0)
+	s.LoseStore(now)
+	now = now.Add(5 * time.Second)
+	is.True(!s.Remove("a", now))
+}
+
+// A server that is removed while the store is well is gone at once, and one lost
+// call is no outage.
+func TestRemovalCountsWhileTheStoreIsWell(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	s := alive.NewSet()
+	s.Put(server("a", site.ServerReady))
+	s.LoseStore(now)
+	now = now.Add(100 * time.Millisecond)
+	s.RegainStore(now)
+	is.True(!s.Remove("a", now))
+	is.Equal(count(s), 0)
+}
--- /dev/null
+++ b/share/decide/batch/load_test.go
@@ -0,0 +1,148 @@
+package batch_test
+
+import (
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/share/decide/batch"
+	"verbenaroad.example/share/models/site"
+)
+
+// outcome counts how the jobs of a load ended.
+type outcome struct {
+	asked, onTime, late, refused, calls int
+}
+
+// event is the end of a call at a server.
+type event struct {
+	at      time.Time
+	planner int
+	call    batch.Call
+	refused bool
+}
+
+// play offers a load to planners that share five servers, each of which works on
+// one call at a time, lets two wait and refuses the rest, as the users' pools do.
+// Each job's results are released 300 ms after they were made.
+func play(planners int, rate func(time.Duration) float64, length time.Duration) outcome {
+	source := rand.New(rand.NewPCG(3, 4)) //nolint:gosec // a fixed load
+	start := time.Unix(0, 0)
+	now := start
+	o := outcome{}
+	ps := []*batch.Planner{}
+	for range planners {
+		ps = append(ps, newPlanner(start, "a", "a", "a", "a", "a"))
+	}
+	free := map[string]time.Time{}
+	waiting := map[string][]time.Time{}
+	events := []event{}
+	targets := map[uint64]time.Time{}
+	perform := func(i int, a batch.Actions) {
+		for _, d := range a.Done {
+			switch {
+			case d.Outcome != batch.OutcomeMade:
+				o.refused++
+			case now.After(targets[d.JobID]):
+				o.late++
+			default:
+				o.onTime++
+			}
+		}
+		for _, c := range a.Calls {
+			o.calls++
+			id := c.Server.ID
+			ends := waiting[id]
+			for len(ends) > 0 && !ends[0].After(now) {
+				ends = ends[1:]
+			}
+			if len(ends) >= 3 {
+				waiting[id] = ends
+				events = append(events, event{at: now.Add(2 * time.Millisecond), planner: i, call: c, refused: true})
+				continue
+			}
+			begins := free[id]
+			if begins.Before(now) {
+				begins = now
+			}
+			pool := newPool()
+			at := begins.Add(pool.CallTime + time.Duration(len(c.Items))*pool.ItemTime)
+			free[id] = at
+			waiting[id] = append(ends, at)
+			events = append(events, event{at: at, planner: i, call: c})
+		}
+		sort.SliceStable(events, func(a, b int) bool { return events[a].at.Before(events[b].at) })
+	}
+	next := now
+	for id := uint64(1); now.Sub(start) < length+8*time.Second; {
+		step := now.Add(20 * time.Millisecond)
+		if next.Before(step) && next.Sub(start) < length {
+			step = next
+		}
+		if len(events) > 0 && !events[0].at.After(step) {
+			e := events[0]
+			events = events[1:]
+			now = e.at
+			results := made(e.call)
+			if e.refused {
+				for i := range results {
+					results[i] = site.ItemResult{Outcome: site.ItemRefused}
+				}
+			}
+			perform(e.planner, ps[e.planner].End(now, e.call.ID, results, false))
+			continue
+		}
+		now = step
+		if now.Equal(next) && now.Sub(start) < length {
+			i := source.IntN(planners)
+			job := newJob(now, id, 1+source.IntN(3))
+			job.Target = now.Add(time.Second)
+			job.Expires = now.Add(4 * time.Second)
+			targets[id] = job.Target
+			id++
+			o.asked++
+			perform(i, ps[i].Add(now, job))
+			next = now.Add(time.Duration(source.ExpFloat64() / rate(now.Sub(start)) * float64(time.Second)))
+			continue
+		}
+		for i, p := range ps {
+			perform(i, p.Tick(now))
+		}
+	}
+	return o
+}
+
+// Five servers make 8 results a call in 360 ms, 111 a second in all. At 45 jobs of
+// two results a second, calls of one ingress's jobs alone would need more servers
+// than there are: 200 ms of each call are lost whatever it holds. One planner for all
+// fills the calls. This is the calm day of the users' sheets.
+func TestOnePlannerCarriesWhatSixCannot(t *testing.T) {
+	is := is.New(t)
+	steady := func(time.Duration) float64 { return 45 }
+	one := play(1, steady, 20*time.Second)
+	six := play(6, steady, 20*time.Second)
+	t.Logf("one planner: %+v; six: %+v", one, six)
+	is.True(one.onTime*100 >= one.asked*97)
+	is.True(six.onTime < one.onTime)
+	is.True(one.calls < six.calls)
+}
+
+// The rate doubles for six seconds, beyond what the servers can do. Most that is
+// served must be on time, instead of everybody late, and it must be calm at once
+// when the burst is over.
+func TestBurstLeavesMostOnTime(t *testing.T) {
+	is := is.New(t)
+	burst := func(at time.Duration) float64 {
+		if at > 5*time.Second && at < 11*time.Second {
+			return 75
+		}
+		return 35
+	}
+	o := play(1, burst, 20*time.Second)
+	t.Logf("%+v", o)
+	is.True(o.onTime*100 >= o.asked*70)
+	is.True(o.onTime+o.late+o.refused == o.asked)
+}
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -73,9 +73,15 @@
 	})
 }
 
-// isOnTime tells whether a job that is in a call now is done before its target.
+// isOnTime tells whether a job that is in a call now is done before its target. Where
+// it matters, under load, calls are full.
 func (p *Planner) isOnTime(now time.Time, j Job) bool {
-	return now.Add(p.pool.CallTime).Before(j.Target)
+	return now.Add(p.fullCall()).Before(j.Target)
+}
+
+// fullCall is how long a call with a full batch takes.
+func (p *Planner) fullCall() time.Duration {
+	return p.pool.CallTime + time.Duration(p.pool.Batch)*p.pool.ItemTime
 }
 
 func (j *job) rank() time.Time {
@@ -288,7 +294,7 @@
 		}
 	}
 	rate := 0.0 // items a second
-	full := p.pool.CallTime + time.Duration(p.pool.Batch)*p.pool.ItemTime
+	full := p.fullCall()
 	for _, w := range p.ready {
 		if now.Before(w.suspectUntil) {
 			continue
--- /dev/null
+++ b/share/decide/chain/chain_test.go
@@ -0,0 +1,116 @@
+package chain_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/share/decide/chain"
+	"verbenaroad.example/share/models/site"
+)
+
+const ms = time.Millisecond
+
+// newStages is a part lookup: one stage of large results that nothing waits for,
+// beside a chain of three.
+func newStages() []site.Stage {
+	return []site.Stage{
+		{Service: "encode", ResultBytes: 1_500_000},
+		{Service: "encode", ResultBytes: 8000},
+		{Service: "retrieve", After: []int{1}, ResultBytes: 60_000},
+		{Service: "rerank", After: []int{2}, ResultBytes: 6000},
+	}
+}
+
+func newKnown(now time.Time, wait time.Duration) chain.Known {
+	pool := &site.Pool{Batch: 10, CallTime: 200 * ms, ItemTime: 10 * ms, KeepTime: 4 * time.Second}
+	k := chain.Known{Pools: map[string]*site.Pool{}, Waits: map[string]chain.Wait{}}
+	for _, name := range []string{"encode", "retrieve", "rerank"} {
+		k.Pools[name] = pool
+		k.Waits[name] = chain.Wait{OnTime: wait, Late: 3 * wait, At: now}
+	}
+	return k
+}
+
+func TestPlanAddsTheLongestWay(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	p := chain.NewPlan(now, newStages(), []int{2, 1, 6, 10}, newKnown(now, 100*ms))
+	// engine 200, rerank 100+200+100, retrieve 100+200+60, encode 100+200+50
+	is.Equal(p.Total, 1310*ms)
+	is.Equal(p.After[1], 960*ms)
+	is.Equal(p.After[0], 200*ms)
+	is.Equal(p.Level, []int{0, 2, 1, 0})
+}
+
+// A stage that is left out takes no time and holds nothing up.
+func TestPlanSkipsStagesWithoutResults(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	p := chain.NewPlan(now, newStages(), []int{2, 0, 0, 0}, newKnown(now, 100*ms))
+	is.Equal(p.Total, 550*ms)
+	is.Equal(p.Level, []int{0, 0, 0, 0})
+	is.Equal(chain.NewPlan(now, newStages(), nil, chain.Known{}).Total, 200*ms)
+}
+
+// Twenty part lookups a second each make large results that their engine needs only
+// at the end. Begun at once they fill their server's memory for a second more each;
+// begun with the last stage of the chain they are done at the same time.
+func TestLargeResultsAreMadeLast(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	p := chain.NewPlan(now, newStages(), []int{2, 1, 6, 10}, newKnown(now, 0))
+	is.True(!p.Begin(0, 2)) // the chain has two stages left behind its first
+	is.True(p.Begin(1, 2))
+	is.True(!p.Begin(0, 1))
+	is.True(p.Begin(0, 0)) // the last stage begins now
+}
+
+// A burst of one kind of request, 2.6 times its rate for six seconds. Who can be on
+// time begins; who cannot waits where it holds nothing while there is hope, and
+// is told at once when there is none.
+func TestAdmitInABurst(t *testing.T) {
+	now := time.Unix(0, 0)
+	for _, c := range []struct {
+		name   string
+		wait   time.Duration
+		target time.Duration
+		ends   time.Duration
+		want   chain.Verdict
+	}{
+		{"calm", 0, 2 * time.Second, 8 * time.Second, chain.Go},
+		{"short queues", 300 * ms, 2500 * ms, 8 * time.Second, chain.Go},
+		{"late, and its results would wait for a third of their time", 500 * ms, 2 * time.Second, 14 * time.Second, chain.Hold},
+		{"late, short waits", 100 * ms, 500 * ms, 8 * time.Second, chain.Go},
+		{"no hope", 900 * ms, 2 * time.Second, 8 * time.Second, chain.Refuse},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := chain.NewPlan(now, newStages(), []int{2, 1, 6, 10}, newKnown(now, c.wait))
+			got, pause := p.Admit(now, now.Add(c.target), now.Add(c.ends))
+			is.Equal(got, c.want)
+			is.Equal(pause > 0, c.want == chain.Refuse)
+		})
+	}
+}
+
+// A queue that was told of two seconds ago says nothing any more: without this an
+// ingress that refused everything would never hear that there is room again.
+func TestWaitsFade(t *testing.T) {
+	is := is.New(t)
+	told := time.Unix(0, 0)
+	k := newKnown(told, 2*time.Second)
+	fresh := chain.NewPlan(told, newStages(), []int{0, 1, 1, 1}, k)
+	old := chain.NewPlan(told.Add(2*time.Second), newStages(), []int{0, 1, 1, 1}, k)
+	is.Equal(fresh.Total-old.Total, 6*time.Second)
+}
+
+func TestLimitsLeaveTimeForWhatFollows(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	p := chain.NewPlan(now, newStages(), []int{0, 1, 6, 10}, newKnown(now, 0))
+	onTime, useful := p.Limits(1, now.Add(2*time.Second), now.Add(8*time.Second))
+	is.Equal(onTime, now.Add(2*time.Second-p.After[1]))
+	is.True(useful.Before(now.Add(8*time.Second - p.After[1])))
+}
--- /dev/null
+++ b/share/decide/mirror/mirror_test.go
@@ -0,0 +1,86 @@
+package mirror_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"verbenaroad.example/share/decide/mirror"
+	"verbenaroad.example/share/models/site"
+)
+
+func put(key string, revision uint64) site.Record {
+	return site.Record{Key: key, Value: []byte(key), Revision: revision}
+}
+
+func gone(key string, revision uint64) site.Record {
+	return site.Record{Key: key, Revision: revision, Deleted: true}
+}
+
+// An operator drains a server; the watch tells it at once. A moment later a peer
+// that was cut off hands over its older copy, in which the server is ready. The
+// server must stay as the newer record says.
+func TestOlderCopiesDoNotReturn(t *testing.T) {
+	is := is.New(t)
+	m := mirror.NewMirror("servers/")
+	m.Apply([]site.Record{put("servers/a", 5), gone("servers/b", 6)}, 6)
+	is.Equal(len(m.Learn([]site.Record{put("servers/a", 4), put("servers/b", 3)})), 0)
+	_, found := m.Find("servers/b")
+	is.True(!found)
+	is.Equal(m.At(), uint64(6))
+}
+
+// The store drops its history while a watch is cut, and servers leave meanwhile.
+// The new listing lacks them: they are gone. One that registered after the
+// listing was begun, and was heard of from a peer, stays.
+func TestListingRemovesWhatIsMissing(t *testing.T) {
+	is := is.New(t)
+	m := mirror.NewMirror("servers/")
+	m.Apply([]site.Record{put("servers/a", 5), put("servers/b", 6)}, 6)
+	m.Learn([]site.Record{put("servers/c", 20)})
+	changed := m.Replace([]site.Record{put("servers/a", 5)}, 10)
+	is.Equal(changed, []site.Record{gone("servers/b", 10)})
+	is.Equal(len(m.List()), 2)
+	is.Equal(m.At(), uint64(10))
+}
+
+func TestLearnDoesNotMoveTheWatch(t *testing.T) {
+	is := is.New(t)
+	m := mirror.NewMirror("op/")
+	m.Apply([]site.Record{put("op/config", 5)}, 5)
+	m.Learn([]site.Record{put("op/config", 9), put("servers/a", 8)})
+	is.Equal(m.At(), uint64(5)) // what lies between 5 and 9 may be missing
+	is.Equal(m.Newest(), uint64(9))
+	is.Equal(len(m.Since(5)), 1)
+	is.Equal(len(m.List()), 1)
+}
+
+// Records come in any order, from listings, watches and peers, any number of
+// times. Whoever has heard of all of them holds the newest of each key.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := []site.Record{}
+		newest := map[string]site.Record{}
+		for revision := uint64(1); revision < 20; revision++ {
+			key := fmt.Sprintf("servers/%d", rapid.IntRange(0, 3).Draw(t, "key"))
+			r := put(key, revision)
+			if rapid.Bool().Draw(t, "deleted") {
+				r = gone(key, revision)
+			}
+			records = append(records, r)
+			newest[key] = r
+		}
+		m := mirror.NewMirror("servers/")
+		for range 3 {
+			m.Learn(rapid.Permutation(records).Draw(t, "order"))
+		}
+		for key, r := range newest {
+			got, found := m.Find(key)
+			if found == r.Deleted || found && got.Revision != r.Revision {
+				t.Fatalf("%s: got %v (%v), want %v", key, got, found, r)
+			}
+		}
+	})
+}
--- a/share/decide/place/engines.go
+++ b/share/decide/place/engines.go
@@ -25,8 +25,9 @@
 	// stagedCost is what each request adds whose results wait for the pools of a
 	// domain, for one server there: about ten items of a few milliseconds each.
 	stagedCost = 60 * time.Millisecond
-	// fullCost puts an engine behind all others whose memory or slots are taken.
-	fullCost = 5 * time.Second
+	// fullCost puts an engine whose memory or slots are taken behind all others, however
+	// long those have to read.
+	fullCost = time.Minute
 	// failingCost puts an engine that fails behind those that answer.
 	failingCost = 2 * time.Second
 	// memoryPart is the part of an engine's memory that is filled on purpose.
