proofs of the platform's path: real ingresses between stand-ins, under faults

fakes/services/hosted holds stand-ins of the platform's store, plain services, engines and pools; proofs/hosted starts real processes and checks what callers and backend servers see. Found and mended by them, each test failing first: - A stream that broke off could not go on at another engine: the results of its stages were released when the first engine had them. They are made again. - Requests waited for a frozen ingress, 600 ms each time it was tried: lost peers are now tried beside the requests. A watch of the stand-in told a change after its address had begun to fail; the stand-in was wrong, not the product.

--- /dev/null
+++ b/fakes/services/hosted/store.go
@@ -0,0 +1,349 @@
+// Package hosted holds stand-ins of the users' platform: its store, and backend
+// servers that register there. Each has fault switches, and keeps what it has seen
+// for checks.
+package hosted
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// StoreFault says how one address of the store fails.
+type StoreFault string
+
+// The faults.
+const (
+	StoreWell   StoreFault = ""
+	StoreBusy   StoreFault = "busy"
+	StoreReset  StoreFault = "reset"
+	StoreSilent StoreFault = "silent"
+)
+
+type item struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Created  uint64
+	Lease    uint64
+	Deleted  bool `json:",omitempty"`
+}
+
+// Store is the store. It listens on several addresses, so that it can turn
+// some callers away while it serves others.
+type Store struct {
+	lock     sync.Mutex
+	changed  *sync.Cond
+	revision uint64
+	items    map[string]item
+	history  []item
+	// dropped is the revision up to which history is gone.
+	dropped   uint64
+	leases    map[uint64]time.Time
+	ttls      map[uint64]time.Duration
+	lastLease uint64
+	ports     []*port
+	closed    bool
+}
+
+// port is one address of the store.
+type port struct {
+	server *httpServer
+	fault  StoreFault
+}
+
+// NewStore listens on n loopback addresses.
+func NewStore(n int) (*Store, error) {
+	s := &Store{
+		revision: 1, items: map[string]item{}, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{},
+	}
+	s.changed = sync.NewCond(&s.lock)
+	for range n {
+		p := &port{}
+		server, err := listenHTTP(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(p, w, r) }))
+		if err != nil {
+			return nil, err
+		}
+		p.server = server
+		s.ports = append(s.ports, p)
+	}
+	go s.loop()
+	return s, nil
+}
+
+// Address returns the i-th address.
+func (s *Store) Address(i int) netip.AddrPort { return s.ports[i].server.address }
+
+// SetFault sets how the i-th address fails. Open watches there end.
+func (s *Store) SetFault(i int, fault StoreFault) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.ports[i].fault = fault
+	s.changed.Broadcast()
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.dropped = s.revision
+	s.history = nil
+	s.changed.Broadcast()
+}
+
+// Close ends the store.
+func (s *Store) Close() {
+	s.lock.Lock()
+	s.closed = true
+	s.changed.Broadcast()
+	s.lock.Unlock()
+	for _, p := range s.ports {
+		p.server.close()
+	}
+}
+
+// Put writes a record as the operator or a server does.
+func (s *Store) Put(key string, value any) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // only values of this package and of tests come here
+	}
+	s.PutRaw(key, encoded)
+}
+
+// PutRaw writes a record of any bytes.
+func (s *Store) PutRaw(key string, value []byte) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.put(key, value, 0)
+}
+
+// Remove deletes a record.
+func (s *Store) Remove(key string) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.remove(key)
+}
+
+func (s *Store) put(key string, value []byte, lease uint64) {
+	s.revision++
+	created := s.revision
+	if old, known := s.items[key]; known {
+		created = old.Created
+	}
+	i := item{Key: key, Value: value, Revision: s.revision, Created: created, Lease: lease}
+	s.items[key] = i
+	s.history = append(s.history, i)
+	s.changed.Broadcast()
+}
+
+func (s *Store) remove(key string) {
+	if _, known := s.items[key]; !known {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, item{Key: key, Revision: s.revision, Deleted: true})
+	s.changed.Broadcast()
+}
+
+// loop ends leases and wakes the watches.
+func (s *Store) loop() {
+	for {
+		time.Sleep(20 * time.Millisecond)
+		s.lock.Lock()
+		if s.closed {
+			s.lock.Unlock()
+			return
+		}
+		now := time.Now()
+		for lease, ends := range s.leases {
+			if now.After(ends) {
+				s.endLease(lease)
+			}
+		}
+		s.changed.Broadcast()
+		s.lock.Unlock()
+	}
+}
+
+func (s *Store) endLease(lease uint64) {
+	delete(s.leases, lease)
+	keys := []string{}
+	for key, i := range s.items {
+		if i.Lease == lease {
+			keys = append(keys, key)
+		}
+	}
+	for _, key := range keys {
+		s.remove(key)
+	}
+}
+
+func (s *Store) serve(p *port, w http.ResponseWriter, r *http.Request) {
+	if !s.answers(p, w, r) {
+		return
+	}
+	path := r.URL.Path
+	switch {
+	case path == "/api/kv-range":
+		s.serveRange(w, r)
+	case path == "/api/kv-watch":
+		s.serveWatch(p, w, r)
+	case path == "/api/kv-txn":
+		s.serveWrite(w, r)
+	case path == "/api/kv-lease":
+		s.serveGrant(w, r)
+	case strings.HasPrefix(path, "/api/kv-keep/"):
+		s.serveKeep(w, strings.TrimPrefix(path, "/api/kv-keep/"), false)
+	case strings.HasPrefix(path, "/api/kv-lease-end/"):
+		s.serveKeep(w, strings.TrimPrefix(path, "/api/kv-lease-end/"), true)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// answers fails as the address is set to.
+func (s *Store) answers(p *port, w http.ResponseWriter, r *http.Request) bool {
+	s.lock.Lock()
+	fault := p.fault
+	s.lock.Unlock()
+	switch fault {
+	case StoreBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case StoreReset:
+		cut(w)
+	case StoreSilent:
+		<-r.Context().Done()
+	default:
+		return true
+	}
+	return false
+}
+
+func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	after := r.URL.Query().Get("After")
+	keys := []string{}
+	for key := range s.items {
+		if strings.HasPrefix(key, r.URL.Query().Get("Prefix")) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > pageItems
+	items := []item{}
+	for _, key := range keys[:min(len(keys), pageItems)] {
+		items = append(items, s.items[key])
+	}
+	reply(w, http.StatusOK, map[string]any{"Items": items, "HasMore": more, "At": s.revision})
+}
+
+// pageItems is the size of a page; small, so that tests see several.
+const pageItems = 10
+
+func (s *Store) serveWatch(p *port, w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("After"), 10, 64)
+	wait, failed := strconv.Atoi(query.Get("WaitMs"))
+	if err != nil || failed != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ends := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for {
+		// An address that fails tells nothing any more, also not to a watch that waits.
+		if p.fault != StoreWell {
+			cut(w)
+			return
+		}
+		if after < s.dropped {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		events := []item{}
+		for _, i := range s.history {
+			if i.Revision > after && strings.HasPrefix(i.Key, query.Get("Prefix")) {
+				events = append(events, i)
+			}
+		}
+		if len(events) > 0 || time.Now().After(ends) || s.closed || r.Context().Err() != nil {
+			reply(w, http.StatusOK, map[string]any{"events": events, "At": s.revision})
+			return
+		}
+		s.changed.Wait()
+	}
+}
+
+func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request) {
+	body := struct{ SetKeys []item }{}
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, i := range body.SetKeys {
+		if _, live := s.leases[i.Lease]; i.Lease != 0 && !live {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	for _, i := range body.SetKeys {
+		s.put(i.Key, i.Value, i.Lease)
+	}
+	reply(w, http.StatusOK, map[string]any{"Revision": s.revision})
+}
+
+func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request) {
+	body := struct{ TtlMs int64 }{} //nolint:revive // the platform's spelling
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.lastLease++
+	s.ttls[s.lastLease] = time.Duration(body.TtlMs) * time.Millisecond
+	s.leases[s.lastLease] = time.Now().Add(s.ttls[s.lastLease])
+	reply(w, http.StatusOK, map[string]any{"Lease": s.lastLease, "TtlMs": body.TtlMs})
+}
+
+func (s *Store) serveKeep(w http.ResponseWriter, id string, end bool) {
+	lease, err := strconv.ParseUint(id, 10, 64)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if _, live := s.leases[lease]; err != nil || !live {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if end {
+		s.endLease(lease)
+	} else {
+		s.leases[lease] = time.Now().Add(s.ttls[lease])
+	}
+	reply(w, http.StatusOK, map[string]any{"TtlMs": s.ttls[lease].Milliseconds()})
+}
+
+// Keys returns the keys below a prefix.
+func (s *Store) Keys(prefix string) []string {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	keys := []string{}
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -220,6 +220,7 @@
 	registrar := &state.Registrar{Leases: i.store, Codec: record.Codec{}, Self: i.self, TTL: s.Store.Lease, Log: i.log}
 	registrar.Start(ctx)
 	(&state.Sweeper{Book: i.book}).Start(ctx)
+	i.mesh.Start(ctx)
 	(&mesh.Puller{Mesh: i.mesh, Book: i.book, StaleAfter: s.Store.Wait + staleGrace, Log: i.log}).Start(ctx)
 	i.owner.Start(ctx)
 	i.links.Start(ctx)
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -28,13 +28,12 @@
 	if !x.takeSeat(ctx) {
 		return x.leftOr(ctx, x.refuseNoServer())
 	}
-	handles, release, result := x.makeResults(ctx)
-	if result != nil {
+	r := &relay{exchange: x, writer: w}
+	defer r.releaseResults()
+	if result := r.makeResults(ctx); result != nil {
 		return x.leftOr(ctx, result)
 	}
-	defer release()
 	x.countRequest()
-	r := &relay{exchange: x, writer: w, handles: handles, release: release}
 	return x.leftOr(ctx, r.run(ctx))
 }
 
@@ -72,41 +71,49 @@
 	return result
 }
 
-// makeResults returns the handles that the engine is given, and what releases them.
-func (x *exchange) makeResults(ctx context.Context) ([]string, func(), *codes.Result) {
-	if len(x.route.Stages) == 0 {
-		return nil, func() {}, nil
-	}
-	results, failed := x.server.options.Maker.MakeChain(ctx, pieces.Chain{
-		AttemptID: x.AttemptID,
-		Key:       x.ItemKey,
-		Items:     x.Items,
-		Stages:    x.route.Stages,
-		Priority:  x.Grant.Priority,
-		Target:    x.Arrived.Add(x.route.Target),
-		Ends:      x.ends,
-		Domain:    x.seat.Server().Domain,
-		Log:       x.log,
-	})
-	if failed != nil {
-		return nil, nil, failed
-	}
-	return results.Handles, results.Release, nil
-}
-
 // relay forwards the events of one stream, over more than one engine where the route allows it.
 type relay struct {
 	*exchange
-	writer  http.ResponseWriter
-	handles []string
-	// release gives up the results; it may be called more than once.
-	release func()
+	writer http.ResponseWriter
+	// results are what the engine fetches; nil where the route has no stages, and
+	// once the engine has fetched them.
+	results *pieces.Results
 	// headed is set once the head of the answer went to the caller.
 	headed bool
 	// lastID is the ID of the last event that went to the caller.
 	lastID string
 }
 
+// makeResults has the stages' results made, unless they are there.
+func (r *relay) makeResults(ctx context.Context) *codes.Result {
+	if len(r.route.Stages) == 0 || r.results != nil {
+		return nil
+	}
+	results, failed := r.server.options.Maker.MakeChain(ctx, pieces.Chain{
+		AttemptID: r.AttemptID,
+		Key:       r.ItemKey,
+		Items:     r.Items,
+		Stages:    r.route.Stages,
+		Priority:  r.Grant.Priority,
+		Target:    r.Arrived.Add(r.route.Target),
+		Ends:      r.ends,
+		Domain:    r.seat.Server().Domain,
+		Log:       r.log,
+	})
+	if failed != nil {
+		return failed
+	}
+	r.results = results
+	return nil
+}
+
+func (r *relay) releaseResults() {
+	if r.results != nil {
+		r.results.Release()
+		r.results = nil
+	}
+}
+
 // run relays until the stream is complete or cannot go on.
 func (r *relay) run(ctx context.Context) *codes.Result {
 	r.lastID = r.LastEventID
@@ -116,6 +123,11 @@
 				return r.stop(r.refuseNoServer())
 			}
 		}
+		// A stream that goes on at another engine needs its inputs there as well, and
+		// they were released when the first one had fetched them.
+		if result := r.makeResults(ctx); result != nil {
+			return r.stop(result)
+		}
 		r.seat.Sent()
 		v := r.try(ctx, r.seat.Server())
 		if !v.again || r.left() <= 0 {
@@ -141,7 +153,11 @@
 	r.sends++
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	send := r.newSend(server, r.handles)
+	handles := []string(nil)
+	if r.results != nil {
+		handles = r.results.Handles
+	}
+	send := r.newSend(server, handles)
 	send.Forward.LastEventID = r.lastID
 	began := time.Now()
 	reply, err := r.server.options.Sender.Send(ctx, send)
@@ -240,7 +256,7 @@
 }
 
 func (r *relay) noteFirst(server site.Server) {
-	r.release() // the engine has fetched its inputs
+	r.releaseResults() // the engine has fetched its inputs
 	r.seat.Begun()
 	took := time.Since(r.Arrived)
 	r.log.Info("stream-begun", zap.String("server", server.ID), zap.Duration("took", took))
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -17,6 +17,7 @@
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/link"
 	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/pauses"
 	"verbenaroad.example/share/modules/rhash"
 	"verbenaroad.example/share/modules/wire"
 )
@@ -25,8 +26,8 @@
 var ErrMesh = errs.Class("mesh") //nolint:gochecknoglobals // an error class is a constant in all but syntax
 
 const (
-	// failedPause is how long an ingress that could not be reached is left alone.
-	failedPause = 1500 * time.Millisecond
+	// retryPause is how long an ingress that could not be reached is left alone.
+	retryPause = 600 * time.Millisecond
 	// dialTimeout bounds opening a session; a link between regions needs three ways of 12 ms.
 	dialTimeout = 600 * time.Millisecond
 )
@@ -56,9 +57,11 @@
 	// dialing guards the session against being opened twice.
 	dialing sync.Mutex
 	session *link.Session
-	// failedUntil is when it is tried again; leaving peers are not given work.
-	failedUntil time.Time
-	leaving     bool
+	// failed peers are not given work until a session to them was opened again, which
+	// is tried at retryAt. Leaving peers are not given work either.
+	failed  bool
+	retryAt time.Time
+	leaving bool
 }
 
 // NewMesh returns a mesh without peers.
@@ -100,11 +103,10 @@
 func (m *Mesh) listLive() []string {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	now := time.Now()
 	names := []string{}
 	for name := range m.known {
 		p := m.peers[name]
-		if now.Before(p.failedUntil) || p.leaving {
+		if p.failed || p.leaving {
 			continue
 		}
 		names = append(names, name)
@@ -167,12 +169,6 @@
 	if p.session != nil && !p.session.IsClosed() {
 		return p.session, nil
 	}
-	m.lock.Lock()
-	failed := time.Now().Before(p.failedUntil)
-	m.lock.Unlock()
-	if failed {
-		return nil, ErrMesh.New("%s could not be reached lately", name)
-	}
 	options := m.options.Link
 	options.OnBeat = func(_ *link.Session, beat *wire.Beat, _ time.Time) { m.noteBeat(name, beat) }
 	options.OnDown = func(_ *link.Session, reason error) { m.fail(name, reason) }
@@ -186,6 +182,9 @@
 		return nil, err
 	}
 	p.session = session
+	m.lock.Lock()
+	p.failed = false
+	m.lock.Unlock()
 	m.options.Log.Info("peer-reached", zap.String("ingress", name), zap.Stringer("address", p.address))
 	return session, nil
 }
@@ -201,7 +200,8 @@
 	m.options.Log.Info("peer-leaving", zap.String("ingress", name), zap.Bool("leaving", p.leaving))
 }
 
-// fail leaves an ingress alone for a while, so that jobs go on at the next one at once.
+// fail gives an ingress no work until it was reached again, so that jobs go on at
+// the next one at once and no request waits for a peer that is frozen or cut off.
 func (m *Mesh) fail(name string, reason error) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
@@ -209,7 +209,46 @@
 	if p == nil {
 		return
 	}
-	p.failedUntil = time.Now().Add(failedPause)
+	p.retryAt = time.Now().Add(retryPause)
 	p.leaving = false
+	if p.failed {
+		return
+	}
+	p.failed = true
 	m.options.Log.Warn("peer-lost", zap.String("ingress", name), zap.Stringer("address", p.address), logs.Err(reason))
 }
+
+// Start tries lost ingresses again until the context ends.
+func (m *Mesh) Start(ctx context.Context) {
+	go m.loop(ctx)
+}
+
+func (m *Mesh) loop(ctx context.Context) {
+	for pauses.Wait(ctx, retryPause/2) {
+		for _, name := range m.listDue() {
+			go m.runRetry(ctx, name)
+		}
+	}
+}
+
+func (m *Mesh) runRetry(ctx context.Context, name string) {
+	if _, err := m.getSession(ctx, name); err != nil {
+		m.options.Log.Debug("peer-still-lost", zap.String("ingress", name), logs.Err(err))
+	}
+}
+
+// listDue returns the lost ingresses that are to be tried now.
+func (m *Mesh) listDue() []string {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	now := time.Now()
+	names := []string{}
+	for name := range m.known {
+		p := m.peers[name]
+		if p.failed && now.After(p.retryAt) {
+			p.retryAt = now.Add(dialTimeout + retryPause)
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/proofs/hosted/main_test.go
@@ -0,0 +1,42 @@
+package hosted_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// envProgram names the ingress program to test; unset: it is built first.
+const envProgram = "VERBENA_INGRESS"
+
+func TestMain(m *testing.M) {
+	code, err := runTests(m)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(code)
+}
+
+func runTests(m *testing.M) (int, error) {
+	if os.Getenv(envProgram) != "" {
+		return m.Run(), nil
+	}
+	directory, err := os.MkdirTemp("", "hosted")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	program := filepath.Join(directory, "ingress")
+	build := exec.Command("go", "build", "-buildvcs=false", "-o", program, "verbenaroad.example/ingress")
+	build.Dir = "../.."
+	if output, err := build.CombinedOutput(); err != nil {
+		return 0, fmt.Errorf("build: %w: %s", err, output)
+	}
+	if err := os.Setenv(envProgram, program); err != nil {
+		return 0, err
+	}
+	return m.Run(), nil
+}
--- /dev/null
+++ b/proofs/hosted/path_test.go
@@ -0,0 +1,149 @@
+package hosted_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/fakes/services/hosted"
+)
+
+func TestPlainRequestPassesUnchanged(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	q := newRequest("/order/a%2Fb//c?x=1&y=%20")
+	q.header = map[string]string{
+		"X-Own": "1", "Connection": "X-Hop", "X-Hop": "1",
+		// What follows is the system's to set.
+		"X-Verbenaroad-Tenant": "press", "X-Verbenaroad-Expect-Replica": "i-other", "Kv-From": "10.255.0.1:1/x",
+		"X-Verbenaroad-Pin-Ms": "1000", "X-Verbenaroad-Retention": "r", "X-Verbenaroad-Kv-Backup": "10.255.0.1:1",
+	}
+	got := d.ingresses[0].send(context.Background(), q)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	runs := d.Runs(q.id)
+	is.Equal(len(runs), 1)
+	is.Equal(got.body, "answer of "+runs[0].Server+" to "+q.id)
+	is.True(got.header.Get("X-Verbenaroad-Replica-Signature") != "")
+	r := runs[0]
+	is.Equal(r.Target, q.target)
+	is.Equal(r.Host, host)
+	is.Equal(r.Body, q.body)
+	is.Equal(r.Header.Get("X-Own"), "1")
+	is.Equal(r.Header.Get("X-Verbenaroad-Tenant"), "workshop")
+	is.Equal(r.Header.Get("X-Verbenaroad-Expect-Replica"), r.Server)
+	for _, name := range []string{
+		"X-Hop", "X-Verbenaroad-Key", "Kv-From", "X-Verbenaroad-Pin-Ms", "X-Verbenaroad-Retention",
+		"X-Verbenaroad-Kv-Backup", "User-Agent-Own",
+	} {
+		is.Equal(r.Header.Get(name), "")
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	d := newDeployment(t, 1)
+	for _, c := range []struct {
+		name   string
+		change func(*request)
+		status int
+	}{
+		{"unknown route", func(q *request) { q.target = "/none/1" }, http.StatusNotFound},
+		{"prefix without its slash", func(q *request) { q.target = "/order" }, http.StatusNotFound},
+		{"unknown key", func(q *request) { q.key = "key-9" }, http.StatusUnauthorized},
+		{"no key", func(q *request) { q.key = "" }, http.StatusUnauthorized},
+		{"long body", func(q *request) { q.body = strings.Repeat("x", 65537) }, http.StatusRequestEntityTooLarge},
+		{"long header", func(q *request) { q.header = map[string]string{"X-Own": strings.Repeat("x", 100<<10)} }, http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			q := newRequest("/order/1")
+			c.change(&q)
+			got := d.ingresses[0].send(context.Background(), q)
+			is.Equal(got.status, c.status)
+			is.Equal(len(d.Runs(q.id)), 0)
+		})
+	}
+}
+
+// A long build manual is reviewed: the results of both stages are made, the
+// engine is given those of the last one only, events come as they are made, and
+// no result is left behind.
+func TestStagedStream(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	for range 4 {
+		for _, i := range d.ingresses {
+			q := newReview()
+			got := i.send(context.Background(), q)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(events(got.body), "1,2,3,4,5,6")
+			runs := d.Runs(q.id)
+			is.Equal(len(runs), 1)
+			handles := strings.Split(runs[0].Header.Get("X-Verbenaroad-Input-Count"), ",")
+			is.Equal(len(handles), 3)
+			for _, handle := range handles {
+				is.True(strings.Contains(handle, q.id+"-1-"))
+			}
+		}
+	}
+	eventually(t, "all results are released", func() bool { return d.Held() == 0 })
+	is.Equal(d.Notes(), []string{})
+}
+
+func TestStreamWithoutStages(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	got := d.ingresses[0].send(context.Background(), newRequest("/advice/1"))
+	is.NoErr(got.err)
+	is.Equal(events(got.body), "1,2,3,4,5,6")
+}
+
+// A caller leaves in the middle of a stream. The engine's work must end within
+// half a second, and a caller that leaves while its stages run must leave no
+// result behind.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	for _, e := range d.engines {
+		e.Events, e.Gap = 200, 50*time.Millisecond
+	}
+	ctx, leave := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer leave()
+	q := newReview()
+	_ = d.ingresses[0].send(ctx, q)
+	left := time.Now()
+	eventually(t, "the engine ended its work", func() bool { return d.engines[0].Running()+d.engines[1].Running() == 0 })
+	is.Equal(len(d.Runs(q.id)), 1)
+	is.True(time.Since(left) < 500*time.Millisecond)
+
+	for _, p := range d.pools {
+		p.Work = 300 * time.Millisecond
+	}
+	early, leaveEarly := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer leaveEarly()
+	q = newReview()
+	_ = d.ingresses[1].send(early, q)
+	eventually(t, "all results are released", func() bool { return d.Held() == 0 })
+	is.Equal(len(d.Runs(q.id)), 0)
+}
+
+// The route's time passes while a server is silent. The caller gets its final
+// answer then, and not at the end of its own patience.
+func TestRouteTimeout(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	for _, s := range d.plain {
+		s.SetFaults(hosted.Hang, hosted.Hang)
+	}
+	q := newRequest("/order/1")
+	got := d.ingresses[0].send(context.Background(), q)
+	is.Equal(got.status, http.StatusGatewayTimeout)
+	is.True(got.took > 1400*time.Millisecond)
+	is.True(got.took < 1900*time.Millisecond)
+	is.Equal(len(d.Runs(q.id)), 1)
+}
--- /dev/null
+++ b/proofs/hosted/world_test.go
@@ -0,0 +1,187 @@
+package hosted_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"verbenaroad.example/fakes/services/hosted"
+)
+
+// deployment is a world with ingresses before it.
+type deployment struct {
+	*hosted.World
+	t         *testing.T
+	ingresses []*ingress
+	plain     []*hosted.Server
+	engines   []*hosted.Server
+	pools     []*hosted.Server
+}
+
+const host = "kits.example"
+
+func routes() []hosted.Route {
+	return []hosted.Route{
+		{
+			"Name": "order", "Host": host, "Prefix": "/order/", "Type": "unsafe", "Service": "orders",
+			"TimeoutMs": 1500, "TargetLatencyMs": 300, "MaxAttempts": 1, "Priority": 2,
+		},
+		{
+			"Name": "read", "Host": host, "Prefix": "/read/", "Type": "safe", "Service": "orders",
+			"TimeoutMs": 3000, "TargetLatencyMs": 300, "MaxAttempts": 2, "Priority": 2,
+		},
+		{
+			"Name": "review", "Host": host, "Prefix": "/review/", "Type": "streaming", "Service": "models",
+			"TimeoutMs": 8000, "TargetLatencyMs": 2000, "TargetGapMs": 500, "MaxAttempts": 2, "Resumable": true, "Sticky": true,
+			"Stages": []map[string]any{
+				{"Service": "encoders", "After": []int{}, "SizeBytes": 1000},
+				{"Service": "encoders", "After": []int{0}, "SizeBytes": 1000},
+			},
+		},
+		{
+			"Name": "advice", "Host": host, "Prefix": "/advice/", "Type": "streaming", "Service": "models",
+			"TimeoutMs": 8000, "TargetLatencyMs": 2000, "TargetGapMs": 500, "MaxAttempts": 1, "Sticky": true,
+		},
+	}
+}
+
+func services() []map[string]any {
+	return []map[string]any{
+		{"Name": "orders", "HealthPath": "/healthz", "MaxConnections": 100},
+		{"Name": "models", "HealthPath": "/healthz", "MaxConnections": 100, "Engine": map[string]any{
+			"Slots": 32, "KvCapacityTokens": 100000,
+		}},
+		{"Name": "encoders", "HealthPath": "/healthz", "MaxConnections": 100, "Segments": map[string]any{
+			"Slots": 1, "Queue": 2, "Batch": 8, "CallMs": 20, "ItemMs": 1, "HeadroomMb": 1, "HandleTtlS": 4,
+		}},
+	}
+}
+
+func tenants() []map[string]any {
+	return []map[string]any{{"Name": "workshop", "ApiKeys": []string{"key-1", "key-2"}}}
+}
+
+// newDeployment starts n ingresses with a store address each, and the usual servers.
+func newDeployment(t *testing.T, n int) *deployment {
+	t.Helper()
+	w, err := hosted.NewWorld(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	d := &deployment{World: w, t: t}
+	w.PutConfig(routes(), services(), tenants())
+	for i := range 2 {
+		zone := []string{"a1", "b1"}[i]
+		d.plain = append(d.plain, d.add(&hosted.Server{Service: "orders", Zone: zone, Work: 20 * time.Millisecond}))
+		d.engines = append(d.engines, d.add(&hosted.Server{Service: "models", Zone: zone, Events: 6, Gap: 30 * time.Millisecond}))
+		d.pools = append(d.pools, d.add(&hosted.Server{
+			Service: "encoders", Zone: zone, Work: 20 * time.Millisecond, Batch: 8, Room: 50,
+		}))
+	}
+	for i := range n {
+		d.ingresses = append(d.ingresses, newIngress(t, w, fmt.Sprintf("ingress-%d", i), []string{"a1", "b1"}[i%2], i))
+	}
+	for _, i := range d.ingresses {
+		eventually(t, i.name+" is ready", i.isReady)
+		eventually(t, i.name+" knows all servers", func() bool { return len(i.output.lines("event=server-seen")) >= 6 })
+	}
+	return d
+}
+
+func (d *deployment) add(s *hosted.Server) *hosted.Server {
+	d.t.Helper()
+	added, err := d.Add(s)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return added
+}
+
+var attempts atomic.Uint64 //nolint:gochecknoglobals // attempts are told apart over all tests
+
+// request is one attempt of a caller.
+type request struct {
+	id     string
+	method string
+	target string
+	key    string
+	body   string
+	header map[string]string
+	// patience is what the caller says that it waits.
+	patience time.Duration
+}
+
+func newRequest(target string) request {
+	return request{
+		id:       fmt.Sprintf("%016x", attempts.Add(1)),
+		method:   http.MethodPost,
+		target:   target,
+		key:      "key-1",
+		body:     "two boards of spruce",
+		patience: 8 * time.Second,
+	}
+}
+
+// answer is what the caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err is set where the answer is not whole or did not come.
+	err  error
+	took time.Duration
+}
+
+func (i *ingress) send(ctx context.Context, q request) answer {
+	began := time.Now()
+	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+i.callers.String()+q.target, bytes.NewReader([]byte(q.body)))
+	if err != nil {
+		return answer{err: err}
+	}
+	r.Host = host
+	r.Header.Set("X-Verbenaroad-Attempt-Id", q.id)
+	r.Header.Set("X-Verbenaroad-Deadline-Ms", fmt.Sprint(q.patience.Milliseconds()))
+	if q.key != "" {
+		r.Header.Set("X-Verbenaroad-Key", q.key)
+	}
+	for name, value := range q.header {
+		r.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	got, err := client.Do(r)
+	if err != nil {
+		return answer{err: err, took: time.Since(began)}
+	}
+	defer func() { _ = got.Body.Close() }()
+	body, err := io.ReadAll(got.Body)
+	return answer{status: got.StatusCode, header: got.Header, body: string(body), err: err, took: time.Since(began)}
+}
+
+// newReview is a stream with two stages.
+func newReview() request {
+	q := newRequest("/review/1?lang=sl")
+	q.header = map[string]string{
+		"X-Verbenaroad-Model": "m", "X-Verbenaroad-Token-Usage": "1000,50",
+		"X-Verbenaroad-Prefix-Hash":   "5c1e07a2:400,91bd3f06:200",
+		"X-Verbenaroad-Segment-Count": "2,3", "X-Verbenaroad-Segment-Key": "7c1e07a291bd",
+	}
+	return q
+}
+
+// events returns the IDs of a stream's events, with commas between them.
+func events(body string) string {
+	ids := []string{}
+	for _, line := range strings.Split(body, "\n") {
+		if id, found := strings.CutPrefix(line, "id: "); found {
+			ids = append(ids, id)
+		}
+	}
+	return strings.Join(ids, ",")
+}
