admission counts what is under way in earlier stages

Bursts were let in until the queues behind the first stage were full, which ingresses heard of half a second later. The outlook now counts the results that requests under way still need, less what is made until the new one arrives; batchers tell their waits with each heartbeat; a job is given up when its inputs are about to go.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -102,6 +102,9 @@
 	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.takeView})
 	i.mesh = mesh.NewMesh(mesh.Options{
 		Self: i.self, IsLeaving: i.stopper.IsLeaving, Link: i.newLink(), Log: i.log,
+		OnOutlook: func(service string, onTime, late time.Duration, rate float64) {
+			i.maker.NoteOutlook(service, onTime, late, rate)
+		},
 	})
 	client := reach.NewClient(heads.Codec{})
 	i.owner = pieces.NewOwner(pieces.OwnerOptions{
@@ -126,7 +129,9 @@
 		Private:     i.settings.Peers.Private,
 		BeatEvery:   beat,
 		SilentAfter: time.Duration(silentBeats * float64(beat)),
-		Beat:        func() *wire.Beat { return &wire.Beat{Leaving: i.stopper.IsLeaving()} },
+		Beat: func() *wire.Beat {
+			return &wire.Beat{Leaving: i.stopper.IsLeaving(), Outlooks: i.owner.Outlooks()}
+		},
 	}
 }
 
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -38,6 +38,8 @@
 	// IsLeaving tells whether this process is stopping.
 	IsLeaving func() bool
 	Link      link.Options
+	// OnOutlook is told what a batcher's jobs have to expect.
+	OnOutlook func(service string, onTime, late time.Duration, rate float64)
 	Log       *zap.Logger
 }
 
@@ -190,6 +192,9 @@
 }
 
 func (m *Mesh) noteBeat(name string, beat *wire.Beat) {
+	for _, o := range beat.GetOutlooks() {
+		m.options.OnOutlook(o.GetService(), time.Duration(o.GetOnTimeNanos()), time.Duration(o.GetLateNanos()), o.GetRate())
+	}
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	p := m.peers[name]
--- a/ingress/services/pieces/chain.go
+++ b/ingress/services/pieces/chain.go
@@ -72,6 +72,19 @@
 	handles [][]string
 	// users counts the stages that still need a stage's results.
 	users []int
+	// until is how long a stage's results are kept.
+	until []time.Time
+	// begun marks the stages whose results are not pending any more.
+	begun []bool
+}
+
+// settlePending takes off what the stages that were never begun would have needed.
+func (w *walk) settlePending() {
+	for stage, s := range w.Stages {
+		if !w.begun[stage] {
+			w.maker.addPending(s.Service, -w.count(stage))
+		}
+	}
 }
 
 // ended is how one stage ended.
@@ -86,8 +99,13 @@
 	if result != nil {
 		return nil, result
 	}
-	w := &walk{Chain: c, maker: m, plan: plan, handles: make([][]string, len(c.Stages)), users: make([]int, len(c.Stages))}
-	for _, s := range c.Stages {
+	w := &walk{
+		Chain: c, maker: m, plan: plan, handles: make([][]string, len(c.Stages)), users: make([]int, len(c.Stages)),
+		until: make([]time.Time, len(c.Stages)), begun: make([]bool, len(c.Stages)),
+	}
+	defer w.settlePending()
+	for stage, s := range c.Stages {
+		m.addPending(s.Service, c.count(stage))
 		for _, before := range s.After {
 			w.users[before]++
 		}
@@ -204,6 +222,8 @@
 			continue
 		}
 		states[stage] = stageRunning
+		w.begun[stage] = true
+		w.maker.addPending(w.Stages[stage].Service, -w.count(stage))
 		started++
 		go w.runStage(ctx, stage, ends)
 	}
@@ -228,6 +248,9 @@
 	began := time.Now()
 	s := w.Stages[stage]
 	target, expires := w.plan.Limits(stage, w.Target, w.Ends)
+	if until, bound := w.inputsUntil(stage); bound && until.Before(expires) {
+		expires = until
+	}
 	done := w.maker.produce(ctx, s.Service, batch.Job{
 		AttemptID:   w.AttemptID,
 		Stage:       stage,
@@ -262,11 +285,27 @@
 	return inputs
 }
 
+// inputsUntil returns how long the inputs of a stage are kept. A job that waits for
+// longer would find them gone after its server has worked on it.
+func (w *walk) inputsUntil(stage int) (until time.Time, bound bool) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for _, before := range w.Stages[stage].After {
+		if at := w.until[before]; !at.IsZero() && (!bound || at.Before(until)) {
+			until, bound = at, true
+		}
+	}
+	return until, bound
+}
+
 // take notes a stage's results and releases the inputs that nobody needs any more.
 func (w *walk) take(e ended) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	w.handles[e.stage] = e.done.Handles
+	if keep := w.maker.keepTime(w.Stages[e.stage].Service); keep > 0 {
+		w.until[e.stage] = time.Now().Add(keep - keepReserve)
+	}
 	for _, before := range w.Stages[e.stage].After {
 		w.users[before]--
 		if w.users[before] == 0 {
@@ -285,6 +324,10 @@
 	}
 }
 
+// keepReserve is taken off the time that results are kept: the news of them needed
+// its way, and the first of a job may be older than its last.
+const keepReserve = 400 * time.Millisecond
+
 // describe turns the end of a stage into the answer of a request, which has not run.
 func (w *walk) describe(e ended) *codes.Result {
 	service := w.Stages[e.stage].Service
--- a/ingress/services/pieces/maker.go
+++ b/ingress/services/pieces/maker.go
@@ -35,13 +35,16 @@
 	// pools and waits are by service.
 	pools map[string]*site.Pool
 	waits map[string]chain.Wait
+	// pending counts the results that chains of this ingress still need, by service.
+	pending   map[string]int
+	ingresses int
 	// lateTurn is when the last held request began.
 	lateTurn time.Time
 }
 
 // NewMaker returns a maker; owner batches for the services that fall to this ingress.
 func NewMaker(peers Peers, owner *Owner, log *zap.Logger) *Maker {
-	return &Maker{peers: peers, owner: owner, log: log, waits: map[string]chain.Wait{}}
+	return &Maker{peers: peers, owner: owner, log: log, waits: map[string]chain.Wait{}, pending: map[string]int{}}
 }
 
 // TakeView takes the services of a new view.
@@ -56,22 +59,43 @@
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	m.pools = pools
+	m.ingresses = len(v.Ingresses)
 }
 
 // newPlan predicts a chain by what the batchers told last.
 func (m *Maker) newPlan(c *Chain) chain.Plan {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	return chain.NewPlan(time.Now(), c.Stages, c.Items, chain.Known{Pools: m.pools, Waits: m.waits})
+	ahead := map[string]float64{}
+	for _, s := range c.Stages {
+		// The balancer spreads the callers, so the others have about as much under way.
+		ahead[s.Service] = float64(m.pending[s.Service] * max(m.ingresses, 1))
+	}
+	return chain.NewPlan(time.Now(), c.Stages, c.Items, chain.Known{Pools: m.pools, Waits: m.waits, Ahead: ahead})
 }
 
-func (m *Maker) noteWait(service string, done batch.Done) {
-	if done.Outcome == batch.OutcomeCanceled {
-		return
+// keepTime returns how long a service's servers keep a result.
+func (m *Maker) keepTime(service string) time.Duration {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if pool := m.pools[service]; pool != nil {
+		return pool.KeepTime
 	}
+	return 0
+}
+
+// NoteOutlook takes what a batcher told of a service.
+func (m *Maker) NoteOutlook(service string, onTime, late time.Duration, rate float64) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	m.waits[service] = chain.Wait{OnTime: done.OnTime, Late: done.Late, At: time.Now()}
+	m.waits[service] = chain.Wait{OnTime: onTime, Late: late, Rate: rate, At: time.Now()}
+}
+
+// addPending notes results that chains of this ingress still need and that no queue holds yet.
+func (m *Maker) addPending(service string, n int) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.pending[service] += n
 }
 
 // maxOwners bounds the ingresses that are tried in turn for one job.
@@ -81,7 +105,9 @@
 // takes the job; results of the lost one end by themselves.
 func (m *Maker) produce(ctx context.Context, service string, j batch.Job) batch.Done {
 	done := m.produceAnywhere(ctx, service, j)
-	m.noteWait(service, done)
+	if done.Outcome != batch.OutcomeCanceled {
+		m.NoteOutlook(service, done.OnTime, done.Late, done.Rate)
+	}
 	return done
 }
 
@@ -128,6 +154,7 @@
 		RetryAfter: time.Duration(got.GetRetryAfterNanos()),
 		OnTime:     time.Duration(got.GetOnTimeNanos()),
 		Late:       time.Duration(got.GetLateNanos()),
+		Rate:       got.GetRate(),
 	}, nil
 }
 
@@ -164,7 +191,7 @@
 	})
 	return &wire.Produced{
 		Outcome: string(done.Outcome), Handles: done.Handles,
-		RetryAfterNanos: int64(done.RetryAfter), OnTimeNanos: int64(done.OnTime), LateNanos: int64(done.Late),
+		RetryAfterNanos: int64(done.RetryAfter), OnTimeNanos: int64(done.OnTime), LateNanos: int64(done.Late), Rate: done.Rate,
 	}
 }
 
--- a/ingress/services/pieces/owner.go
+++ b/ingress/services/pieces/owner.go
@@ -18,6 +18,7 @@
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/pauses"
+	"verbenaroad.example/share/modules/wire"
 )
 
 // Pools calls the backend servers that make results.
@@ -144,6 +145,23 @@
 	return batch.Done{Outcome: batch.OutcomeCanceled}
 }
 
+// Outlooks tells what new jobs have to expect, of the services that have some here.
+func (o *Owner) Outlooks() []*wire.Outlook {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	outlooks := []*wire.Outlook{}
+	for service, u := range o.units {
+		if u.planner.Count() == 0 {
+			continue
+		}
+		onTime, late, rate := u.planner.Outlook(time.Now())
+		outlooks = append(outlooks, &wire.Outlook{
+			Service: service, OnTimeNanos: int64(onTime), LateNanos: int64(late), Rate: rate,
+		})
+	}
+	return outlooks
+}
+
 // Discard releases results soon.
 func (o *Owner) Discard(service string, handles []string) {
 	o.lock.Lock()
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -88,6 +88,8 @@
 	// be on time and one that cannot.
 	OnTime time.Duration
 	Late   time.Duration
+	// Rate is how many results a second the service makes in full calls.
+	Rate float64
 }
 
 // Actions are what the planner wants done.
@@ -312,10 +314,15 @@
 	p.tell(a, now, done)
 }
 
+// Outlook predicts how long a new job of one result waits, one that can be on time
+// and one that cannot, and tells how many results a second are made in full calls.
+func (p *Planner) Outlook(now time.Time) (onTime, late time.Duration, rate float64) {
+	return p.predictWait(now, 1, true), p.predictWait(now, 1, false), p.rate(now)
+}
+
 // tell ends a job with the outlook for the next ones.
 func (p *Planner) tell(a *Actions, now time.Time, done Done) {
-	done.OnTime = p.predictWait(now, 1, true)
-	done.Late = p.predictWait(now, 1, false)
+	done.OnTime, done.Late, done.Rate = p.Outlook(now)
 	a.Done = append(a.Done, done)
 }
 
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -293,16 +293,21 @@
 			ahead += len(q.todo)
 		}
 	}
-	rate := 0.0 // items a second
-	full := p.fullCall()
+	rate := p.rate(now)
+	if rate == 0 {
+		return noServerPause
+	}
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
+}
+
+// rate returns the items a second that the servers make in full calls.
+func (p *Planner) rate(now time.Time) float64 {
+	rate := 0.0
 	for _, w := range p.ready {
 		if now.Before(w.suspectUntil) {
 			continue
 		}
-		rate += float64(p.pool.Batch) / (full.Seconds() * w.pace)
+		rate += float64(p.pool.Batch) / (p.fullCall().Seconds() * w.pace)
 	}
-	if rate == 0 {
-		return noServerPause
-	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
+	return rate
 }
--- a/share/decide/chain/chain.go
+++ b/share/decide/chain/chain.go
@@ -27,6 +27,8 @@
 	// call, Late how long one that cannot. The first go before the second.
 	OnTime time.Duration
 	Late   time.Duration
+	// Rate is how many results a second the service makes, 0 where it was not told.
+	Rate float64
 	// At is when it was told.
 	At time.Time
 }
@@ -35,6 +37,9 @@
 type Known struct {
 	Pools map[string]*site.Pool
 	Waits map[string]Wait
+	// Ahead are the results of each service that requests under way still need and
+	// that no queue holds yet, at all ingresses together.
+	Ahead map[string]float64
 }
 
 // Plan is the outlook of one request's stages.
@@ -56,23 +61,22 @@
 // stage without results takes no time.
 func NewPlan(now time.Time, stages []site.Stage, counts []int, k Known) Plan {
 	p := Plan{After: make([]time.Duration, len(stages)), Level: make([]int, len(stages))}
-	late := make([]time.Duration, len(stages))
+	onTime, _ := k.stageTimes(now, stages, counts, Wait.onTime)
+	late, lateWaits := k.stageTimes(now, stages, counts, Wait.late)
+	afterLate := make([]time.Duration, len(stages))
 	for i := range stages {
 		p.After[i] = engineTime
-		late[i] = engineTime
+		afterLate[i] = engineTime
 	}
 	// A stage takes results of stages with lower numbers only.
 	for i := len(stages) - 1; i >= 0; i-- {
-		s := stages[i]
-		n := countOf(counts, i)
-		wait := k.wait(now, s.Service)
-		own := p.After[i] + k.stageTime(s.Service, n, wait.OnTime)
-		ownLate := late[i] + k.stageTime(s.Service, n, wait.Late)
-		for _, before := range s.After {
+		own := p.After[i] + onTime[i]
+		ownLate := afterLate[i] + late[i]
+		for _, before := range stages[i].After {
 			p.After[before] = max(p.After[before], own)
-			late[before] = max(late[before], ownLate)
-			p.Level[before] = max(p.Level[before], p.Level[i]+min(n, 1))
-			p.held = max(p.held, k.heldShare(stages[before].Service, n, wait.Late))
+			afterLate[before] = max(afterLate[before], ownLate)
+			p.Level[before] = max(p.Level[before], p.Level[i]+min(countOf(counts, i), 1))
+			p.held = max(p.held, k.heldShare(stages[before].Service, lateWaits[i]))
 		}
 		p.Total = max(p.Total, own)
 		p.LateTotal = max(p.LateTotal, ownLate)
@@ -80,6 +84,38 @@
 	return p
 }
 
+// stageTimes predicts how long each stage takes, and how much of that it waits.
+//
+// Requests that are still in an earlier stage arrive before this one; leaving
+// them out lets a burst in until the queues behind the first stage are full,
+// which shows a second later. What is worked off until this one arrives is taken off.
+func (k Known) stageTimes(now time.Time, stages []site.Stage, counts []int, class func(Wait) time.Duration) (times, waits []time.Duration) {
+	times = make([]time.Duration, len(stages))
+	waits = make([]time.Duration, len(stages))
+	ends := make([]time.Duration, len(stages))
+	for i, s := range stages {
+		arrives := time.Duration(0)
+		for _, before := range s.After {
+			arrives = max(arrives, ends[before])
+		}
+		if n := countOf(counts, i); n > 0 && k.Pools[s.Service] != nil {
+			waits[i] = max(k.wait(now, s.Service, class)+k.aheadTime(s.Service)-arrives, 0)
+			times[i] = waits[i] + callTime(k.Pools[s.Service], n)
+		}
+		ends[i] = arrives + times[i]
+	}
+	return times, waits
+}
+
+// aheadTime is how long the service takes for what will be in its queue before a new request.
+func (k Known) aheadTime(service string) time.Duration {
+	rate := k.Waits[service].Rate
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(k.Ahead[service] / rate * float64(time.Second))
+}
+
 func countOf(counts []int, stage int) int {
 	if stage >= len(counts) {
 		return 0
@@ -87,30 +123,29 @@
 	return counts[stage]
 }
 
-// stageTime predicts the time from handing a stage in to its results.
-func (k Known) stageTime(service string, count int, wait time.Duration) time.Duration {
-	pool := k.Pools[service]
-	if count == 0 || pool == nil {
-		return 0
-	}
+// callTime is about how long the call takes that holds a stage's results.
+func callTime(pool *site.Pool, count int) time.Duration {
 	items := min(max(count, pool.Batch/typicalFill), pool.Batch)
-	return wait + pool.CallTime + time.Duration(items)*pool.ItemTime
+	return pool.CallTime + time.Duration(items)*pool.ItemTime
 }
 
 // heldShare returns the part of the time that a server keeps results for which they would wait.
-func (k Known) heldShare(maker string, count int, wait time.Duration) float64 {
+func (k Known) heldShare(maker string, wait time.Duration) float64 {
 	pool := k.Pools[maker]
-	if count == 0 || pool == nil || pool.KeepTime <= 0 {
+	if pool == nil || pool.KeepTime <= 0 {
 		return 0
 	}
 	return float64(wait) / float64(pool.KeepTime)
 }
 
-// wait returns the last told waits, faded by their age.
-func (k Known) wait(now time.Time, service string) Wait {
+func (w Wait) onTime() time.Duration { return w.OnTime }
+func (w Wait) late() time.Duration   { return w.Late }
+
+// wait returns the last told wait, faded by its age.
+func (k Known) wait(now time.Time, service string, class func(Wait) time.Duration) time.Duration {
 	w := k.Waits[service]
 	left := max(1-float64(now.Sub(w.At))/float64(waitAge), 0)
-	return Wait{OnTime: time.Duration(left * float64(w.OnTime)), Late: time.Duration(left * float64(w.Late))}
+	return time.Duration(left * float64(class(w)))
 }
 
 // Begin tells whether a stage whose inputs are there begins now. Deepest is the
