larger ingresses batch for the others; watches gather changes

Work for others now goes by a weighted rendezvous hash (capacity cubed). A watch that brought changes pauses for 250 ms, and watches wait as long as the platform takes to count an instance as in touch.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -93,7 +93,8 @@
 func (i *Ingress) build() {
 	s := i.settings
 	i.self = site.Ingress{
-		Name: s.Place.Name, Address: s.Peers.Listen, Domain: s.Place.Domain, Incarnation: procs.NewIncarnation(),
+		Name: s.Place.Name, Address: s.Peers.Listen, Domain: s.Place.Domain, Capacity: s.Place.Cores,
+		Incarnation: procs.NewIncarnation(),
 	}
 	i.stopper = stops.NewStopper(drain.Settings{
 		Grace: s.Stop.Grace - graceReserve, Linger: s.Stop.Admit, Admit: s.Stop.Admit,
--- a/ingress/cmds/settings.go
+++ b/ingress/cmds/settings.go
@@ -46,7 +46,7 @@
 func (s *Store) Register(fs *flag.FlagSet) {
 	fs.TextVar(&s.Address, "store.address", netip.AddrPort{}, "`ip:port` of the platform's store")
 	fs.DurationVar(&s.Timeout, "store.timeout", 1500*time.Millisecond, "longest `time` of a call")
-	fs.DurationVar(&s.Wait, "store.wait", 1500*time.Millisecond, "`time` that a watch waits; a change is seen that late where an open watch went silent")
+	fs.DurationVar(&s.Wait, "store.wait", 4*time.Second, "`time` that a watch waits; a change is seen that late where an open watch went silent")
 	fs.DurationVar(&s.Lease, "store.lease", 6*time.Second, "`time` that a dead ingress stays listed")
 }
 
@@ -66,6 +66,8 @@
 	Region string
 	// Regions maps each failure domain to its region.
 	Regions setup.LabelList
+	// Cores is the share of a processor core that the process has.
+	Cores float64
 }
 
 // Register declares the keys of the section.
@@ -74,6 +76,7 @@
 	fs.StringVar(&p.Name, "place.name", "", "unique `name` of this instance")
 	fs.StringVar(&p.Domain, "place.domain", "", "failure `domain` it stands in")
 	fs.StringVar(&p.Region, "place.region", "", "`region` it stands in")
+	fs.Float64Var(&p.Cores, "place.cores", 1, "`share` of a processor core that the process has; work for the other ingresses goes by it")
 	fs.Var(p.Regions, "place.regions", "regions of all failure domains as a list of `domain=region`")
 }
 
@@ -85,6 +88,9 @@
 			faults = append(faults, errs.New("place.%s: must be set", must[0]))
 		}
 	}
+	if p.Cores <= 0 {
+		faults = append(faults, errs.New("place.cores: must be above 0"))
+	}
 	return faults
 }
 
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -91,30 +90,40 @@
 	}
 }
 
-// Rank lists the ingresses that can be reached by their score for a key. This one is
-// among them, unless it is stopping and another can take its work.
+// Rank lists the ingresses that can be reached by their score for a key, the
+// larger ones first more often. This one is among them, unless it is stopping and
+// another can take its work.
 func (m *Mesh) Rank(key string) []string {
-	names := m.listLive()
-	if len(names) > 0 && m.options.IsLeaving() {
-		return rhash.Pick(key, names, len(names))
+	live := m.listLive()
+	if len(live) == 0 || !m.options.IsLeaving() {
+		live = append(live, weigh(m.options.Self))
 	}
-	return rhash.Pick(key, append(names, m.options.Self.Name), len(names)+1)
+	return rhash.PickWeighted(key, live)
 }
 
-// listLive returns the names of the other ingresses that can be reached.
-func (m *Mesh) listLive() []string {
+// minCapacity stands for that of an ingress that does not say it.
+const minCapacity = 0.1
+
+// weigh gives the work of others to larger ingresses much more often: a small one
+// that batches for all is slow for all.
+func weigh(i site.Ingress) rhash.Weighted {
+	capacity := max(i.Capacity, minCapacity)
+	return rhash.Weighted{Name: i.Name, Weight: capacity * capacity * capacity}
+}
+
+// listLive returns the other ingresses that can be reached.
+func (m *Mesh) listLive() []rhash.Weighted {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	names := []string{}
-	for name := range m.known {
+	live := []rhash.Weighted{}
+	for name, i := range m.known {
 		p := m.peers[name]
 		if p.failed || p.leaving {
 			continue
 		}
-		names = append(names, name)
+		live = append(live, weigh(i))
 	}
-	slices.Sort(names)
-	return names
+	return live
 }
 
 // Produce has another ingress make the results of a stage.
--- a/ingress/services/mesh/puller.go
+++ b/ingress/services/mesh/puller.go
@@ -45,10 +45,10 @@
 		if !p.Book.IsLost() && p.Book.Age() < p.StaleAfter {
 			continue
 		}
-		names := p.Mesh.listLive()
-		rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-		for _, name := range names[:min(pullFrom, len(names))] {
-			p.pull(ctx, name)
+		live := p.Mesh.listLive()
+		rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+		for _, peer := range live[:min(pullFrom, len(live))] {
+			p.pull(ctx, peer.Name)
 		}
 	}
 }
--- a/ingress/services/state/watch.go
+++ b/ingress/services/state/watch.go
@@ -24,6 +24,11 @@
 	// answers in milliseconds when it is well, and a few calls a second do it no harm.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 800 * time.Millisecond
+	// gatherTime is the pause after a watch that brought changes. Each answer is a
+	// call to the platform, by each ingress; the servers of a deployment that starts
+	// come one by one, and so 100 of them need a tenth of the calls. Changes are due
+	// within seconds.
+	gatherTime = 250 * time.Millisecond
 	// expireEvery is how often lapsed servers are looked at.
 	expireEvery = 200 * time.Millisecond
 )
@@ -86,6 +91,9 @@
 		return err
 	}
 	w.Book.Apply(w.Prefix, changes, at)
+	if len(changes) > 0 {
+		pauses.Wait(ctx, gatherTime)
+	}
 	return nil
 }
 
--- a/share/models/site/config.go
+++ b/share/models/site/config.go
@@ -149,6 +149,9 @@
 	// Address is where the other ingresses reach it.
 	Address netip.AddrPort
 	Domain  string
+	// Capacity is its share of a processor core; work for the others goes to ingresses
+	// in proportion.
+	Capacity float64
 	// Incarnation differs between two starts under one name.
 	Incarnation string
 }
--- a/share/modules/rhash/rhash.go
+++ b/share/modules/rhash/rhash.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,6 +49,40 @@
 	return d.Sum64()
 }
 
+// Weighted is a member with its share of the keys.
+type Weighted struct {
+	Name string
+	// Weight is above 0; a member with twice the weight wins twice the keys.
+	Weight float64
+}
+
+// PickWeighted returns all names, the one that wins the key first. As with Pick, a
+// member that joins, leaves or changes its weight moves only keys of its own.
+func PickWeighted(key string, members []Weighted) []string {
+	ranking := slices.Clone(members)
+	slices.SortFunc(ranking, func(a, b Weighted) int {
+		return cmp.Or(cmp.Compare(weigh(key, b), weigh(key, a)), cmp.Compare(a.Name, b.Name))
+	})
+	names := make([]string, 0, len(ranking))
+	for _, m := range ranking {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// weigh turns the uniform score u into -weight/ln(u), whose maximum falls to a
+// member with a probability in proportion to its weight.
+func weigh(key string, m Weighted) float64 {
+	u := (float64(Score(key, m.Name)>>scoreShift) + 0.5) / (1 << scoreBits)
+	return -m.Weight / math.Log(u)
+}
+
+const (
+	// scoreBits is how much of a score a float64 holds exactly.
+	scoreBits  = 53
+	scoreShift = 64 - scoreBits
+)
+
 func compareScored(a, b scored) int {
 	if a.score != b.score {
 		return cmp.Compare(b.score, a.score)
--- /dev/null
+++ b/share/modules/rhash/weighted_test.go
@@ -0,0 +1,38 @@
+package rhash_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/share/modules/rhash"
+)
+
+func TestPickWeightedByShares(t *testing.T) {
+	is := is.New(t)
+	members := []rhash.Weighted{{Name: "small", Weight: 1}, {Name: "middle", Weight: 2}, {Name: "large", Weight: 5}}
+	counts := map[string]int{}
+	for i := range keys {
+		counts[rhash.PickWeighted(fmt.Sprint(i), members)[0]]++
+	}
+	for _, m := range members {
+		want := m.Weight / 8 * keys
+		is.True(math.Abs(float64(counts[m.Name])-want) < 4*math.Sqrt(want))
+	}
+}
+
+// A member goes. Only its own keys may move: each other key keeps its owner.
+func TestPickWeightedMovesLittle(t *testing.T) {
+	is := is.New(t)
+	members := []rhash.Weighted{{Name: "a", Weight: 1}, {Name: "b", Weight: 3}, {Name: "c", Weight: 2}}
+	for i := range keys {
+		key := fmt.Sprint(i)
+		before := rhash.PickWeighted(key, members)
+		after := rhash.PickWeighted(key, members[:2])
+		if before[0] != "c" {
+			is.Equal(after[0], before[0])
+		}
+	}
+}
