--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -53,6 +53,7 @@
 // Ingress is the assembled process.
 type Ingress struct {
 	settings *Settings
+	reload   ReloadFunc
 	log      *zap.Logger
 	lines    *logs.Bounded
 	meters   *meters.Meters
@@ -72,9 +73,12 @@
 	links    *peers.Server
 }
 
+// ReloadFunc reads the settings again.
+type ReloadFunc func() (*Settings, error)
+
 // Serve runs the ingress until a signal has stopped it.
-func Serve(ctx context.Context, settings *Settings, output io.Writer) error {
-	i := &Ingress{settings: settings}
+func Serve(ctx context.Context, settings *Settings, reload ReloadFunc, output io.Writer) error {
+	i := &Ingress{settings: settings, reload: reload}
 	i.meters = meters.NewMeters(func() time.Duration { return i.book.Age() })
 	log, lines, err := logs.NewBounded(output, settings.Log.Level, i.meters.CountDropped)
 	if err != nil {
@@ -255,13 +259,30 @@
 	for {
 		select {
 		case <-signals:
-			i.log.Info("reload", zap.String("outcome", "kept"), zap.String("reason", "settings are read at the start only"))
+			i.takeReload()
 		case <-stopped:
 			return
 		}
 	}
 }
 
+// takeReload puts in force what can change while the process runs. A file that
+// cannot be read changes nothing.
+func (i *Ingress) takeReload() {
+	s, err := i.reload()
+	if err != nil {
+		i.meters.CountReload("kept")
+		i.log.Error("reload", zap.String("outcome", "kept"), logs.Err(err))
+		return
+	}
+	i.lines.SetLevel(s.Log.Level)
+	i.flow.SetRepeats(s.Repeats.Settings)
+	i.owner.SetRepeats(s.Repeats.Settings)
+	i.meters.CountReload("applied")
+	i.log.Info("reload", zap.String("outcome", "applied"), zap.String("log-level", s.Log.Level),
+		zap.Float64("repeats-ratio", s.Repeats.Ratio), zap.Float64("repeats-slack", s.Repeats.Slack))
+}
+
 // waiter waits for the drain beside the other signals.
 type waiter struct {
 	stopper *stops.Stopper
--- a/ingress/main.go
+++ b/ingress/main.go
@@ -13,8 +13,14 @@
 
 func main() {
 	settings := &cmds.Settings{}
-	setup.LoadOrExit(settings.Sections(), setup.Options{Program: "ingress", Args: os.Args[1:], Output: os.Stderr})
-	if err := cmds.Serve(context.Background(), settings, os.Stdout); err != nil {
+	options := setup.Options{Program: "ingress", Args: os.Args[1:], Output: os.Stderr}
+	setup.LoadOrExit(settings.Sections(), options)
+	reload := func() (*cmds.Settings, error) {
+		again := &cmds.Settings{}
+		_, err := setup.Load(again.Sections(), options)
+		return again, err
+	}
+	if err := cmds.Serve(context.Background(), settings, reload, os.Stdout); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "ingress:", err)
 		os.Exit(1)
 	}
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -89,6 +89,16 @@
 	return &Server{options: options, pools: map[string]*pool{}}
 }
 
+// SetRepeats takes a new bound of repeats.
+func (s *Server) SetRepeats(settings budget.Settings) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.options.Repeats = settings
+	for _, p := range s.pools {
+		p.repeats.SetSettings(settings)
+	}
+}
+
 // TakeView takes the backend servers of a new view.
 func (s *Server) TakeView(v *state.View) {
 	s.lock.Lock()
--- a/ingress/services/meters/meters.go
+++ b/ingress/services/meters/meters.go
@@ -18,6 +18,7 @@
 	batches  *prometheus.HistogramVec
 	items    *prometheus.CounterVec
 	dropped  *prometheus.CounterVec
+	reloads  *prometheus.CounterVec
 	version  prometheus.Gauge
 	storeAge prometheus.GaugeFunc
 }
@@ -49,6 +50,9 @@
 		dropped: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenaroad_log_lines_dropped_total", Help: "Log lines that were left out.",
 		}, []string{"reason"}),
+		reloads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "verbenaroad_reloads_total", Help: "Settings files that were read again.",
+		}, []string{"outcome"}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "verbenaroad_config_version", Help: "Version of the configuration in force.",
 		}),
@@ -56,7 +60,7 @@
 			Name: "verbenaroad_store_age_seconds", Help: "Time since the store answered.",
 		}, func() float64 { return storeAge().Seconds() }),
 	}
-	m.registry.MustRegister(m.answers, m.firsts, m.repeats, m.batches, m.items, m.dropped, m.version, m.storeAge)
+	m.registry.MustRegister(m.answers, m.firsts, m.repeats, m.batches, m.items, m.dropped, m.reloads, m.version, m.storeAge)
 	return m
 }
 
@@ -91,5 +95,10 @@
 	m.dropped.WithLabelValues(reason).Add(float64(n))
 }
 
+// CountReload notes a settings file that was read again.
+func (m *Meters) CountReload(outcome string) {
+	m.reloads.WithLabelValues(outcome).Inc()
+}
+
 // SetVersion notes the configuration in force.
 func (m *Meters) SetVersion(version uint64) { m.version.Set(float64(version)) }
--- a/ingress/services/pieces/owner.go
+++ b/ingress/services/pieces/owner.go
@@ -85,6 +85,16 @@
 	go o.loopRelease(ctx)
 }
 
+// SetRepeats takes a new bound of repeats.
+func (o *Owner) SetRepeats(settings budget.Settings) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.options.Repeats = settings
+	for _, u := range o.units {
+		u.repeats.SetSettings(settings)
+	}
+}
+
 // TakeView takes the servers of a new view.
 func (o *Owner) TakeView(v *state.View) {
 	if v.Table == nil {
--- a/proofs/hosted/change_test.go
+++ b/proofs/hosted/change_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"regexp"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -206,3 +208,22 @@
 	}
 	is.True(time.Since(began) < 5*time.Second)
 }
+
+// An operator changes the settings file twice, once badly. The bad file changes
+// nothing and is told with its fault; the good one is put in force.
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	i := d.ingresses[0]
+	good, err := os.ReadFile(i.config)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(i.config, append([]byte("nonsense = 1\n"), good...), 0o600))
+	i.signal(syscall.SIGHUP)
+	eventually(t, "the bad file is told", func() bool { return len(i.output.lines("event=reload", "outcome=kept", "nonsense")) == 1 })
+	is.NoErr(os.WriteFile(i.config, []byte(strings.Replace(string(good), "ratio = 0.2", "ratio = 0.1", 1)), 0o600))
+	i.signal(syscall.SIGHUP)
+	eventually(t, "the good file is in force", func() bool {
+		return len(i.output.lines("event=reload", "outcome=applied", "repeats-ratio=0.1")) == 1
+	})
+	is.Equal(i.send(context.Background(), newRequest("/order/1")).status, http.StatusOK)
+}
--- a/share/decide/budget/budget.go
+++ b/share/decide/budget/budget.go
@@ -34,6 +34,9 @@
 	return &Budget{settings: settings}
 }
 
+// SetSettings takes a new bound; what was counted stays.
+func (b *Budget) SetSettings(settings Settings) { b.settings = settings }
+
 // CountRequest notes the first arrival of a request.
 func (b *Budget) CountRequest(now time.Time) {
 	b.expire(now)
--- a/share/modules/logs/bounded.go
+++ b/share/modules/logs/bounded.go
@@ -28,6 +28,7 @@
 	dropped atomic.Int64
 	onDrop  DropFunc
 	flushed chan chan struct{}
+	level   zap.AtomicLevel
 }
 
 // NewBounded returns a logger whose lines are written by a loop of its own. A
@@ -44,8 +45,9 @@
 		output:  w,
 		onDrop:  onDrop,
 		flushed: make(chan chan struct{}),
+		level:   zap.NewAtomicLevelAt(minimum),
 	}
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(newEncoding()), b, minimum)
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(newEncoding()), b, b.level)
 	sampled := zapcore.NewSamplerWithOptions(core, time.Second, perSecond, 0, zapcore.SamplerHook(b.noteSampled))
 	go b.loop()
 	return zap.New(sampled), b, nil
@@ -60,6 +62,13 @@
 	return encoding
 }
 
+// SetLevel changes the least level that is written; an unknown one changes nothing.
+func (b *Bounded) SetLevel(level string) {
+	if minimum, err := zapcore.ParseLevel(level); err == nil {
+		b.level.SetLevel(minimum)
+	}
+}
+
 func (b *Bounded) noteSampled(_ zapcore.Entry, decision zapcore.SamplingDecision) {
 	if decision&zapcore.LogDropped != 0 {
 		b.drop("rate")
--- a/share/modules/setup/load.go
+++ b/share/modules/setup/load.go
@@ -86,6 +86,10 @@
 	if err != nil {
 		faults = append(faults, err)
 	}
+	// The flag package stops at the first word that is no flag and drops what follows.
+	if fs.NArg() > 0 {
+		faults = append(faults, errs.New("unexpected argument %q: settings are flags, variables and the file only", fs.Arg(0)))
+	}
 	for _, fault := range file.faults {
 		faults = append(faults, errs.New("%s:%v", *path, fault))
 	}
