--- a/fakes/services/hosted/pool.go
+++ b/fakes/services/hosted/pool.go
@@ -39,6 +39,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	s.world.expire()
 	results := []stageResult{}
 	for _, i := range call.Items {
 		results = append(results, s.makeOne(i))
--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -66,6 +66,8 @@
 	// Batch is the most items of a pool's call, Room the most results that it holds.
 	Batch int
 	Room  int
+	// Advertised is the address that its entry names where something stands before it.
+	Advertised netip.AddrPort
 
 	store  *Store
 	world  *World
@@ -106,8 +108,12 @@
 
 // Register writes the server's entry with a state.
 func (s *Server) Register(state string) {
+	address := s.Address()
+	if s.Advertised.IsValid() {
+		address = s.Advertised
+	}
 	s.store.Put("servers/"+s.ID, map[string]any{
-		"Service": s.Service, "Address": s.Address().String(), "Zone": s.Zone, "Version": "v1",
+		"Service": s.Service, "Address": address.String(), "Zone": s.Zone, "Version": "v1",
 		"Slots": slots, "State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": 1,
 	})
 }
--- a/fakes/services/hosted/world.go
+++ b/fakes/services/hosted/world.go
@@ -87,11 +87,27 @@
 
 // Held returns how many results are held.
 func (w *World) Held() int {
+	w.expire()
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	return len(w.held)
 }
 
+// expire ends the results whose time is over.
+func (w *World) expire() {
+	w.lock.Lock()
+	over := []string{}
+	for handle, h := range w.held {
+		if time.Now().After(h.until) {
+			over = append(over, handle)
+		}
+	}
+	w.lock.Unlock()
+	for _, handle := range over {
+		w.release(handle)
+	}
+}
+
 func (w *World) note(text string) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -231,7 +231,7 @@
 	registrar.Start(ctx)
 	(&state.Sweeper{Book: i.book}).Start(ctx)
 	i.mesh.Start(ctx)
-	(&mesh.Puller{Mesh: i.mesh, Book: i.book, StaleAfter: s.Store.Wait + staleGrace, Log: i.log}).Start(ctx)
+	(&mesh.Puller{Mesh: i.mesh, Book: i.book, StaleAfter: s.Store.Wait + staleGrace, Seeds: s.Peers.Seeds, Log: i.log}).Start(ctx)
 	i.owner.Start(ctx)
 	i.links.Start(ctx)
 	i.log.Info("started", zap.Stringer("callers", s.Callers.Listen), zap.Stringer("peers", s.Peers.Listen),
--- a/ingress/cmds/settings.go
+++ b/ingress/cmds/settings.go
@@ -97,6 +97,8 @@
 // Peers is the table [peers]: the links between ingresses.
 type Peers struct {
 	Listen netip.AddrPort
+	// Seeds are ingresses that are asked while no other one is known.
+	Seeds setup.AddrList
 	// Private allows plain links beyond loopback.
 	Private bool
 	// BeatEvery is the time between two heartbeats of a link.
@@ -106,6 +108,7 @@
 // Register declares the keys of the section.
 func (p *Peers) Register(fs *flag.FlagSet) {
 	fs.TextVar(&p.Listen, "peers.listen", netip.AddrPort{}, "`ip:port` for the other ingresses")
+	fs.Var(&p.Seeds, "peers.seeds", "list of `ip:port` of ingresses that are asked while no other one is known; they may be stale")
 	fs.BoolVar(&p.Private, "peers.private", false, "allow links without TLS beyond loopback, on a network that only the deployment's instances reach")
 	fs.DurationVar(&p.BeatEvery, "peers.beat-every", 300*time.Millisecond, "`time` between two heartbeats of a link; three and a half without one end it")
 }
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -168,6 +168,19 @@
 	return link.Sync(ctx, session, s)
 }
 
+// SyncAt asks an ingress of which only the address is known.
+func (m *Mesh) SyncAt(ctx context.Context, address netip.AddrPort, s *wire.Sync) (*wire.Records, error) {
+	if address == m.options.Self.Address {
+		return nil, ErrMesh.New("%s is this ingress", address)
+	}
+	session, err := link.Dial(ctx, address, m.options.Link)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = session.Close() }()
+	return link.Sync(ctx, session, s)
+}
+
 func (m *Mesh) getSession(ctx context.Context, name string) (*link.Session, error) {
 	m.lock.Lock()
 	p := m.peers[name]
--- a/ingress/services/mesh/puller.go
+++ b/ingress/services/mesh/puller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,7 +33,9 @@
 	Book *state.Book
 	// StaleAfter is how long the store may not answer before peers are asked.
 	StaleAfter time.Duration
-	Log        *zap.Logger
+	// Seeds are asked while no other ingress is known.
+	Seeds []netip.AddrPort
+	Log   *zap.Logger
 }
 
 // Start pulls until the context ends.
@@ -46,6 +49,10 @@
 			continue
 		}
 		live := p.Mesh.listLive()
+		if len(live) == 0 {
+			p.pullSeeds(ctx)
+			continue
+		}
 		rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 		for _, peer := range live[:min(pullFrom, len(live))] {
 			p.pull(ctx, peer.Name)
@@ -53,14 +60,35 @@
 	}
 }
 
-func (p *Puller) pull(ctx context.Context, name string) {
+// pullSeeds asks ingresses that the settings name. A process that starts while the
+// store does not answer it knows no other way to learn anything.
+func (p *Puller) pullSeeds(ctx context.Context) {
+	if len(p.Seeds) == 0 {
+		return
+	}
+	seed := p.Seeds[rand.IntN(len(p.Seeds))] //nolint:gosec // any of them will do
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
+	got, err := p.Mesh.SyncAt(ctx, seed, p.newSync())
+	if err != nil {
+		p.Log.Info("pull-failed", zap.Stringer("seed", seed), logs.Err(err))
+		return
+	}
+	p.Book.Learn(decodeRecords(got))
+}
+
+func (p *Puller) newSync() *wire.Sync {
 	marks := []*wire.Mark{}
 	for prefix, revision := range p.Book.Marks() {
 		marks = append(marks, &wire.Mark{Prefix: prefix, Revision: revision})
 	}
-	got, err := p.Mesh.Sync(ctx, name, &wire.Sync{Marks: marks})
+	return &wire.Sync{Marks: marks}
+}
+
+func (p *Puller) pull(ctx context.Context, name string) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	got, err := p.Mesh.Sync(ctx, name, p.newSync())
 	if err != nil {
 		p.Log.Info("pull-failed", zap.String("ingress", name), logs.Err(err))
 		return
--- a/proofs/hosted/change_test.go
+++ b/proofs/hosted/change_test.go
@@ -6,8 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
-	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -18,12 +18,6 @@
 	"verbenaroad.example/fakes/services/hosted"
 )
 
-// peers returns the address of the links, as the process logged it.
-func (i *ingress) peers() string {
-	lines := i.output.lines("event=started")
-	return regexp.MustCompile(`peers=(\S+)`).FindStringSubmatch(lines[len(lines)-1])[1]
-}
-
 func throw(t *testing.T, address, text string) {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
@@ -227,3 +221,14 @@
 	})
 	is.Equal(i.send(context.Background(), newRequest("/order/1")).status, http.StatusOK)
 }
+
+// An ingress starts while the store answers the others and not it. It must learn
+// everything from the seed that its settings name, and serve.
+func TestStartWhileTheStoreTurnsAway(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	d.Store.SetFault(1, hosted.StoreSilent)
+	late := newIngress(t, d.World, "late", "b1", 1, netip.MustParseAddrPort("127.0.0.1:1"), d.ingresses[0].links)
+	eventually(t, "it is ready", late.isReady)
+	is.Equal(late.send(context.Background(), newRequest("/order/1")).status, http.StatusOK)
+}
--- a/proofs/hosted/faults_test.go
+++ b/proofs/hosted/faults_test.go
@@ -189,7 +189,7 @@
 	is := is.New(t)
 	d := newDeployment(t, 2)
 	for _, text := range []string{"\x16\x03\x01\x00", "GET", strings.Repeat("A", 1<<16), "POST / HTTP/9.9\r\n\r\n"} {
-		for _, address := range []string{d.ingresses[0].callers.String(), d.ingresses[0].peers()} {
+		for _, address := range []string{d.ingresses[0].callers.String(), d.ingresses[0].links.String()} {
 			throw(t, address, text)
 		}
 	}
--- a/proofs/hosted/process_test.go
+++ b/proofs/hosted/process_test.go
@@ -61,6 +61,7 @@
 	callers netip.AddrPort
 	ready   netip.AddrPort
 	metrics netip.AddrPort
+	links   netip.AddrPort
 	output  *output
 
 	command *exec.Cmd
@@ -82,12 +83,16 @@
 	return addresses
 }
 
-// newIngress starts a process in a zone, with the i-th address of the store.
-func newIngress(t *testing.T, w *hosted.World, name, zone string, store int) *ingress {
+// newIngress starts a process in a zone, with the i-th address of the store and seeds.
+func newIngress(t *testing.T, w *hosted.World, name, zone string, store int, seeds ...netip.AddrPort) *ingress {
 	t.Helper()
 	addresses := freeAddresses(t, 4)
+	listed := []string{}
+	for _, seed := range seeds {
+		listed = append(listed, fmt.Sprintf("%q", seed))
+	}
 	i := &ingress{
-		t: t, name: name, callers: addresses[0], ready: addresses[1], metrics: addresses[2], output: &output{},
+		t: t, name: name, callers: addresses[0], ready: addresses[1], metrics: addresses[2], links: addresses[3], output: &output{},
 		config: filepath.Join(t.TempDir(), name+".toml"),
 	}
 	settings := fmt.Sprintf(`
@@ -106,6 +111,7 @@
 lease = "2s"
 [peers]
 listen = %q
+seeds = [%s]
 [repeats]
 ratio = 0.2
 slack = 60
@@ -114,7 +120,7 @@
 admit = "500ms"
 [metrics]
 listen = %q
-`, name, zone, zone[:1], i.callers, i.ready, w.Store.Address(store), addresses[3], i.metrics)
+`, name, zone, zone[:1], i.callers, i.ready, w.Store.Address(store), addresses[3], strings.Join(listed, ", "), i.metrics)
 	if err := os.WriteFile(i.config, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/proofs/hosted/world_test.go
+++ b/proofs/hosted/world_test.go
@@ -88,6 +88,9 @@
 	for i := range n {
 		d.ingresses = append(d.ingresses, newIngress(t, w, fmt.Sprintf("ingress-%d", i), []string{"a1", "b1"}[i%2], i))
 	}
+	for _, i := range d.ingresses {
+		eventually(t, i.name+" knows the others", func() bool { return len(i.output.lines("event=ingress-seen")) >= n })
+	}
 	for _, i := range d.ingresses {
 		eventually(t, i.name+" is ready", i.isReady)
 		eventually(t, i.name+" knows all servers", func() bool { return len(i.output.lines("event=server-seen")) >= 6 })
--- a/proofs/relay/relay.go
+++ b/proofs/relay/relay.go
@@ -31,6 +31,8 @@
 	pairs map[*pair]bool
 	// held is closed when bytes may pass again; nil while they may.
 	held chan struct{}
+	// answersOnly holds only the bytes of answers: a link that is cut one way.
+	answersOnly bool
 	// refusing is set while new connections are closed at once.
 	refusing bool
 	delay    time.Duration
@@ -103,11 +105,20 @@
 func (r *Relay) Hold() {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	r.answersOnly = false
 	if r.held == nil {
 		r.held = make(chan struct{})
 	}
 }
 
+// HoldAnswers keeps the bytes of answers back until Resume; those of requests pass.
+func (r *Relay) HoldAnswers() {
+	r.Hold()
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.answersOnly = true
+}
+
 // Resume lets the bytes pass again.
 func (r *Relay) Resume() {
 	r.lock.Lock()
@@ -224,6 +235,9 @@
 func (r *Relay) pass(p *pair, to net.Conn, piece []byte, answers bool) bool {
 	r.lock.Lock()
 	held, delay := r.held, r.delay
+	if r.answersOnly && !answers {
+		held = nil
+	}
 	r.lock.Unlock()
 	if delay > 0 {
 		time.Sleep(delay)
--- a/share/modules/setup/sections.go
+++ b/share/modules/setup/sections.go
@@ -128,9 +128,12 @@
 	return strings.Join(parts, ",")
 }
 
-// Set reads addresses with commas between them; a host name is refused.
+// Set reads addresses with commas between them; a host name is refused, an empty text holds none.
 func (l *AddrList) Set(text string) error {
 	*l = nil
+	if text == "" {
+		return nil
+	}
 	for _, part := range strings.Split(text, ",") {
 		address, err := netip.ParseAddrPort(strings.TrimSpace(part))
 		if err != nil {
