--- a/proofs/hosted/change_test.go
+++ b/proofs/hosted/change_test.go
@@ -18,7 +18,7 @@
 	"verbenaroad.example/fakes/services/hosted"
 )
 
-func throw(t *testing.T, address, text string) {
+func throw(t testing.TB, address, text string) {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
--- a/proofs/hosted/process_test.go
+++ b/proofs/hosted/process_test.go
@@ -55,7 +55,7 @@
 
 // ingress is one process of the system.
 type ingress struct {
-	t       *testing.T
+	t       testing.TB
 	name    string
 	config  string
 	callers netip.AddrPort
@@ -69,7 +69,7 @@
 }
 
 // freeAddresses returns loopback addresses that nothing listens on now.
-func freeAddresses(t *testing.T, n int) []netip.AddrPort {
+func freeAddresses(t testing.TB, n int) []netip.AddrPort {
 	t.Helper()
 	addresses := []netip.AddrPort{}
 	for range n {
@@ -84,7 +84,7 @@
 }
 
 // newIngress starts a process in a zone, with the i-th address of the store and seeds.
-func newIngress(t *testing.T, w *hosted.World, name, zone string, store int, seeds ...netip.AddrPort) *ingress {
+func newIngress(t testing.TB, w *hosted.World, name, zone string, store int, seeds ...netip.AddrPort) *ingress {
 	t.Helper()
 	addresses := freeAddresses(t, 4)
 	listed := []string{}
@@ -171,7 +171,7 @@
 }
 
 // eventually waits for a condition.
-func eventually(t *testing.T, what string, check func() bool) {
+func eventually(t testing.TB, what string, check func() bool) {
 	t.Helper()
 	ends := time.Now().Add(patience)
 	for !check() {
