--- a/proofs/hosted/bench_test.go
+++ b/proofs/hosted/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -57,7 +58,7 @@
 	}
 	defer func() { _ = got.Body.Close() }()
 	line, err := bufio.NewReader(got.Body).ReadString('\n')
-	if err != nil && err != io.EOF {
+	if err != nil && !errors.Is(err, io.EOF) {
 		b.Fatal(err)
 	}
 	if !strings.HasPrefix(line, "id: 1") {
--- a/proofs/hosted/soak_faults_test.go
+++ b/proofs/hosted/soak_faults_test.go
@@ -74,7 +74,7 @@
 	return time.Duration(from+s.draw(to-from)) * time.Millisecond
 }
 
-func (s *soak) tell(format string, words ...any) {
+func (s *soak) tellf(format string, words ...any) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.story = append(s.story, fmt.Sprintf("%7.3f ", time.Since(s.start).Seconds())+fmt.Sprintf(format, words...))
@@ -98,7 +98,7 @@
 		time.Sleep(s.millis(50, 500))
 	}
 	wait.Wait()
-	s.tell("the faults are over")
+	s.tellf("the faults are over")
 }
 
 func runFault(fault func(), wait *sync.WaitGroup) {
@@ -130,11 +130,11 @@
 		return
 	}
 	defer s.letGo(n)
-	s.tell("%s freezes", s.ingresses[n].name)
+	s.tellf("%s freezes", s.ingresses[n].name)
 	s.ingresses[n].signal(syscall.SIGSTOP)
 	time.Sleep(s.millis(100, 3000))
 	s.ingresses[n].signal(syscall.SIGCONT)
-	s.tell("%s wakes", s.ingresses[n].name)
+	s.tellf("%s wakes", s.ingresses[n].name)
 }
 
 func (s *soak) kill() {
@@ -143,11 +143,11 @@
 		return
 	}
 	defer s.letGo(n)
-	s.tell("%s is killed", s.ingresses[n].name)
+	s.tellf("%s is killed", s.ingresses[n].name)
 	s.ingresses[n].kill()
 	time.Sleep(s.millis(10, 800))
 	s.ingresses[n].start()
-	s.tell("%s starts", s.ingresses[n].name)
+	s.tellf("%s starts", s.ingresses[n].name)
 }
 
 func (s *soak) restart() {
@@ -157,7 +157,7 @@
 	}
 	defer s.letGo(n)
 	i := s.ingresses[n]
-	s.tell("%s is told to stop", i.name)
+	s.tellf("%s is told to stop", i.name)
 	i.signal(syscall.SIGTERM)
 	if s.draw(3) == 0 {
 		time.Sleep(s.millis(10, 600))
@@ -170,14 +170,14 @@
 		i.kill()
 	}
 	i.start()
-	s.tell("%s starts", i.name)
+	s.tellf("%s starts", i.name)
 }
 
 func (s *soak) failStore() {
 	n := s.draw(len(s.ingresses))
 	faults := []hosted.StoreFault{hosted.StoreBusy, hosted.StoreReset, hosted.StoreSilent}
 	fault := faults[s.draw(len(faults))]
-	s.tell("the store is %s for ingress %d", fault, n)
+	s.tellf("the store is %s for ingress %d", fault, n)
 	s.Store.SetFault(n, fault)
 	time.Sleep(s.millis(200, 2500))
 	if s.draw(3) == 0 {
@@ -193,7 +193,7 @@
 	s.lock.Lock()
 	s.version = max(s.version, version)
 	s.lock.Unlock()
-	s.tell("configuration %d", version)
+	s.tellf("configuration %d", version)
 }
 
 func (s *soak) crashServer() {
@@ -207,13 +207,13 @@
 		return
 	}
 	defer s.noteUp(server.ID)
-	s.tell("%s crashes", server.ID)
+	s.tellf("%s crashes", server.ID)
 	server.Crash()
 	time.Sleep(s.millis(50, 1500))
 	if err := server.Restart(); err != nil {
 		s.t.Error(err)
 	}
-	s.tell("%s is up", server.ID)
+	s.tellf("%s is up", server.ID)
 }
 
 func (s *soak) noteUp(id string) {
@@ -229,7 +229,7 @@
 		hosted.Shed, hosted.Vague, hosted.CutAfterRun, hosted.WrongID, hosted.Unsigned, hosted.Truncate, hosted.Fail, hosted.CutStream,
 	}
 	fault := faults[s.draw(len(faults))]
-	s.tell("%s: %s", server.ID, fault)
+	s.tellf("%s: %s", server.ID, fault)
 	server.SetFaults(fault, hosted.Well, fault)
 }
 
@@ -243,14 +243,14 @@
 	if busy {
 		return
 	}
-	s.tell("%s leaves", server.ID)
+	s.tellf("%s leaves", server.ID)
 	server.Register("draining")
 	time.Sleep(s.millis(500, 2500))
 	s.lock.Lock()
 	delete(s.leaving, server.ID)
 	s.lock.Unlock()
 	server.Register("ready")
-	s.tell("%s is ready", server.ID)
+	s.tellf("%s is ready", server.ID)
 }
 
 func (s *soak) disturbLink() {
@@ -258,23 +258,23 @@
 	r := s.relays[n]
 	switch s.draw(5) {
 	case 0:
-		s.tell("link %d is delayed", n)
+		s.tellf("link %d is delayed", n)
 		r.Delay(s.millis(5, 80))
 		time.Sleep(s.millis(200, 1500))
 		r.Delay(0)
 	case 1:
-		s.tell("link %d is reset", n)
+		s.tellf("link %d is reset", n)
 		r.Drop()
 	case 2:
-		s.tell("open connections of link %d go silent", n)
+		s.tellf("open connections of link %d go silent", n)
 		r.Silence()
 	case 3:
-		s.tell("link %d is cut one way", n)
+		s.tellf("link %d is cut one way", n)
 		r.HoldAnswers()
 		time.Sleep(s.millis(100, 1500))
 		r.Resume()
 	default:
-		s.tell("link %d is cut", n)
+		s.tellf("link %d is cut", n)
 		r.Hold()
 		time.Sleep(s.millis(100, 1500))
 		r.Resume()
