--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -214,7 +214,8 @@
 		return nil, err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	go side{server: server, listener: listener}.run()
+	s := side{server: server, listener: listener}
+	go s.run()
 	return server, nil
 }
 
@@ -255,7 +256,8 @@
 	signal.Notify(signals, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	stopped := make(chan struct{})
-	go waiter{stopper: i.stopper, log: i.log, stopped: stopped}.run(ctx)
+	w := waiter{stopper: i.stopper, log: i.log, stopped: stopped}
+	go w.run(ctx)
 	for {
 		select {
 		case <-signals:
--- a/ingress/services/mesh/serve.go
+++ b/ingress/services/mesh/serve.go
@@ -57,7 +57,8 @@
 	case frame.GetProduce() != nil:
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
-		go watcher{reader: reader, cancel: cancel}.run()
+		w := watcher{reader: reader, cancel: cancel}
+		go w.run()
 		made := h.Maker.ServeProduce(ctx, frame.GetProduce())
 		h.answer(stream, &wire.Frame{Body: &wire.Frame_Produced{Produced: made}})
 	case frame.GetDiscard() != nil:
--- a/share/decide/batch/batch_test.go
+++ b/share/decide/batch/batch_test.go
@@ -193,7 +193,7 @@
 }
 
 // Results are used in the domain of their engine. A free server of another domain
-// waits for half a call's time before it takes the job.
+// waits for the fixed time of a call before it takes the job.
 func TestOwnDomainComesFirst(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
@@ -204,7 +204,8 @@
 	again := newJob(now, 2, 1)
 	again.Domain = "a"
 	is.Equal(len(p.Add(now, again).Calls), 0)
-	late := p.Tick(now.Add(110 * time.Millisecond)).Calls
+	is.Equal(len(p.Tick(now.Add(190*time.Millisecond)).Calls), 0)
+	late := p.Tick(now.Add(210 * time.Millisecond)).Calls
 	is.Equal(len(late), 1)
 	is.Equal(late[0].Server.Domain, "b")
 	lost := newJob(now, 3, 1)
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -269,7 +269,7 @@
 		switch {
 		case j.Domain == "" || j.Domain == w.server.Domain || !p.serves(j.Domain):
 			near = append(near, j)
-		case now.Sub(j.arrived) >= p.pool.CallTime/foreignPart:
+		case now.Sub(j.arrived) >= p.pool.CallTime:
 			far = append(far, j)
 		}
 	}
@@ -277,7 +277,7 @@
 }
 
 // foreignPart divides a call's time into how long a job waits for a server of its domain.
-const foreignPart = 2
+const foreignPart = 1
 
 // serves tells whether a server stands in the failure domain.
 func (p *Planner) serves(domain string) bool {
--- a/share/decide/chain/chain.go
+++ b/share/decide/chain/chain.go
@@ -174,14 +174,13 @@
 )
 
 const (
-	// optimism is how much of the predicted time a request must have to count as on
-	// time: predictions take every wait to its full length.
-	optimism = 0.85
-	// maxHeld is the part of the time that results are kept for which they may wait.
-	maxHeld = 0.3
+	// maxHeld is the part of the time that results are kept for which they may wait:
+	// half a second to most of what they are kept for on the deployments' sheets costs
+	// others their memory.
+	maxHeld = 0.15
 	// lateReserve is how much longer than predicted a late request must have: whatever
 	// can be on time goes before it.
-	lateReserve = 1.6
+	lateReserve = 1.2
 )
 
 // Admit decides on a request that should begin its answer before target and
@@ -192,7 +191,7 @@
 // when the others have passed, waits where it holds nothing; the rest is told
 // at once when to come back.
 func (p Plan) Admit(now, target, ends time.Time) (v Verdict, retryAfter time.Duration) {
-	if !now.Add(time.Duration(optimism * float64(p.Total))).After(target) {
+	if !now.Add(p.Total).After(target) {
 		return Go, 0
 	}
 	needed := time.Duration(lateReserve*float64(p.LateTotal)) + endReserve
--- a/share/decide/chain/chain_test.go
+++ b/share/decide/chain/chain_test.go
@@ -81,7 +81,7 @@
 	}{
 		{"calm", 0, 0, 2 * time.Second, 8 * time.Second, chain.Go},
 		{"short queue", 900 * ms, 1200 * ms, 2500 * ms, 8 * time.Second, chain.Go},
-		{"late, and its results would wait for a third of their time", 2 * time.Second, 2500 * ms, 2 * time.Second, 8 * time.Second, chain.Hold},
+		{"late, and its results would wait for a part of their time", 2 * time.Second, 2500 * ms, 2 * time.Second, 8 * time.Second, chain.Hold},
 		{"late, short wait", 200 * ms, 300 * ms, 500 * ms, 8 * time.Second, chain.Go},
 		{"no hope", 3 * time.Second, 5 * time.Second, 2 * time.Second, 8 * time.Second, chain.Refuse},
 	} {
