--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -261,7 +261,7 @@
 
 // sortFor returns the jobs that may go to a server: first those whose results
 // are used in its failure domain, then those that have waited for a server of
-// their own domain long enough. Results are fetched over the links between
+// their own domain for the fixed time of a call. Results are fetched over the links between
 // domains otherwise, which are slow and charged for.
 func (p *Planner) sortFor(now time.Time, w *worker) []*job {
 	near, far := []*job{}, []*job{}
