--- /dev/null
+++ b/fakes/services/hosted/calls.go
@@ -0,0 +1,158 @@
+package hosted
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+func (s *Store) serve(p *port, w http.ResponseWriter, r *http.Request) {
+	if !s.answers(p, w, r) {
+		return
+	}
+	path := r.URL.Path
+	switch {
+	case path == "/api/kv-range":
+		s.serveRange(w, r)
+	case path == "/api/kv-watch":
+		s.serveWatch(p, w, r)
+	case path == "/api/kv-txn":
+		s.serveWrite(w, r)
+	case path == "/api/kv-lease":
+		s.serveGrant(w, r)
+	case strings.HasPrefix(path, "/api/kv-keep/"):
+		s.serveKeep(w, strings.TrimPrefix(path, "/api/kv-keep/"), false)
+	case strings.HasPrefix(path, "/api/kv-lease-end/"):
+		s.serveKeep(w, strings.TrimPrefix(path, "/api/kv-lease-end/"), true)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// answers fails as the address is set to.
+func (s *Store) answers(p *port, w http.ResponseWriter, r *http.Request) bool {
+	s.lock.Lock()
+	fault := p.fault
+	s.lock.Unlock()
+	switch fault {
+	case StoreBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case StoreReset:
+		cut(w)
+	case StoreSilent:
+		<-r.Context().Done()
+	default:
+		return true
+	}
+	return false
+}
+
+func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	after := r.URL.Query().Get("After")
+	keys := []string{}
+	for key := range s.items {
+		if strings.HasPrefix(key, r.URL.Query().Get("Prefix")) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > pageItems
+	items := []item{}
+	for _, key := range keys[:min(len(keys), pageItems)] {
+		items = append(items, s.items[key])
+	}
+	reply(w, http.StatusOK, map[string]any{"Items": items, "HasMore": more, "At": s.revision})
+}
+
+// pageItems is the size of a page; small, so that tests see several.
+const pageItems = 10
+
+func (s *Store) serveWatch(p *port, w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("After"), 10, 64)
+	wait, failed := strconv.Atoi(query.Get("WaitMs"))
+	if err != nil || failed != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ends := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for {
+		// An address that fails tells nothing any more, also not to a watch that waits.
+		if p.fault != StoreWell {
+			cut(w)
+			return
+		}
+		if after < s.dropped {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		events := []item{}
+		for _, i := range s.history {
+			if i.Revision > after && strings.HasPrefix(i.Key, query.Get("Prefix")) {
+				events = append(events, i)
+			}
+		}
+		if len(events) > 0 || time.Now().After(ends) || s.closed || r.Context().Err() != nil {
+			reply(w, http.StatusOK, map[string]any{"events": events, "At": s.revision})
+			return
+		}
+		s.changed.Wait()
+	}
+}
+
+func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request) {
+	body := struct{ SetKeys []item }{}
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, i := range body.SetKeys {
+		if _, live := s.leases[i.Lease]; i.Lease != 0 && !live {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	for _, i := range body.SetKeys {
+		s.put(i.Key, i.Value, i.Lease)
+	}
+	reply(w, http.StatusOK, map[string]any{"Revision": s.revision})
+}
+
+func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request) {
+	body := struct{ TtlMs int64 }{} //nolint:revive // the platform's spelling
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.lastLease++
+	s.ttls[s.lastLease] = time.Duration(body.TtlMs) * time.Millisecond
+	s.leases[s.lastLease] = time.Now().Add(s.ttls[s.lastLease])
+	reply(w, http.StatusOK, map[string]any{"Lease": s.lastLease, "TtlMs": body.TtlMs})
+}
+
+func (s *Store) serveKeep(w http.ResponseWriter, id string, end bool) {
+	lease, err := strconv.ParseUint(id, 10, 64)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if _, live := s.leases[lease]; err != nil || !live {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if end {
+		s.endLease(lease)
+	} else {
+		s.leases[lease] = time.Now().Add(s.ttls[lease])
+	}
+	reply(w, http.StatusOK, map[string]any{"TtlMs": s.ttls[lease].Milliseconds()})
+}
--- /dev/null
+++ b/share/decide/batch/ends.go
@@ -0,0 +1,111 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"verbenaroad.example/share/models/site"
+)
+
+// End takes the end of a call. Err tells that nothing is known of its items.
+func (p *Planner) End(now time.Time, callID uint64, results []site.ItemResult, failed bool) Actions {
+	call := p.calls[callID]
+	if call == nil {
+		return Actions{}
+	}
+	delete(p.calls, callID)
+	w := p.workers[call.Server.ID]
+	if w != nil {
+		w.end(now, call, results, failed, p.pool)
+	}
+	a := Actions{}
+	again := true
+	if failed || isRefused(results) {
+		again = p.repeat(now, 1)
+	}
+	for i, place := range call.jobs {
+		result := site.ItemResult{Outcome: site.ItemUnknown}
+		if !failed {
+			result = results[i]
+		}
+		p.takeResult(&a, now, place, result, again)
+	}
+	a.add(p.plan(now))
+	return a
+}
+
+func isRefused(results []site.ItemResult) bool {
+	return len(results) > 0 && results[0].Outcome == site.ItemRefused
+}
+
+// takeResult takes the end of one item; again tells whether it may be sent once more.
+func (p *Planner) takeResult(a *Actions, now time.Time, place placed, result site.ItemResult, again bool) {
+	j := place.job
+	if result.Outcome == site.ItemMade && j.over {
+		a.Release = append(a.Release, result.Handle)
+		return
+	}
+	if j.over {
+		return
+	}
+	switch result.Outcome {
+	case site.ItemMade:
+		j.handles[place.index] = result.Handle
+		j.made++
+		if j.made == j.Count {
+			p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeMade})
+		}
+	case site.ItemGone:
+		p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeGone})
+	case site.ItemLate:
+		p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeExpired})
+	default:
+		p.sendAgain(a, now, place, again)
+	}
+}
+
+// sendAgain puts an item back into the queue. A call that was refused or broke
+// off counts against the budget that all ingresses share, once: what arrives at a
+// server is the call. Items that found no memory or failed wait for a call that
+// goes anyway.
+func (p *Planner) sendAgain(a *Actions, now time.Time, place placed, again bool) {
+	j := place.job
+	j.repeats++
+	if !again || j.repeats > maxRepeats*j.Count {
+		p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeFailed, RetryAfter: p.predictWait(now, j.Count, false)})
+		return
+	}
+	j.todo = append(j.todo, place.index)
+	if !slices.Contains(p.queue, j) {
+		p.queue = append(p.queue, j)
+	}
+}
+
+// finish ends a job; what was made of one that fails is released.
+func (p *Planner) finish(a *Actions, now time.Time, j *job, done Done) {
+	j.over = true
+	delete(p.jobs, j.ID)
+	p.queue = slices.DeleteFunc(p.queue, func(q *job) bool { return q == j })
+	if done.Outcome == OutcomeMade {
+		done.Handles = j.handles
+	} else {
+		for _, h := range j.handles {
+			if h != "" {
+				a.Release = append(a.Release, h)
+			}
+		}
+	}
+	p.tell(a, now, done)
+}
+
+// Outlook predicts how long a new job of one result waits, one that can be on time
+// and one that cannot, and tells how many results a second are made in full calls.
+func (p *Planner) Outlook(now time.Time) (onTime, late time.Duration, rate float64) {
+	return p.predictWait(now, 1, true), p.predictWait(now, 1, false), p.rate(now)
+}
+
+// tell ends a job with the outlook for the next ones.
+func (p *Planner) tell(a *Actions, now time.Time, done Done) {
+	done.OnTime, done.Late, done.Rate = p.Outlook(now)
+	a.Done = append(a.Done, done)
+}
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -276,9 +276,6 @@
 	return append(near, far...)
 }
 
-// foreignPart divides a call's time into how long a job waits for a server of its domain.
-const foreignPart = 1
-
 // serves tells whether a server stands in the failure domain.
 func (p *Planner) serves(domain string) bool {
 	return slices.ContainsFunc(p.ready, func(w *worker) bool { return w.server.Domain == domain })
