--- a/vctl/cmds/cmds.go
+++ b/vctl/cmds/cmds.go
@@ -109,7 +109,10 @@
 every flag can be set as VCTL_<FLAG>, for example VCTL_SERVER.`),
 		FlagSet:     flags,
 		Subcommands: a.newSubcommands(),
-		Exec: func(context.Context, []string) error {
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return newUsageError("%q is no subcommand; vctl -h lists them", args[0])
+			}
 			return newUsageError("want a subcommand; vctl -h lists them")
 		},
 	}
--- a/vctl/cmds/page_test.go
+++ b/vctl/cmds/page_test.go
@@ -81,3 +81,11 @@
 		t.Errorf("vctl %s: %s", line, r.err)
 	}
 }
+
+// An operator mistypes a subcommand; the answer names what it does not know.
+func TestUnknownSubcommandIsNamed(t *testing.T) {
+	is := is.New(t)
+	r := run(t, "nonsense")
+	is.Equal(r.code, cmds.ExitUsage)
+	is.True(strings.Contains(r.err, `"nonsense"`))
+}
