a refusal after an attempt that may have run does not say that it was not run

Cause, found by reading: a read that ran and broke off, with no other server left or the next one full, was answered 503 with the outcome not-run; so was a stream that broke off before its answer. TestRefusalAfterARunIsTrue failed first. Fields that nothing used went out.

--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -34,6 +34,8 @@
 	Truncate Fault = "truncate"
 	// Fail runs the request and answers 500.
 	Fail Fault = "fail"
+	// CutAtOnce breaks a stream off before its answer begins.
+	CutAtOnce Fault = "cut-at-once"
 	// CutStream breaks a stream off in the middle of its third event.
 	CutStream Fault = "cut-stream"
 )
@@ -259,6 +261,10 @@
 	if err != nil {
 		after = 0
 	}
+	if fault == CutAtOnce {
+		cut(w)
+		return
+	}
 	sign(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
--- a/ingress/routers/public/public.go
+++ b/ingress/routers/public/public.go
@@ -130,7 +130,6 @@
 		Request: request,
 		Method:  r.Method,
 		Target:  target,
-		Path:    path,
 		Host:    r.Host,
 		Header:  header,
 		Body:    body,
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -127,7 +127,6 @@
 	site.Request
 	Method  string
 	Target  string
-	Path    string
 	Host    string
 	Header  http.Header
 	Body    []byte
@@ -195,6 +194,7 @@
 // finish answers what got no answer of a backend server, and logs the outcome.
 func (x *exchange) finish(ctx context.Context, w http.ResponseWriter, result *codes.Result) {
 	took := time.Since(x.Arrived)
+	result = x.tellRuns(result)
 	if result == nil {
 		x.log.Info("answered", zap.Duration("took", took), zap.Int("sends", x.sends), zap.Strings("servers", x.tried))
 		x.server.options.Meter.CountAnswer(x.route.Name, "answered", took)
@@ -212,6 +212,15 @@
 	WriteResult(w, result)
 }
 
+// tellRuns keeps a refusal true: after an attempt that ran or may have, whatever
+// ended the request later, it is not answered as one that did not run.
+func (x *exchange) tellRuns(result *codes.Result) *codes.Result {
+	if result == nil || x.runs == 0 || result.Outcome != codes.OutcomeNotRun {
+		return result
+	}
+	return codes.NewResult(codes.BackendLost, "an attempt may have run; then: "+result.Detail)
+}
+
 // left returns how long the request still has.
 func (x *exchange) left() time.Duration { return time.Until(x.ends) }
 
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -126,7 +126,6 @@
 			Team:      x.Grant.Team,
 			Handles:   handles,
 			HasStages: len(x.route.Stages) > 0,
-			Urgency:   -1,
 		},
 	}
 }
--- a/proofs/hosted/faults_test.go
+++ b/proofs/hosted/faults_test.go
@@ -109,6 +109,29 @@
 	}
 }
 
+// A catalogue entry is read at the only server that takes work, which runs it and
+// breaks off. No other server is left; the caller must not hear that it did not run.
+func TestRefusalAfterARunIsTrue(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	d.plain[1].Register("draining")
+	eventually(t, "the drain is known", func() bool { return len(d.ingresses[0].output.lines(d.plain[1].ID, "state=draining")) == 1 })
+	d.plain[0].SetFaults(hosted.CutAfterRun)
+	q := newRequest("/read/1")
+	got := d.ingresses[0].send(context.Background(), q)
+	is.Equal(got.status, http.StatusBadGateway)
+	is.Equal(len(d.Runs(q.id)), 1)
+
+	// The same with a stream that breaks off before its first event, and no other engine.
+	d.engines[1].Register("draining")
+	eventually(t, "the drain is known", func() bool { return len(d.ingresses[0].output.lines(d.engines[1].ID, "state=draining")) == 1 })
+	d.engines[0].SetFaults(hosted.CutAtOnce)
+	q = newReview()
+	got = d.ingresses[0].send(context.Background(), q)
+	is.Equal(got.status, http.StatusBadGateway)
+	is.Equal(len(d.Runs(q.id)), 1)
+}
+
 // An engine breaks off in the middle of an event. A stream that may be resumed goes
 // on at another engine after the last whole event, within the same answer; one
 // that may not must not look complete.
--- a/share/models/site/request.go
+++ b/share/models/site/request.go
@@ -49,8 +49,6 @@
 	HasStages bool
 	// LastEventID is where the stream goes on; empty: at its begin.
 	LastEventID string
-	// Urgency ranks the request at the engine: 0 is served first; negative: not said.
-	Urgency int
 }
 
 // Answer is the head of a backend server's answer.
