an engine's own failure is delivered whole

Cause, found by reading: an answer that is no stream of events, such as a 500 with a short text, was taken for an event that broke off, and the caller's connection was cut without an answer. TestFailedStream failed first. Streams that may be resumed try another engine before.

--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -265,6 +265,12 @@
 		cut(w)
 		return
 	}
+	if fault == Fail {
+		sign(w)
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "failed")
+		return
+	}
 	sign(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -168,6 +168,9 @@
 	if v, unusable := r.judgeHead(server, reply, time.Since(began)); unusable {
 		return v
 	}
+	if reply.Status >= http.StatusMultipleChoices {
+		return r.takeFailure(ctx, server, reply, time.Since(began))
+	}
 	r.runs++
 	err = r.forward(server, reply)
 	took := time.Since(began)
@@ -175,7 +178,28 @@
 		r.runs-- // counted by judgeBreak
 		return r.judgeBreak(ctx, server, err, took)
 	}
+	r.end(server, place.ResultServed, took, reply.Load)
+	return verdict{}
+}
+
+// takeFailure delivers an engine's own failure, which is no stream of events, whole
+// as it came. A stream that may be resumed is tried at another engine first, and one
+// whose head went to the caller can only go on there or be cut.
+func (r *relay) takeFailure(ctx context.Context, server site.Server, reply *reach.Reply, took time.Duration) verdict {
+	held, err := io.ReadAll(io.LimitReader(reply.Body, maxHeldBytes))
+	if err != nil {
+		return r.judgeBreak(ctx, server, err, took)
+	}
+	r.log.Warn("stream-refused", zap.String("server", server.ID), zap.Int("status", reply.Status), zap.Duration("took", took))
+	r.runs++
 	r.end(server, outcomeOf(reply.Status < http.StatusInternalServerError), took, reply.Load)
+	if r.route.Resumable && r.mayRunAgain("server-error") {
+		return verdict{again: true, result: codes.NewResult(codes.BackendFailed, server.ID+" failed")}
+	}
+	if r.headed {
+		return verdict{result: codes.NewResult(codes.BackendFailed, server.ID+" failed")}
+	}
+	r.deliver(r.writer, reply, held)
 	return verdict{}
 }
 
--- a/proofs/hosted/faults_test.go
+++ b/proofs/hosted/faults_test.go
@@ -169,6 +169,32 @@
 	is.Equal(len(d.Runs(q.id)), 1)
 }
 
+// An engine answers a stream with a failure of its own, a short text and no events.
+// A stream that may be resumed goes to another engine; where that is not
+// allowed, or fails as well, the caller gets the failure whole and unchanged.
+func TestFailedStream(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	for _, e := range d.engines {
+		e.SetFaults(hosted.Fail)
+	}
+	q := newRequest("/advice/1")
+	got := d.ingresses[0].send(context.Background(), q)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusInternalServerError)
+	is.Equal(got.body, "failed")
+	is.True(got.header.Get("X-Verbenaroad-Replica-Signature") != "")
+	is.Equal(len(d.Runs(q.id)), 1)
+
+	d.engines[0].SetFaults(hosted.Fail)
+	d.engines[1].SetFaults()
+	for range 2 {
+		got = d.ingresses[0].send(context.Background(), newReview())
+		is.NoErr(got.err)
+		is.Equal(events(got.body), "1,2,3,4,5,6")
+	}
+}
+
 // A pool's answer is lost after its results were made. They are made again, and
 // no item is ever given those of another request.
 func TestLostResultsAreMadeAgain(t *testing.T) {
