--- a/ingress/cmds/front.go
+++ b/ingress/cmds/front.go
@@ -42,6 +42,8 @@
 	Handler http.Handler
 	Views   Views
 	Log     *zap.Logger
+	// MaxConnections bounds the open connections.
+	MaxConnections int
 }
 
 // Front is the callers' HTTP server. It closes connections that are idle for
@@ -54,6 +56,8 @@
 	lock sync.Mutex
 	// idle holds since when each idle connection has been so.
 	idle map[net.Conn]time.Time
+	// open counts the connections.
+	open int
 }
 
 // NewFront listens and serves at once.
@@ -88,11 +92,41 @@
 func (f *Front) noteState(conn net.Conn, s http.ConnState) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	if s == http.StateIdle || s == http.StateNew {
+	switch s {
+	case http.StateNew:
+		f.open++
+		if f.open > f.options.MaxConnections {
+			f.closeOldest()
+		}
+		f.idle[conn] = time.Now()
+	case http.StateIdle:
 		f.idle[conn] = time.Now()
+	case http.StateClosed, http.StateHijacked:
+		f.open--
+		delete(f.idle, conn)
+	default:
+		delete(f.idle, conn)
+	}
+}
+
+// closeOldest makes room for a new connection by closing the one that has been
+// idle for the longest time.
+//
+// Guards against callers that open connections and leave them: descriptors run
+// out, and then not even a request that was accepted can be sent on.
+func (f *Front) closeOldest() {
+	var oldest net.Conn
+	for conn, since := range f.idle {
+		if oldest == nil || since.Before(f.idle[oldest]) {
+			oldest = conn
+		}
+	}
+	if oldest == nil {
 		return
 	}
-	delete(f.idle, conn)
+	delete(f.idle, oldest)
+	f.options.Log.Warn("connection-closed", zap.String("reason", "too many are open"), zap.Int("open", f.open))
+	_ = oldest.Close() // the server forgets it
 }
 
 func (f *Front) loop(ctx context.Context) {
--- a/ingress/cmds/settings.go
+++ b/ingress/cmds/settings.go
@@ -18,18 +18,31 @@
 	// Ready is where the balancer asks whether the process takes new connections.
 	Ready     netip.AddrPort
 	ReadyPath string
+	// Descriptors is how many the process may open; half of them are for callers.
+	Descriptors int
 }
 
+// callersPart divides the descriptors: a caller's request needs one more towards its server.
+const callersPart = 2
+
+// MaxConnections returns how many connections of callers may be open.
+func (c *Callers) MaxConnections() int { return max(c.Descriptors/callersPart, 1) }
+
 // Register declares the keys of the section.
 func (c *Callers) Register(fs *flag.FlagSet) {
 	fs.TextVar(&c.Listen, "callers.listen", netip.AddrPort{}, "`ip:port` for callers")
 	fs.TextVar(&c.Ready, "callers.ready", netip.AddrPort{}, "`ip:port` where the balancer asks whether the process is ready")
 	fs.StringVar(&c.ReadyPath, "callers.ready-path", "/readyz", "`path` of that question")
+	fs.IntVar(&c.Descriptors, "callers.descriptors", 4096, "`number` of descriptors that the process may open; half of them are for callers, and beyond that the connection that was idle longest is closed for a new one")
 }
 
 // Check returns the faults of the section.
 func (c *Callers) Check() []error {
-	return checkAddresses(map[string]netip.AddrPort{"callers.listen": c.Listen, "callers.ready": c.Ready})
+	faults := checkAddresses(map[string]netip.AddrPort{"callers.listen": c.Listen, "callers.ready": c.Ready})
+	if c.Descriptors < callersPart {
+		faults = append(faults, errs.New("callers.descriptors: must be %d or more", callersPart))
+	}
+	return faults
 }
 
 // Store is the table [store]: the platform's store.
--- a/proofs/hosted/faults_test.go
+++ b/proofs/hosted/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -233,6 +234,22 @@
 	}
 }
 
+// Somebody opens connections and leaves them, many more than the ingress may have.
+// Orders of others must still be taken.
+func TestFloodOfConnections(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	for range 300 {
+		conn, err := net.Dial("tcp", d.ingresses[0].callers.String())
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+	}
+	for range 5 {
+		is.Equal(d.ingresses[0].send(context.Background(), newRequest("/order/1")).status, http.StatusOK)
+	}
+	is.True(len(d.ingresses[0].output.lines("event=connection-closed")) >= 200)
+}
+
 // Garbage comes in at the callers' port and at the peers' port.
 func TestGarbageAtThePorts(t *testing.T) {
 	is := is.New(t)
--- a/proofs/hosted/process_test.go
+++ b/proofs/hosted/process_test.go
@@ -104,6 +104,7 @@
 [callers]
 listen = %q
 ready = %q
+descriptors = 100
 [store]
 address = %q
 wait = "500ms"
