proofs: a taken port starts the process once more; failed tests show the processes' last lines

Its lines were not kept, so the cause is not shown; the likely one, a port taken between its choice and its use, now shows and is tried again.

--- a/proofs/hosted/process_test.go
+++ b/proofs/hosted/process_test.go
@@ -84,7 +84,36 @@
 }
 
 // newIngress starts a process in a zone, with the i-th address of the store and seeds.
+//
+// Its ports were free a moment before; another test of the machine may take one
+// meanwhile, and then the process ends at once and others are tried.
 func newIngress(t testing.TB, w *hosted.World, name, zone string, store int, seeds ...netip.AddrPort) *ingress {
+	t.Helper()
+	for {
+		i := startIngress(t, w, name, zone, store, seeds)
+		eventually(t, name+" started or ended", func() bool {
+			return len(i.output.lines("event=started")) > 0 || i.hasEnded()
+		})
+		if len(i.output.lines("event=started")) > 0 {
+			return i
+		}
+		if len(i.output.lines("address already in use")) == 0 {
+			t.Fatalf("%s ended: %s", name, strings.Join(i.output.lines(), "; "))
+		}
+		t.Logf("%s: a port was taken meanwhile, once more", name)
+	}
+}
+
+func (i *ingress) hasEnded() bool {
+	select {
+	case <-i.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func startIngress(t testing.TB, w *hosted.World, name, zone string, store int, seeds []netip.AddrPort) *ingress {
 	t.Helper()
 	addresses := freeAddresses(t, 4)
 	listed := []string{}
--- a/proofs/hosted/world_test.go
+++ b/proofs/hosted/world_test.go
@@ -26,6 +26,9 @@
 
 const host = "kits.example"
 
+// lastLines is how many lines of each process a failed test shows.
+const lastLines = 30
+
 func routes() []hosted.Route {
 	return []hosted.Route{
 		{
@@ -88,6 +91,15 @@
 	for i := range n {
 		d.ingresses = append(d.ingresses, newIngress(t, w, fmt.Sprintf("ingress-%d", i), []string{"a1", "b1"}[i%2], i))
 	}
+	t.Cleanup(func() {
+		if !t.Failed() {
+			return
+		}
+		for _, i := range d.ingresses {
+			lines := i.output.lines()
+			t.Logf("%s, last lines:\n%s", i.name, strings.Join(lines[max(0, len(lines)-lastLines):], "\n"))
+		}
+	})
 	for _, i := range d.ingresses {
 		eventually(t, i.name+" knows the others", func() bool { return len(i.output.lines("event=ingress-seen")) >= n })
 	}
