ingress no longer links claims, configuration chunks and the Consul client

share/services/procs brought them in for two functions; waiting for the stop is now in stops, the incarnation in link. docs/PLATFORM.md said so before it was true.

--- a/agent/cmds/serve.go
+++ b/agent/cmds/serve.go
@@ -87,7 +87,7 @@
 // build wires the services; none of them does I/O yet.
 func (a *Agent) build() {
 	s := a.settings
-	incarnation := procs.NewIncarnation()
+	incarnation := link.NewIncarnation()
 	a.store = kvapi.NewClient(kvapi.Options{Address: s.Platform.Store, CallTimeout: s.Platform.StoreTimeout})
 	port := kvport.NewPort(a.store)
 	a.stopper = stops.NewStopper(drain.Settings{Grace: s.Stop.Grace, Linger: min(s.Peers.Linger, s.Stop.Grace)})
@@ -197,7 +197,7 @@
 	a.watcher.Start(ctx)
 	a.server.Start(ctx)
 	a.log.Info("started", zap.Stringer("peers", a.server.Address()), zap.Stringer("metrics", a.metrics.Address()))
-	procs.WaitStop(ctx, a.stopper, a.log)
+	stops.Wait(ctx, a.stopper, a.log)
 	a.waitUnwritten()
 	a.server.Close()
 	closing, done := context.WithTimeout(context.Background(), closeTimeout)
--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -139,7 +139,7 @@
 	return &wire.Hello{
 		Version:     wire.Version,
 		Name:        i.Name,
-		Incarnation: procs.NewIncarnation(),
+		Incarnation: link.NewIncarnation(),
 		Role:        string(member.RoleEntry),
 		Region:      i.Region,
 		Domain:      i.Domain,
@@ -250,7 +250,7 @@
 		zap.Stringer("admin", e.admin.Address()),
 		zap.Stringer("metrics", e.metrics.Address()),
 	)
-	procs.WaitStop(ctx, e.stopper, e.log)
+	stops.Wait(ctx, e.stopper, e.log)
 	closing, done := context.WithTimeout(context.Background(), closeTimeout)
 	defer done()
 	return errors.Join(
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -33,7 +33,6 @@
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/wire"
 	"verbenaroad.example/share/services/peers"
-	"verbenaroad.example/share/services/procs"
 	"verbenaroad.example/share/services/stops"
 )
 
@@ -98,7 +97,7 @@
 	s := i.settings
 	i.self = site.Ingress{
 		Name: s.Place.Name, Address: s.Peers.Listen, Domain: s.Place.Domain, Capacity: s.Place.Cores,
-		Incarnation: procs.NewIncarnation(),
+		Incarnation: link.NewIncarnation(),
 	}
 	i.stopper = stops.NewStopper(drain.Settings{
 		Grace: s.Stop.Grace - graceReserve, Linger: s.Stop.Admit, Admit: s.Stop.Admit,
@@ -293,6 +292,6 @@
 }
 
 func (w waiter) run(ctx context.Context) {
-	procs.WaitStop(ctx, w.stopper, w.log)
+	stops.Wait(ctx, w.stopper, w.log)
 	close(w.stopped)
 }
--- a/share/services/procs/procs.go
+++ b/share/services/procs/procs.go
@@ -1,15 +1,9 @@
-// Package procs holds what the programs' assemblies share: identity, readiness,
-// the list of instances, and waiting for the stop.
+// Package procs holds what the assemblies of entry and agent share: readiness, the
+// list of instances and the figures of the configuration.
 package procs
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
-	"os"
-	"os/signal"
-	"strings"
-	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -31,15 +25,6 @@
 // StopCheck is how often a stopping process looks whether it may leave.
 const StopCheck = 50 * time.Millisecond
 
-const incarnationBytes = 8
-
-// NewIncarnation returns an id that no other start of a process has.
-func NewIncarnation() string {
-	id := make([]byte, incarnationBytes)
-	_, _ = rand.Read(id)
-	return hex.EncodeToString(id)
-}
-
 // NewFollower returns the follower of an instance's configuration.
 func NewFollower(name, domain string, port *kvport.Port, peers follow.Peers, log *zap.Logger) *follow.Follower {
 	return follow.NewFollower(follow.Options{
@@ -72,26 +57,6 @@
 	return nil
 }
 
-// WaitStop waits for a signal and then for the drain; a second signal changes nothing.
-func WaitStop(ctx context.Context, stopper *stops.Stopper, log *zap.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case got := <-signals:
-			log.Info("stop-requested", zap.Stringer("signal", got))
-			stopper.RequestStop(ctx)
-		case <-stopper.Stopped():
-			cut := stopper.FindCut()
-			log.Info("stopped", zap.Int("cut", len(cut)), zap.String("requests", strings.Join(cut, ",")))
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // ConfigReport is the configuration part of a process's figures.
 type ConfigReport struct {
 	Revision        uint64  `json:"revision"`
