--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -63,12 +63,19 @@
 	return found
 }
 
-// leftOr tells a request whose caller left from one whose time ran out.
+// leftOr tells a request whose caller left from one whose time ran out: work that
+// is given up looks alike in both.
 func (x *exchange) leftOr(ctx context.Context, result *codes.Result) *codes.Result {
-	if result != nil && errors.Is(ctx.Err(), context.Canceled) {
+	switch {
+	case result == nil:
+		return nil
+	case errors.Is(ctx.Err(), context.Canceled):
 		return codes.NewResult(codes.Canceled, "the caller left")
+	case result.Code == codes.Canceled:
+		return codes.NewResult(codes.DeadlineUnmeetable, "its time ran out before it was sent to an engine")
+	default:
+		return result
 	}
-	return result
 }
 
 // relay forwards the events of one stream, over more than one engine where the route allows it.
--- a/proofs/hosted/path_test.go
+++ b/proofs/hosted/path_test.go
@@ -132,6 +132,24 @@
 	is.Equal(len(d.Runs(q.id)), 0)
 }
 
+// A review's time passes while its results are still being made, and its caller is
+// still there. The answer says that the review was not run, and not that the caller left.
+func TestTimeRunsOutInAStage(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	for _, p := range d.pools {
+		p.Work = 3 * time.Second
+	}
+	for _, i := range d.ingresses {
+		q := newReview()
+		q.patience = 1200 * time.Millisecond
+		got := i.send(context.Background(), q)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(got.took < 2*time.Second)
+		is.Equal(len(d.Runs(q.id)), 0)
+	}
+}
+
 // The route's time passes while a server is silent. The caller gets its final
 // answer then, and not at the end of its own patience.
 func TestRouteTimeout(t *testing.T) {
