--- a/Makefile
+++ b/Makefile
@@ -64,8 +64,8 @@
 	@if [ -x spec/check.sh ]; then spec/check.sh; else echo "spec: no models yet"; fi
 
 .PHONY: demo
-demo: build tools ## starts a small deployment, runs requests, stops it gracefully
-	scripts/demo.sh $(DEPLOYMENT)
+demo: build tools ## starts a small deployment, runs requests, stops it gracefully (PLATFORM=1: on the users' platform's stand-in)
+	$(if $(PLATFORM),scripts/demo/platform.sh,scripts/demo.sh $(DEPLOYMENT))
 
 .PHONY: tidy
 tidy: ## tidies every module
--- a/fakes/cmds/main.go
+++ b/fakes/cmds/main.go
@@ -61,6 +61,7 @@
 			newRegister(output),
 			newRelay(log, output),
 			newWeights(log, output),
+			newHosted(output),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
