--- a/share/decide/batch/load_test.go
+++ b/share/decide/batch/load_test.go
@@ -118,7 +118,7 @@
 // Five servers make 8 results a call in 360 ms, 111 a second in all. At 45 jobs of
 // two results a second, calls of one ingress's jobs alone would need more servers
 // than there are: 200 ms of each call are lost whatever it holds. One planner for all
-// fills the calls. This is the calm day of the users' sheets.
+// fills the calls. This is an ordinary load of both deployments.
 func TestOnePlannerCarriesWhatSixCannot(t *testing.T) {
 	is := is.New(t)
 	steady := func(time.Duration) float64 { return 45 }
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -174,7 +174,7 @@
 	// smallPart is the part of a batch below which a call is small.
 	smallPart = 0.5
 	// smallWait is how long an idle server with little memory left waits for some: a
-	// call takes 200 ms before its first result on the deployments' sheets, and
+	// call takes 200 ms before its first result in both deployments, and
 	// with one result in it the server makes a tenth of what it could.
 	smallWait = 150 * time.Millisecond
 )
--- a/share/decide/place/engines_test.go
+++ b/share/decide/place/engines_test.go
@@ -51,7 +51,7 @@
 // Thirty reviews a second for six seconds, two and a half times the usual rate, of
 // a hundred sessions over four documents, more than a quarter of them about one
 // session, with 18 engines that read 32 tokens a millisecond one prompt after the
-// other: a burst and a hot key on the users' sheets. By a hash of the session alone
+// other: a burst and a hot key of both deployments. By a hash of the session alone
 // some engines get queues of seconds while others idle.
 func TestBurstOfReviewsSpreads(t *testing.T) {
 	is := is.New(t)
