ingress: both ends of a link use the TLS settings

Found by reading the change once more: [tls] was given to the listening end only, so with certificates set each ingress would have dialed its peers without them, failed, and batched alone. The settings of a link are now made in one place. No test with certificates yet; without them, as on the users' platform, nothing changes.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -55,6 +56,8 @@
 	reload   ReloadFunc
 	log      *zap.Logger
 	lines    *logs.Bounded
+	// security is that of the links, both ends; nil: plain.
+	security *tls.Config
 	meters   *meters.Meters
 	self     site.Ingress
 	store    *keyval.Client
@@ -85,6 +88,10 @@
 	}
 	i.log = log.With(zap.String("instance", settings.Place.Name))
 	i.lines = lines
+	i.security, err = settings.Secure.BuildConfig()
+	if err != nil {
+		return err
+	}
 	i.build()
 	if err := i.listen(ctx); err != nil {
 		return err
@@ -130,6 +137,7 @@
 			Version: wire.Version, Name: i.self.Name, Incarnation: i.self.Incarnation, Role: "ingress",
 			Region: i.settings.Place.Region, Domain: i.self.Domain,
 		},
+		TLS:         i.security,
 		Private:     i.settings.Peers.Private,
 		BeatEvery:   beat,
 		SilentAfter: time.Duration(silentBeats * float64(beat)),
@@ -165,14 +173,9 @@
 
 func (i *Ingress) listen(ctx context.Context) error {
 	s := i.settings
-	security, err := s.Secure.BuildConfig()
-	if err != nil {
-		return err
-	}
-	options := i.newLink()
-	options.TLS = security
+	var err error
 	i.links, err = peers.NewServer(peers.Options{
-		Address: s.Peers.Listen, Link: options,
+		Address: s.Peers.Listen, Link: i.newLink(),
 		Handler: &mesh.Handler{Book: i.book, Maker: i.maker, Placer: i.desk, Log: i.log}, Log: i.log,
 	})
 	if err != nil {
