A stop resets no connection that the kernel holds and the program has not accepted

Cause: closing a listener resets the connections in its queue; their callers have written a request by then and see a reset, not knowing whether it ran. Change: share/modules/listen has the kernel drop opening packets (a socket filter, which needs plain TCP in place of Go's default multipath sockets), waits until the queue is empty, then the listener is closed. Used by the product's HTTP server and by the ingress's callers' server.

--- a/ingress/cmds/front.go
+++ b/ingress/cmds/front.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/modules/listen"
 	"verbenaroad.example/share/modules/logs"
 )
 
@@ -62,10 +63,9 @@
 
 // NewFront listens and serves at once.
 func NewFront(ctx context.Context, options FrontOptions) (*Front, error) {
-	settings := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+	listener, err := listen.Open(ctx, options.Address, net.KeepAliveConfig{
 		Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
-	}}
-	listener, err := settings.Listen(ctx, "tcp", options.Address.String())
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -159,6 +159,9 @@
 
 // Close stops listening, closes idle connections and waits for the others.
 func (f *Front) Close(ctx context.Context) error {
+	if err := listen.Quiesce(ctx, f.listener); err != nil {
+		f.options.Log.Warn("listener-closed-early", logs.Err(err))
+	}
 	err := f.server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		return f.server.Close()
--- a/share/modules/httpd/server.go
+++ b/share/modules/httpd/server.go
@@ -15,6 +15,8 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/zeebo/errs"
+
+	"verbenaroad.example/share/modules/listen"
 )
 
 // ErrServer is the class of errors of this package.
@@ -123,9 +125,8 @@
 	return c
 }
 
-func (s *Server) listen(network, address string) (net.Listener, error) {
-	settings := net.ListenConfig{}
-	listener, err := settings.Listen(context.Background(), network, address)
+func (s *Server) listen(_, _ string) (net.Listener, error) {
+	listener, err := listen.Open(context.Background(), s.options.Address, net.KeepAliveConfig{})
 	s.listener = listener
 	return listener, err
 }
--- a/share/modules/httpd/shutdown.go
+++ b/share/modules/httpd/shutdown.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
+
+	"verbenaroad.example/share/modules/listen"
 )
 
 // freshTime is how long a stop waits for the first request of a connection that was accepted just before.
@@ -11,8 +14,9 @@
 
 // Shutdown stops accepting, waits until nothing is left to answer or the context ends, and closes.
 func (s *Server) Shutdown(ctx context.Context) error {
+	err := listen.Quiesce(ctx, s.listener)
 	_ = s.listener.Close()
-	err := s.waitIdle(ctx)
+	err = errors.Join(err, s.waitIdle(ctx))
 	close(s.done)
 	s.engine.Stop()
 	return ErrServer.Wrap(err)
