A server that leaves just after the store was regained gets no new work

Cause: two ingresses had been cut off; the watch of the servers was regained 2.8 s later than the others, since a watch is silent until something changes, and a removal within 2.5 s of that counted as a lapse that may come back. Change: a removal counts as a lapse for 0.7 s after the return only, the first watch after a loss waits 20 ms, retries come each 0.4 s, and a silent call counts as lost since it began. Test: alive.TestRemovalLongAfterTheReturnCounts.

--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -185,11 +185,11 @@
 	}
 }
 
-// Lose notes that the store did not answer for a prefix.
-func (b *Book) Lose(prefix string, err error) {
+// Lose notes that the store has not answered for a prefix since a time.
+func (b *Book) Lose(prefix string, since time.Time, err error) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.servers.LoseStore(time.Now())
+	b.servers.LoseStore(since)
 	if b.lost[prefix] {
 		return
 	}
--- a/ingress/services/state/watch.go
+++ b/ingress/services/state/watch.go
@@ -21,9 +21,13 @@
 
 const (
 	// firstRetry is the pause after a call that failed; it doubles up to maxRetry. The store
-	// answers in milliseconds when it is well, and a few calls a second do it no harm.
+	// answers in milliseconds when it is well, and a few calls a second do it no harm. What
+	// lapsed meanwhile is kept for a while from the first answer on, so it should come soon.
 	firstRetry = 100 * time.Millisecond
-	maxRetry   = 800 * time.Millisecond
+	maxRetry   = 400 * time.Millisecond
+	// probeWait is the wait of the first watch after a loss. A watch is silent until
+	// something changes, and tells as late that the store is back.
+	probeWait = 20 * time.Millisecond
 	// gatherTime is the pause after a watch that brought changes. Each answer is a
 	// call to the platform, by each ingress; the servers of a deployment that starts
 	// come one by one, and so 100 of them need a tenth of the calls. Changes are due
@@ -53,11 +57,14 @@
 func (w *Watcher) loop(ctx context.Context) {
 	listed := false
 	pause := firstRetry
+	wait := w.Wait
 	for ctx.Err() == nil {
-		err := w.step(ctx, &listed)
+		began := time.Now()
+		err := w.step(ctx, &listed, wait)
 		if err == nil {
 			w.Book.Reach(w.Prefix)
 			pause = firstRetry
+			wait = w.Wait
 			continue
 		}
 		if ctx.Err() != nil {
@@ -67,8 +74,9 @@
 			listed = false // what was missed is only in a new listing
 			continue
 		}
-		w.Book.Lose(w.Prefix, err)
+		w.Book.Lose(w.Prefix, silentSince(began, err), err)
 		w.Store.Close()
+		wait = probeWait
 		if !pauses.Wait(ctx, pause) {
 			return
 		}
@@ -76,7 +84,17 @@
 	}
 }
 
-func (w *Watcher) step(ctx context.Context, listed *bool) error {
+// silentSince returns since when the store may have been away: a call that timed out
+// says nothing of the time since it began, any other failure is the store's
+// answer of now.
+func silentSince(began time.Time, err error) time.Time {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return began
+	}
+	return time.Now()
+}
+
+func (w *Watcher) step(ctx context.Context, listed *bool, wait time.Duration) error {
 	if !*listed {
 		records, at, err := w.Store.List(ctx, w.Prefix)
 		if err != nil {
@@ -86,7 +104,7 @@
 		*listed = true
 		return nil
 	}
-	changes, at, err := w.Store.Watch(ctx, w.Prefix, w.Book.At(w.Prefix), w.Wait)
+	changes, at, err := w.Store.Watch(ctx, w.Prefix, w.Book.At(w.Prefix), wait)
 	if err != nil {
 		return err
 	}
--- a/share/decide/alive/alive.go
+++ b/share/decide/alive/alive.go
@@ -12,21 +12,31 @@
 	"verbenaroad.example/share/models/site"
 )
 
-// ReturnTime is how long after the store's return a live server is back in it:
-// the platform promises about two seconds; a quarter more for the watch's own delay.
-const ReturnTime = 2500 * time.Millisecond
-
-// minOutage is the shortest loss of the store that is taken for an outage in
-// which registrations may lapse; a single lost call is shorter.
-const minOutage = time.Second
+const (
+	// ReturnTime is how long after the store's return a live server is back in it:
+	// the platform promises about two seconds; a quarter more for the watch's own delay.
+	ReturnTime = 2500 * time.Millisecond
+	// LapseTime is how long after the store's return a removal still counts as a lapse:
+	// what lapsed in the outage shows in the first answer, and the store
+	// may need a moment to look through its entries.
+	//
+	// Guards against new work for a server that left just after this process reached
+	// the store again. A process that was cut off alone cannot tell that from an
+	// outage; it kept the server for ReturnTime, and sent it work after the
+	// time in which a leaving server must still take some.
+	LapseTime = 700 * time.Millisecond
+	// minOutage is the shortest loss of the store that is taken for an outage in
+	// which registrations may lapse; a single lost call is shorter.
+	minOutage = time.Second
+)
 
 // Set holds the registered servers; its caller guards it.
 type Set struct {
 	servers map[string]entry
 	// lostAt is when the store was lost, zero while it is reached.
 	lostAt time.Time
-	// keepUntil is the end of the span in which lapsed servers are kept.
-	keepUntil time.Time
+	// regainedAt is when the last outage ended, zero before the first.
+	regainedAt time.Time
 }
 
 type entry struct {
@@ -61,31 +71,39 @@
 	return false
 }
 
+// isUnsure tells whether a removal may be a lapse.
 func (s *Set) isUnsure(now time.Time) bool {
-	return !s.lostAt.IsZero() && now.Sub(s.lostAt) >= minOutage || now.Before(s.keepUntil)
+	return s.isAway(now) || s.isWithin(now, LapseTime)
+}
+
+// isAway tells whether the store has been lost for so long that registrations may lapse.
+func (s *Set) isAway(now time.Time) bool {
+	return !s.lostAt.IsZero() && now.Sub(s.lostAt) >= minOutage
 }
 
-// LoseStore notes that the store stopped answering.
-func (s *Set) LoseStore(now time.Time) {
-	if s.lostAt.IsZero() {
-		s.lostAt = now
+// isWithin tells whether the last outage ended less than span ago.
+func (s *Set) isWithin(now time.Time, span time.Duration) bool {
+	return !s.regainedAt.IsZero() && now.Sub(s.regainedAt) < span
+}
+
+// LoseStore notes that the store has not answered since a time.
+func (s *Set) LoseStore(since time.Time) {
+	if s.lostAt.IsZero() || since.Before(s.lostAt) {
+		s.lostAt = since
 	}
 }
 
 // RegainStore notes that the store answers.
 func (s *Set) RegainStore(now time.Time) {
-	if s.lostAt.IsZero() {
-		return
-	}
-	if now.Sub(s.lostAt) >= minOutage {
-		s.keepUntil = now.Add(ReturnTime)
+	if s.isAway(now) {
+		s.regainedAt = now
 	}
 	s.lostAt = time.Time{}
 }
 
 // Expire drops the lapsed servers whose time to come back is over and returns their IDs.
 func (s *Set) Expire(now time.Time) (dropped []string) {
-	if s.isUnsure(now) {
+	if s.isAway(now) || s.isWithin(now, ReturnTime) {
 		return nil
 	}
 	for id, e := range s.servers {
--- a/share/decide/alive/alive_test.go
+++ b/share/decide/alive/alive_test.go
@@ -64,3 +64,20 @@
 	is.True(!s.Remove("a", now))
 	is.Equal(count(s), 0)
 }
+
+// A process was cut off from the store alone and reaches it again. A second later
+// a server leaves without a word: its entry is removed while the store is well. Kept
+// as one that may come back, it would get new work until after it has ended.
+func TestRemovalLongAfterTheReturnCounts(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	s := alive.NewSet()
+	s.Put(server("a", site.ServerReady))
+	s.Put(server("b", site.ServerReady))
+	s.LoseStore(now)
+	now = now.Add(6 * time.Second)
+	s.RegainStore(now)
+	is.True(s.Remove("b", now.Add(alive.LapseTime/2)))
+	is.True(!s.Remove("a", now.Add(alive.LapseTime)))
+	is.Equal(count(s), 1)
+}
