batch: jobs whose results are partly made are finished first

Cause: where memory is short, jobs are split over calls, and their rest waited behind everything that could still be on time. Test: batch.TestBegunJobsAreFinishedFirst (failed first).

--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -60,8 +60,19 @@
 // order puts first what can still be on time, by arrival with a lead for
 // urgency; what is late anyway gets what is left. Ordering by deadline alone
 // spends an overload on requests that are about to be late.
+//
+// Before all of them go jobs of which some results are made or being made. Guards
+// against a memory that fills with parts of jobs: where few results fit, jobs are
+// split over calls, and what was made of one takes memory until the rest is, behind
+// whatever came since.
 func (p *Planner) order(now time.Time) {
 	slices.SortStableFunc(p.queue, func(a, b *job) int {
+		if a.isBegun() != b.isBegun() {
+			if a.isBegun() {
+				return -1
+			}
+			return 1
+		}
 		aOn, bOn := p.isOnTime(now, a.Job), p.isOnTime(now, b.Job)
 		if aOn != bOn {
 			if aOn {
@@ -84,6 +95,9 @@
 	return p.pool.CallTime + time.Duration(p.pool.Batch)*p.pool.ItemTime
 }
 
+// isBegun tells whether some results of the job are made or being made.
+func (j *job) isBegun() bool { return len(j.todo) < j.Count }
+
 func (j *job) rank() time.Time {
 	return j.arrived.Add(time.Duration(j.Priority) * priorityLead)
 }
@@ -259,21 +273,23 @@
 	}
 }
 
-// sortFor returns the jobs that may go to a server: first those whose results
-// are used in its failure domain, then those that have waited for a server of
+// sortFor returns the jobs that may go to a server: first those that are begun,
+// wherever it stands, then those whose results are used in its failure domain, then those that have waited for a server of
 // their own domain for the fixed time of a call. Results are fetched over the links between
 // domains otherwise, which are slow and charged for.
 func (p *Planner) sortFor(now time.Time, w *worker) []*job {
-	near, far := []*job{}, []*job{}
+	begun, near, far := []*job{}, []*job{}, []*job{}
 	for _, j := range p.queue {
 		switch {
+		case j.isBegun():
+			begun = append(begun, j)
 		case j.Domain == "" || j.Domain == w.server.Domain || !p.serves(j.Domain):
 			near = append(near, j)
 		case now.Sub(j.arrived) >= p.pool.CallTime:
 			far = append(far, j)
 		}
 	}
-	return append(near, far...)
+	return slices.Concat(begun, near, far)
 }
 
 // serves tells whether a server stands in the failure domain.
