Inputs of stages are released once their servers have fetched them; chains begin anew when inputs have gone

Cause: what binds in bursts is the memory of the pools (rule-bender: 35 results of 60 KB a server, calls of 10 of 16 items). A result was held until the call that uses it had ended, though a server fetches inputs when the call's turn comes. A job that fails afterwards is gone; its chain is begun anew, up to twice, if it can still be of use. Ruled out: releasing without a look at the server's load (calls of another batcher wait for their turn there).

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -120,6 +120,7 @@
 	client := reach.NewClient(heads.Codec{})
 	i.owner = pieces.NewOwner(pieces.OwnerOptions{
 		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Repeats: s.Repeats.Settings, Log: i.log,
+		Discard: func(service string, handles []string) { i.maker.Discard(service, handles) },
 	})
 	i.placer = assign.NewPlacer(s.Place.Regions)
 	i.desk = assign.NewDesk(i.mesh, i.book, i.placer, i.log)
--- a/ingress/services/pieces/chain.go
+++ b/ingress/services/pieces/chain.go
@@ -75,6 +75,8 @@
 	until []time.Time
 	// begun marks the stages whose results are not pending any more.
 	begun []bool
+	// isGone is set where the chain failed because an input had gone.
+	isGone bool
 }
 
 // settlePending takes off what the stages that were never begun would have needed.
@@ -92,32 +94,57 @@
 	done  batch.Done
 }
 
+// maxRestarts bounds how often a chain is begun anew after an input had gone.
+const maxRestarts = 2
+
 // MakeChain makes the results of all stages, each as soon as its inputs are there.
+//
+// Inputs may go before their stage is made: with their server, or because they were
+// given up once fetched and the call then failed. The chain is begun anew then, if
+// it can still be of use: the caller would do the same, later and with less time.
 func (m *Maker) MakeChain(ctx context.Context, c Chain) (*Results, *codes.Result) {
-	plan, result := m.admit(ctx, &c)
-	if result != nil {
-		return nil, result
+	for restarts := 0; ; restarts++ {
+		plan, result := m.admit(ctx, &c)
+		if result != nil {
+			return nil, result
+		}
+		w := m.newWalk(c, plan)
+		results, failed := w.makeResults(ctx)
+		if failed == nil {
+			return results, nil
+		}
+		if !w.isGone || restarts == maxRestarts {
+			return nil, failed
+		}
+		c.Log.Info("chain-restarted", zap.Int("restarts", restarts+1), zap.String("detail", failed.Detail))
 	}
+}
+
+func (m *Maker) newWalk(c Chain, plan chain.Plan) *walk {
 	w := &walk{
 		Chain: c, maker: m, plan: plan, handles: make([][]string, len(c.Stages)), users: make([]int, len(c.Stages)),
 		until: make([]time.Time, len(c.Stages)), begun: make([]bool, len(c.Stages)),
 	}
-	defer w.settlePending()
 	for stage, s := range c.Stages {
 		m.addPending(s.Service, c.count(stage))
 		for _, before := range s.After {
 			w.users[before]++
 		}
 	}
+	return w
+}
+
+func (w *walk) makeResults(ctx context.Context) (*Results, *codes.Result) {
+	defer w.settlePending()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if result := w.makeAll(ctx); result != nil {
+	if failed := w.makeAll(ctx); failed != nil {
 		w.releaseAll()
-		return nil, result
+		return nil, failed
 	}
 	final := []string{}
-	for stage := range c.Stages {
-		if c.isLast(stage) {
+	for stage := range w.Stages {
+		if w.isLast(stage) {
 			final = append(final, w.handles[stage]...)
 		}
 	}
@@ -134,9 +161,13 @@
 		e := <-ends
 		running--
 		states[e.stage] = stageEnded
+		if e.done.InputsReleased {
+			w.forgetInputs(e.stage)
+		}
 		if e.done.Outcome != batch.OutcomeMade {
 			if failed == nil {
 				failed = w.describe(e)
+				w.isGone = e.done.Outcome == batch.OutcomeGone
 			}
 			continue
 		}
@@ -203,17 +234,21 @@
 	if until, bound := w.inputsUntil(stage); bound && until.Before(expires) {
 		expires = until
 	}
+	inputs := w.inputsOf(stage)
 	done := w.maker.produce(ctx, s.Service, batch.Job{
 		AttemptID:   w.AttemptID,
 		Stage:       stage,
 		Count:       n,
 		Key:         w.keyOf(stage),
-		Inputs:      w.inputsOf(stage),
+		Inputs:      inputs.handles,
 		ResultBytes: s.ResultBytes,
 		Target:      target,
 		Expires:     expires,
 		Priority:    w.Priority,
 		Domain:      w.Domain,
+
+		InputService: inputs.service,
+		InputBytes:   inputs.bytes,
 	})
 	w.Log.Info("stage-ended", zap.Int("stage", stage), zap.String("stage-service", s.Service), zap.Int("items", n),
 		zap.String("outcome", string(done.Outcome)), zap.Duration("took", time.Since(began)))
@@ -227,14 +262,30 @@
 	return w.Key
 }
 
-func (w *walk) inputsOf(stage int) []string {
+// inputs are the results that a stage takes.
+type inputs struct {
+	handles []string
+	// service made them; empty where several did, or another stage needs them too.
+	service string
+	bytes   int64
+}
+
+func (w *walk) inputsOf(stage int) inputs {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	inputs := []string{}
+	in := inputs{handles: []string{}}
+	shared := false
 	for _, before := range w.Stages[stage].After {
-		inputs = append(inputs, w.handles[before]...)
+		s := w.Stages[before]
+		shared = shared || w.users[before] > 1 || in.service != "" && in.service != s.Service
+		in.service = s.Service
+		in.handles = append(in.handles, w.handles[before]...)
+		in.bytes += int64(len(w.handles[before])) * s.ResultBytes
+	}
+	if shared {
+		in.service = ""
 	}
-	return inputs
+	return in
 }
 
 // inputsUntil returns how long the inputs of a stage are kept. A job that waits for
@@ -250,6 +301,15 @@
 	return until, bound
 }
 
+// forgetInputs notes that a stage's inputs were given up where it was made.
+func (w *walk) forgetInputs(stage int) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for _, before := range w.Stages[stage].After {
+		w.handles[before] = nil
+	}
+}
+
 // take notes a stage's results and releases the inputs that nobody needs any more.
 func (w *walk) take(e ended) {
 	w.lock.Lock()
@@ -261,7 +321,7 @@
 	for _, before := range w.Stages[e.stage].After {
 		w.users[before]--
 		if w.users[before] == 0 {
-			w.maker.discard(w.Stages[before].Service, w.handles[before])
+			w.maker.Discard(w.Stages[before].Service, w.handles[before])
 			w.handles[before] = nil
 		}
 	}
@@ -271,7 +331,7 @@
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	for stage, handles := range w.handles {
-		w.maker.discard(w.Stages[stage].Service, handles)
+		w.maker.Discard(w.Stages[stage].Service, handles)
 		w.handles[stage] = nil
 	}
 }
--- a/ingress/services/pieces/maker.go
+++ b/ingress/services/pieces/maker.go
@@ -125,6 +125,9 @@
 		// A batcher that is stopping gives up what it has. The request's caller is still
 		// there, and must not be answered as one that left.
 		if err == nil && done.Outcome == batch.OutcomeCanceled && ctx.Err() == nil {
+			if done.InputsReleased {
+				return batch.Done{Outcome: batch.OutcomeGone, InputsReleased: true}
+			}
 			err = errGivenUp
 		}
 		if err == nil {
@@ -153,6 +156,8 @@
 		ResultBytes:    j.ResultBytes,
 		Priority:       uint32(max(j.Priority, 0)), //nolint:gosec // a small number
 		Domain:         j.Domain,
+		InputService:   j.InputService,
+		InputBytes:     j.InputBytes,
 	})
 	if err != nil {
 		return batch.Done{}, err
@@ -164,11 +169,13 @@
 		OnTime:     time.Duration(got.GetOnTimeNanos()),
 		Late:       time.Duration(got.GetLateNanos()),
 		Rate:       got.GetRate(),
+
+		InputsReleased: got.GetInputsReleased(),
 	}, nil
 }
 
-// discard releases results at the ingress that batches for their service, which plans with their memory.
-func (m *Maker) discard(service string, handles []string) {
+// Discard releases results at the ingress that batches for their service, which plans with their memory.
+func (m *Maker) Discard(service string, handles []string) {
 	if len(handles) == 0 {
 		return
 	}
@@ -197,10 +204,14 @@
 		Expires:     now.Add(time.Duration(p.GetRemainingNanos())),
 		Priority:    int(p.GetPriority()),
 		Domain:      p.GetDomain(),
+
+		InputService: p.GetInputService(),
+		InputBytes:   p.GetInputBytes(),
 	})
 	return &wire.Produced{
 		Outcome: string(done.Outcome), Handles: done.Handles,
 		RetryAfterNanos: int64(done.RetryAfter), OnTimeNanos: int64(done.OnTime), LateNanos: int64(done.Late), Rate: done.Rate,
+		InputsReleased: done.InputsReleased,
 	}
 }
 
--- a/ingress/services/pieces/owner.go
+++ b/ingress/services/pieces/owner.go
@@ -37,6 +37,8 @@
 	Pools   Pools
 	Meter   Meter
 	Repeats budget.Settings
+	// Discard releases results of another service, which may be batched elsewhere.
+	Discard func(service string, handles []string)
 	Log     *zap.Logger
 }
 
@@ -152,7 +154,7 @@
 	if d.Outcome == batch.OutcomeMade {
 		o.Discard(service, d.Handles)
 	}
-	return batch.Done{Outcome: batch.OutcomeCanceled}
+	return batch.Done{Outcome: batch.OutcomeCanceled, InputsReleased: d.InputsReleased}
 }
 
 // Outlooks tells what new jobs have to expect, of the services that have some here.
@@ -200,11 +202,21 @@
 		}
 	}
 	o.gather(service, a.Release)
+	for _, f := range a.Fetched {
+		go o.runFetched(f)
+	}
 	for _, c := range a.Calls {
 		go o.runCall(service, u, c)
 	}
 }
 
+// runFetched gives up the inputs of a job whose servers have fetched them.
+func (o *Owner) runFetched(f batch.Inputs) {
+	o.options.Log.Info("inputs-released", zap.String("request", f.AttemptID), zap.String("service", f.Service),
+		zap.Int("handles", len(f.Handles)))
+	o.options.Discard(f.Service, f.Handles)
+}
+
 // runCall sends one call and hands its end to the planner.
 func (o *Owner) runCall(service string, u *unit, c batch.Call) {
 	began := time.Now()
@@ -225,7 +237,7 @@
 		zap.Duration("took", took), logs.Err(err))
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	o.perform(service, u, u.planner.End(time.Now(), c.ID, results, err != nil))
+	o.perform(service, u, u.planner.End(time.Now(), c.ID, batch.Ended{Results: results, Load: load, Failed: err != nil}))
 }
 
 // countOutcomes describes the results of a call, such as "made=12,no-room=2".
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -33,6 +33,11 @@
 	Priority int
 	// Domain is where the results will be used; empty: open.
 	Domain string
+	// InputService made the inputs, where nothing but this job needs them: they are
+	// released once they were fetched. Empty: they are kept.
+	InputService string
+	// InputBytes is about the size of all inputs together.
+	InputBytes int64
 }
 
 // Outcome says how a job ended.
@@ -70,6 +75,10 @@
 	started time.Time
 	// expected is how long the call takes at the service's stated pace.
 	expected time.Duration
+	// fetchedAt is when the server has surely fetched the inputs; zero: not known, or noted.
+	fetchedAt time.Time
+	// fetched is set once that was noted.
+	fetched bool
 }
 
 // placed says which result of which job an item of a call is.
@@ -90,6 +99,15 @@
 	Late   time.Duration
 	// Rate is how many results a second the service makes in full calls.
 	Rate float64
+	// InputsReleased tells that the job's inputs are not held any more.
+	InputsReleased bool
+}
+
+// Inputs are results of another service that a job has used up.
+type Inputs struct {
+	AttemptID string
+	Service   string
+	Handles   []string
 }
 
 // Actions are what the planner wants done.
@@ -98,6 +116,8 @@
 	Done  []Done
 	// Release holds the handles to be given up.
 	Release []string
+	// Fetched holds the inputs to be given up.
+	Fetched []Inputs
 }
 
 // RepeatFunc asks for permission to send n calls once more.
@@ -125,6 +145,10 @@
 	made    int
 	repeats int
 	over    bool
+	// fetched counts the items whose servers have fetched the inputs.
+	fetched int
+	// released is set once the inputs were given up.
+	released bool
 }
 
 // NewPlanner returns a planner without backend servers.
@@ -227,6 +251,7 @@
 	a.Calls = append(a.Calls, b.Calls...)
 	a.Done = append(a.Done, b.Done...)
 	a.Release = append(a.Release, b.Release...)
+	a.Fetched = append(a.Fetched, b.Fetched...)
 }
 
 func compareText(a, b string) int {
--- a/share/decide/batch/batch_test.go
+++ b/share/decide/batch/batch_test.go
@@ -60,7 +60,7 @@
 	for id := uint64(2); id <= 5; id++ {
 		is.Equal(len(p.Add(now, newJob(now, id, 2)).Calls), 0)
 	}
-	next := p.End(now.Add(220*time.Millisecond), first.Calls[0].ID, made(first.Calls[0]), false)
+	next := p.End(now.Add(220*time.Millisecond), first.Calls[0].ID, batch.Ended{Results: made(first.Calls[0])})
 	is.Equal(len(next.Done), 1)
 	is.Equal(next.Done[0].Handles, []string{"10.0.0.1:1/1-0-0"})
 	is.Equal(len(next.Calls), 1)
@@ -79,7 +79,7 @@
 	done := map[uint64][]string{}
 	for len(open) > 0 {
 		now = now.Add(300 * time.Millisecond)
-		a := p.End(now, open[0].ID, made(open[0]), false)
+		a := p.End(now, open[0].ID, batch.Ended{Results: made(open[0])})
 		open = append(open[1:], a.Calls...)
 		for _, d := range a.Done {
 			is.Equal(d.Outcome, batch.OutcomeMade)
@@ -101,7 +101,7 @@
 	now := time.Unix(0, 0)
 	p := newPlanner(now, "a", "a")
 	first := p.Add(now, newJob(now, 1, 2)).Calls[0]
-	a := p.End(now.Add(100*time.Millisecond), first.ID, nil, true)
+	a := p.End(now.Add(100*time.Millisecond), first.ID, batch.Ended{Failed: true})
 	is.Equal(len(a.Calls), 1)
 	is.True(a.Calls[0].Server.ID != first.Server.ID)
 	is.Equal(len(a.Calls[0].Items), 2)
@@ -115,7 +115,7 @@
 	p := batch.NewPlanner(newPool(), func(time.Time, int) bool { return false })
 	p.SetServers(now, newServers("a"))
 	first := p.Add(now, newJob(now, 1, 2)).Calls[0]
-	a := p.End(now, first.ID, nil, true)
+	a := p.End(now, first.ID, batch.Ended{Failed: true})
 	is.Equal(len(a.Done), 1)
 	is.Equal(a.Done[0].Outcome, batch.OutcomeFailed)
 }
@@ -128,7 +128,7 @@
 	p := newPlanner(now, "a")
 	call := p.Add(now, newJob(now, 1, 2)).Calls[0]
 	is.Equal(p.Cancel(now, 1).Done[0].Outcome, batch.OutcomeCanceled)
-	a := p.End(now.Add(time.Second), call.ID, made(call), false)
+	a := p.End(now.Add(time.Second), call.ID, batch.Ended{Results: made(call)})
 	is.Equal(len(a.Release), 2)
 	is.Equal(len(a.Done), 0)
 	is.Equal(p.Count(), 0)
@@ -143,7 +143,7 @@
 	call := p.Add(now, newJob(now, 1, 2)).Calls[0]
 	results := made(call)
 	results[1] = site.ItemResult{Outcome: site.ItemGone}
-	a := p.End(now, call.ID, results, false)
+	a := p.End(now, call.ID, batch.Ended{Results: results})
 	is.Equal(a.Done[0].Outcome, batch.OutcomeGone)
 	is.Equal(len(a.Release), 1)
 }
@@ -164,10 +164,10 @@
 	p.Add(now, newJob(now, 3, 4))
 	now = now.Add(300 * time.Millisecond)
 	handles := made(call)
-	next := p.End(now, call.ID, handles, false).Calls[0]
+	next := p.End(now, call.ID, batch.Ended{Results: handles}).Calls[0]
 	is.Equal(len(next.Items), 4)
 	is.Equal(next.Items[0].AttemptID, "3")
-	p.End(now, next.ID, made(next), false)
+	p.End(now, next.ID, batch.Ended{Results: made(next)})
 	now = now.Add(10 * time.Millisecond)
 	last := p.Released(now, []string{handles[0].Handle, handles[1].Handle}).Calls
 	is.Equal(len(last), 1)
@@ -187,7 +187,7 @@
 	for i := range results {
 		results[i].Outcome = site.ItemNoRoom
 	}
-	is.Equal(len(p.End(now, call.ID, results, false).Calls), 0)
+	is.Equal(len(p.End(now, call.ID, batch.Ended{Results: results}).Calls), 0)
 	is.Equal(len(p.Tick(now.Add(100*time.Millisecond)).Calls), 0)
 	is.Equal(len(p.Tick(now.Add(1500*time.Millisecond)).Calls), 1)
 }
@@ -210,7 +210,7 @@
 	is.Equal(late[0].Server.Domain, "b")
 	lost := newJob(now, 3, 1)
 	lost.Domain = "c" // no server stands there
-	p.End(now, late[0].ID, made(late[0]), false)
+	p.End(now, late[0].ID, batch.Ended{Results: made(late[0])})
 	is.Equal(len(p.Add(now, lost).Calls), 1)
 }
 
@@ -228,7 +228,7 @@
 			is.True(id < 10)
 		}
 		now = now.Add(took)
-		p.End(now, a.Calls[0].ID, made(a.Calls[0]), false)
+		p.End(now, a.Calls[0].ID, batch.Ended{Results: made(a.Calls[0])})
 	}
 }
 
--- a/share/decide/batch/begun_test.go
+++ b/share/decide/batch/begun_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"verbenaroad.example/share/decide/batch"
 )
 
 // A chat's two drawings are split over two calls, since memory was free for one. Before
@@ -20,7 +22,7 @@
 	p.SetPool(pool)
 	first := p.Add(now, newJob(now, 1, 2))
 	now = now.Add(300 * time.Millisecond)
-	holding := p.End(now, first.Calls[0].ID, made(first.Calls[0]), false)
+	holding := p.End(now, first.Calls[0].ID, batch.Ended{Results: made(first.Calls[0])})
 
 	chat := newJob(now, 2, 2)
 	chat.Target = now // late already
@@ -32,7 +34,7 @@
 
 	p.Add(now, newJob(now, 3, 1))
 	now = now.Add(300 * time.Millisecond)
-	p.End(now, half.Calls[0].ID, made(half.Calls[0]), false)
+	p.End(now, half.Calls[0].ID, batch.Ended{Results: made(half.Calls[0])})
 	p.Released(now, holding.Done[0].Handles[:1])
 	now = now.Add(200 * time.Millisecond)
 	next := p.Tick(now)
--- a/share/decide/batch/ends.go
+++ b/share/decide/batch/ends.go
@@ -7,8 +7,18 @@
 	"verbenaroad.example/share/models/site"
 )
 
-// End takes the end of a call. Err tells that nothing is known of its items.
-func (p *Planner) End(now time.Time, callID uint64, results []site.ItemResult, failed bool) Actions {
+// Ended is how a call ended.
+type Ended struct {
+	Results []site.ItemResult
+	// Load is what the server told of itself; nil: nothing.
+	Load *site.Load
+	// Failed calls have no results, and nothing is known of their items.
+	Failed bool
+}
+
+// End takes the end of a call.
+func (p *Planner) End(now time.Time, callID uint64, e Ended) Actions {
+	results, failed := e.Results, e.Failed
 	call := p.calls[callID]
 	if call == nil {
 		return Actions{}
@@ -16,7 +26,7 @@
 	delete(p.calls, callID)
 	w := p.workers[call.Server.ID]
 	if w != nil {
-		w.end(now, call, results, failed, p.pool)
+		w.end(now, call, e, p.pool)
 	}
 	a := Actions{}
 	again := true
@@ -28,6 +38,9 @@
 		if !failed {
 			result = results[i]
 		}
+		if call.fetched {
+			place.job.fetched-- // counted again below where it was made
+		}
 		p.takeResult(&a, now, place, result, again)
 	}
 	a.add(p.plan(now))
@@ -52,6 +65,7 @@
 	case site.ItemMade:
 		j.handles[place.index] = result.Handle
 		j.made++
+		j.fetched++
 		if j.made == j.Count {
 			p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeMade})
 		}
@@ -71,6 +85,10 @@
 func (p *Planner) sendAgain(a *Actions, now time.Time, place placed, again bool) {
 	j := place.job
 	j.repeats++
+	if j.released {
+		p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeGone})
+		return
+	}
 	if !again || j.repeats > maxRepeats*j.Count {
 		p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeFailed, RetryAfter: p.predictWait(now, j.Count, false)})
 		return
@@ -84,6 +102,7 @@
 // finish ends a job; what was made of one that fails is released.
 func (p *Planner) finish(a *Actions, now time.Time, j *job, done Done) {
 	j.over = true
+	done.InputsReleased = j.released
 	delete(p.jobs, j.ID)
 	p.queue = slices.DeleteFunc(p.queue, func(q *job) bool { return q == j })
 	if done.Outcome == OutcomeMade {
--- a/share/decide/batch/load_test.go
+++ b/share/decide/batch/load_test.go
@@ -92,7 +92,7 @@
 					results[i] = site.ItemResult{Outcome: site.ItemRefused}
 				}
 			}
-			perform(e.planner, ps[e.planner].End(now, e.call.ID, results, false))
+			perform(e.planner, ps[e.planner].End(now, e.call.ID, batch.Ended{Results: results}))
 			continue
 		}
 		now = step
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -29,6 +29,7 @@
 func (p *Planner) plan(now time.Time) Actions {
 	a := Actions{}
 	p.expire(&a, now)
+	p.noteDue(&a, now)
 	if len(p.queue) == 0 {
 		return a
 	}
@@ -222,6 +223,7 @@
 	call.expected = p.pool.CallTime + time.Duration(len(call.Items))*p.pool.ItemTime
 	call.Timeout = w.timeout(call.expected)
 	call.Waiting = p.CountItems()
+	call.fetchedAt = p.predictFetch(w, &call)
 	w.start(call.ID, d.bytes)
 	p.calls[call.ID] = &call
 	a.Calls = append(a.Calls, call)
--- a/share/decide/batch/worker.go
+++ b/share/decide/batch/worker.go
@@ -38,6 +38,10 @@
 	foreignOf time.Time
 	// waitingSince is when the server began to wait for memory; zero while it does not.
 	waitingSince time.Time
+	// isIdle is set while the last answer told that the server has nothing else to do;
+	// trustedFrom is when that begins to count.
+	isIdle      bool
+	trustedFrom time.Time
 	// failures counts failed calls in a row; suspectUntil is when the server is tried again.
 	failures     int
 	suspectUntil time.Time
@@ -63,7 +67,9 @@
 	return max(minTimeout, time.Duration(timeoutRatio*max(w.pace, 1)*float64(expected)))
 }
 
-func (w *worker) end(now time.Time, call *Call, results []site.ItemResult, failed bool, pool site.Pool) {
+func (w *worker) end(now time.Time, call *Call, e Ended, pool site.Pool) {
+	results, failed := e.Results, e.Failed
+	w.isIdle = e.Load != nil && e.Load.Running == 0 && e.Load.Waiting == 0
 	planned, known := w.planned[call.ID]
 	if !known {
 		return // the server started anew meanwhile
@@ -72,12 +78,14 @@
 	w.used -= planned
 	delete(w.planned, call.ID)
 	if failed {
+		w.trustedFrom = now.Add(pool.KeepTime)
 		w.fail(now)
 		return
 	}
 	if isRefused(results) {
 		// Another planner's call is there; ours waits for about one call.
 		w.suspectUntil = now.Add(call.expected / refusedPart)
+		w.trustedFrom = now.Add(pool.KeepTime)
 		return
 	}
 	w.failures = 0
@@ -108,6 +116,7 @@
 	}
 	w.foreign = min(w.foreignAt(now, pool.KeepTime)+missedWeight*missed, pool.RoomBytes)
 	w.foreignOf = now
+	w.trustedFrom = now.Add(pool.KeepTime)
 }
 
 // missedWeight is how much memory is taken to be foreign for each byte that was
--- a/share/models/site/config.go
+++ b/share/models/site/config.go
@@ -104,6 +104,8 @@
 	RoomBytes int64
 	// KeepTime is how long a result is held unless it is released.
 	KeepTime time.Duration
+	// LinkRate is how many bytes a second a server's link carries; 0: not known.
+	LinkRate float64
 }
 
 // Limits bound what callers may send.
