A new placing ingress learns where prompt parts are

Change: each ingress remembers which engines its own requests' parts went to and tells a placer that it has not told yet, with its first question.

--- a/ingress/services/assign/desk.go
+++ b/ingress/services/assign/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,27 +42,86 @@
 	views  Views
 	placer *Placer
 	log    *zap.Logger
+
+	lock sync.Mutex
+	// trails and told are by service: where its requests went, and which ingress
+	// that places was told so.
+	trails map[string]*place.Trail
+	told   map[string]string
 }
 
 // NewDesk returns a desk; placer places for the services that fall to this ingress.
 func NewDesk(peers Peers, views Views, placer *Placer, log *zap.Logger) *Desk {
-	return &Desk{peers: peers, views: views, placer: placer, log: log}
+	return &Desk{
+		peers: peers, views: views, placer: placer, log: log,
+		trails: map[string]*place.Trail{}, told: map[string]string{},
+	}
 }
 
 // Place returns a seat, or nil where no engine takes the request.
 func (d *Desk) Place(ctx context.Context, service string, q place.Query) *Seat {
+	seat := d.ask(ctx, service, q)
+	if seat != nil && q.Generation != nil {
+		d.noteSeat(service, q.Generation.Parts, seat.Server().ID)
+	}
+	return seat
+}
+
+func (d *Desk) ask(ctx context.Context, service string, q place.Query) *Seat {
 	ranked := d.peers.Rank(keyPrefix + service)
 	if len(ranked) == 0 || ranked[0] == d.peers.Self() {
-		return d.placer.Place(service, q)
+		return d.placeHere(service, q)
 	}
 	seat, err := d.askPeer(ctx, ranked[0], service, q)
 	if err == nil {
 		return seat
 	}
+	d.forgetTold(service)
 	d.log.Warn("placer-lost", zap.String("service", service), zap.String("ingress", ranked[0]), logs.Err(err))
+	return d.placeHere(service, q)
+}
+
+func (d *Desk) placeHere(service string, q place.Query) *Seat {
+	d.placer.Learn(service, d.takeNews(service, d.peers.Self()))
 	return d.placer.Place(service, q)
 }
 
+func (d *Desk) noteSeat(service string, parts []site.PromptPart, engineID string) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	trail := d.trails[service]
+	if trail == nil {
+		trail = place.NewTrail()
+		d.trails[service] = trail
+	}
+	trail.Note(time.Now(), parts, engineID)
+}
+
+// takeNews returns what an ingress that begins to place is to be told; nothing for one
+// that was told already, since it has seen all requests from then on.
+func (d *Desk) takeNews(service, placer string) []place.Sighting {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if d.told[service] == placer {
+		return nil
+	}
+	d.told[service] = placer
+	trail := d.trails[service]
+	if trail == nil {
+		return nil
+	}
+	sightings := trail.Recent(time.Now())
+	d.log.Info("placer-changed", zap.String("service", service), zap.String("ingress", placer), zap.Int("sightings", len(sightings)))
+	return sightings
+}
+
+// forgetTold has a placer that was lost told once more.
+func (d *Desk) forgetTold(service string) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	delete(d.told, service)
+}
+
 func (d *Desk) askPeer(ctx context.Context, name, service string, q place.Query) (*Seat, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -74,6 +134,10 @@
 			ask.Parts = append(ask.Parts, &wire.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)}) //nolint:gosec // as above
 		}
 	}
+	now := time.Now()
+	for _, s := range d.takeNews(service, name) {
+		ask.Sightings = append(ask.Sightings, &wire.Sighting{Part: s.Part, ServerId: s.EngineID, AgeNanos: int64(now.Sub(s.At))})
+	}
 	got, err := d.peers.Assign(ctx, name, ask)
 	if err != nil {
 		return nil, err
@@ -98,6 +162,7 @@
 
 // ServeAssign places a request for another ingress and follows it until its end.
 func (d *Desk) ServeAssign(stream net.Conn, reader *wire.Reader, a *wire.Assign) {
+	d.placer.Learn(a.GetService(), decodeSightings(a))
 	seat := d.placer.Place(a.GetService(), decodeQuery(a))
 	answer := &wire.Assigned{}
 	if seat != nil {
@@ -129,6 +194,16 @@
 	}
 }
 
+func decodeSightings(a *wire.Assign) []place.Sighting {
+	now := time.Now()
+	sightings := make([]place.Sighting, 0, len(a.GetSightings()))
+	for _, s := range a.GetSightings() {
+		at := now.Add(-time.Duration(s.GetAgeNanos()))
+		sightings = append(sightings, place.Sighting{Part: s.GetPart(), EngineID: s.GetServerId(), At: at})
+	}
+	return sightings
+}
+
 func decodeQuery(a *wire.Assign) place.Query {
 	g := &place.Generation{
 		PromptTokens: int(a.GetPromptTokens()), MaxOutputTokens: int(a.GetMaxOutputTokens()), Staged: a.GetStaged(),
--- a/ingress/services/assign/placer.go
+++ b/ingress/services/assign/placer.go
@@ -71,6 +71,15 @@
 	return &Seat{server: placed.Server, Wait: placed.Wait, local: p, id: placed.ID, unit: u}
 }
 
+// Learn takes what an ingress's requests left in the engines of a service.
+func (p *Placer) Learn(service string, sightings []place.Sighting) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if u := p.units[service]; u != nil {
+		u.engines.Learn(sightings)
+	}
+}
+
 func (p *Placer) step(change func(now time.Time)) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
