spec: a model of at most once on the platform's path

attempt.pml mirrors flow/plain.go and reach: one attempt, three servers, copies that run late, lost and foreign answers, refusals with and without the server's word.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -32,6 +32,13 @@
 		holds|config|two writers|-DWRITERS
 		holds|config|spread between an entry and an agent, 1 restart|
 		holds|drain|one instance, two senders, two stops, a return|
+		holds|attempt|a request that may run once, three servers|
+		holds|attempt|an idempotent request, three servers|-DIDEMPOTENT
+		mutant|attempt|a request that may have run is sent again|-DMUTANT_RESEND
+		mutant|attempt|a 503 without the server's word counts as not run|-DMUTANT_503_IS_A_WORD
+		mutant|attempt|an idempotent request that may have run is told as not run|-DIDEMPOTENT -DMUTANT_REFUSAL_AFTER_A_RUN
+		mutant|attempt|an answer to another attempt counts|-DMUTANT_FOREIGN_ANSWER
+		mutant|attempt|a kept connection is sent on again by the library|-DMUTANT_KEPT_CONNECTION
 		mutant|claim|no tombstone|-DOTHERS=1 -DMUTANT_NO_TOMBSTONE
 		mutant|claim|no check of the incarnation|-DOTHERS=1 -DMUTANT_NO_INCARNATION
 		mutant|claim|no read-back|-DOTHERS=1 -DMUTANT_NO_READ_BACK
