--- a/share/modules/setup/version.go
+++ b/share/modules/setup/version.go
@@ -6,7 +6,7 @@
 )
 
 // version is set by the linker (see the Makefile) to the revision that was built.
-var version = "development" //nolint:gochecknoglobals // the linker can set nothing else
+var version = "development"
 
 // DescribeVersion returns the line that --version prints.
 func DescribeVersion(program string) string {
