vctl ingress compares the ingresses of a deployment by their metrics

An engineer on call saw each ingress's configuration version, store age and outcomes only one page of metrics at a time.

--- a/vctl/cmds/cmds.go
+++ b/vctl/cmds/cmds.go
@@ -126,6 +126,7 @@
 		a.newHistory(),
 		a.newLabel(),
 		a.newStatus(),
+		a.newIngress(),
 		a.newDrain(),
 		a.newExplain(),
 		a.newClaim(),
