--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"verbenaroad.example/share/models/site"
 )
 
 const (
@@ -154,127 +152,6 @@
 	return best
 }
 
-// fill sends one call with the first jobs of the queue that fit the server; false where none does.
-func (p *Planner) fill(a *Actions, now time.Time, w *worker) bool {
-	used := w.used + w.foreignAt(now, p.pool.KeepTime)
-	d := draft{
-		call: Call{Server: w.server, Held: used, started: now},
-		room: int64(roomPart*float64(p.pool.RoomBytes)) - used,
-		most: p.pool.Batch,
-		// A result larger than the whole memory is tried alone: its size is approximate.
-		empty: used == 0,
-	}
-	jobs := p.sortFor(now, w)
-	for _, j := range jobs {
-		if d.fits(j, len(j.todo)) || now.Sub(j.arrived) >= splitAfter {
-			d.take(now, j)
-		}
-	}
-	if len(d.call.Items) == 0 && len(jobs) > 0 {
-		d.take(now, jobs[0])
-	}
-	if len(d.call.Items) == 0 || p.shouldWait(now, w, d, jobs) {
-		d.putBack()
-		return false
-	}
-	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return len(j.todo) == 0 })
-	p.send(a, w, d)
-	return true
-}
-
-const (
-	// splitAfter is how long a job waits to be taken whole. A job in two calls is done
-	// with the later one, and its other results take memory until then.
-	splitAfter = 400 * time.Millisecond
-	// smallPart is the part of a batch below which a call is small.
-	smallPart = 0.5
-	// smallWait is how long an idle server with little memory left waits for some: a
-	// call takes 200 ms before its first result in both deployments, and
-	// with one result in it the server makes a tenth of what it could.
-	smallWait = 150 * time.Millisecond
-)
-
-// shouldWait tells whether a call is small for lack of memory alone, so that it
-// pays to wait until results are released.
-func (p *Planner) shouldWait(now time.Time, w *worker, d draft, jobs []*job) bool {
-	left := 0
-	for _, j := range jobs {
-		left += len(j.todo)
-	}
-	small := len(d.call.Items) < int(smallPart*float64(p.pool.Batch)) && left >= len(d.call.Items)
-	if !small || w.used == 0 {
-		w.waitingSince = time.Time{}
-		return false
-	}
-	if w.waitingSince.IsZero() {
-		w.waitingSince = now
-	}
-	if now.Sub(w.waitingSince) >= smallWait {
-		w.waitingSince = time.Time{}
-		return false
-	}
-	return true
-}
-
-func (p *Planner) send(a *Actions, w *worker, d draft) {
-	call := d.call
-	p.lastID++
-	call.ID = p.lastID
-	call.expected = p.pool.CallTime + time.Duration(len(call.Items))*p.pool.ItemTime
-	call.Timeout = w.timeout(call.expected)
-	call.Waiting = p.CountItems()
-	call.fetchedAt = p.predictFetch(w, &call)
-	w.start(call.ID, d.bytes)
-	p.calls[call.ID] = &call
-	a.Calls = append(a.Calls, call)
-}
-
-// draft is a call that is being filled.
-type draft struct {
-	call  Call
-	room  int64
-	bytes int64
-	most  int
-	empty bool
-}
-
-func (d *draft) fits(j *job, n int) bool {
-	if len(d.call.Items)+n > d.most {
-		return false
-	}
-	return d.bytes+int64(n)*j.ResultBytes <= d.room || d.empty && len(d.call.Items) == 0 && n == 1
-}
-
-// take puts as many items of a job into the call as fit.
-func (d *draft) take(now time.Time, j *job) {
-	for len(j.todo) > 0 && d.fits(j, 1) {
-		index := j.todo[0]
-		j.todo = j.todo[1:]
-		d.bytes += j.ResultBytes
-		d.call.Items = append(d.call.Items, j.item(now, index))
-		d.call.jobs = append(d.call.jobs, placed{job: j, index: index})
-	}
-}
-
-// putBack returns the items to their jobs.
-func (d *draft) putBack() {
-	for i := len(d.call.jobs) - 1; i >= 0; i-- {
-		place := d.call.jobs[i]
-		place.job.todo = append([]int{place.index}, place.job.todo...)
-	}
-}
-
-func (j *job) item(now time.Time, index int) site.Item {
-	return site.Item{
-		AttemptID: j.AttemptID,
-		Stage:     j.Stage,
-		Index:     index,
-		Remaining: j.Expires.Sub(now),
-		Key:       j.Key,
-		Inputs:    j.Inputs,
-	}
-}
-
 // sortFor returns the jobs that may go to a server: first those that are begun,
 // wherever it stands, then those whose results are used in its failure domain, then those that have waited for a server of
 // their own domain for the fixed time of a call. Results are fetched over the links between
@@ -312,7 +189,7 @@
 	if rate == 0 {
 		return noServerPause
 	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
+	return seconds(float64(ahead) / rate)
 }
 
 // rate returns the items a second that the servers make in full calls.
--- a/share/decide/mirror/mirror.go
+++ b/share/decide/mirror/mirror.go
@@ -92,12 +92,6 @@
 	return changed
 }
 
-// Find returns a record that is not deleted.
-func (m *Mirror) Find(key string) (site.Record, bool) {
-	r, known := m.records[key]
-	return r, known && !r.Deleted
-}
-
 // List returns the records that are not deleted, by key.
 func (m *Mirror) List() []site.Record {
 	list := make([]site.Record, 0, len(m.records))
--- a/share/decide/mirror/mirror_test.go
+++ b/share/decide/mirror/mirror_test.go
@@ -19,6 +19,16 @@
 	return site.Record{Key: key, Revision: revision, Deleted: true}
 }
 
+// find returns a record that is not deleted.
+func find(m *mirror.Mirror, key string) (site.Record, bool) {
+	for _, r := range m.List() {
+		if r.Key == key {
+			return r, true
+		}
+	}
+	return site.Record{}, false
+}
+
 // An operator drains a server; the watch tells it at once. A moment later a peer
 // that was cut off hands over its older copy, in which the server is ready. The
 // server must stay as the newer record says.
@@ -27,7 +37,7 @@
 	m := mirror.NewMirror("servers/")
 	m.Apply([]site.Record{put("servers/a", 5), gone("servers/b", 6)}, 6)
 	is.Equal(len(m.Learn([]site.Record{put("servers/a", 4), put("servers/b", 3)})), 0)
-	_, found := m.Find("servers/b")
+	_, found := find(m, "servers/b")
 	is.True(!found)
 	is.Equal(m.At(), uint64(6))
 }
@@ -77,7 +87,7 @@
 			m.Learn(rapid.Permutation(records).Draw(t, "order"))
 		}
 		for key, r := range newest {
-			got, found := m.Find(key)
+			got, found := find(m, key)
 			if found == r.Deleted || found && got.Revision != r.Revision {
 				t.Fatalf("%s: got %v (%v), want %v", key, got, found, r)
 			}
