--- a/share/decide/place/trail.go
+++ b/share/decide/place/trail.go
@@ -20,8 +20,10 @@
 	// maxSightings bounds what is told at once, 20 KB. An ingress of the deployments of today
 	// has 300 of them in sharedWindow at a usual load, one at the size designed for 200.
 	maxSightings = 512
-	// maxTrail is how many parts a trail may hold before the old ones are dropped.
-	maxTrail = 4 * maxSightings
+	// maxTrail is how many sightings a trail may hold before the old ones are dropped,
+	// forgetEvery how often that is done at most: each time all of them are looked at.
+	maxTrail    = 4 * maxSightings
+	forgetEvery = time.Second
 )
 
 // Trail remembers which engines the prompt parts of one ingress's requests were sent
@@ -34,6 +36,8 @@
 	// sightings are by part and engine: a document that many sessions share is held by
 	// many engines, and a session's part counts as held only behind it.
 	sightings map[spot]Sighting
+	// forgotAt is when the old ones were last dropped.
+	forgotAt time.Time
 }
 
 type spot struct{ part, engineID string }
@@ -46,12 +50,13 @@
 	for _, p := range parts {
 		t.sightings[spot{part: p.ID, engineID: engineID}] = Sighting{Part: p.ID, EngineID: engineID, At: now}
 	}
-	if len(t.sightings) > maxTrail {
+	if len(t.sightings) > maxTrail && now.Sub(t.forgotAt) >= forgetEvery {
 		t.forget(now)
 	}
 }
 
 func (t *Trail) forget(now time.Time) {
+	t.forgotAt = now
 	for at, s := range t.sightings {
 		if now.Sub(s.At) > sharedWindow {
 			delete(t.sightings, at)
