--- a/ingress/services/assign/desk.go
+++ b/ingress/services/assign/desk.go
@@ -44,17 +44,17 @@
 	log    *zap.Logger
 
 	lock sync.Mutex
-	// trails and told are by service: where its requests went, and which ingress
+	// hints and told are by service: where its requests went, and which ingress
 	// that places was told so.
-	trails map[string]*place.Trail
-	told   map[string]string
+	hints map[string]*place.Hints
+	told  map[string]string
 }
 
 // NewDesk returns a desk; placer places for the services that fall to this ingress.
 func NewDesk(peers Peers, views Views, placer *Placer, log *zap.Logger) *Desk {
 	return &Desk{
 		peers: peers, views: views, placer: placer, log: log,
-		trails: map[string]*place.Trail{}, told: map[string]string{},
+		hints: map[string]*place.Hints{}, told: map[string]string{},
 	}
 }
 
@@ -82,37 +82,37 @@
 }
 
 func (d *Desk) placeHere(service string, q place.Query) *Seat {
-	d.placer.Learn(service, d.takeNews(service, d.peers.Self()))
+	d.placer.Learn(service, d.takeHints(service, d.peers.Self()))
 	return d.placer.Place(service, q)
 }
 
 func (d *Desk) noteSeat(service string, parts []site.PromptPart, engineID string) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	trail := d.trails[service]
-	if trail == nil {
-		trail = place.NewTrail()
-		d.trails[service] = trail
+	hints := d.hints[service]
+	if hints == nil {
+		hints = place.NewHints()
+		d.hints[service] = hints
 	}
-	trail.Note(time.Now(), parts, engineID)
+	hints.Note(time.Now(), parts, engineID)
 }
 
-// takeNews returns what an ingress that begins to place is to be told; nothing for one
+// takeHints returns what an ingress that begins to place is to be told; nothing for one
 // that was told already, since it has seen all requests from then on.
-func (d *Desk) takeNews(service, placer string) []place.Sighting {
+func (d *Desk) takeHints(service, placer string) []place.CacheHint {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	if d.told[service] == placer {
 		return nil
 	}
 	d.told[service] = placer
-	trail := d.trails[service]
-	if trail == nil {
+	hints := d.hints[service]
+	if hints == nil {
 		return nil
 	}
-	sightings := trail.Recent(time.Now())
-	d.log.Info("placer-changed", zap.String("service", service), zap.String("ingress", placer), zap.Int("sightings", len(sightings)))
-	return sightings
+	recent := hints.Recent(time.Now())
+	d.log.Info("placer-changed", zap.String("service", service), zap.String("ingress", placer), zap.Int("cache-hints", len(recent)))
+	return recent
 }
 
 // forgetTold has a placer that was lost told once more.
@@ -135,8 +135,8 @@
 		}
 	}
 	now := time.Now()
-	for _, s := range d.takeNews(service, name) {
-		ask.Sightings = append(ask.Sightings, &wire.Sighting{Part: s.Part, ServerId: s.EngineID, AgeNanos: int64(now.Sub(s.At))})
+	for _, s := range d.takeHints(service, name) {
+		ask.CacheHints = append(ask.CacheHints, &wire.CacheHint{Part: s.Part, ServerId: s.EngineID, AgeNanos: int64(now.Sub(s.At))})
 	}
 	got, err := d.peers.Assign(ctx, name, ask)
 	if err != nil {
@@ -162,7 +162,7 @@
 
 // ServeAssign places a request for another ingress and follows it until its end.
 func (d *Desk) ServeAssign(stream net.Conn, reader *wire.Reader, a *wire.Assign) {
-	d.placer.Learn(a.GetService(), decodeSightings(a))
+	d.placer.Learn(a.GetService(), decodeHints(a))
 	seat := d.placer.Place(a.GetService(), decodeQuery(a))
 	answer := &wire.Assigned{}
 	if seat != nil {
@@ -194,14 +194,14 @@
 	}
 }
 
-func decodeSightings(a *wire.Assign) []place.Sighting {
+func decodeHints(a *wire.Assign) []place.CacheHint {
 	now := time.Now()
-	sightings := make([]place.Sighting, 0, len(a.GetSightings()))
-	for _, s := range a.GetSightings() {
+	hints := make([]place.CacheHint, 0, len(a.GetCacheHints()))
+	for _, s := range a.GetCacheHints() {
 		at := now.Add(-time.Duration(s.GetAgeNanos()))
-		sightings = append(sightings, place.Sighting{Part: s.GetPart(), EngineID: s.GetServerId(), At: at})
+		hints = append(hints, place.CacheHint{Part: s.GetPart(), EngineID: s.GetServerId(), At: at})
 	}
-	return sightings
+	return hints
 }
 
 func decodeQuery(a *wire.Assign) place.Query {
--- a/ingress/services/assign/placer.go
+++ b/ingress/services/assign/placer.go
@@ -72,11 +72,11 @@
 }
 
 // Learn takes what an ingress's requests left in the engines of a service.
-func (p *Placer) Learn(service string, sightings []place.Sighting) {
+func (p *Placer) Learn(service string, hints []place.CacheHint) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	if u := p.units[service]; u != nil {
-		u.engines.Learn(sightings)
+		u.engines.Learn(hints)
 	}
 }
 
--- a/share/decide/place/trail_test.go
+++ b/share/decide/place/hints_test.go
@@ -10,12 +10,12 @@
 )
 
 // placeAll places reviews of some sessions that run side by side, and returns their engines.
-func placeAll(e *place.Engines, trails []*place.Trail, now time.Time, sessions int) map[int]string {
+func placeAll(e *place.Engines, hints []*place.Hints, now time.Time, sessions int) map[int]string {
 	engines := map[int]string{}
 	for i := range sessions {
 		q := review(i)
 		p, _ := e.Place(now, q)
-		trails[i%len(trails)].Note(now, q.Generation.Parts, p.Server.ID)
+		hints[i%len(hints)].Note(now, q.Generation.Parts, p.Server.ID)
 		engines[i] = p.Server.ID
 	}
 	return engines
@@ -41,14 +41,14 @@
 func TestNewPlacerLearnsWhereSessionsAre(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
-	trails := []*place.Trail{}
+	hints := []*place.Hints{}
 	for range 6 {
-		trails = append(trails, place.NewTrail())
+		hints = append(hints, place.NewHints())
 	}
-	before := placeAll(newEngines(18), trails, now, 36)
+	before := placeAll(newEngines(18), hints, now, 36)
 	now = now.Add(time.Second)
 	taught := newEngines(18)
-	for _, t := range trails {
+	for _, t := range hints {
 		taught.Learn(t.Recent(now))
 	}
 	is.Equal(countKept(taught, now, before), 36)
@@ -57,19 +57,19 @@
 
 // An ingress tells what it saw a while ago of a session that has moved since. The
 // session's present engine stays the one that is known, and nothing that is too old is told.
-func TestOldSightingsChangeNothing(t *testing.T) {
+func TestOldHintsChangeNothing(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
-	trail := place.NewTrail()
-	trail.Note(now, review(1).Generation.Parts, "s0")
-	is.Equal(len(trail.Recent(now.Add(time.Second))), 2)
-	is.Equal(len(trail.Recent(now.Add(time.Minute))), 0)
+	hints := place.NewHints()
+	hints.Note(now, review(1).Generation.Parts, "s0")
+	is.Equal(len(hints.Recent(now.Add(time.Second))), 2)
+	is.Equal(len(hints.Recent(now.Add(time.Minute))), 0)
 
 	e := newEngines(3)
-	later := place.NewTrail()
+	later := place.NewHints()
 	later.Note(now.Add(time.Second), review(1).Generation.Parts, "s1")
 	e.Learn(later.Recent(now.Add(time.Second)))
-	e.Learn([]place.Sighting{{Part: "session1", EngineID: "gone", At: now.Add(time.Second)}})
+	e.Learn([]place.CacheHint{{Part: "session1", EngineID: "gone", At: now.Add(time.Second)}})
 	p, _ := e.Place(now.Add(2*time.Second), review(1))
 	is.Equal(p.Server.ID, "s1")
 }
