proofs: a chain begins anew when its inputs were released and its call broke

The stand-in's pools tell their load, and its configuration the rate of their links, so that the processes release inputs early here too. The test fails with maxRestarts at 0 (503 in place of the review).

--- a/fakes/cmds/hosted.go
+++ b/fakes/cmds/hosted.go
@@ -61,7 +61,7 @@
 			{"Name": "orders"},
 			{"Name": "models", "Engine": map[string]any{"Slots": 32, "KvCapacityTokens": 100000}},
 			{"Name": "encoders", "Segments": map[string]any{
-				"Slots": 1, "Queue": 2, "Batch": 8, "CallMs": 50, "ItemMs": 1, "HeadroomMb": 1, "HandleTtlS": 4,
+				"Slots": 1, "Queue": 2, "Batch": 8, "CallMs": 50, "ItemMs": 1, "HeadroomMb": 1, "HandleTtlS": 4, "LinkMbps": 10000,
 			}},
 		},
 		[]map[string]any{{"Name": "workshop", "ApiKeys": []string{"demo-key"}}},
--- a/fakes/services/hosted/pool.go
+++ b/fakes/services/hosted/pool.go
@@ -48,11 +48,13 @@
 	fault := s.takeFault()
 	s.lock.Lock()
 	s.busy = false
+	load := fmt.Sprintf("0,%d,1", s.waiting)
 	s.lock.Unlock()
 	if fault == CutAfterRun {
 		cut(w)
 		return
 	}
+	w.Header().Set("X-Verbenaroad-Replica-Load", load)
 	reply(w, http.StatusOK, map[string]any{"Items": results})
 }
 
--- a/proofs/hosted/faults_test.go
+++ b/proofs/hosted/faults_test.go
@@ -212,6 +212,38 @@
 	is.Equal(d.Notes(), []string{})
 }
 
+// A review's second stage breaks off while its server works, and the results of the
+// first were released as soon as that server had fetched them. The stage cannot be
+// sent to another server; the review's stages are made once more and it is served.
+func TestChainBeginsAnewWhenItsInputsAreGone(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	for _, p := range d.pools {
+		p.Work = 300 * time.Millisecond
+	}
+	ingress := d.ingresses[0]
+	for range 4 { // until both servers have told that they are idle
+		is.Equal(ingress.send(context.Background(), newReview()).status, http.StatusOK)
+	}
+	q := newReview()
+	answered := make(chan answer, 1)
+	go func() { answered <- ingress.send(context.Background(), q) }()
+	eventually(t, "the second stage has its inputs", func() bool {
+		return len(ingress.output.lines("event=inputs-released", "request="+q.id)) > 0
+	})
+	for _, p := range d.pools {
+		p.SetFaults(hosted.CutAfterRun)
+	}
+	got := <-answered
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(events(got.body), "1,2,3,4,5,6")
+	is.Equal(len(ingress.output.lines("event=chain-restarted", "request="+q.id)), 1)
+	is.Equal(len(d.Runs(q.id)), 1)
+	eventually(t, "all results are released", func() bool { return d.Held() == 0 })
+	is.Equal(d.Notes(), []string{})
+}
+
 // Entries of another writer stand among the servers, and a configuration that
 // cannot be read is written. What is known stays in force.
 func TestGarbageInTheStore(t *testing.T) {
--- a/proofs/hosted/world_test.go
+++ b/proofs/hosted/world_test.go
@@ -61,7 +61,7 @@
 			"Slots": 32, "KvCapacityTokens": 100000,
 		}},
 		{"Name": "encoders", "HealthPath": "/healthz", "MaxConnections": 100, "Segments": map[string]any{
-			"Slots": 1, "Queue": 2, "Batch": 8, "CallMs": 20, "ItemMs": 1, "HeadroomMb": 1, "HandleTtlS": 4,
+			"Slots": 1, "Queue": 2, "Batch": 8, "CallMs": 20, "ItemMs": 1, "HeadroomMb": 1, "HandleTtlS": 4, "LinkMbps": 10000,
 		}},
 	}
 }
