proofs: the explained refusal waits for its log lines

Trace: the lines that it missed stand in its own dump, 1 to 2 ms before the last answer (waiting=38 and 46, wanted 8 or more): lines are written beside the requests, and the test read them at once after the answers. It waits for them now, as the other explained failures do; what it wants is the same.

--- a/proofs/hosted/explain_test.go
+++ b/proofs/hosted/explain_test.go
@@ -60,20 +60,28 @@
 	}
 	work.Wait()
 	is.True(len(refused) > 0)
-	lines := d.about(refused[len(refused)-1])
-	last := lines[len(lines)-1]
-	is.True(strings.Contains(last, "event=failed"))
+	// Lines are written beside the requests and may come after the answers.
+	last := ""
+	eventually(t, "the refusal is written", func() bool {
+		lines := d.about(refused[len(refused)-1])
+		if len(lines) > 0 {
+			last = lines[len(lines)-1]
+		}
+		return strings.Contains(last, "event=failed")
+	})
 	is.Equal(value(last, "outcome"), "not-run")
 	is.True(value(last, "retry-after") != "")
 	detail := value(last, "detail")
 	is.True(strings.Contains(detail, "the stages would take") || strings.Contains(detail, "encoders"))
-	waiting := 0
-	for _, line := range d.ingresses[0].output.lines("event=batch", "service=encoders") {
-		n := 0
-		_, _ = fmt.Sscan(value(line, "waiting"), &n)
-		waiting = max(waiting, n)
-	}
-	is.True(waiting >= 8) // more than a batch: the pool is the bottleneck
+	eventually(t, "calls that left more than a batch waiting are written: the pool is the bottleneck", func() bool {
+		waiting := 0
+		for _, line := range d.ingresses[0].output.lines("event=batch", "service=encoders") {
+			n := 0
+			_, _ = fmt.Sscan(value(line, "waiting"), &n)
+			waiting = max(waiting, n)
+		}
+		return waiting >= 8
+	})
 }
 
 // An order's server is cut after it read the order. The engineer finds the server,
