proofs: a field of a log line is not looked for within quoted values

The first trace (lines not yet written) was wrong; the waits stay, since the lines are written beside the requests.

--- a/proofs/hosted/explain_test.go
+++ b/proofs/hosted/explain_test.go
@@ -24,13 +24,17 @@
 	return lines
 }
 
+// fields finds the fields of a line; a quoted value is one, whatever stands in it.
+var fields = regexp.MustCompile(`([a-z-]+)=("[^"]*"|\S*)`) //nolint:gochecknoglobals // compiled once
+
 // value returns a field of a line.
 func value(line, name string) string {
-	found := regexp.MustCompile(`\b` + name + `=("[^"]*"|\S*)`).FindStringSubmatch(line)
-	if found == nil {
-		return ""
+	for _, field := range fields.FindAllStringSubmatch(line, -1) {
+		if field[1] == name {
+			return strings.Trim(field[2], `"`)
+		}
 	}
-	return strings.Trim(found[1], `"`)
+	return ""
 }
 
 // The pools are so slow that a burst of reviews cannot be made in time. An engineer
