batch: rank goes before arrival among jobs that can be on time

In a burst the kinds with one stage pushed out those with three, whatever the operators ranked first. Change: a rank compares the team's priority, then the route's; the queue goes strictly by rank among jobs that can be on time.

--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -100,7 +100,7 @@
 		Key:       r.ItemKey,
 		Items:     r.Items,
 		Stages:    r.route.Stages,
-		Priority:  r.Grant.Priority,
+		Rank:      r.Grant.Rank,
 		Target:    r.Arrived.Add(r.route.Target),
 		Ends:      r.ends,
 		Domain:    r.seat.Server().Domain,
--- a/ingress/services/pieces/chain.go
+++ b/ingress/services/pieces/chain.go
@@ -19,9 +19,9 @@
 	AttemptID string
 	Key       string
 	// Items is the number of results of each stage.
-	Items    []int
-	Stages   []site.Stage
-	Priority int
+	Items  []int
+	Stages []site.Stage
+	Rank   site.Rank
 	// Target is when the request should begin to answer, Ends when it must have ended.
 	Target time.Time
 	Ends   time.Time
--- a/ingress/services/pieces/maker.go
+++ b/ingress/services/pieces/maker.go
@@ -189,7 +189,7 @@
 		TargetNanos:    int64(j.Target.Sub(now)),
 		RemainingNanos: int64(j.Expires.Sub(now)),
 		ResultBytes:    j.ResultBytes,
-		Priority:       uint32(max(j.Priority, 0)), //nolint:gosec // a small number
+		Rank:           uint32(max(j.Rank, 0)), //nolint:gosec // a small number
 		Domain:         j.Domain,
 		InputService:   j.InputService,
 		InputBytes:     j.InputBytes,
@@ -237,7 +237,7 @@
 		ResultBytes: p.GetResultBytes(),
 		Target:      now.Add(time.Duration(p.GetTargetNanos())),
 		Expires:     now.Add(time.Duration(p.GetRemainingNanos())),
-		Priority:    int(p.GetPriority()),
+		Rank:        site.Rank(p.GetRank()),
 		Domain:      p.GetDomain(),
 
 		InputService: p.GetInputService(),
--- a/ingress/services/pieces/walk.go
+++ b/ingress/services/pieces/walk.go
@@ -170,7 +170,7 @@
 		ResultBytes: s.ResultBytes,
 		Target:      target,
 		Expires:     expires,
-		Priority:    w.Priority,
+		Rank:        w.Rank,
 		Domain:      w.domainOf(stage, inputs),
 
 		InputService: inputs.service,
--- a/share/decide/access/access.go
+++ b/share/decide/access/access.go
@@ -78,8 +78,8 @@
 	Route *site.Route
 	// Team is empty on public routes and in a configuration without teams.
 	Team string
-	// Priority is the team's where it has one, else the route's.
-	Priority int
+	// Rank orders the request by its team's priority and its route's.
+	Rank site.Rank
 }
 
 // Check finds the route and the team of a request.
@@ -88,7 +88,7 @@
 	if r == nil {
 		return Grant{Verdict: NoRoute}
 	}
-	g := Grant{Verdict: Granted, Route: r, Priority: r.Priority}
+	g := Grant{Verdict: Granted, Route: r, Rank: site.NewRank(nil, r.Priority)}
 	if r.Public || len(t.config.Teams) == 0 {
 		return g
 	}
@@ -98,9 +98,7 @@
 		return g
 	}
 	g.Team = team.Name
-	if team.Priority != nil {
-		g.Priority = *team.Priority
-	}
+	g.Rank = site.NewRank(team.Priority, r.Priority)
 	return g
 }
 
--- a/share/decide/access/access_test.go
+++ b/share/decide/access/access_test.go
@@ -31,15 +31,15 @@
 		name, host, path, key string
 		verdict               access.Verdict
 		route, team           string
-		priority              int
+		rank                  site.Rank
 	}{
-		{"longest prefix", "kits.example", "/orders/spruce/1", "k1", access.Granted, "spruce", "workshop", 2},
-		{"prefix ends at its slash", "kits.example", "/orders/spruc", "k2", access.Granted, "orders", "workshop", 2},
-		{"host with port and capitals", "KITS.example:8080", "/x", "k1", access.Granted, "all", "workshop", 4},
-		{"the team's priority goes first", "kits.example", "/orders/1", "k3", access.Granted, "orders", "press", 0},
-		{"unknown key", "kits.example", "/x", "k9", access.UnknownKey, "all", "", 4},
-		{"no key", "kits.example", "/x", "", access.UnknownKey, "all", "", 4},
-		{"public", "open.example", "/x", "k9", access.Granted, "open", "", 0},
+		{"longest prefix", "kits.example", "/orders/spruce/1", "k1", access.Granted, "spruce", "workshop", site.NewRank(nil, 2)},
+		{"prefix ends at its slash", "kits.example", "/orders/spruc", "k2", access.Granted, "orders", "workshop", site.NewRank(nil, 2)},
+		{"host with port and capitals", "KITS.example:8080", "/x", "k1", access.Granted, "all", "workshop", site.NewRank(nil, 4)},
+		{"the team's priority goes first", "kits.example", "/orders/1", "k3", access.Granted, "orders", "press", site.NewRank(new(int), 2)},
+		{"unknown key", "kits.example", "/x", "k9", access.UnknownKey, "all", "", site.NewRank(nil, 4)},
+		{"no key", "kits.example", "/x", "", access.UnknownKey, "all", "", site.NewRank(nil, 4)},
+		{"public", "open.example", "/x", "k9", access.Granted, "open", "", site.NewRank(nil, 0)},
 		{"unknown host", "other.example", "/x", "k1", access.NoRoute, "", "", 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -47,7 +47,7 @@
 			g := newTable().Check(c.host, c.path, c.key)
 			is.Equal(g.Verdict, c.verdict)
 			is.Equal(g.Team, c.team)
-			is.Equal(g.Priority, c.priority)
+			is.Equal(g.Rank, c.rank)
 			if c.route != "" {
 				is.Equal(g.Route.Name, c.route)
 			}
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -29,8 +29,8 @@
 	// Expires when they are of no use at all.
 	Target  time.Time
 	Expires time.Time
-	// Priority ranks the request; 0 is the most urgent.
-	Priority int
+	// Rank orders the request; the lower is the more urgent.
+	Rank site.Rank
 	// Domain is where the results will be used; empty: open.
 	Domain string
 	// InputService made the inputs, where nothing but this job needs them: they are
--- a/share/decide/batch/load_test.go
+++ b/share/decide/batch/load_test.go
@@ -15,6 +15,23 @@
 // outcome counts how the jobs of a load ended.
 type outcome struct {
 	asked, onTime, late, refused, calls int
+	// byRank counts what was asked for and what was on time.
+	byRank map[site.Rank]ranked
+}
+
+type ranked struct{ asked, onTime int }
+
+func (o *outcome) count(rank site.Rank, asked, onTime int) {
+	r := o.byRank[rank]
+	o.byRank[rank] = ranked{asked: r.asked + asked, onTime: r.onTime + onTime}
+}
+
+// newMixed draws jobs of one to three results that may take a second.
+func newMixed(source *rand.Rand, now time.Time, id uint64) batch.Job {
+	job := newJob(now, id, 1+source.IntN(3))
+	job.Target = now.Add(time.Second)
+	job.Expires = now.Add(4 * time.Second)
+	return job
 }
 
 // event is the end of a call at a server.
@@ -28,11 +45,11 @@
 // play offers a load to planners that share five servers, each of which works on
 // one call at a time, lets two wait and refuses the rest, as the users' pools do.
 // Each job's results are released 300 ms after they were made.
-func play(planners int, rate func(time.Duration) float64, length time.Duration) outcome {
+func play(planners int, rate func(time.Duration) float64, length time.Duration, draw func(*rand.Rand, time.Time, uint64) batch.Job) outcome {
 	source := rand.New(rand.NewPCG(3, 4)) //nolint:gosec // a fixed load
 	start := time.Unix(0, 0)
 	now := start
-	o := outcome{}
+	o := outcome{byRank: map[site.Rank]ranked{}}
 	ps := []*batch.Planner{}
 	for range planners {
 		ps = append(ps, newPlanner(start, "a", "a", "a", "a", "a"))
@@ -40,16 +57,17 @@
 	free := map[string]time.Time{}
 	waiting := map[string][]time.Time{}
 	events := []event{}
-	targets := map[uint64]time.Time{}
+	jobs := map[uint64]batch.Job{}
 	perform := func(i int, a batch.Actions) {
 		for _, d := range a.Done {
 			switch {
 			case d.Outcome != batch.OutcomeMade:
 				o.refused++
-			case now.After(targets[d.JobID]):
+			case now.After(jobs[d.JobID].Target):
 				o.late++
 			default:
 				o.onTime++
+				o.count(jobs[d.JobID].Rank, 0, 1)
 			}
 		}
 		for _, c := range a.Calls {
@@ -98,12 +116,11 @@
 		now = step
 		if now.Equal(next) && now.Sub(start) < length {
 			i := source.IntN(planners)
-			job := newJob(now, id, 1+source.IntN(3))
-			job.Target = now.Add(time.Second)
-			job.Expires = now.Add(4 * time.Second)
-			targets[id] = job.Target
+			job := draw(source, now, id)
+			jobs[id] = job
 			id++
 			o.asked++
+			o.count(job.Rank, 1, 0)
 			perform(i, ps[i].Add(now, job))
 			next = now.Add(time.Duration(source.ExpFloat64() / rate(now.Sub(start)) * float64(time.Second)))
 			continue
@@ -122,8 +139,8 @@
 func TestOnePlannerCarriesWhatSixCannot(t *testing.T) {
 	is := is.New(t)
 	steady := func(time.Duration) float64 { return 45 }
-	one := play(1, steady, 20*time.Second)
-	six := play(6, steady, 20*time.Second)
+	one := play(1, steady, 20*time.Second, newMixed)
+	six := play(6, steady, 20*time.Second, newMixed)
 	t.Logf("one planner: %+v; six: %+v", one, six)
 	is.True(one.onTime*100 >= one.asked*97)
 	is.True(six.onTime < one.onTime)
@@ -141,8 +158,35 @@
 		}
 		return 35
 	}
-	o := play(1, burst, 20*time.Second)
+	o := play(1, burst, 20*time.Second, newMixed)
 	t.Logf("%+v", o)
 	is.True(o.onTime*100 >= o.asked*70)
 	is.True(o.onTime+o.late+o.refused == o.asked)
 }
+
+// Reviews burst for six seconds beyond what the servers can do, beside notes that the
+// operators rank first and that have two more stages to go, so that each may wait here
+// for little more than a call. By arrival both share the queue and some of the notes
+// are late; by rank the notes pass, and the reviews, which are too many, pay.
+func TestBurstOfTheLessUrgentSparesTheUrgent(t *testing.T) {
+	is := is.New(t)
+	const note, review = site.Rank(0), site.Rank(1)
+	burst := func(at time.Duration) float64 {
+		if at > 5*time.Second && at < 11*time.Second {
+			return 75
+		}
+		return 35
+	}
+	o := play(1, burst, 20*time.Second, func(source *rand.Rand, now time.Time, id uint64) batch.Job {
+		job := newMixed(source, now, id)
+		job.Rank = review
+		if source.IntN(3) == 0 {
+			job.Rank = note
+			job.Target = now.Add(900 * time.Millisecond)
+		}
+		return job
+	})
+	t.Logf("%+v", o)
+	is.True(o.byRank[note].onTime*100 >= o.byRank[note].asked*99)
+	is.True(o.byRank[review].onTime*2 >= o.byRank[review].asked) // and they are not starved
+}
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -13,9 +13,6 @@
 	// noServerPause is what a caller is told to wait for while no backend server is registered:
 	// a registration shows about a heartbeat after a start.
 	noServerPause = time.Second
-	// priorityLead is how much earlier a job counts as arrived for each rank of urgency.
-	// It lets the urgent pass within about one call and starves nobody.
-	priorityLead = 150 * time.Millisecond
 	// roomPart is the part of a server's memory that is planned for; sizes are approximate.
 	roomPart = 0.95
 	// maxPaceRatio is how much slower than the fastest a server may be and still be given
@@ -56,10 +53,14 @@
 	}
 }
 
-// order puts first what can still be on time, by arrival with a lead for
-// urgency; what is late anyway gets what is left. Ordering by deadline alone
+// order puts first what can still be on time, by rank and then by arrival; what is
+// late anyway gets what is left, in the same order. Ordering by deadline alone
 // spends an overload on requests that are about to be late.
 //
+// Rank goes before arrival. Guards against a burst in which requests with one stage
+// push out those with three, whatever the operators ranked first: each of the three
+// queues by arrival, and one lost turn is enough to be late.
+//
 // Before all of them go jobs of which some results are made or being made. Guards
 // against a memory that fills with parts of jobs: where few results fit, jobs are
 // split over calls, and what was made of one takes memory until the rest is, behind
@@ -79,7 +80,10 @@
 			}
 			return 1
 		}
-		return a.rank().Compare(b.rank())
+		if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
+			return c
+		}
+		return a.arrived.Compare(b.arrived)
 	})
 }
 
@@ -97,10 +101,6 @@
 // isBegun tells whether some results of the job are made or being made.
 func (j *job) isBegun() bool { return len(j.todo) < j.Count }
 
-func (j *job) rank() time.Time {
-	return j.arrived.Add(time.Duration(j.Priority) * priorityLead)
-}
-
 // chooseWorker returns the fastest idle server, or nil where waiting for a busy one is better.
 func (p *Planner) chooseWorker(now time.Time, passed map[*worker]bool) *worker {
 	idle := []*worker{}
