chain: a request is admitted by what goes before its rank

Cause: admission asked whether a request could be on time behind the whole queue, so in a burst of the less urgent as many of the urgent were refused or held. Change: a batcher tells its queue by rank (share/decide/ahead), and a request counts what goes before it, there and on its way. An outlook that was not told is not taken for an idle service any more.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -113,9 +113,7 @@
 	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.takeView})
 	i.mesh = mesh.NewMesh(mesh.Options{
 		Self: i.self, IsLeaving: i.stopper.IsLeaving, Link: i.newLink(), Log: i.log,
-		OnOutlook: func(service string, onTime, late time.Duration, rate float64) {
-			i.maker.NoteOutlook(service, onTime, late, rate)
-		},
+		OnOutlook: func(told *wire.Outlook) { i.maker.TakeOutlook(told) },
 	})
 	client := reach.NewClient(heads.Codec{})
 	i.owner = pieces.NewOwner(pieces.OwnerOptions{
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -38,7 +38,7 @@
 	IsLeaving func() bool
 	Link      link.Options
 	// OnOutlook is told what a batcher's jobs have to expect.
-	OnOutlook func(service string, onTime, late time.Duration, rate float64)
+	OnOutlook func(told *wire.Outlook)
 	Log       *zap.Logger
 }
 
@@ -215,7 +215,7 @@
 
 func (m *Mesh) noteBeat(name string, beat *wire.Beat) {
 	for _, o := range beat.GetOutlooks() {
-		m.options.OnOutlook(o.GetService(), time.Duration(o.GetOnTimeNanos()), time.Duration(o.GetLateNanos()), o.GetRate())
+		m.options.OnOutlook(o)
 	}
 	m.lock.Lock()
 	defer m.lock.Unlock()
--- a/ingress/services/pieces/maker.go
+++ b/ingress/services/pieces/maker.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/decide/ahead"
 	"verbenaroad.example/share/decide/batch"
 	"verbenaroad.example/share/decide/chain"
 	"verbenaroad.example/share/models/site"
@@ -40,7 +41,7 @@
 	pools map[string]*site.Pool
 	waits map[string]chain.Wait
 	// pending counts the results that chains of this ingress still need, by service.
-	pending   map[string]int
+	pending   map[string]ahead.Counts
 	ingresses int
 	// lateTurn is when the last held request began.
 	lateTurn time.Time
@@ -48,7 +49,7 @@
 
 // NewMaker returns a maker; owner batches for the services that fall to this ingress.
 func NewMaker(peers Peers, owner *Owner, log *zap.Logger) *Maker {
-	return &Maker{peers: peers, owner: owner, log: log, waits: map[string]chain.Wait{}, pending: map[string]int{}}
+	return &Maker{peers: peers, owner: owner, log: log, waits: map[string]chain.Wait{}, pending: map[string]ahead.Counts{}}
 }
 
 // TakeView takes the services of a new view.
@@ -78,12 +79,13 @@
 func (m *Maker) newPlan(c *Chain) chain.Plan {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	ahead := map[string]float64{}
+	pending := map[string]ahead.Counts{}
 	for _, s := range c.Stages {
 		// The balancer spreads the callers, so the others have about as much under way.
-		ahead[s.Service] = float64(m.pending[s.Service] * max(m.ingresses, 1))
+		pending[s.Service] = m.pending[s.Service].Scale(float64(max(m.ingresses, 1)))
 	}
-	return chain.NewPlan(time.Now(), c.Stages, c.Items, chain.Known{Pools: m.pools, Waits: m.waits, Ahead: ahead})
+	known := chain.Known{Pools: m.pools, Waits: m.waits, Ahead: pending}
+	return chain.NewPlan(time.Now(), c.Rank, c.Stages, c.Items, known)
 }
 
 // findDomain returns the failure domain that holds the most of some results; empty
@@ -120,18 +122,30 @@
 	return 0
 }
 
-// NoteOutlook takes what a batcher told of a service.
-func (m *Maker) NoteOutlook(service string, onTime, late time.Duration, rate float64) {
+// TakeOutlook takes what a batcher told of a service.
+func (m *Maker) TakeOutlook(told *wire.Outlook) {
+	m.noteOutlook(told.GetService(), decodeOutlook(told))
+}
+
+func (m *Maker) noteOutlook(service string, o ahead.Outlook) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	m.waits[service] = chain.Wait{OnTime: onTime, Late: late, Rate: rate, At: time.Now()}
+	m.waits[service] = chain.Wait{Outlook: o, At: time.Now()}
 }
 
 // addPending notes results that chains of this ingress still need and that no queue holds yet.
-func (m *Maker) addPending(service string, n int) {
+func (m *Maker) addPending(service string, rank site.Rank, n int) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	m.pending[service] += n
+	counts := m.pending[service]
+	if counts == nil {
+		counts = ahead.Counts{}
+		m.pending[service] = counts
+	}
+	counts[rank] += float64(n)
+	if counts[rank] == 0 {
+		delete(counts, rank)
+	}
 }
 
 // errGivenUp says that a batcher gave a job up by itself.
@@ -144,8 +158,8 @@
 // takes the job; results of the lost one end by themselves.
 func (m *Maker) produce(ctx context.Context, service string, j batch.Job) batch.Done {
 	done := m.produceAnywhere(ctx, service, j)
-	if done.Outcome != batch.OutcomeCanceled {
-		m.NoteOutlook(service, done.OnTime, done.Late, done.Rate)
+	if done.Outlook.IsTold() {
+		m.noteOutlook(service, done.Outlook)
 	}
 	return done
 }
@@ -201,9 +215,7 @@
 		Outcome:    batch.Outcome(got.GetOutcome()),
 		Handles:    got.GetHandles(),
 		RetryAfter: time.Duration(got.GetRetryAfterNanos()),
-		OnTime:     time.Duration(got.GetOnTimeNanos()),
-		Late:       time.Duration(got.GetLateNanos()),
-		Rate:       got.GetRate(),
+		Outlook:    decodeOutlook(got.GetOutlook()),
 
 		InputsReleased: got.GetInputsReleased(),
 	}, nil
@@ -245,8 +257,8 @@
 	})
 	return &wire.Produced{
 		Outcome: string(done.Outcome), Handles: done.Handles,
-		RetryAfterNanos: int64(done.RetryAfter), OnTimeNanos: int64(done.OnTime), LateNanos: int64(done.Late), Rate: done.Rate,
-		InputsReleased: done.InputsReleased,
+		RetryAfterNanos: int64(done.RetryAfter), InputsReleased: done.InputsReleased,
+		Outlook: encodeOutlook(p.GetService(), done.Outlook),
 	}
 }
 
--- /dev/null
+++ b/ingress/services/pieces/outlook.go
@@ -0,0 +1,41 @@
+package pieces
+
+import (
+	"maps"
+	"slices"
+
+	"verbenaroad.example/share/decide/ahead"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/wire"
+)
+
+// encodeOutlook writes a service's queue for the other ingresses.
+func encodeOutlook(service string, o ahead.Outlook) *wire.Outlook {
+	ranks := map[site.Rank]bool{}
+	for _, counts := range []ahead.Counts{o.OnTime, o.Late} {
+		for rank := range counts {
+			ranks[rank] = true
+		}
+	}
+	told := &wire.Outlook{Service: service, Rate: o.Rate}
+	for _, rank := range slices.Sorted(maps.Keys(ranks)) {
+		told.Queues = append(told.Queues, &wire.RankQueue{
+			Rank: uint32(max(rank, 0)), OnTime: o.OnTime[rank], Late: o.Late[rank], //nolint:gosec // a small number
+		})
+	}
+	return told
+}
+
+// decodeOutlook reads it; what was not told stays so.
+func decodeOutlook(told *wire.Outlook) ahead.Outlook {
+	if told == nil {
+		return ahead.Outlook{}
+	}
+	o := ahead.Outlook{OnTime: ahead.Counts{}, Late: ahead.Counts{}, Rate: told.GetRate()}
+	for _, q := range told.GetQueues() {
+		rank := site.Rank(q.GetRank())
+		o.OnTime[rank] = q.GetOnTime()
+		o.Late[rank] = q.GetLate()
+	}
+	return o
+}
--- a/ingress/services/pieces/owner.go
+++ b/ingress/services/pieces/owner.go
@@ -168,10 +168,7 @@
 		if u.planner.Count() == 0 {
 			continue
 		}
-		onTime, late, rate := u.planner.Outlook(time.Now())
-		outlooks = append(outlooks, &wire.Outlook{
-			Service: service, OnTimeNanos: int64(onTime), LateNanos: int64(late), Rate: rate,
-		})
+		outlooks = append(outlooks, encodeOutlook(service, u.planner.Outlook(time.Now())))
 	}
 	return outlooks
 }
--- a/ingress/services/pieces/walk.go
+++ b/ingress/services/pieces/walk.go
@@ -35,7 +35,7 @@
 func (w *walk) settlePending() {
 	for stage, s := range w.Stages {
 		if !w.begun[stage] {
-			w.maker.addPending(s.Service, -w.count(stage))
+			w.maker.addPending(s.Service, w.Rank, -w.count(stage))
 		}
 	}
 }
@@ -52,7 +52,7 @@
 		until: make([]time.Time, len(c.Stages)), begun: make([]bool, len(c.Stages)),
 	}
 	for stage, s := range c.Stages {
-		m.addPending(s.Service, c.count(stage))
+		m.addPending(s.Service, c.Rank, c.count(stage))
 		for _, before := range s.After {
 			w.users[before]++
 		}
@@ -132,7 +132,7 @@
 		}
 		states[stage] = stageRunning
 		w.begun[stage] = true
-		w.maker.addPending(w.Stages[stage].Service, -w.count(stage))
+		w.maker.addPending(w.Stages[stage].Service, w.Rank, -w.count(stage))
 		started++
 		go w.runStage(ctx, stage, ends)
 	}
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"verbenaroad.example/share/decide/ahead"
 	"verbenaroad.example/share/models/site"
 )
 
@@ -93,12 +94,8 @@
 	Outcome    Outcome
 	Handles    []string
 	RetryAfter time.Duration
-	// OnTime and Late predict how long a new job of one result waits now, one that can
-	// be on time and one that cannot.
-	OnTime time.Duration
-	Late   time.Duration
-	// Rate is how many results a second the service makes in full calls.
-	Rate float64
+	// Outlook is the queue that the next jobs meet.
+	Outlook ahead.Outlook
 	// InputsReleased tells that the job's inputs are not held any more.
 	InputsReleased bool
 }
@@ -196,7 +193,7 @@
 		p.tell(&a, now, Done{JobID: j.ID, Outcome: OutcomeNoServer, RetryAfter: noServerPause})
 		return a
 	}
-	wait := p.predictWait(now, j.Count, p.isOnTime(now, j))
+	wait := p.predictWait(now, j)
 	if now.Add(wait + p.pool.CallTime).After(j.Expires) {
 		p.tell(&a, now, Done{JobID: j.ID, Outcome: OutcomeBusy, RetryAfter: wait})
 		return a
--- a/share/decide/batch/ends.go
+++ b/share/decide/batch/ends.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"verbenaroad.example/share/decide/ahead"
 	"verbenaroad.example/share/models/site"
 )
 
@@ -90,7 +91,7 @@
 		return
 	}
 	if !again || j.repeats > maxRepeats*j.Count {
-		p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeFailed, RetryAfter: p.predictWait(now, j.Count, false)})
+		p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeFailed, RetryAfter: p.predictWait(now, j.Job)})
 		return
 	}
 	j.todo = append(j.todo, place.index)
@@ -117,14 +118,21 @@
 	p.tell(a, now, done)
 }
 
-// Outlook predicts how long a new job of one result waits, one that can be on time
-// and one that cannot, and tells how many results a second are made in full calls.
-func (p *Planner) Outlook(now time.Time) (onTime, late time.Duration, rate float64) {
-	return p.predictWait(now, 1, true), p.predictWait(now, 1, false), p.rate(now)
+// Outlook tells what waits for a call, and how many results a second are made in full calls.
+func (p *Planner) Outlook(now time.Time) ahead.Outlook {
+	o := ahead.Outlook{OnTime: ahead.Counts{}, Late: ahead.Counts{}, Rate: p.rate(now)}
+	for _, q := range p.queue {
+		counts := o.Late
+		if p.isOnTime(now, q.Job) {
+			counts = o.OnTime
+		}
+		counts[q.Rank] += float64(len(q.todo))
+	}
+	return o
 }
 
 // tell ends a job with the outlook for the next ones.
 func (p *Planner) tell(a *Actions, now time.Time, done Done) {
-	done.OnTime, done.Late, done.Rate = p.Outlook(now)
+	done.Outlook = p.Outlook(now)
 	a.Done = append(a.Done, done)
 }
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -197,20 +197,16 @@
 	return slices.ContainsFunc(p.ready, func(w *worker) bool { return w.server.Domain == domain })
 }
 
-// predictWait estimates how long a new job waits until its last item is in a
-// call: behind those that can be on time, and behind all others too if it cannot.
-func (p *Planner) predictWait(now time.Time, count int, onTime bool) time.Duration {
-	ahead := count
-	for _, q := range p.queue {
-		if !onTime || p.isOnTime(now, q.Job) {
-			ahead += len(q.todo)
-		}
-	}
-	rate := p.rate(now)
-	if rate == 0 {
-		return noServerPause
+// predictWait estimates how long a new job waits until its last item is in a call:
+// behind what goes before it, and behind all that can be on time if it cannot.
+func (p *Planner) predictWait(now time.Time, j Job) time.Duration {
+	o := p.Outlook(now)
+	if p.isOnTime(now, j) {
+		o.OnTime[j.Rank] += float64(j.Count)
+		return o.Wait(j.Rank)
 	}
-	return seconds(float64(ahead) / rate)
+	o.Late[j.Rank] += float64(j.Count)
+	return o.LateWait(j.Rank)
 }
 
 // rate returns the items a second that the servers make in full calls.
--- a/share/decide/chain/chain.go
+++ b/share/decide/chain/chain.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"verbenaroad.example/share/decide/ahead"
 	"verbenaroad.example/share/models/site"
 )
 
@@ -23,13 +24,8 @@
 
 // Wait is what the batcher of a service last told of its queue.
 type Wait struct {
-	// OnTime is how long a new job that can still be on time waits until it is in a
-	// call, Late how long one that cannot. The first go before the second.
-	OnTime time.Duration
-	Late   time.Duration
-	// Rate is how many results a second the service makes, 0 where it was not told.
-	Rate float64
-	// At is when it was told.
+	ahead.Outlook
+	// At is when it was told; zero: it was not.
 	At time.Time
 }
 
@@ -39,7 +35,7 @@
 	Waits map[string]Wait
 	// Ahead are the results of each service that requests under way still need and
 	// that no queue holds yet, at all ingresses together.
-	Ahead map[string]float64
+	Ahead map[string]ahead.Counts
 }
 
 // Plan is the outlook of one request's stages.
@@ -57,12 +53,17 @@
 	held float64
 }
 
-// NewPlan predicts a chain. Counts holds the number of results of each stage; a
-// stage without results takes no time.
-func NewPlan(now time.Time, stages []site.Stage, counts []int, k Known) Plan {
+// NewPlan predicts a chain for a request of a rank: it waits for what goes before it
+// and passes the rest. Counts holds the number of results of each stage; a stage
+// without results takes no time.
+//
+// Guards against a burst of the less urgent that keeps the urgent out: judged by the
+// whole queue, as many of both are refused, and those that are let in are the ones
+// with the fewest stages.
+func NewPlan(now time.Time, rank site.Rank, stages []site.Stage, counts []int, k Known) Plan {
 	p := Plan{After: make([]time.Duration, len(stages)), Level: make([]int, len(stages))}
-	onTime, _ := k.stageTimes(now, stages, counts, Wait.onTime)
-	late, lateWaits := k.stageTimes(now, stages, counts, Wait.late)
+	onTime, _ := k.stageTimes(stages, counts, func(service string) time.Duration { return k.wait(now, service, rank) })
+	late, lateWaits := k.stageTimes(stages, counts, func(service string) time.Duration { return k.lateWait(now, service, rank) })
 	afterLate := make([]time.Duration, len(stages))
 	for i := range stages {
 		p.After[i] = engineTime
@@ -89,7 +90,7 @@
 // Requests that are still in an earlier stage arrive before this one; leaving
 // them out lets a burst in until the queues behind the first stage are full,
 // which shows a second later. What is worked off until this one arrives is taken off.
-func (k Known) stageTimes(now time.Time, stages []site.Stage, counts []int, class func(Wait) time.Duration) (times, waits []time.Duration) {
+func (k Known) stageTimes(stages []site.Stage, counts []int, wait func(service string) time.Duration) (times, waits []time.Duration) {
 	times = make([]time.Duration, len(stages))
 	waits = make([]time.Duration, len(stages))
 	ends := make([]time.Duration, len(stages))
@@ -99,7 +100,7 @@
 			arrives = max(arrives, ends[before])
 		}
 		if n := countOf(counts, i); n > 0 && k.Pools[s.Service] != nil {
-			waits[i] = max(k.wait(now, s.Service, class)+k.aheadTime(s.Service)-arrives, 0)
+			waits[i] = max(wait(s.Service)-arrives, 0)
 			times[i] = waits[i] + callTime(k.Pools[s.Service], n)
 		}
 		ends[i] = arrives + times[i]
@@ -107,15 +108,6 @@
 	return times, waits
 }
 
-// aheadTime is how long the service takes for what will be in its queue before a new request.
-func (k Known) aheadTime(service string) time.Duration {
-	rate := k.Waits[service].Rate
-	if rate == 0 {
-		return 0
-	}
-	return time.Duration(k.Ahead[service] / rate * float64(time.Second))
-}
-
 func countOf(counts []int, stage int) int {
 	if stage >= len(counts) {
 		return 0
@@ -138,14 +130,31 @@
 	return float64(wait) / float64(pool.KeepTime)
 }
 
-func (w Wait) onTime() time.Duration { return w.OnTime }
-func (w Wait) late() time.Duration   { return w.Late }
+// wait predicts how long a request that can be on time waits at a service.
+func (k Known) wait(now time.Time, service string, rank site.Rank) time.Duration {
+	w := k.Waits[service]
+	return fade(now, w, w.Outlook.Wait(rank)) + aheadTime(w, k.Ahead[service].Before(rank))
+}
 
-// wait returns the last told wait, faded by its age.
-func (k Known) wait(now time.Time, service string, class func(Wait) time.Duration) time.Duration {
+// lateWait predicts the same for a request that cannot be on time.
+func (k Known) lateWait(now time.Time, service string, rank site.Rank) time.Duration {
 	w := k.Waits[service]
+	return fade(now, w, w.LateWait(rank)) + aheadTime(w, k.Ahead[service].Sum())
+}
+
+// fade takes off what was worked off since a wait was told.
+func fade(now time.Time, w Wait, told time.Duration) time.Duration {
 	left := max(1-float64(now.Sub(w.At))/float64(waitAge), 0)
-	return time.Duration(left * float64(class(w)))
+	return time.Duration(left * float64(told))
+}
+
+// aheadTime is how long the service takes for results that will be in its queue before
+// a new request; nothing where its rate is not known.
+func aheadTime(w Wait, results float64) time.Duration {
+	if w.Rate == 0 {
+		return 0
+	}
+	return time.Duration(results / w.Rate * float64(time.Second))
 }
 
 // Begin tells whether a stage whose inputs are there begins now. Deepest is the
--- a/share/decide/chain/chain_test.go
+++ b/share/decide/chain/chain_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenaroad.example/share/decide/ahead"
 	"verbenaroad.example/share/decide/chain"
 	"verbenaroad.example/share/models/site"
 )
@@ -23,12 +24,20 @@
 	}
 }
 
+// newWait is a queue in which a request of rank 0 waits for the times given.
+func newWait(at time.Time, onTime, late time.Duration) chain.Wait {
+	const rate = 1000
+	return chain.Wait{At: at, Outlook: ahead.Outlook{
+		OnTime: ahead.Counts{0: rate * onTime.Seconds()}, Late: ahead.Counts{0: rate * (late - onTime).Seconds()}, Rate: rate,
+	}}
+}
+
 func newKnown(now time.Time, wait time.Duration) chain.Known {
 	pool := &site.Pool{Batch: 10, CallTime: 200 * ms, ItemTime: 10 * ms, KeepTime: 4 * time.Second}
 	k := chain.Known{Pools: map[string]*site.Pool{}, Waits: map[string]chain.Wait{}}
 	for _, name := range []string{"encode", "retrieve", "rerank"} {
 		k.Pools[name] = pool
-		k.Waits[name] = chain.Wait{OnTime: wait, Late: 3 * wait, At: now}
+		k.Waits[name] = newWait(now, wait, 3*wait)
 	}
 	return k
 }
@@ -36,7 +45,7 @@
 func TestPlanAddsTheLongestWay(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	p := chain.NewPlan(now, newStages(), []int{2, 1, 6, 10}, newKnown(now, 100*ms))
+	p := chain.NewPlan(now, 0, newStages(), []int{2, 1, 6, 10}, newKnown(now, 100*ms))
 	// engine 200, rerank 200+100, retrieve 200+60, encode 100+200+50; the queues of the
 	// later stages are worked off before the request gets there
 	is.Equal(p.Total, 1110*ms)
@@ -49,10 +58,10 @@
 func TestPlanSkipsStagesWithoutResults(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	p := chain.NewPlan(now, newStages(), []int{2, 0, 0, 0}, newKnown(now, 100*ms))
+	p := chain.NewPlan(now, 0, newStages(), []int{2, 0, 0, 0}, newKnown(now, 100*ms))
 	is.Equal(p.Total, 550*ms) // 100+200+50 and the engine's 200
 	is.Equal(p.Level, []int{0, 0, 0, 0})
-	is.Equal(chain.NewPlan(now, newStages(), nil, chain.Known{}).Total, 200*ms)
+	is.Equal(chain.NewPlan(now, 0, newStages(), nil, chain.Known{}).Total, 200*ms)
 }
 
 // Twenty part lookups a second each make large results that their engine needs only
@@ -61,7 +70,7 @@
 func TestLargeResultsAreMadeLast(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	p := chain.NewPlan(now, newStages(), []int{2, 1, 6, 10}, newKnown(now, 0))
+	p := chain.NewPlan(now, 0, newStages(), []int{2, 1, 6, 10}, newKnown(now, 0))
 	is.True(!p.Begin(0, 2)) // the chain has two stages left behind its first
 	is.True(p.Begin(1, 2))
 	is.True(!p.Begin(0, 1))
@@ -88,8 +97,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			k := newKnown(now, 0)
-			k.Waits["rerank"] = chain.Wait{OnTime: c.onTime, Late: c.late, At: now}
-			p := chain.NewPlan(now, newStages(), []int{2, 1, 6, 10}, k)
+			k.Waits["rerank"] = newWait(now, c.onTime, c.late)
+			p := chain.NewPlan(now, 0, newStages(), []int{2, 1, 6, 10}, k)
 			got, pause := p.Admit(now, now.Add(c.target), now.Add(c.ends))
 			is.Equal(got, c.want)
 			is.Equal(pause > 0, c.want == chain.Refuse)
@@ -105,10 +114,10 @@
 	now := time.Unix(0, 0)
 	k := newKnown(now, 0)
 	counts := []int{0, 1, 6, 10}
-	empty := chain.NewPlan(now, newStages(), counts, k)
-	k.Waits["rerank"] = chain.Wait{Rate: 500, At: now}
-	k.Ahead = map[string]float64{"rerank": 1000}
-	full := chain.NewPlan(now, newStages(), counts, k)
+	empty := chain.NewPlan(now, 0, newStages(), counts, k)
+	k.Waits["rerank"] = chain.Wait{Outlook: ahead.Outlook{Rate: 500}, At: now}
+	k.Ahead = map[string]ahead.Counts{"rerank": {0: 1000}}
+	full := chain.NewPlan(now, 0, newStages(), counts, k)
 	// 1000 results at 500 a second take 2 s, of which 510 ms pass in the stages before
 	is.Equal(full.Total-empty.Total, 1490*ms)
 }
@@ -119,16 +128,39 @@
 	is := is.New(t)
 	told := time.Unix(0, 0)
 	k := newKnown(told, 2*time.Second)
-	fresh := chain.NewPlan(told, newStages(), []int{0, 1, 1, 1}, k)
-	old := chain.NewPlan(told.Add(2*time.Second), newStages(), []int{0, 1, 1, 1}, k)
+	fresh := chain.NewPlan(told, 0, newStages(), []int{0, 1, 1, 1}, k)
+	old := chain.NewPlan(told.Add(2*time.Second), 0, newStages(), []int{0, 1, 1, 1}, k)
 	is.Equal(fresh.Total-old.Total, 2*time.Second) // the later queues are worked off meanwhile
 }
 
 func TestLimitsLeaveTimeForWhatFollows(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	p := chain.NewPlan(now, newStages(), []int{0, 1, 6, 10}, newKnown(now, 0))
+	p := chain.NewPlan(now, 0, newStages(), []int{0, 1, 6, 10}, newKnown(now, 0))
 	onTime, useful := p.Limits(1, now.Add(2*time.Second), now.Add(8*time.Second))
 	is.Equal(onTime, now.Add(2*time.Second-p.After[1]))
 	is.True(useful.Before(now.Add(8*time.Second - p.After[1])))
 }
+
+// Reviews burst and fill the queue of the first stage, and more are on their way; the
+// operators rank notes first. Judged by the whole queue a note waits for 3 s and is
+// refused; what really goes before it are other notes. A chat behind all of them is
+// not let in.
+func TestAdmitByRank(t *testing.T) {
+	is := is.New(t)
+	const note, review, chat = site.Rank(0), site.Rank(1), site.Rank(2)
+	now := time.Unix(0, 0)
+	k := newKnown(now, 0)
+	k.Waits["encode"] = chain.Wait{At: now, Outlook: ahead.Outlook{
+		OnTime: ahead.Counts{note: 20, review: 300}, Late: ahead.Counts{review: 500}, Rate: 100,
+	}}
+	k.Ahead = map[string]ahead.Counts{"encode": {review: 100}}
+	admit := func(rank site.Rank) chain.Verdict {
+		p := chain.NewPlan(now, rank, newStages(), []int{0, 1, 6, 10}, k)
+		v, _ := p.Admit(now, now.Add(2*time.Second), now.Add(6*time.Second))
+		return v
+	}
+	is.Equal(admit(note), chain.Go)
+	is.Equal(admit(review), chain.Refuse)
+	is.Equal(admit(chat), chain.Refuse)
+}
