flow: a stream's stages end before its caller leaves for lack of a first event

Cause: callers leave a silent stream after four times its objective; a chat that may take 20 s was held and made for longer than the 7.2 s that its caller waits. Change: the adapter tells how long callers stay without an event, and the chain must have ended before.

--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -102,7 +102,7 @@
 		Stages:    r.route.Stages,
 		Rank:      r.Grant.Rank,
 		Target:    r.Arrived.Add(r.route.Target),
-		Ends:      r.ends,
+		Ends:      r.route.FirstEventBy(r.Arrived, r.ends),
 		Domain:    r.seat.Server().Domain,
 		Log:       r.log,
 	})
--- a/share/models/site/config.go
+++ b/share/models/site/config.go
@@ -44,6 +44,9 @@
 	Target time.Duration
 	// MaxGap is the longest pause between two events of an answer that is on time.
 	MaxGap time.Duration
+	// MaxSilence is for how long callers of a stream wait for its next event, the first
+	// one too, before they leave; 0: as long as for the answer.
+	MaxSilence time.Duration
 	// Priority ranks the route; 0 is the most urgent.
 	Priority int
 	// Backends are the services with their shares; there is at least one.
@@ -58,6 +61,22 @@
 	Resumable bool
 }
 
+// FirstEventBy is when the caller of a stream leaves if it has seen no event; ends is
+// when its request must have ended.
+//
+// Guards against a request that is held, or whose results are made, for a caller that
+// has left: callers wait for a long answer for 20 s, and for its first event for 7 s.
+func (r *Route) FirstEventBy(arrived, ends time.Time) time.Time {
+	if r.MaxSilence == 0 {
+		return ends
+	}
+	leaves := arrived.Add(r.MaxSilence)
+	if ends.Before(leaves) {
+		return ends
+	}
+	return leaves
+}
+
 // Backend is one service of a route with its share of the requests.
 type Backend struct {
 	Service string
