batch: a call that is not full waits 20 ms for the rest of a group

Cause: half of all requests come within 3 ms of another, and jobs that shared a call come to the next stage together; a call began with the first of them and cost its 200 ms for one job, while the others waited for the next free server. Change: a call that is not full begins when its oldest job has waited for a tenth of a call's fixed time; the planner looks each 5 ms in place of 20. Tests that began a call at once give their jobs 20 ms before. The load of TestInputsReleasedEarlyCarryABurst was served with inputs held too, now; it is raised from 50 to 53 requests a second, all that the calls' time allows, the bound for early release from 95 to 98 in 100, and that for held inputs is a tenth in place of 15.

--- a/ingress/services/pieces/owner.go
+++ b/ingress/services/pieces/owner.go
@@ -46,7 +46,7 @@
 
 const (
 	// tickEvery is how soon a planner looks again at servers and jobs that it held back.
-	tickEvery = 20 * time.Millisecond
+	tickEvery = 5 * time.Millisecond
 	// releaseEvery is how long released handles gather, so that one call names many.
 	releaseEvery = 10 * time.Millisecond
 	// releaseTimeout bounds a release; the result ends by itself a few seconds later.
--- a/share/decide/batch/batch_test.go
+++ b/share/decide/batch/batch_test.go
@@ -41,6 +41,20 @@
 	}
 }
 
+// gathered is how long a planner waits for the rest of a group of jobs.
+const gathered = 20 * time.Millisecond
+
+// add gives a planner a job that came early enough to begin now.
+func add(p *batch.Planner, now time.Time, j batch.Job) batch.Actions {
+	a := p.Add(now.Add(-gathered), j)
+	later := p.Tick(now)
+	a.Calls = append(a.Calls, later.Calls...)
+	a.Done = append(a.Done, later.Done...)
+	a.Release = append(a.Release, later.Release...)
+	a.Fetched = append(a.Fetched, later.Fetched...)
+	return a
+}
+
 // made answers a call with a result for each item.
 func made(c batch.Call) []site.ItemResult {
 	results := []site.ItemResult{}
@@ -55,10 +69,10 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	p := newPlanner(now, "a")
-	first := p.Add(now, newJob(now, 1, 1))
+	first := add(p, now, newJob(now, 1, 1))
 	is.Equal(len(first.Calls), 1) // an idle server begins at once
 	for id := uint64(2); id <= 5; id++ {
-		is.Equal(len(p.Add(now, newJob(now, id, 2)).Calls), 0)
+		is.Equal(len(add(p, now, newJob(now, id, 2)).Calls), 0)
 	}
 	next := p.End(now.Add(220*time.Millisecond), first.Calls[0].ID, batch.Ended{Results: made(first.Calls[0])})
 	is.Equal(len(next.Done), 1)
@@ -73,9 +87,9 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	p := newPlanner(now, "a")
-	open := p.Add(now, newJob(now, 1, 3)).Calls
-	p.Add(now, newJob(now, 2, 5))
-	p.Add(now, newJob(now, 3, 7))
+	open := add(p, now, newJob(now, 1, 3)).Calls
+	add(p, now, newJob(now, 2, 5))
+	add(p, now, newJob(now, 3, 7))
 	done := map[uint64][]string{}
 	for len(open) > 0 {
 		now = now.Add(300 * time.Millisecond)
@@ -100,7 +114,7 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	p := newPlanner(now, "a", "a")
-	first := p.Add(now, newJob(now, 1, 2)).Calls[0]
+	first := add(p, now, newJob(now, 1, 2)).Calls[0]
 	a := p.End(now.Add(100*time.Millisecond), first.ID, batch.Ended{Failed: true})
 	is.Equal(len(a.Calls), 1)
 	is.True(a.Calls[0].Server.ID != first.Server.ID)
@@ -114,7 +128,7 @@
 	now := time.Unix(0, 0)
 	p := batch.NewPlanner(newPool(), func(time.Time, int) bool { return false })
 	p.SetServers(now, newServers("a"))
-	first := p.Add(now, newJob(now, 1, 2)).Calls[0]
+	first := add(p, now, newJob(now, 1, 2)).Calls[0]
 	a := p.End(now, first.ID, batch.Ended{Failed: true})
 	is.Equal(len(a.Done), 1)
 	is.Equal(a.Done[0].Outcome, batch.OutcomeFailed)
@@ -126,7 +140,7 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	p := newPlanner(now, "a")
-	call := p.Add(now, newJob(now, 1, 2)).Calls[0]
+	call := add(p, now, newJob(now, 1, 2)).Calls[0]
 	is.Equal(p.Cancel(now, 1).Done[0].Outcome, batch.OutcomeCanceled)
 	a := p.End(now.Add(time.Second), call.ID, batch.Ended{Results: made(call)})
 	is.Equal(len(a.Release), 2)
@@ -140,7 +154,7 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	p := newPlanner(now, "a")
-	call := p.Add(now, newJob(now, 1, 2)).Calls[0]
+	call := add(p, now, newJob(now, 1, 2)).Calls[0]
 	results := made(call)
 	results[1] = site.ItemResult{Outcome: site.ItemGone}
 	a := p.End(now, call.ID, batch.Ended{Results: results})
@@ -156,12 +170,12 @@
 	p := newPlanner(now, "a")
 	large := newJob(now, 1, 6)
 	large.ResultBytes = 3_000_000
-	call := p.Add(now, large).Calls[0]
+	call := add(p, now, large).Calls[0]
 	is.Equal(len(call.Items), 6)
 	another := newJob(now, 2, 2)
 	another.ResultBytes = 3_000_000
-	p.Add(now, another)
-	p.Add(now, newJob(now, 3, 4))
+	add(p, now, another)
+	add(p, now, newJob(now, 3, 4))
 	now = now.Add(300 * time.Millisecond)
 	handles := made(call)
 	next := p.End(now, call.ID, batch.Ended{Results: handles}).Calls[0]
@@ -182,7 +196,7 @@
 	p := newPlanner(now, "a")
 	job := newJob(now, 1, 4)
 	job.ResultBytes = 3_000_000
-	call := p.Add(now, job).Calls[0]
+	call := add(p, now, job).Calls[0]
 	results := make([]site.ItemResult, 4)
 	for i := range results {
 		results[i].Outcome = site.ItemNoRoom
@@ -200,11 +214,12 @@
 	p := newPlanner(now, "a", "b")
 	jobA := newJob(now, 1, 1)
 	jobA.Domain = "a"
-	is.Equal(p.Add(now, jobA).Calls[0].Server.Domain, "a")
+	is.Equal(add(p, now, jobA).Calls[0].Server.Domain, "a")
 	again := newJob(now, 2, 2)
 	again.Domain = "a"
 	again.ResultBytes = 1_500_000
-	is.Equal(len(p.Add(now, again).Calls), 0)
+	is.Equal(len(add(p, now, again).Calls), 0)
+	now = now.Add(-gathered) // when it came
 	is.Equal(len(p.Tick(now.Add(170*time.Millisecond)).Calls), 0)
 	late := p.Tick(now.Add(190 * time.Millisecond)).Calls
 	is.Equal(len(late), 1)
@@ -212,7 +227,7 @@
 	lost := newJob(now, 3, 1)
 	lost.Domain = "c" // no server stands there
 	p.End(now, late[0].ID, batch.Ended{Results: made(late[0])})
-	is.Equal(len(p.Add(now, lost).Calls), 1)
+	is.Equal(len(add(p, now, lost).Calls), 1)
 }
 
 // A note's three stages each find their own domain's server busy and another one idle.
@@ -237,12 +252,12 @@
 			p := newPlanner(now, "a", "b")
 			busy := newJob(now, 1, 1)
 			busy.Domain = "a"
-			p.Add(now, busy)
+			add(p, now, busy)
 			job := newJob(now, 2, 2)
 			job.Domain = "a"
 			job.ResultBytes, job.InputBytes = c.resultBytes, c.inputBytes
 			job.Target = now.Add(c.target)
-			p.Add(now, job)
+			add(p, now, job)
 			is.Equal(len(p.Tick(now.Add(20*time.Millisecond)).Calls) == 0 && p.CountItems() == 2, c.waits)
 		})
 	}
@@ -254,7 +269,7 @@
 	now := time.Unix(0, 0)
 	p := newPlanner(now, "a", "a", "a")
 	for id := uint64(1); id < 40; id++ {
-		a := p.Add(now, newJob(now, id, 1))
+		a := add(p, now, newJob(now, id, 1))
 		is.Equal(len(a.Calls), 1)
 		took := 220 * time.Millisecond
 		if a.Calls[0].Server.ID == "p0" {
@@ -270,7 +285,7 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	p := batch.NewPlanner(newPool(), always)
-	a := p.Add(now, newJob(now, 1, 1))
+	a := add(p, now, newJob(now, 1, 1))
 	is.Equal(a.Done[0].Outcome, batch.OutcomeNoServer)
 	is.True(a.Done[0].RetryAfter > 0)
 }
@@ -283,7 +298,7 @@
 	p := newPlanner(now, "a")
 	refused := 0
 	for id := uint64(1); id <= 100; id++ {
-		for _, d := range p.Add(now, newJob(now, id, 4)).Done {
+		for _, d := range add(p, now, newJob(now, id, 4)).Done {
 			is.Equal(d.Outcome, batch.OutcomeBusy)
 			is.True(d.RetryAfter > 3*time.Second)
 			refused++
--- a/share/decide/batch/begun_test.go
+++ b/share/decide/batch/begun_test.go
@@ -20,19 +20,19 @@
 	pool := newPool()
 	pool.RoomBytes = 32_000 // three results
 	p.SetPool(pool)
-	first := p.Add(now, newJob(now, 1, 2))
+	first := add(p, now, newJob(now, 1, 2))
 	now = now.Add(300 * time.Millisecond)
 	holding := p.End(now, first.Calls[0].ID, batch.Ended{Results: made(first.Calls[0])})
 
 	chat := newJob(now, 2, 2)
 	chat.Target = now // late already
-	p.Add(now, chat)
+	add(p, now, chat)
 	now = now.Add(200 * time.Millisecond)
 	half := p.Tick(now)
 	is.Equal(len(half.Calls), 1)
 	is.Equal(len(half.Calls[0].Items), 1) // one result fits beside the two
 
-	p.Add(now, newJob(now, 3, 1))
+	add(p, now, newJob(now, 3, 1))
 	now = now.Add(300 * time.Millisecond)
 	p.End(now, half.Calls[0].ID, batch.Ended{Results: made(half.Calls[0])})
 	p.Released(now, holding.Done[0].Handles[:1])
--- a/share/decide/batch/fill.go
+++ b/share/decide/batch/fill.go
@@ -26,7 +26,7 @@
 	if len(d.call.Items) == 0 && len(jobs) > 0 {
 		d.take(now, jobs[0])
 	}
-	if len(d.call.Items) == 0 || p.shouldWait(now, w, d, jobs) {
+	if len(d.call.Items) == 0 || p.isGathering(now, d) || p.shouldWait(now, w, d, jobs) {
 		d.putBack()
 		return false
 	}
@@ -47,6 +47,27 @@
 	smallWait = 150 * time.Millisecond
 )
 
+// gatherPart is the part of a call's fixed time for which a call that is not full
+// waits for more jobs after the first one came.
+const gatherPart = 0.1
+
+// isGathering tells whether a call that is not full waits for the rest of a group of
+// requests. Callers send several requests at once, and jobs that shared a call come to
+// the next stage together: begun with the first of them, a call costs its fixed time for
+// one job, and the others wait for the next server that is free.
+func (p *Planner) isGathering(now time.Time, d draft) bool {
+	if len(d.call.Items) == d.most {
+		return false
+	}
+	gather := time.Duration(gatherPart * float64(p.pool.CallTime))
+	for _, place := range d.call.jobs {
+		if now.Sub(place.job.arrived) >= gather {
+			return false
+		}
+	}
+	return true
+}
+
 // shouldWait tells whether a call is small for lack of memory alone, so that it
 // pays to wait until results are released.
 func (p *Planner) shouldWait(now time.Time, w *worker, d draft, jobs []*job) bool {
--- a/share/decide/batch/inputs_test.go
+++ b/share/decide/batch/inputs_test.go
@@ -39,13 +39,13 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	p := newChainedPlanner(now)
-	first := p.Add(now, newChainedJob(now, 1)).Calls[0]
+	first := add(p, now, newChainedJob(now, 1)).Calls[0]
 	is.Equal(len(p.Tick(now.Add(200*time.Millisecond)).Fetched), 0) // the server has told nothing yet
 	now = now.Add(220 * time.Millisecond)
 	done := p.End(now, first.ID, batch.Ended{Results: made(first), Load: idleLoad()}).Done[0]
 	is.True(!done.InputsReleased)
 
-	second := p.Add(now, newChainedJob(now, 2)).Calls[0]
+	second := add(p, now, newChainedJob(now, 2)).Calls[0]
 	is.Equal(len(p.Tick(now.Add(50*time.Millisecond)).Fetched), 0)
 	fetched := p.Tick(now.Add(150 * time.Millisecond)).Fetched
 	is.Equal(len(fetched), 1)
@@ -63,7 +63,7 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	p := newChainedPlanner(now)
-	first := p.Add(now, newChainedJob(now, 1)).Calls[0]
+	first := add(p, now, newChainedJob(now, 1)).Calls[0]
 	refused := []site.ItemResult{{Outcome: site.ItemRefused}}
 	again := p.End(now, first.ID, batch.Ended{Results: refused, Load: idleLoad()})
 	is.Equal(len(again.Calls), 1) // it is the only server
@@ -76,9 +76,9 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	p := newChainedPlanner(now)
-	first := p.Add(now, newChainedJob(now, 1)).Calls[0]
+	first := add(p, now, newChainedJob(now, 1)).Calls[0]
 	p.End(now, first.ID, batch.Ended{Results: made(first), Load: idleLoad()})
-	second := p.Add(now, newChainedJob(now, 2)).Calls[0]
+	second := add(p, now, newChainedJob(now, 2)).Calls[0]
 	now = now.Add(150 * time.Millisecond)
 	is.Equal(len(p.Tick(now).Fetched), 1)
 	done := p.End(now, second.ID, batch.Ended{Failed: true}).Done[0]
@@ -195,14 +195,14 @@
 
 // Both deployments have a pool whose memory holds 35 or 70 results of 60 KB, four to
 // six of which each request makes and hands to the next pool. In a burst that memory
-// and not the servers' time binds. 50 requests a second ask for 200 results where
-// the time of the calls would allow 212; inputs that are held until the end of the
-// second call keep a fifth of the requests from being on time.
+// and not the servers' time binds. 53 requests a second ask for as many results as
+// the time of the calls allows, 212; inputs that are held until the end of the
+// second call keep a tenth of the requests from being on time.
 func TestInputsReleasedEarlyCarryABurst(t *testing.T) {
 	is := is.New(t)
-	asked, held := newChained(false).play(50)
-	_, early := newChained(true).play(50)
+	asked, held := newChained(false).play(53)
+	_, early := newChained(true).play(53)
 	t.Logf("asked %d, on time with inputs held %d, released once fetched %d", asked, held, early)
-	is.True(early*100 >= asked*95)
-	is.True(held*100 <= asked*85)
+	is.True(early*100 >= asked*98)
+	is.True(held*100 <= asked*90)
 }
