batch: the next call goes out so that it arrives when its server is free

Cause: a call was sent when the answer to the one before was there; with a new connection a server in another region idled for two round trips, 50 to 70 ms of each 430 ms, also in a burst. Change: the planner learns each server's round trip from opening connections and sends one call ahead by two of them, where no server is idle.

--- a/ingress/services/pieces/maker_test.go
+++ b/ingress/services/pieces/maker_test.go
@@ -35,12 +35,12 @@
 // pool makes every result at once.
 type pool struct{}
 
-func (pool) Make(_ context.Context, server site.Server, items []site.Item) ([]site.ItemResult, *site.Load, error) {
+func (pool) Make(_ context.Context, server site.Server, items []site.Item) (site.Batch, error) {
 	results := []site.ItemResult{}
 	for range items {
 		results = append(results, site.ItemResult{Outcome: site.ItemMade, Handle: server.Address.String() + "/1"})
 	}
-	return results, nil, nil
+	return site.Batch{Results: results}, nil
 }
 
 func (pool) ReadHolder(handle string) (netip.AddrPort, error) {
--- a/ingress/services/pieces/owner.go
+++ b/ingress/services/pieces/owner.go
@@ -23,7 +23,7 @@
 
 // Pools calls the backend servers that make results.
 type Pools interface {
-	Make(ctx context.Context, server site.Server, items []site.Item) ([]site.ItemResult, *site.Load, error)
+	Make(ctx context.Context, server site.Server, items []site.Item) (site.Batch, error)
 	Release(ctx context.Context, holder netip.AddrPort, handles []string) error
 	// ReadHolder returns the address of the server that holds a result.
 	ReadHolder(handle string) (netip.AddrPort, error)
@@ -221,22 +221,24 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	results, load, err := o.options.Pools.Make(ctx, c.Server, c.Items)
+	made, err := o.options.Pools.Make(ctx, c.Server, c.Items)
 	took := time.Since(began)
 	outcome := "answered"
 	if err != nil {
 		outcome = "broken"
-	} else if len(results) > 0 && results[0].Outcome == site.ItemRefused {
+	} else if len(made.Results) > 0 && made.Results[0].Outcome == site.ItemRefused {
 		outcome = "refused"
 	}
 	o.options.Meter.CountBatch(service, outcome, len(c.Items), took)
 	o.options.Log.Info("batch", zap.String("service", service), zap.String("server", c.Server.ID), zap.Int("items", len(c.Items)),
-		zap.String("outcome", outcome), zap.String("results", countOutcomes(results)), zap.Stringer("load", load),
+		zap.String("outcome", outcome), zap.String("results", countOutcomes(made.Results)), zap.Stringer("load", made.Load),
 		zap.Int64("held-bytes", c.Held), zap.Int("waiting", c.Waiting),
 		zap.Duration("took", took), logs.Err(err))
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	o.perform(service, u, u.planner.End(time.Now(), c.ID, batch.Ended{Results: results, Load: load, Failed: err != nil}))
+	o.perform(service, u, u.planner.End(time.Now(), c.ID, batch.Ended{
+		Results: made.Results, Load: made.Load, RoundTrip: made.RoundTrip, Failed: err != nil,
+	}))
 }
 
 // countOutcomes describes the results of a call, such as "made=12,no-room=2".
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -74,6 +74,8 @@
 	Waiting int
 	jobs    []placed
 	started time.Time
+	// turn is about when the server begins it.
+	turn time.Time
 	// expected is how long the call takes at the service's stated pace.
 	expected time.Duration
 	// fetchedAt is when the server has surely fetched the inputs; zero: not known, or noted.
--- a/share/decide/batch/ends.go
+++ b/share/decide/batch/ends.go
@@ -13,6 +13,8 @@
 	Results []site.ItemResult
 	// Load is what the server told of itself; nil: nothing.
 	Load *site.Load
+	// RoundTrip is how long opening the connection took; 0: not known.
+	RoundTrip time.Duration
 	// Failed calls have no results, and nothing is known of their items.
 	Failed bool
 }
@@ -28,6 +30,7 @@
 	w := p.workers[call.Server.ID]
 	if w != nil {
 		w.end(now, call, e, p.pool)
+		p.beginNext(now, w)
 	}
 	a := Actions{}
 	again := true
@@ -48,6 +51,24 @@
 	return a
 }
 
+// beginNext notes that the call behind the one that ended has its turn now.
+func (p *Planner) beginNext(now time.Time, w *worker) {
+	if w.current != nil {
+		return
+	}
+	for id := range w.planned {
+		c := p.calls[id]
+		if c == nil {
+			continue
+		}
+		w.current = c
+		if c.turn.Before(now) {
+			c.turn = now
+		}
+		c.fetchedAt = p.predictFetch(w, c)
+	}
+}
+
 func isRefused(results []site.ItemResult) bool {
 	return len(results) > 0 && results[0].Outcome == site.ItemRefused
 }
--- a/share/decide/batch/fill.go
+++ b/share/decide/batch/fill.go
@@ -99,8 +99,9 @@
 	call.expected = p.pool.CallTime + time.Duration(len(call.Items))*p.pool.ItemTime
 	call.Timeout = w.timeout(call.expected)
 	call.Waiting = p.CountItems()
+	call.turn = call.started.Add(w.lead())
+	w.start(&call, d.bytes)
 	call.fetchedAt = p.predictFetch(w, &call)
-	w.start(call.ID, d.bytes)
 	p.calls[call.ID] = &call
 	a.Calls = append(a.Calls, call)
 }
--- a/share/decide/batch/inputs.go
+++ b/share/decide/batch/inputs.go
@@ -25,14 +25,14 @@
 // last answer told that it has nothing else to do counts, and none that lately
 // refused, failed, or missed memory, as all of them do after another planner.
 func (p *Planner) predictFetch(w *worker, c *Call) time.Time {
-	if p.pool.LinkRate <= 0 || !w.isIdle || c.started.Before(w.trustedFrom) {
+	if w.current != c || p.pool.LinkRate <= 0 || !w.isIdle || c.started.Before(w.trustedFrom) {
 		return time.Time{}
 	}
 	bytes := int64(0)
 	for _, place := range c.jobs {
 		bytes += place.job.InputBytes
 	}
-	return c.started.Add(fetchMargin + seconds(fetchLinks*float64(bytes)/p.pool.LinkRate))
+	return c.turn.Add(fetchMargin + seconds(fetchLinks*float64(bytes)/p.pool.LinkRate))
 }
 
 // noteDue gives up the inputs that were fetched by now.
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -103,7 +103,7 @@
 
 // chooseWorker returns the fastest idle server, or nil where waiting for a busy one is better.
 func (p *Planner) chooseWorker(now time.Time, passed map[*worker]bool) *worker {
-	idle := []*worker{}
+	idle, soon := []*worker{}, []*worker{}
 	fastest := math.Inf(1)
 	healthy := 0
 	for _, w := range p.ready {
@@ -115,11 +115,17 @@
 		if w.calls == 0 && !passed[w] {
 			idle = append(idle, w)
 		}
+		if p.pool.Queue > 0 && w.isSoonFree(now) && !passed[w] {
+			soon = append(soon, w)
+		}
 	}
 	if healthy == 0 {
 		return p.probeWorker(passed)
 	}
 	items := p.CountItems()
+	if len(idle) == 0 {
+		idle = soon
+	}
 	idle = slices.DeleteFunc(idle, func(w *worker) bool {
 		return w.pace > maxPaceRatio*fastest && items <= (healthy-1)*p.pool.Batch
 	})
--- a/share/decide/batch/worker.go
+++ b/share/decide/batch/worker.go
@@ -24,6 +24,10 @@
 	server site.Server
 	// calls counts the calls under way.
 	calls int
+	// current is the call that the server works on; nil while there is none.
+	current *Call
+	// roundTrip is how long a message to the server and back takes; 0: not known.
+	roundTrip time.Duration
 	// pace is how long calls take against what the service states; 1 at the start.
 	pace float64
 	// used is about the memory that results take, planned ones included.
@@ -56,10 +60,31 @@
 	return &worker{server: s, pace: 1, planned: map[uint64]int64{}, held: map[string]holding{}}
 }
 
-func (w *worker) start(callID uint64, bytes int64) {
+func (w *worker) start(call *Call, bytes int64) {
 	w.calls++
 	w.used += bytes
-	w.planned[callID] = bytes
+	w.planned[call.ID] = bytes
+	if w.current == nil {
+		w.current = call
+	}
+}
+
+// leadTrips is how many round trips pass between the end of a call at its server and
+// the begin of the next one: half of one for the answer, one for a new connection, and
+// half for the call.
+const leadTrips = 2
+
+// lead is how long a call is under way until its server can begin it.
+func (w *worker) lead() time.Duration { return leadTrips * w.roundTrip }
+
+// isSoonFree tells whether a call that is sent now arrives when the server ends its
+// current one.
+func (w *worker) isSoonFree(now time.Time) bool {
+	if w.calls != 1 || w.current == nil || w.roundTrip == 0 {
+		return false
+	}
+	ends := w.current.turn.Add(time.Duration(w.pace * float64(w.current.expected)))
+	return !now.Before(ends.Add(-w.lead()))
 }
 
 // timeout is generous to a server that is known to be slow.
@@ -69,7 +94,6 @@
 
 func (w *worker) end(now time.Time, call *Call, e Ended, pool site.Pool) {
 	results, failed := e.Results, e.Failed
-	w.isIdle = e.Load != nil && e.Load.Running == 0 && e.Load.Waiting == 0
 	planned, known := w.planned[call.ID]
 	if !known {
 		return // the server started anew meanwhile
@@ -77,6 +101,13 @@
 	w.calls--
 	w.used -= planned
 	delete(w.planned, call.ID)
+	w.isIdle = e.Load != nil && e.Load.Running+e.Load.Waiting <= w.calls
+	if w.current == call {
+		w.current = nil
+	}
+	if e.RoundTrip > 0 {
+		w.roundTrip = e.RoundTrip
+	}
 	if failed {
 		w.trustedFrom = now.Add(pool.KeepTime)
 		w.fail(now)
@@ -90,7 +121,7 @@
 	}
 	w.failures = 0
 	w.suspectUntil = time.Time{}
-	took := float64(now.Sub(call.started)) / float64(call.expected)
+	took := max(float64(now.Sub(call.turn)), 0) / float64(call.expected)
 	w.pace += paceShare * (took - w.pace)
 	for i, r := range results {
 		if r.Outcome == site.ItemMade {
--- a/share/models/site/request.go
+++ b/share/models/site/request.go
@@ -113,6 +113,16 @@
 	ItemUnknown ItemOutcome = "unknown"
 )
 
+// Batch is a pool's answer to one call.
+type Batch struct {
+	// Results come in the order of the items.
+	Results []ItemResult
+	// Load is what the server told of itself; nil: nothing.
+	Load *Load
+	// RoundTrip is how long opening the connection took; 0: not measured.
+	RoundTrip time.Duration
+}
+
 // ItemResult is the answer for one item.
 type ItemResult struct {
 	Outcome ItemOutcome
