batch: late jobs that will not have their turn are told at once

Change: a batcher observes what is asked for in a second (share/decide/ahead); a late request's wait grows by what passes it, and queued jobs that have none of their stages made are given up when their turn would come too late.

--- a/ingress/services/pieces/outlook.go
+++ b/ingress/services/pieces/outlook.go
@@ -12,7 +12,7 @@
 // encodeOutlook writes a service's queue for the other ingresses.
 func encodeOutlook(service string, o ahead.Outlook) *wire.Outlook {
 	ranks := map[site.Rank]bool{}
-	for _, counts := range []ahead.Counts{o.OnTime, o.Late} {
+	for _, counts := range []ahead.Counts{o.OnTime, o.Late, o.Demand} {
 		for rank := range counts {
 			ranks[rank] = true
 		}
@@ -20,7 +20,7 @@
 	told := &wire.Outlook{Service: service, Rate: o.Rate}
 	for _, rank := range slices.Sorted(maps.Keys(ranks)) {
 		told.Queues = append(told.Queues, &wire.RankQueue{
-			Rank: uint32(max(rank, 0)), OnTime: o.OnTime[rank], Late: o.Late[rank], //nolint:gosec // a small number
+			Rank: uint32(max(rank, 0)), OnTime: o.OnTime[rank], Late: o.Late[rank], Demand: o.Demand[rank], //nolint:gosec // a small number
 		})
 	}
 	return told
@@ -31,11 +31,12 @@
 	if told == nil {
 		return ahead.Outlook{}
 	}
-	o := ahead.Outlook{OnTime: ahead.Counts{}, Late: ahead.Counts{}, Rate: told.GetRate()}
+	o := ahead.Outlook{OnTime: ahead.Counts{}, Late: ahead.Counts{}, Demand: ahead.Counts{}, Rate: told.GetRate()}
 	for _, q := range told.GetQueues() {
 		rank := site.Rank(q.GetRank())
 		o.OnTime[rank] = q.GetOnTime()
 		o.Late[rank] = q.GetLate()
+		o.Demand[rank] = q.GetDemand()
 	}
 	return o
 }
--- a/share/decide/ahead/ahead.go
+++ b/share/decide/ahead/ahead.go
@@ -49,6 +49,9 @@
 	// Rate is how many results a second the service makes in full calls; 0 while none
 	// of its servers answers.
 	Rate float64
+	// Demand is how many results a second were asked for lately by requests that could
+	// be on time.
+	Demand Counts
 }
 
 // IsTold tells an outlook from none, as that of a job which its batcher gave up.
@@ -60,17 +63,23 @@
 
 // Wait predicts how long a request waits that can be on time.
 func (o Outlook) Wait(rank site.Rank) time.Duration {
-	return o.timeFor(o.OnTime.Before(rank))
+	return o.TimeFor(o.OnTime.Before(rank), 0)
 }
 
 // LateWait predicts the same for a request that cannot be on time.
 func (o Outlook) LateWait(rank site.Rank) time.Duration {
-	return o.timeFor(o.OnTime.Sum() + o.Late.Before(rank))
+	return o.TimeFor(o.OnTime.Sum()+o.Late.Before(rank), o.Demand.Sum())
 }
 
-func (o Outlook) timeFor(results float64) time.Duration {
+// TimeFor is how long some results take while others that go before them arrive.
+func (o Outlook) TimeFor(results, demand float64) time.Duration {
 	if o.Rate == 0 {
 		return stalledWait
 	}
-	return time.Duration(results / o.Rate * float64(time.Second))
+	rate := o.Rate - min(demand, mostPassed*o.Rate)
+	return time.Duration(results / rate * float64(time.Second))
 }
+
+// mostPassed is the part of a service's rate that those who come later may take from
+// a request at the most: bursts end, and demand is known for a second only.
+const mostPassed = 0.8
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -131,6 +131,7 @@
 	jobs    map[uint64]*job
 	calls   map[uint64]*Call
 	lastID  uint64
+	demand  *ahead.Demand
 	// ready are the workers by ID, so that choices do not depend on the order of a map.
 	ready []*worker
 }
@@ -158,6 +159,7 @@
 		workers: map[string]*worker{},
 		jobs:    map[uint64]*job{},
 		calls:   map[uint64]*Call{},
+		demand:  ahead.NewDemand(),
 	}
 }
 
@@ -195,6 +197,9 @@
 		p.tell(&a, now, Done{JobID: j.ID, Outcome: OutcomeNoServer, RetryAfter: noServerPause})
 		return a
 	}
+	if p.isOnTime(now, j) {
+		p.demand.Add(now, j.Rank, j.Count)
+	}
 	wait := p.predictWait(now, j)
 	if now.Add(wait + p.pool.CallTime).After(j.Expires) {
 		p.tell(&a, now, Done{JobID: j.ID, Outcome: OutcomeBusy, RetryAfter: wait})
--- a/share/decide/batch/ends.go
+++ b/share/decide/batch/ends.go
@@ -141,7 +141,7 @@
 
 // Outlook tells what waits for a call, and how many results a second are made in full calls.
 func (p *Planner) Outlook(now time.Time) ahead.Outlook {
-	o := ahead.Outlook{OnTime: ahead.Counts{}, Late: ahead.Counts{}, Rate: p.rate(now)}
+	o := ahead.Outlook{OnTime: ahead.Counts{}, Late: ahead.Counts{}, Rate: p.rate(now), Demand: p.demand.Rates(now)}
 	for _, q := range p.queue {
 		counts := o.Late
 		if p.isOnTime(now, q.Job) {
--- a/share/decide/batch/load_test.go
+++ b/share/decide/batch/load_test.go
@@ -190,3 +190,61 @@
 	is.True(o.byRank[note].onTime*100 >= o.byRank[note].asked*99)
 	is.True(o.byRank[review].onTime*2 >= o.byRank[review].asked) // and they are not starved
 }
+
+// A burst of reviews is twice what the servers make. Those that cannot be on time go
+// behind the others, which never end; none of them would have its turn, and each would
+// learn so after 4 s only. They are told while they still can come back.
+func TestHopelessJobsInTheQueueAreToldSoon(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	p := newPlanner(now, "a")
+	source := rand.New(rand.NewPCG(7, 8)) //nolint:gosec // a fixed load
+	came := map[uint64]time.Time{}
+	slowest := time.Duration(0)
+	refused := 0
+	events := []event{}
+	perform := func(a batch.Actions) {
+		for _, d := range a.Done {
+			if d.Outcome == batch.OutcomeMade {
+				continue
+			}
+			refused++
+			slowest = max(slowest, now.Sub(came[d.JobID]))
+			is.True(d.RetryAfter > 0)
+		}
+		for _, c := range a.Calls {
+			pool := newPool()
+			events = append(events, event{at: now.Add(pool.CallTime + time.Duration(len(c.Items))*pool.ItemTime), call: c})
+		}
+	}
+	next := now
+	for id := uint64(1); now.Before(time.Unix(10, 0)); {
+		now = now.Add(5 * time.Millisecond)
+		for len(events) > 0 && !events[0].at.After(now) {
+			e := events[0]
+			events = events[1:]
+			perform(p.End(now, e.call.ID, batch.Ended{Results: made(e.call)}))
+		}
+		for !next.After(now) {
+			came[id] = now
+			perform(p.Add(now, newMixed(source, now, id)))
+			id++
+			next = next.Add(time.Duration(source.ExpFloat64() / 22 * float64(time.Second)))
+		}
+		perform(p.Tick(now))
+	}
+	t.Logf("refused %d of %d, the slowest after %v", refused, len(came), slowest)
+	is.True(refused*3 >= len(came))
+	is.True(slowest <= 2*time.Second)
+}
+
+// At twice the load that the servers carry as many must be on time as at that load, but
+// for a tenth: no state in which all are late.
+func TestOverloadKeepsItsThroughput(t *testing.T) {
+	is := is.New(t)
+	const capacity = 55 // jobs a second: 5 servers make 8 results in 360 ms, a job needs two
+	full := play(1, func(time.Duration) float64 { return capacity }, 20*time.Second, newMixed)
+	double := play(1, func(time.Duration) float64 { return 2 * capacity }, 20*time.Second, newMixed)
+	t.Logf("at capacity %+v; at twice %+v", full, double)
+	is.True(double.onTime*10 >= full.onTime*9)
+}
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -29,6 +29,7 @@
 		return a
 	}
 	p.order(now)
+	p.shed(&a, now)
 	passed := map[*worker]bool{}
 	for len(p.queue) > 0 {
 		w := p.chooseWorker(now, passed)
@@ -87,6 +88,29 @@
 	})
 }
 
+// shed gives up late jobs that will not have their turn before they are of no use:
+// those that can be on time go on coming and pass them. Their callers learn it now, and
+// when there will be room, in place of seconds later. What was begun, here or in an
+// earlier stage, is not given up.
+func (p *Planner) shed(a *Actions, now time.Time) {
+	o := p.Outlook(now)
+	if o.Rate == 0 {
+		return
+	}
+	before := o.OnTime.Sum()
+	for _, j := range slices.Clone(p.queue) {
+		if p.isOnTime(now, j.Job) {
+			continue
+		}
+		wait := o.TimeFor(before+float64(len(j.todo)), o.Demand.Sum())
+		if !j.isBegun() && len(j.Inputs) == 0 && now.Add(wait+p.pool.CallTime).After(j.Expires) {
+			p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeBusy, RetryAfter: wait})
+			continue
+		}
+		before += float64(len(j.todo))
+	}
+}
+
 // isOnTime tells whether a job that is in a call now is done before its target. Where
 // it matters, under load, calls are full.
 func (p *Planner) isOnTime(now time.Time, j Job) bool {
