--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// order puts first what can still be on time, by rank and then by turn; what is
+// order puts first what can still be on time, by rank and then by arrival; what is
 // late anyway gets what is left, in the same order. Ordering by deadline alone
 // spends an overload on requests that are about to be late.
 //
@@ -84,7 +84,7 @@
 		if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
 			return c
 		}
-		return p.turn(a).Compare(p.turn(b))
+		return a.arrived.Compare(b.arrived)
 	})
 }
 
@@ -111,22 +111,6 @@
 	}
 }
 
-// turn is when a job's turn comes among its like: its arrival, later by a multiple of
-// the time that its results take of a server in a full call.
-//
-// In an overload a job of ten results takes the places of four others; the cheaper go
-// first, so that more are on time. The large ones are not starved: a job passes one of
-// three results more only if it came within half a second of it.
-func (p *Planner) turn(j *job) time.Time {
-	own := time.Duration(j.Count) * p.fullCall() / time.Duration(p.pool.Batch)
-	return j.arrived.Add(costWeight * own)
-}
-
-// costWeight is how much a job's own time counts against its arrival. It matters on the
-// heaviest days only: the lowest of 15 has 0.03 to 0.05 more worth, the mean of 30 0.005.
-// Double or five times as much is no better, half or a quarter brings nothing.
-const costWeight = 4
-
 // isOnTime tells whether a job that is in a call now is done before its target. Where
 // it matters, under load, calls are full.
 func (p *Planner) isOnTime(now time.Time, j Job) bool {
