--- a/vload/cmds/root.go
+++ b/vload/cmds/root.go
@@ -29,6 +29,7 @@
 			newMeterCommand(out),
 			newDraftCommand(out),
 			newCapacityCommand(out),
+			newCausesCommand(out),
 		},
 		Exec: showHelp,
 	}
