--- a/vload/services/cause/cause.go
+++ b/vload/services/cause/cause.go
@@ -125,7 +125,7 @@
 	}
 }
 
-var number = regexp.MustCompile(`\bi-[0-9a-f]+\b|[0-9]+(?:\.[0-9]+)?(?:ns|µs|ms|s|m)?\b`) //nolint:gochecknoglobals // a constant in all but syntax
+var number = regexp.MustCompile(`\bi-[0-9a-f]+\b|[0-9]+(?:\.[0-9]+)?(?:ns|µs|ms|s|m)?\b`)
 
 // withoutNumbers makes one reason of those that differ in a time or a server.
 func withoutNumbers(detail string) string { return number.ReplaceAllString(detail, "N") }
--- a/vload/services/cause/line.go
+++ b/vload/services/cause/line.go
@@ -15,7 +15,7 @@
 	fields map[string]string
 }
 
-var pair = regexp.MustCompile(`([a-z-]+)=("(?:[^"\\]|\\.)*"|\S*)`) //nolint:gochecknoglobals // a constant in all but syntax
+var pair = regexp.MustCompile(`([a-z-]+)=("(?:[^"\\]|\\.)*"|\S*)`)
 
 // parseLine reads a line of key=value pairs; false where it has no time or event. What
 // stands before the first pair, such as the name of a process, is passed over.
