drain: orders are taken while all ingresses are stopping

Cause: in a roll of all ingresses within seconds each refuses new work 3 s after its signal, and stays for its streams for up to 5 more; nobody takes an order that would end in 60 ms, and callers are told to come back in 50 ms, to be refused once more. Change: where no other ingress takes new requests a stopping one takes those of plain services that surely end within the grace period, while it stays for other work; streams are told to come back after 2 s, about when one is back.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -183,7 +183,7 @@
 	i.front, err = NewFront(ctx, FrontOptions{
 		Address: s.Callers.Listen, Views: i.book, Log: i.log, MaxConnections: s.Callers.MaxConnections(),
 		Handler: public.NewRouter(public.Options{
-			Codec: heads.Codec{}, Views: i.book, Flow: i.flow, Doorman: i.stopper, Log: i.log,
+			Codec: heads.Codec{}, Views: i.book, Flow: i.flow, Doorman: i.stopper, Peers: i.mesh, Log: i.log,
 		}),
 	})
 	if err != nil {
--- a/ingress/routers/public/public.go
+++ b/ingress/routers/public/public.go
@@ -44,12 +44,21 @@
 // Doorman knows whether the process is stopping.
 type Doorman interface {
 	AdmitWork(id string) bool
+	// AdmitLast is asked for work that no other ingress takes and that ends within bound.
+	AdmitLast(id string, bound time.Duration) bool
 	EndWork(id string)
 	IsLeaving() bool
 }
 
+// Peers knows the other ingresses.
+type Peers interface {
+	// IsAlone tells whether none of them takes new requests.
+	IsAlone() bool
+}
+
 // Options are the settings of a Router.
 type Options struct {
+	Peers   Peers
 	Codec   Codec
 	Views   Views
 	Flow    Flow
@@ -75,6 +84,9 @@
 	notReadyPause = 500 * time.Millisecond
 	// drainingPause is told to callers of a stopping process: another one takes them at once.
 	drainingPause = 50 * time.Millisecond
+	// alonePause is told where no other one does: a stop and a start take seconds, and
+	// callers follow a pause for up to a third of the time that they have left.
+	alonePause = 2 * time.Second
 )
 
 // ServeHTTP answers one request.
@@ -86,12 +98,15 @@
 	if t.options.Doorman.IsLeaving() {
 		w.Header().Set("Connection", "close")
 	}
-	if !admitted {
+	if !admitted && !t.options.Peers.IsAlone() {
 		t.refuse(w, r, request, codes.NewResult(codes.Draining, "stopping").WithRetryAfter(drainingPause))
 		return
 	}
 	defer t.options.Doorman.EndWork(work)
 	q, result := t.read(w, r, request, arrived)
+	if result == nil && !admitted && !t.admitLast(work, q) {
+		result = codes.NewResult(codes.Draining, "stopping, as all others").WithRetryAfter(alonePause)
+	}
 	if result != nil {
 		t.refuse(w, r, request, result)
 		return
@@ -99,6 +114,17 @@
 	t.options.Flow.Serve(r.Context(), w, q)
 }
 
+// admitLast takes a request of a plain service while all ingresses are stopping. It has
+// its final answer by its route's time; a stream that has begun has no such bound.
+func (t *Router) admitLast(work string, q *flow.Request) bool {
+	route := q.Grant.Route
+	bound := route.Timeout
+	if q.Patience > 0 && (bound == 0 || q.Patience < bound) {
+		bound = q.Patience
+	}
+	return route.Kind != site.KindStream && bound > 0 && t.options.Doorman.AdmitLast(work, bound)
+}
+
 // read checks the request and takes its body. The check comes first: what is
 // not allowed is refused before its body is awaited.
 func (t *Router) read(w http.ResponseWriter, r *http.Request, request site.Request, arrived time.Time) (*flow.Request, *codes.Result) {
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -101,6 +101,9 @@
 	return rhash.PickWeighted(key, live)
 }
 
+// IsAlone tells whether no other ingress takes new requests, as far as this one knows.
+func (m *Mesh) IsAlone() bool { return len(m.listLive()) == 0 }
+
 // minCapacity stands for that of an ingress that does not say it.
 const minCapacity = 0.1
 
--- a/share/decide/drain/drain_test.go
+++ b/share/decide/drain/drain_test.go
@@ -71,6 +71,36 @@
 	}
 }
 
+// All three instances are told to stop within two seconds. After 3 s none of them takes
+// new work, and none is back for three more; an order that takes 1.5 s at the most would
+// end in time at each. It is taken where nobody else does, as long as it surely ends.
+func TestOrdersAreTakenWhileAllStop(t *testing.T) {
+	is := is.New(t)
+	i := drain.NewInstance(drain.Settings{Grace: 8 * time.Second, Linger: 3 * time.Second, Admit: 3 * time.Second})
+	order := drain.LastOffered{ID: "order", Bound: 1500 * time.Millisecond}
+	i.Step(at(0), drain.WorkOffered{ID: "stream"})
+	i.Step(at(0), drain.StopRequested{})
+	is.Equal(i.Step(at(5), drain.WorkOffered{ID: "a"}), []drain.Action{drain.Refuse{ID: "a"}})
+	is.Equal(i.Step(at(6), order), []drain.Action{drain.Admit{ID: "order"}})
+	i.Step(at(6), drain.WorkEnded{ID: "stream"})
+	is.Equal(i.State(), drain.StateDraining) // the order is under way
+	next := drain.LastOffered{ID: "next", Bound: time.Second}
+	is.Equal(i.Step(at(6), next), []drain.Action{drain.Refuse{ID: "next"}}) // else it would never be back
+	is.Equal(i.Step(at(6), drain.WorkEnded{ID: "order"}), []drain.Action{drain.Stop{Cut: []string{}}})
+	is.Equal(i.Step(at(7), order), []drain.Action{drain.Refuse{ID: "order"}})
+}
+
+// Work that might not end within the grace period would be cut, which its caller cannot
+// tell from work that was done.
+func TestWorkThatMightBeCutIsRefused(t *testing.T) {
+	is := is.New(t)
+	i := drain.NewInstance(drain.Settings{Grace: 8 * time.Second, Linger: 3 * time.Second, Admit: 3 * time.Second})
+	i.Step(at(0), drain.WorkOffered{ID: "stream"})
+	i.Step(at(0), drain.StopRequested{})
+	late := drain.LastOffered{ID: "order", Bound: 1500 * time.Millisecond}
+	is.Equal(i.Step(at(7), late), []drain.Action{drain.Refuse{ID: "order"}})
+}
+
 // Orders keep failing for seconds after an instance was stopped, or never
 // reach it again after its return. Cause: the news of its leaving comes from
 // several places, late and out of order.
--- a/share/decide/drain/instance.go
+++ b/share/decide/drain/instance.go
@@ -29,6 +29,11 @@
 	StopRequested struct{}
 	// WorkOffered is a request or attempt that arrived.
 	WorkOffered struct{ ID string }
+	// LastOffered is work that no other instance takes, and that ends within Bound.
+	LastOffered struct {
+		ID    string
+		Bound time.Duration
+	}
 	// WorkEnded says that the work's answer, with its end, was handed to the network.
 	WorkEnded struct{ ID string }
 	// Woken comes at the time that Wake returns.
@@ -49,6 +54,7 @@
 
 func (StopRequested) event() {}
 func (WorkOffered) event()   {}
+func (LastOffered) event()   {}
 func (WorkEnded) event()     {}
 func (Woken) event()         {}
 
@@ -81,7 +87,7 @@
 	state    State
 	// since is when draining began; it is set once.
 	since time.Time
-	// running holds the admitted work that has not ended.
+	// running holds the admitted work that has not ended; true but for the last offered.
 	running map[string]bool
 }
 
@@ -111,6 +117,8 @@
 		return i.stopRequested(now)
 	case WorkOffered:
 		return i.offered(now, v)
+	case LastOffered:
+		return i.lastOffered(now, v)
 	case WorkEnded:
 		delete(i.running, v.ID)
 		return i.stopIfDue(now)
@@ -143,6 +151,31 @@
 	return []Action{Admit(e)}
 }
 
+// lastOffered takes work as long as it surely ends within the grace period, and only
+// while the instance stays for other work: taking more and more of it would keep the
+// instance from being back for seconds.
+//
+// Guards against a roll in which all instances are stopping at the same time: once each
+// has passed Admit, nobody takes an order for seconds, though it would end in 60 ms.
+func (i *Instance) lastOffered(now time.Time, e LastOffered) []Action {
+	ends := i.since.Add(i.settings.Grace)
+	if i.state != StateDraining || !i.staysAnyway() || now.Add(e.Bound).After(ends) {
+		return []Action{Refuse{ID: e.ID}}
+	}
+	i.running[e.ID] = false
+	return []Action{Admit{ID: e.ID}}
+}
+
+// staysAnyway tells whether work is running that was not the last offered.
+func (i *Instance) staysAnyway() bool {
+	for _, keeps := range i.running {
+		if keeps {
+			return true
+		}
+	}
+	return false
+}
+
 func (i *Instance) stopIfDue(now time.Time) []Action {
 	due, draining := i.Wake()
 	if !draining || now.Before(due) {
--- a/share/services/stops/stopper.go
+++ b/share/services/stops/stopper.go
@@ -36,7 +36,17 @@
 
 // AdmitWork says whether the work may run; false once the drain has begun.
 func (s *Stopper) AdmitWork(id string) bool {
-	for _, action := range s.step(drain.WorkOffered{ID: id}) {
+	return isAdmitted(s.step(drain.WorkOffered{ID: id}))
+}
+
+// AdmitLast says whether work may run that was not admitted, that no other instance
+// takes, and that ends within a bound.
+func (s *Stopper) AdmitLast(id string, bound time.Duration) bool {
+	return isAdmitted(s.step(drain.LastOffered{ID: id, Bound: bound}))
+}
+
+func isAdmitted(actions []drain.Action) bool {
+	for _, action := range actions {
 		if _, admitted := action.(drain.Admit); admitted {
 			return true
 		}
