pieces: a queue that was not told is not written as a stalled one

A job that its batcher gave up, or one for a service that the batcher does not know, came back with an outlook of rate 0, which the asking ingress took for a service of which no server answers: a wait of a second, fading over 1.5 s. Within one process the case was guarded already. Found by reading; the test fails without the guard. chain.aheadTime calls the outlook's own arithmetic in place of a second copy of it.

--- a/ingress/services/pieces/maker_test.go
+++ b/ingress/services/pieces/maker_test.go
@@ -133,3 +133,15 @@
 	is.Equal(failed, nil)
 	is.Equal(peers.domains, map[string]string{"retrievers": "a", "writers": "b"})
 }
+
+// A batcher is asked for a service that its own configuration does not hold yet, and
+// gives the job up. The ingress that asked must not take that for a service of which
+// no server answers: it would refuse the requests of the next second.
+func TestGivenUpJobTellsNoOutlook(t *testing.T) {
+	is := is.New(t)
+	owner := pieces.NewOwner(pieces.OwnerOptions{Pools: pool{}, Meter: noMeter{}, Log: zap.NewNop()})
+	maker := pieces.NewMaker(&stopping{}, owner, zap.NewNop())
+	made := maker.ServeProduce(t.Context(), &wire.Produce{Service: "unknown", Count: 1})
+	is.Equal(made.GetOutcome(), "no-server")
+	is.Equal(made.GetOutlook(), nil)
+}
--- a/ingress/services/pieces/outlook.go
+++ b/ingress/services/pieces/outlook.go
@@ -9,8 +9,16 @@
 	"verbenaroad.example/share/modules/wire"
 )
 
-// encodeOutlook writes a service's queue for the other ingresses.
+// encodeOutlook writes a service's queue for the other ingresses; nil where the
+// queue is not known.
+//
+// Guards against a job that its batcher gave up, or one for a service that it does not
+// know, making the service look stalled at the ingress that asked: written as a rate of
+// 0, each of its next requests would be given a wait of a second.
 func encodeOutlook(service string, o ahead.Outlook) *wire.Outlook {
+	if !o.IsTold() {
+		return nil
+	}
 	ranks := map[site.Rank]bool{}
 	for _, counts := range []ahead.Counts{o.OnTime, o.Late, o.Demand} {
 		for rank := range counts {
--- a/share/decide/chain/chain.go
+++ b/share/decide/chain/chain.go
@@ -154,7 +154,7 @@
 	if w.Rate == 0 {
 		return 0
 	}
-	return time.Duration(results / w.Rate * float64(time.Second))
+	return w.TimeFor(results, 0)
 }
 
 // Begin tells whether a stage whose inputs are there begins now. Deepest is the
