ingress: one ingress of each failure domain watches the store, the others follow it

Change: share/decide/feed chooses whom an ingress follows (weighted rendezvous in the failure domain, passed over where its word is old or its link ends), whose digests it compares, and when it reads for itself; whoever is followed watches. services/mesh/feeder carries changes over the links, deflated where they are many; every copy of the records is complete up to a revision, and so is what it tells. One watch of all keys in place of one a prefix. A lease's renewal that failed does not end the registration.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -29,6 +29,7 @@
 	"verbenaroad.example/platform/pools"
 	"verbenaroad.example/platform/record"
 	"verbenaroad.example/share/decide/drain"
+	"verbenaroad.example/share/decide/feed"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/link"
 	"verbenaroad.example/share/modules/logs"
@@ -44,8 +45,6 @@
 	closeTimeout = 300 * time.Millisecond
 	// graceReserve is kept of the grace time for closing and leaving.
 	graceReserve = 700 * time.Millisecond
-	// staleGrace is how much longer than a watch's wait the store may be silent before peers are asked.
-	staleGrace = 400 * time.Millisecond
 	// flushTimeout bounds writing the last log lines.
 	flushTimeout = 200 * time.Millisecond
 )
@@ -63,6 +62,8 @@
 	store    *keyval.Client
 	book     *state.Book
 	mesh     *mesh.Mesh
+	feeder   *mesh.Feeder
+	puller   *mesh.Puller
 	owner    *pieces.Owner
 	maker    *pieces.Maker
 	placer   *assign.Placer
@@ -112,8 +113,17 @@
 	i.store = keyval.NewClient(keyval.Options{Address: s.Store.Address, CallTimeout: s.Store.Timeout})
 	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.takeView})
 	i.mesh = mesh.NewMesh(mesh.Options{
-		Self: i.self, IsLeaving: i.stopper.IsLeaving, Link: i.newLink(), Log: i.log,
+		Self: i.self, Regions: s.Place.Regions, IsLeaving: i.stopper.IsLeaving, Link: i.newLink(), Log: i.log,
 		OnOutlook: func(told *wire.Outlook) { i.maker.TakeOutlook(told) },
+		OnReading: func(name string, told *wire.Reading) { i.feeder.TakeReading(name, told) },
+	})
+	i.puller = &mesh.Puller{
+		Mesh: i.mesh, Book: i.book, Seeds: s.Peers.Seeds, Log: i.log,
+		IsFollowing: func() bool { return i.feeder.IsFollowing() },
+	}
+	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
+		Mesh: i.mesh, Book: i.book, Puller: i.puller, Self: i.self, Regions: s.Place.Regions, IsLeaving: i.stopper.IsLeaving, Log: i.log,
+		Reader: &state.Reader{Book: i.book, Store: i.store, Wait: s.Store.Wait, HistoryGone: keyval.ErrHistoryGone, Log: i.log},
 	})
 	client := reach.NewClient(heads.Codec{})
 	i.owner = pieces.NewOwner(pieces.OwnerOptions{
@@ -141,7 +151,9 @@
 		BeatEvery:   beat,
 		SilentAfter: time.Duration(silentBeats * float64(beat)),
 		Beat: func() *wire.Beat {
-			return &wire.Beat{Leaving: i.stopper.IsLeaving(), Outlooks: i.owner.Outlooks()}
+			return &wire.Beat{
+				Leaving: i.stopper.IsLeaving(), Outlooks: i.owner.Outlooks(), Reading: mesh.EncodeReading(i.book),
+			}
 		},
 	}
 }
@@ -175,7 +187,7 @@
 	var err error
 	i.links, err = peers.NewServer(peers.Options{
 		Address: s.Peers.Listen, Link: i.newLink(),
-		Handler: &mesh.Handler{Book: i.book, Maker: i.maker, Placer: i.desk, Log: i.log}, Log: i.log,
+		Handler: &mesh.Handler{Book: i.book, Maker: i.maker, Placer: i.desk, Feeder: i.feeder, Log: i.log}, Log: i.log,
 	})
 	if err != nil {
 		return err
@@ -183,7 +195,7 @@
 	i.front, err = NewFront(ctx, FrontOptions{
 		Address: s.Callers.Listen, Views: i.book, Log: i.log, MaxConnections: s.Callers.MaxConnections(),
 		Handler: public.NewRouter(public.Options{
-			Codec: heads.Codec{}, Views: i.book, Flow: i.flow, Doorman: i.stopper, Peers: i.mesh, Log: i.log,
+			Codec: heads.Codec{}, Views: i.book, Flow: i.flow, Doorman: i.stopper, Peers: i.mesh, Store: i.book, Log: i.log,
 		}),
 	})
 	if err != nil {
@@ -225,15 +237,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := i.settings
-	for _, prefix := range i.book.Prefixes() {
-		w := &state.Watcher{Book: i.book, Store: i.store, Prefix: prefix, Wait: s.Store.Wait, HistoryGone: keyval.ErrHistoryGone}
-		w.Start(ctx)
+	i.feeder.Start(ctx)
+	registrar := &state.Registrar{
+		Leases: i.store, Codec: record.Codec{}, Self: i.self, TTL: s.Store.Lease, LeaseGone: keyval.ErrLeaseGone,
+		Book: i.book, ProbeEvery: feed.ProbeEvery, Log: i.log,
 	}
-	registrar := &state.Registrar{Leases: i.store, Codec: record.Codec{}, Self: i.self, TTL: s.Store.Lease, Log: i.log}
 	registrar.Start(ctx)
 	(&state.Sweeper{Book: i.book}).Start(ctx)
 	i.mesh.Start(ctx)
-	(&mesh.Puller{Mesh: i.mesh, Book: i.book, StaleAfter: s.Store.Wait + staleGrace, Seeds: s.Peers.Seeds, Log: i.log}).Start(ctx)
+	i.puller.Start(ctx)
 	i.owner.Start(ctx)
 	i.links.Start(ctx)
 	i.log.Info("started", zap.Stringer("callers", s.Callers.Listen), zap.Stringer("peers", s.Peers.Listen),
--- /dev/null
+++ b/ingress/services/mesh/deltas.go
@@ -0,0 +1,101 @@
+package mesh
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/decide/feed"
+	"verbenaroad.example/share/decide/mirror"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/wire"
+)
+
+// packFrom is the number of records from which on they are deflated: a first picture holds
+// every backend server and goes to each ingress that starts, over links of 20 Mbit/s.
+const packFrom = 64
+
+// maxUnpacked bounds what is inflated.
+const maxUnpacked = 64 << 20
+
+// EncodeDelta writes what a copy of the store's records lacks.
+func EncodeDelta(d mirror.Delta) *wire.Records {
+	told := &wire.Records{}
+	for _, r := range d.Records {
+		told.Records = append(told.Records, &wire.Record{
+			Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted,
+		})
+	}
+	if len(told.GetRecords()) >= packFrom {
+		if packed, err := pack(told); err == nil {
+			told = &wire.Records{Packed: packed}
+		}
+	}
+	told.Whole = d.Whole
+	told.At = d.At
+	return told
+}
+
+// DecodeDelta reads it.
+func DecodeDelta(told *wire.Records) (mirror.Delta, error) {
+	d := mirror.Delta{Whole: told.GetWhole(), At: told.GetAt()}
+	if len(told.GetPacked()) > 0 {
+		unpacked, err := unpack(told.GetPacked())
+		if err != nil {
+			return d, err
+		}
+		told = unpacked
+	}
+	for _, r := range told.GetRecords() {
+		d.Records = append(d.Records, site.Record{
+			Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted(),
+		})
+	}
+	return d, nil
+}
+
+func pack(told *wire.Records) ([]byte, error) {
+	plain, err := proto.Marshal(told)
+	if err != nil {
+		return nil, ErrMesh.Wrap(err)
+	}
+	packed := bytes.Buffer{}
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, ErrMesh.Wrap(err)
+	}
+	if _, err := w.Write(plain); err != nil {
+		return nil, ErrMesh.Wrap(err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, ErrMesh.Wrap(err)
+	}
+	return packed.Bytes(), nil
+}
+
+func unpack(packed []byte) (*wire.Records, error) {
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpacked))
+	if err != nil {
+		return nil, ErrMesh.Wrap(err)
+	}
+	told := &wire.Records{}
+	return told, ErrMesh.Wrap(proto.Unmarshal(plain, told))
+}
+
+// EncodeReading tells how well this ingress knows the store.
+func EncodeReading(b *state.Book) *wire.Reading {
+	e := b.Extent()
+	return &wire.Reading{Direct: b.IsDirect(), AgeNanos: int64(b.Age()), Newest: e.Newest, At: e.At}
+}
+
+func decodeWord(told *wire.Reading) feed.Word {
+	return feed.Word{Direct: told.GetDirect(), Age: time.Duration(told.GetAgeNanos())}
+}
+
+func decodeExtent(told *wire.Reading) state.Extent {
+	return state.Extent{Newest: told.GetNewest(), At: told.GetAt()}
+}
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -4,8 +4,11 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,11 +37,15 @@
 // Options are the settings of a Mesh.
 type Options struct {
 	Self site.Ingress
+	// Regions maps each failure domain to its region.
+	Regions map[string]string
 	// IsLeaving tells whether this process is stopping.
 	IsLeaving func() bool
 	Link      link.Options
 	// OnOutlook is told what a batcher's jobs have to expect.
 	OnOutlook func(told *wire.Outlook)
+	// OnReading is told how well another ingress knows the store.
+	OnReading func(name string, told *wire.Reading)
 	Log       *zap.Logger
 }
 
@@ -50,6 +57,8 @@
 	// known are the registered ingresses by name, without this one.
 	known map[string]site.Ingress
 	peers map[string]*peer
+	// changes counts what changed of which ingresses can be reached.
+	changes uint64
 }
 
 // peer is one other ingress.
@@ -78,6 +87,7 @@
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	m.known = map[string]site.Ingress{}
+	m.changes++
 	for _, i := range v.Ingresses {
 		if i.Name == m.options.Self.Name {
 			continue
@@ -114,6 +124,90 @@
 	return rhash.Weighted{Name: i.Name, Weight: capacity * capacity * capacity}
 }
 
+// listReachable returns the other ingresses that can be reached, and a count that
+// changes with them.
+func (m *Mesh) listReachable() ([]site.Ingress, uint64) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	list := []site.Ingress{}
+	for name, i := range m.known {
+		if p := m.peers[name]; !p.failed && !p.leaving {
+			list = append(list, i)
+		}
+	}
+	return list, m.changes
+}
+
+// countKnown returns the number of the other registered ingresses.
+func (m *Mesh) countKnown() int {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return len(m.known)
+}
+
+// countChanges returns the count of listReachable.
+func (m *Mesh) countChanges() uint64 {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.changes
+}
+
+// Follow has another ingress send what this one's records lack, now and after each change.
+func (m *Mesh) Follow(ctx context.Context, name string, f *wire.Follow) (*link.Feed, error) {
+	session, err := m.getSession(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	return link.Follow(ctx, session, f)
+}
+
+// listNear returns the names of the ingresses that can be reached in an order of chance,
+// those of the own failure domain first and then those of the own region: what they
+// tell crosses no slow link.
+func (m *Mesh) listNear() []string {
+	reachable, _ := m.listReachable()
+	rand.Shuffle(len(reachable), func(i, j int) { reachable[i], reachable[j] = reachable[j], reachable[i] })
+	slices.SortStableFunc(reachable, func(a, b site.Ingress) int { return cmp.Compare(m.distance(a), m.distance(b)) })
+	names := make([]string, 0, len(reachable))
+	for _, i := range reachable {
+		names = append(names, i.Name)
+	}
+	return names
+}
+
+// distance is 0 in the own failure domain, 1 in the own region, 2 beyond.
+func (m *Mesh) distance(i site.Ingress) int {
+	switch {
+	case i.Domain == m.options.Self.Domain:
+		return 0
+	case m.options.Regions[i.Domain] == m.options.Regions[m.options.Self.Domain]:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// isOpen tells whether there is a session to another ingress, or one is being opened.
+func (m *Mesh) isOpen(name string) bool {
+	m.lock.Lock()
+	p := m.peers[name]
+	m.lock.Unlock()
+	if p == nil {
+		return false
+	}
+	if !p.dialing.TryLock() {
+		return true
+	}
+	defer p.dialing.Unlock()
+	return p.session != nil && !p.session.IsClosed()
+}
+
+// Reach opens a session to another ingress where there is none, for its heartbeats.
+func (m *Mesh) Reach(ctx context.Context, name string) error {
+	_, err := m.getSession(ctx, name)
+	return err
+}
+
 // listLive returns the other ingresses that can be reached.
 func (m *Mesh) listLive() []rhash.Weighted {
 	m.lock.Lock()
@@ -210,6 +304,9 @@
 	}
 	p.session = session
 	m.lock.Lock()
+	if p.failed {
+		m.changes++
+	}
 	p.failed = false
 	m.lock.Unlock()
 	m.options.Log.Info("peer-reached", zap.String("ingress", name), zap.Stringer("address", p.address))
@@ -220,6 +317,9 @@
 	for _, o := range beat.GetOutlooks() {
 		m.options.OnOutlook(o)
 	}
+	if beat.GetReading() != nil {
+		m.options.OnReading(name, beat.GetReading())
+	}
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	p := m.peers[name]
@@ -227,6 +327,7 @@
 		return
 	}
 	p.leaving = beat.GetLeaving()
+	m.changes++
 	m.options.Log.Info("peer-leaving", zap.String("ingress", name), zap.Bool("leaving", p.leaving))
 }
 
@@ -240,11 +341,15 @@
 		return
 	}
 	p.retryAt = time.Now().Add(retryPause)
+	if p.leaving {
+		m.changes++
+	}
 	p.leaving = false
 	if p.failed {
 		return
 	}
 	p.failed = true
+	m.changes++
 	m.options.Log.Warn("peer-lost", zap.String("ingress", name), zap.Stringer("address", p.address), logs.Err(reason))
 }
 
--- a/ingress/services/mesh/puller.go
+++ b/ingress/services/mesh/puller.go
@@ -19,6 +19,12 @@
 	pullEvery = 250 * time.Millisecond
 	// pullFrom is how many peers are asked each time: one of them may be cut off as well.
 	pullFrom = 2
+	// staleAfter is how long the store may have confirmed nothing, here or to whom this
+	// ingress follows, before peers are asked.
+	staleAfter = 1500 * time.Millisecond
+	// firstPullAfter is how long a starting ingress waits for its first picture before it
+	// asks others: the store answers in milliseconds.
+	firstPullAfter = 600 * time.Millisecond
 	// pullTimeout bounds one question.
 	pullTimeout = 700 * time.Millisecond
 )
@@ -27,15 +33,17 @@
 //
 // Guards against a stale configuration at an ingress that the store turns
 // away while it serves the others: requests would be handled as only an old
-// version allows. An ingress whose store answers asks nobody.
+// version allows. An ingress whose store answers, or that of whom it follows, asks nobody.
 type Puller struct {
 	Mesh *Mesh
 	Book *state.Book
-	// StaleAfter is how long the store may not answer before peers are asked.
-	StaleAfter time.Duration
+	// IsFollowing tells whether this ingress follows another one.
+	IsFollowing func() bool
 	// Seeds are asked while no other ingress is known.
 	Seeds []netip.AddrPort
 	Log   *zap.Logger
+
+	startedAt time.Time
 }
 
 // Start pulls until the context ends.
@@ -44,22 +52,31 @@
 }
 
 func (p *Puller) loop(ctx context.Context) {
+	p.startedAt = time.Now()
 	for pauses.Wait(ctx, pullEvery) {
-		if !p.Book.IsLost() && p.Book.Age() < p.StaleAfter {
+		if !p.mustPull(time.Now()) {
 			continue
 		}
-		live := p.Mesh.listLive()
-		if len(live) == 0 {
+		near := p.Mesh.listNear()
+		if len(near) == 0 {
 			p.pullSeeds(ctx)
 			continue
 		}
-		rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-		for _, peer := range live[:min(pullFrom, len(live))] {
-			p.pull(ctx, peer.Name)
+		for _, name := range near[:min(pullFrom, len(near))] {
+			p.pull(ctx, name)
 		}
 	}
 }
 
+// mustPull tells whether the records here may be old. A first picture comes from whom this
+// ingress follows, or from the store; peers are asked for it where neither brings it.
+func (p *Puller) mustPull(now time.Time) bool {
+	if !p.Book.IsListed() {
+		return now.Sub(p.startedAt) >= firstPullAfter && !p.IsFollowing()
+	}
+	return p.Book.IsLost() || p.Book.Age() >= staleAfter
+}
+
 // pullSeeds asks ingresses that the settings name. A process that starts while the
 // store does not answer it knows no other way to learn anything.
 func (p *Puller) pullSeeds(ctx context.Context) {
@@ -74,15 +91,16 @@
 		p.Log.Info("pull-failed", zap.Stringer("seed", seed), logs.Err(err))
 		return
 	}
-	p.Book.Learn(decodeRecords(got))
+	p.take(got)
 }
 
 func (p *Puller) newSync() *wire.Sync {
-	marks := []*wire.Mark{}
-	for prefix, revision := range p.Book.Marks() {
-		marks = append(marks, &wire.Mark{Prefix: prefix, Revision: revision})
-	}
-	return &wire.Sync{Marks: marks}
+	return &wire.Sync{At: p.Book.At()}
+}
+
+// runPull asks one ingress that is known to be ahead.
+func (p *Puller) runPull(name string) {
+	p.pull(context.Background(), name)
 }
 
 func (p *Puller) pull(ctx context.Context, name string) {
@@ -93,5 +111,14 @@
 		p.Log.Info("pull-failed", zap.String("ingress", name), logs.Err(err))
 		return
 	}
-	p.Book.Learn(decodeRecords(got))
+	p.take(got)
+}
+
+func (p *Puller) take(got *wire.Records) {
+	delta, err := DecodeDelta(got)
+	if err != nil {
+		p.Log.Warn("records-unreadable", logs.Err(err))
+		return
+	}
+	p.Book.Take(delta)
 }
--- a/ingress/services/mesh/serve.go
+++ b/ingress/services/mesh/serve.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"verbenaroad.example/ingress/services/state"
-	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/link"
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/wire"
@@ -29,6 +28,7 @@
 	Book   *state.Book
 	Maker  Maker
 	Placer Placer
+	Feeder *Feeder
 	Log    *zap.Logger
 }
 
@@ -53,7 +53,14 @@
 	}
 	switch {
 	case frame.GetSync() != nil:
-		h.answer(stream, &wire.Frame{Body: &wire.Frame_Records{Records: h.collect(frame.GetSync())}})
+		records := EncodeDelta(h.Book.Since(frame.GetSync().GetAt()))
+		h.answer(stream, &wire.Frame{Body: &wire.Frame_Records{Records: records}})
+	case frame.GetFollow() != nil:
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		w := watcher{reader: reader, cancel: cancel}
+		go w.run()
+		h.Feeder.Serve(ctx, stream, frame.GetFollow().GetAt())
 	case frame.GetProduce() != nil:
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
@@ -76,19 +83,6 @@
 	}
 }
 
-// collect returns the records that are younger than the asker's marks.
-func (h *Handler) collect(s *wire.Sync) *wire.Records {
-	records := &wire.Records{}
-	for _, mark := range s.GetMarks() {
-		for _, r := range h.Book.Since(mark.GetPrefix(), mark.GetRevision()) {
-			records.Records = append(records.Records, &wire.Record{
-				Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted,
-			})
-		}
-	}
-	return records
-}
-
 // watcher cancels the work behind a stream when the peer closes it.
 type watcher struct {
 	reader *wire.Reader
@@ -99,13 +93,3 @@
 	_, _ = w.reader.Next() // nothing more comes; its return is the end of the stream
 	w.cancel()
 }
-
-func decodeRecords(records *wire.Records) []site.Record {
-	list := make([]site.Record, 0, len(records.GetRecords()))
-	for _, r := range records.GetRecords() {
-		list = append(list, site.Record{
-			Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted(),
-		})
-	}
-	return list
-}
--- a/ingress/services/state/register.go
+++ b/ingress/services/state/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,8 +20,13 @@
 	Release(ctx context.Context, lease uint64) error
 }
 
-// renewPart is how many renewals fit into a lease: two may be lost.
-const renewPart = 3
+const (
+	// renewPart is how many renewals fit into a lease: two may be lost.
+	renewPart = 3
+	// leaseTimeout bounds each call. The store answers in milliseconds, and in up to a
+	// second where it is slow; a call that began while it was silent is never answered.
+	leaseTimeout = time.Second
+)
 
 // Registrar keeps the ingress registered under a lease.
 type Registrar struct {
@@ -29,7 +35,14 @@
 	Self   site.Ingress
 	// TTL is that of the lease: how long a dead ingress is still listed.
 	TTL time.Duration
-	Log *zap.Logger
+	// LeaseGone is the store's error for a lease that has ended.
+	LeaseGone error
+	// Book is told of each answer.
+	Book *Book
+	// ProbeEvery is the time between renewals while this ingress watches the store, whose
+	// open watches tell nothing of a store that falls silent.
+	ProbeEvery time.Duration
+	Log        *zap.Logger
 
 	lease uint64
 	ended chan struct{}
@@ -60,19 +73,41 @@
 func (r *Registrar) loop(ctx context.Context) {
 	defer close(r.ended)
 	for {
-		pause := r.TTL / renewPart
-		if err := r.step(ctx); err != nil {
-			r.Log.Warn("registration-lost", logs.Err(err))
+		began := time.Now()
+		err := r.step(ctx)
+		if err == nil {
+			r.Book.ConfirmOwn(time.Now())
+		} else {
+			r.Log.Warn("registration-lost", zap.Duration("store-age", r.Book.Age()), logs.Err(err))
+		}
+		if errors.Is(err, r.LeaseGone) {
 			r.lease = 0
-			pause = maxRetry
 		}
-		if !pauses.Wait(ctx, pause) {
+		if !r.wait(ctx, began, err) {
 			return
 		}
 	}
 }
 
+// wait waits until the next renewal is due; false where the context ended. It looks again
+// every ProbeEvery, since this ingress may begin to watch the store meanwhile.
+func (r *Registrar) wait(ctx context.Context, began time.Time, err error) bool {
+	if err != nil {
+		return pauses.Wait(ctx, maxRetry)
+	}
+	for {
+		if !pauses.Wait(ctx, min(r.ProbeEvery, r.TTL/renewPart)) {
+			return false
+		}
+		if r.Book.isReading() || time.Since(began) >= r.TTL/renewPart {
+			return true
+		}
+	}
+}
+
 func (r *Registrar) step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
 	if r.lease != 0 {
 		return r.Leases.Renew(ctx, r.lease)
 	}
--- a/share/decide/mirror/mirror.go
+++ b/share/decide/mirror/mirror.go
@@ -1,12 +1,14 @@
-// Package mirror keeps a copy of the records below a prefix of the
-// platform's store. Records come from the store's listing, its watch, and from
+// Package mirror keeps a copy of those records of the platform's store that are of use here. Records come from the store's listing, its watch, and from
 // peers that heard of a change first; each counts by its revision, so the order
 // in which these sources speak does not matter and no record goes back.
+//
+// A copy is complete up to a revision: it lacks nothing that the store held or
+// deleted until then. What one copy tells another is complete too, so that a copy
+// which hears only of peers never has a hole.
 package mirror
 
 import (
 	"sort"
-	"strings"
 
 	"verbenaroad.example/share/models/site"
 )
@@ -16,22 +18,58 @@
 
 // Mirror is the copy; it belongs to one goroutine or is guarded by its caller.
 type Mirror struct {
-	prefix  string
-	records map[string]site.Record
+	// isWanted tells of a key whether its record is kept.
+	isWanted func(key string) bool
+	records  map[string]site.Record
 	// deleted counts the records of the map that stand for a deletion.
 	deleted int
-	// at is the highest revision up to which the store itself told everything.
+	// at is the highest revision up to which the copy is complete.
 	at uint64
+	// newest is the highest revision of any change that the copy reflects. A listing
+	// reflects what was deleted before it and does not show it.
+	newest uint64
+	// floor is the revision up to which deletions may be missing in records: what was
+	// deleted before a listing does not show in it. A copy that is older than that
+	// needs the whole.
+	floor uint64
 }
 
-// NewMirror returns an empty copy of the records whose keys begin with prefix.
-func NewMirror(prefix string) *Mirror {
-	return &Mirror{prefix: prefix, records: map[string]site.Record{}}
+// Delta is what a copy lacks that is complete up to an earlier revision.
+type Delta struct {
+	Records []site.Record
+	// Whole deltas hold every record: what is missing in them does not exist.
+	Whole bool
+	// At is the revision up to which the copy is complete with the delta.
+	At uint64
 }
 
-// At returns the revision after which a watch goes on.
+// NewMirror returns an empty copy of the records whose keys are wanted.
+func NewMirror(isWanted func(key string) bool) *Mirror {
+	return &Mirror{isWanted: isWanted, records: map[string]site.Record{}}
+}
+
+// At returns the revision up to which the copy is complete; a watch goes on after it.
 func (m *Mirror) At() uint64 { return m.at }
 
+// Newest returns the highest revision of any change that the copy reflects, deletions included.
+func (m *Mirror) Newest() uint64 { return m.newest }
+
+// Take takes what a peer told.
+func (m *Mirror) Take(d Delta) (changed []site.Record) {
+	if d.Whole {
+		return m.Replace(d.Records, d.At)
+	}
+	return m.Apply(d.Records, d.At)
+}
+
+// Advance takes a peer's word that its copy is complete up to at and reflects no change
+// younger than newest. A copy that has all up to newest is then as complete.
+func (m *Mirror) Advance(newest, at uint64) {
+	if m.at >= newest {
+		m.at = max(m.at, at)
+	}
+}
+
 // Apply takes changes of a watch that is complete up to revision at.
 func (m *Mirror) Apply(changes []site.Record, at uint64) (changed []site.Record) {
 	changed = m.Learn(changes)
@@ -42,7 +80,7 @@
 // Learn takes changes from a source that may leave some out, such as a peer.
 func (m *Mirror) Learn(changes []site.Record) (changed []site.Record) {
 	for _, c := range changes {
-		if !strings.HasPrefix(c.Key, m.prefix) {
+		if !m.isWanted(c.Key) {
 			continue
 		}
 		if m.learnOne(c) {
@@ -65,6 +103,7 @@
 		c.Value = nil
 	}
 	m.records[c.Key] = c
+	m.newest = max(m.newest, c.Revision)
 	m.forget()
 	return true
 }
@@ -87,7 +126,11 @@
 		m.deleted++
 		changed = append(changed, gone)
 	}
-	m.at = max(m.at, at)
+	if at > m.at {
+		m.at = at
+		m.floor = at
+		m.newest = max(m.newest, at)
+	}
 	m.forget()
 	return changed
 }
@@ -104,30 +147,27 @@
 	return list
 }
 
-// Newest returns the highest revision of any record, deletions included.
-func (m *Mirror) Newest() uint64 {
-	newest := uint64(0)
-	for _, r := range m.records {
-		newest = max(newest, r.Revision)
+// Since returns what changed after a revision, deletions included, the oldest change first.
+func (m *Mirror) Since(revision uint64) Delta {
+	d := Delta{At: m.at}
+	if revision < m.floor {
+		d.Whole = true
+		d.Records = m.List()
+		return d
 	}
-	return newest
-}
-
-// Since returns what changed after a revision, deletions included, for a peer that lags.
-func (m *Mirror) Since(revision uint64) []site.Record {
-	list := []site.Record{}
 	for _, r := range m.records {
 		if r.Revision > revision {
-			list = append(list, r)
+			d.Records = append(d.Records, r)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Revision < list[j].Revision })
-	return list
+	sort.Slice(d.Records, func(i, j int) bool { return d.Records[i].Revision < d.Records[j].Revision })
+	return d
 }
 
 // forget drops the oldest deletions once there are too many. A copy of such a
 // record that came from a peer afterwards would revive it until the next
 // listing; maxDeleted is far more than changes within the time a peer lags.
+// A peer that is older than what was dropped is told the whole.
 func (m *Mirror) forget() {
 	if m.deleted <= maxDeleted {
 		return
@@ -142,5 +182,6 @@
 	for _, r := range gone[:len(gone)/2] {
 		delete(m.records, r.Key)
 		m.deleted--
+		m.floor = max(m.floor, r.Revision)
 	}
 }
--- a/share/modules/link/exchange.go
+++ b/share/modules/link/exchange.go
@@ -44,6 +44,41 @@
 	return frame.GetRecords(), nil
 }
 
+// Feed is a stream on which a peer sends store records now and after each change.
+type Feed struct {
+	stream net.Conn
+	reader *wire.Reader
+}
+
+// Follow opens a feed. The end of the context closes it.
+func Follow(ctx context.Context, s *Session, follow *wire.Follow) (*Feed, error) {
+	stream, err := s.Open()
+	if err != nil {
+		return nil, err
+	}
+	CloseOnDone(ctx, stream)
+	if err := wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_Follow{Follow: follow}}); err != nil {
+		_ = stream.Close()
+		return nil, err
+	}
+	return &Feed{stream: stream, reader: wire.NewReader(stream)}, nil
+}
+
+// Next waits for the next records.
+func (f *Feed) Next() (*wire.Records, error) {
+	frame, err := f.reader.Next()
+	if err != nil {
+		return nil, err
+	}
+	if frame.GetRecords() == nil {
+		return nil, ErrLink.New("a feed brought no records")
+	}
+	return frame.GetRecords(), nil
+}
+
+// Close ends the feed.
+func (f *Feed) Close() { _ = f.stream.Close() }
+
 // Produce has a peer make the results of a stage and waits until they are made or given up.
 // The end of the context closes the stream, which tells the peer to cancel.
 func Produce(ctx context.Context, s *Session, produce *wire.Produce) (*wire.Produced, error) {
--- a/share/modules/rhash/rhash.go
+++ b/share/modules/rhash/rhash.go
@@ -70,6 +70,17 @@
 	return names
 }
 
+// FirstWeighted returns the first name of PickWeighted without ordering the others; empty where there is none.
+func FirstWeighted(key string, members []Weighted) string {
+	name, best := "", 0.0
+	for _, m := range members {
+		if w := weigh(key, m); name == "" || w > best || w == best && m.Name < name {
+			name, best = m.Name, w
+		}
+	}
+	return name
+}
+
 // weigh turns the uniform score u into -weight/ln(u), whose maximum falls to a
 // member with a probability in proportion to its weight.
 func weigh(key string, m Weighted) float64 {
--- a/share/modules/rhash/weighted_test.go
+++ b/share/modules/rhash/weighted_test.go
@@ -36,3 +36,13 @@
 		}
 	}
 }
+
+func TestFirstWeightedIsTheFirstOfAll(t *testing.T) {
+	is := is.New(t)
+	members := []rhash.Weighted{{Name: "a", Weight: 1}, {Name: "b", Weight: 3}, {Name: "c", Weight: 2}}
+	for i := range keys {
+		key := fmt.Sprint(i)
+		is.Equal(rhash.FirstWeighted(key, members), rhash.PickWeighted(key, members)[0])
+	}
+	is.Equal(rhash.FirstWeighted("key", nil), "")
+}
