ingress: a starting ingress without the store's answer has callers come back in 2 s

An outage lasts for seconds, and callers follow a pause for up to a third of their time. Where the store answers it stays 0.5 s.

--- a/ingress/routers/public/public.go
+++ b/ingress/routers/public/public.go
@@ -56,9 +56,16 @@
 	IsAlone() bool
 }
 
+// Store knows how well the platform's store answers.
+type Store interface {
+	// OwnSilence returns how long the store has not answered this ingress, from its start at the earliest.
+	OwnSilence() time.Duration
+}
+
 // Options are the settings of a Router.
 type Options struct {
 	Peers   Peers
+	Store   Store
 	Codec   Codec
 	Views   Views
 	Flow    Flow
@@ -80,8 +87,15 @@
 const (
 	// defaultBody bounds a body before a configuration says so.
 	defaultBody = 4 << 20
-	// notReadyPause is told to callers before the first configuration is known.
+	// notReadyPause is told to callers before the first configuration is known, when the
+	// store answers: it comes with one of the next answers.
 	notReadyPause = 500 * time.Millisecond
+	// outagePause is told in place of that when the store has been silent for outageAfter,
+	// many times what an answer takes. An outage lasts for seconds; callers that have one
+	// retry left must not use it up while it does, and follow a pause for up to a third
+	// of the time that they have left.
+	outagePause = 2 * time.Second
+	outageAfter = 400 * time.Millisecond
 	// drainingPause is told to callers of a stopping process: another one takes them at once.
 	drainingPause = 50 * time.Millisecond
 	// alonePause is told where no other one does: a stop and a start take seconds, and
@@ -130,7 +144,7 @@
 func (t *Router) read(w http.ResponseWriter, r *http.Request, request site.Request, arrived time.Time) (*flow.Request, *codes.Result) {
 	view := t.options.Views.View()
 	if view.Table == nil {
-		return nil, codes.NewResult(codes.NotReady, "no configuration yet").WithRetryAfter(notReadyPause)
+		return nil, t.refuseUnready()
 	}
 	target := r.RequestURI
 	path, _, _ := strings.Cut(target, "?")
@@ -165,6 +179,15 @@
 	}, nil
 }
 
+// refuseUnready tells when to come back to an ingress that has no configuration yet.
+func (t *Router) refuseUnready() *codes.Result {
+	if silence := t.options.Store.OwnSilence(); silence > outageAfter {
+		detail := fmt.Sprintf("no configuration yet, and no answer of the store for %v", silence.Round(time.Millisecond))
+		return codes.NewResult(codes.NotReady, detail).WithRetryAfter(outagePause)
+	}
+	return codes.NewResult(codes.NotReady, "no configuration yet").WithRetryAfter(notReadyPause)
+}
+
 func describeBody(err error) *codes.Result {
 	var long *http.MaxBytesError
 	if errors.As(err, &long) {
