--- a/spec/check.sh
+++ b/spec/check.sh
@@ -34,6 +34,8 @@
 		holds|drain|one instance, two senders, two stops, a return|
 		holds|attempt|a request that may run once, three servers|
 		holds|attempt|an idempotent request, three servers|-DIDEMPOTENT
+		holds|feed|two that watch, a follower, 3 faults|
+		holds|feed|two that watch, a follower, 5 faults, 3 changes|-DFAULTS=5 -DCHANGES=3
 		mutant|attempt|a request that may have run is sent again|-DMUTANT_RESEND
 		mutant|attempt|a 503 without the server's word counts as not run|-DMUTANT_503_IS_A_WORD
 		mutant|attempt|an idempotent request that may have run is told as not run|-DIDEMPOTENT -DMUTANT_REFUSAL_AFTER_A_RUN
@@ -60,6 +62,9 @@
 		mutant|drain|running work is not waited for|-DMUTANT_NO_WAIT_FOR_WORK
 		mutant|drain|work is admitted while draining|-DMUTANT_ADMITS_WHILE_DRAINING
 		mutant|drain|an earlier heartbeat takes the leaving back|-DMUTANT_TAKES_BACK
+		mutant|feed|an older record takes the place of a newer one|-DMUTANT_ANY_REVISION
+		mutant|feed|a source that the store does not answer is kept|-DMUTANT_NO_AGE
+		mutant|feed|nobody reads for itself|-DMUTANT_NEVER_READS
 		mutant|lease|no wait for the old lease|-DIGNORES -DPROCESSES=2 -DMUTANT_NO_OBSERVED_WAIT
 		mutant|lease|no wait for the longest order|-DIGNORES -DPROCESSES=2 -DMUTANT_NO_ORDER_WAIT
 		mutant|lease|the holder does not look at the clock|-DIGNORES -DPROCESSES=2 -DMUTANT_NO_CLOCK
