--- a/ingress/services/mesh/feeder.go
+++ b/ingress/services/mesh/feeder.go
@@ -169,8 +169,9 @@
 
 // runFeed takes what the followed ingress sends until it or the context ends.
 func (f *Feeder) runFeed(ctx context.Context, s *subscription) {
-	err := f.take(ctx, s)
 	defer f.hurry()
+	defer s.cancel()
+	err := f.take(ctx, s)
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if f.current != s {
