logs: what a silent link received, how long a pull took, the size of a configuration

A link that ends for silence did not tell a frozen or cut-off peer from a link that is full, and a pull that failed did not say how long it had run.

--- a/ingress/services/mesh/puller.go
+++ b/ingress/services/mesh/puller.go
@@ -106,9 +106,10 @@
 func (p *Puller) pull(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
+	began := time.Now()
 	got, err := p.Mesh.Sync(ctx, name, p.newSync())
 	if err != nil {
-		p.Log.Info("pull-failed", zap.String("ingress", name), logs.Err(err))
+		p.Log.Info("pull-failed", zap.String("ingress", name), zap.Duration("took", time.Since(began)), logs.Err(err))
 		return
 	}
 	p.take(got)
--- a/ingress/services/state/take.go
+++ b/ingress/services/state/take.go
@@ -71,7 +71,7 @@
 	b.table = access.NewTable(config)
 	b.options.Log.Info("config-applied",
 		zap.Uint64("version", config.Version), zap.Uint64("revision", r.Revision), zap.String("source", source),
-		zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("teams", len(config.Teams)))
+		zap.Int("bytes", len(r.Value)), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("teams", len(config.Teams)))
 }
 
 func (b *Book) takeServer(r site.Record, source string) {
--- a/share/modules/link/session.go
+++ b/share/modules/link/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -28,6 +29,8 @@
 
 	// lastHeard is the monotonic time of the peer's last heartbeat, as nanoseconds since started.
 	lastHeard atomic.Int64
+	// readAtBeat is how many bytes the connection had brought when that heartbeat came.
+	readAtBeat atomic.Uint64
 	// delay is the smoothed one-way delay measured by echoed heartbeats, in nanoseconds.
 	delay atomic.Int64
 	// peerSequence and heardAt belong to the last heartbeat received; they are echoed.
@@ -220,6 +223,19 @@
 	return time.Since(s.started) - time.Duration(s.lastHeard.Load())
 }
 
+// SilentError says that a peer sent no heartbeat for too long.
+type SilentError struct {
+	Silence time.Duration
+	// Received is how many bytes came meanwhile: some mean that the link is slow or full and
+	// the peer is alive, none that it is frozen or cut off.
+	Received uint64
+}
+
+// Error names both.
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("silent for %v, %d bytes received meanwhile", e.Silence.Round(time.Millisecond), e.Received)
+}
+
 // IsClosed tells whether the session has ended.
 func (s *Session) IsClosed() bool {
 	return s.mux.IsClosed()
--- a/share/services/peers/server.go
+++ b/share/services/peers/server.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/logs"
 )
 
 // ErrPeers is the class of errors of this package.
@@ -115,7 +116,7 @@
 	session, err := link.Accept(conn, options)
 	if err != nil {
 		_ = conn.Close()
-		s.options.Log.Warn("session-refused", zap.Error(err))
+		s.options.Log.Warn("session-refused", logs.Err(err))
 		return
 	}
 	name := session.Peer().GetName()
@@ -135,5 +136,5 @@
 	if s.sessions[name] == session {
 		delete(s.sessions, name)
 	}
-	s.options.Log.Info("session-down", zap.String("peer", name), zap.Error(reason))
+	s.options.Log.Info("session-down", zap.String("peer", name), logs.Err(reason))
 }
