mesh: records cross slow links whole, once and compressed

Cause: a transfer of records ran under timeouts for the whole of it, and each that was given up began anew, from several peers at once. A configuration of 4,250 routes is 1 MB, 0.84 s at 10 Mbit/s: a link ended after 1.05 s without a heartbeat, and heartbeats waited behind the records; a question for records ended after 0.7 s; an ingress that was behind asked each peer whose heartbeat said that it was ahead. Once two copies shared the link, none ended any more.

Change: progress bounds a transfer. Any bytes from a peer show that it lives; a question ends once nothing has arrived for 0.7 s; a source is not doubted while its records arrive; nobody else is asked meanwhile, and a question is taken back once the records came from elsewhere. Records are deflated by their size and not their number (0.92 MB to 0.12 MB); messages are written in pieces of 4 kB, so that others pass between them; 64 kB and not 1 MB wait at a connection; one encoding serves all who ask.

Why it works: one copy of 0.12 MB takes 0.1 s at 10 Mbit/s. Ruled out: sources that stop sending, processor time (1 to 3 % of a core), a store that is away.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -117,14 +117,12 @@
 		OnOutlook: func(told *wire.Outlook) { i.maker.TakeOutlook(told) },
 		OnReading: func(name string, told *wire.Reading) { i.feeder.TakeReading(name, told) },
 	})
-	i.puller = &mesh.Puller{
-		Mesh: i.mesh, Book: i.book, Seeds: s.Peers.Seeds, Log: i.log,
-		IsFollowing: func() bool { return i.feeder.IsFollowing() },
-	}
+	i.puller = &mesh.Puller{Mesh: i.mesh, Book: i.book, Seeds: s.Peers.Seeds, Log: i.log}
 	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
 		Mesh: i.mesh, Book: i.book, Puller: i.puller, Self: i.self, Regions: s.Place.Regions, IsLeaving: i.stopper.IsLeaving, Log: i.log,
 		Reader: &state.Reader{Book: i.book, Store: i.store, Wait: s.Store.Wait, HistoryGone: keyval.ErrHistoryGone, Log: i.log},
 	})
+	i.puller.Feed = i.feeder
 	client := reach.NewClient(heads.Codec{})
 	i.owner = pieces.NewOwner(pieces.OwnerOptions{
 		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Repeats: s.Repeats.Settings, Log: i.log,
@@ -189,7 +187,7 @@
 	var err error
 	i.links, err = peers.NewServer(peers.Options{
 		Address: s.Peers.Listen, Link: i.newLink(),
-		Handler: &mesh.Handler{Book: i.book, Maker: i.maker, Placer: i.desk, Feeder: i.feeder, Log: i.log}, Log: i.log,
+		Handler: &mesh.Handler{Maker: i.maker, Placer: i.desk, Feeder: i.feeder, Log: i.log}, Log: i.log,
 	})
 	if err != nil {
 		return err
--- a/ingress/services/mesh/deltas.go
+++ b/ingress/services/mesh/deltas.go
@@ -15,9 +15,9 @@
 	"verbenaroad.example/share/modules/wire"
 )
 
-// packFrom is the number of records from which on they are deflated: a first picture holds
-// every backend server and goes to each ingress that starts, over links of 20 Mbit/s.
-const packFrom = 64
+// packFromBytes is the size from which on records are deflated: a configuration, or a first picture
+// with every backend server, goes to each ingress, over links of 10 Mbit/s.
+const packFromBytes = 8 << 10
 
 // maxUnpacked bounds what is inflated.
 const maxUnpacked = 64 << 20
@@ -30,7 +30,7 @@
 			Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted,
 		})
 	}
-	if len(told.GetRecords()) >= packFrom {
+	if proto.Size(told) >= packFromBytes {
 		if packed, err := pack(told); err == nil {
 			told = &wire.Records{Packed: packed}
 		}
--- a/ingress/services/mesh/feeder.go
+++ b/ingress/services/mesh/feeder.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/feed"
@@ -51,6 +52,8 @@
 	// of them, 0 before; scouted is set once it is known who else there is.
 	members uint64
 	scouted bool
+	// fedSince is when the message that arrives from the followed ingress began; zero: there is none.
+	fedSince time.Time
 
 	collectLock sync.Mutex
 	// collected is what was told last.
@@ -183,11 +186,12 @@
 }
 
 func (f *Feeder) take(ctx context.Context, s *subscription) error {
-	stream, err := f.options.Mesh.Follow(ctx, s.name, &wire.Follow{At: f.options.Book.At()})
+	stream, err := f.options.Mesh.Follow(ctx, s.name, &wire.Follow{At: f.options.Book.At()}, f.noteFed)
 	if err != nil {
 		return err
 	}
 	defer stream.Close()
+	defer func() { f.noteFedWhole() }()
 	for opened := false; ; opened = true {
 		told, err := stream.Next()
 		if err != nil {
@@ -198,12 +202,62 @@
 			return err
 		}
 		f.options.Book.Take(delta)
+		logLarge(f.options.Log, s.name, told, f.noteFedWhole())
 		if !opened {
 			f.noteOpened(s)
 		}
 	}
 }
 
+// noteFed notes a part of a message of the followed ingress.
+func (f *Feeder) noteFed() {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	now := time.Now()
+	f.chooser.TakeArrival(now, true)
+	if f.fedSince.IsZero() {
+		f.fedSince = now
+	}
+}
+
+// noteFedWhole notes the end of such a message and returns how long it took to arrive.
+func (f *Feeder) noteFedWhole() time.Duration {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.chooser.TakeWhole(true)
+	took := time.Since(f.fedSince)
+	f.fedSince = time.Time{}
+	return took
+}
+
+// logLarge tells of records whose way over a slow link takes its time.
+func logLarge(log *zap.Logger, name string, told *wire.Records, took time.Duration) {
+	if size := proto.Size(told); size >= packFromBytes {
+		log.Info("records-received", zap.String("ingress", name), zap.Int("bytes", size), zap.Duration("took", took))
+	}
+}
+
+// NoteArrival notes a part of a message of records that this ingress asked for.
+func (f *Feeder) NoteArrival() {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.chooser.TakeArrival(time.Now(), false)
+}
+
+// NoteWhole notes the end of such a message.
+func (f *Feeder) NoteWhole() {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.chooser.TakeWhole(false)
+}
+
+// IsReceiving tells whether records are on their way here.
+func (f *Feeder) IsReceiving() bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.chooser.IsReceiving(time.Now())
+}
+
 func (f *Feeder) noteOpened(s *subscription) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
@@ -232,7 +286,7 @@
 	}
 	if f.chooser.NoteGap(now, name, theirs.Newest, own) {
 		f.options.Log.Info("records-missing", zap.String("ahead", name))
-		go f.options.Puller.runPull(name)
+		go f.options.Puller.runPull(name, theirs.Newest)
 	}
 }
 
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -33,6 +33,9 @@
 	retryPause = 600 * time.Millisecond
 	// dialTimeout bounds opening a session; a link between regions needs three ways of 12 ms.
 	dialTimeout = 600 * time.Millisecond
+	// syncStall bounds the pauses in the answer to a question for records. The whole answer
+	// takes as long as the link needs for it.
+	syncStall = 700 * time.Millisecond
 )
 
 // Options are the settings of a Mesh.
@@ -134,12 +137,12 @@
 }
 
 // Follow has another ingress send what this one's records lack, now and after each change.
-func (m *Mesh) Follow(ctx context.Context, name string, f *wire.Follow) (*link.Feed, error) {
+func (m *Mesh) Follow(ctx context.Context, name string, f *wire.Follow, onArrival func()) (*link.Feed, error) {
 	session, err := m.getSession(ctx, name)
 	if err != nil {
 		return nil, err
 	}
-	return link.Follow(ctx, session, f)
+	return link.Follow(ctx, session, f, onArrival)
 }
 
 // listNear returns the names of the ingresses that can be reached in an order of chance,
@@ -238,16 +241,16 @@
 }
 
 // Sync asks another ingress for records.
-func (m *Mesh) Sync(ctx context.Context, name string, s *wire.Sync) (*wire.Records, error) {
+func (m *Mesh) Sync(ctx context.Context, name string, s *wire.Sync, onArrival func()) (*wire.Records, error) {
 	session, err := m.getSession(ctx, name)
 	if err != nil {
 		return nil, err
 	}
-	return link.Sync(ctx, session, s)
+	return link.Sync(ctx, session, s, syncStall, onArrival)
 }
 
 // SyncAt asks an ingress of which only the address is known.
-func (m *Mesh) SyncAt(ctx context.Context, address netip.AddrPort, s *wire.Sync) (*wire.Records, error) {
+func (m *Mesh) SyncAt(ctx context.Context, address netip.AddrPort, s *wire.Sync, onArrival func()) (*wire.Records, error) {
 	if address == m.options.Self.Address {
 		return nil, ErrMesh.New("%s is this ingress", address)
 	}
@@ -256,7 +259,7 @@
 		return nil, err
 	}
 	defer func() { _ = session.Close() }()
-	return link.Sync(ctx, session, s)
+	return link.Sync(ctx, session, s, syncStall, onArrival)
 }
 
 func (m *Mesh) getSession(ctx context.Context, name string) (*link.Session, error) {
--- a/ingress/services/mesh/puller.go
+++ b/ingress/services/mesh/puller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -25,8 +26,8 @@
 	// firstPullAfter is how long a starting ingress waits for its first picture before it
 	// asks others: the store answers in milliseconds.
 	firstPullAfter = 600 * time.Millisecond
-	// pullTimeout bounds one question.
-	pullTimeout = 700 * time.Millisecond
+	// pullTimeout bounds one question, together with syncStall.
+	pullTimeout = 10 * time.Second
 )
 
 // Puller learns from other ingresses what the store does not tell here.
@@ -37,8 +38,8 @@
 type Puller struct {
 	Mesh *Mesh
 	Book *state.Book
-	// IsFollowing tells whether this ingress follows another one.
-	IsFollowing func() bool
+	// Feed is how this ingress hears of the store otherwise.
+	Feed Feed
 	// Seeds are asked while no other ingress is known.
 	Seeds []netip.AddrPort
 	Log   *zap.Logger
@@ -46,6 +47,17 @@
 	startedAt time.Time
 }
 
+// Feed tells what comes here without asking.
+type Feed interface {
+	// IsFollowing tells whether this ingress follows another one.
+	IsFollowing() bool
+	// IsReceiving tells whether records are on their way here.
+	IsReceiving() bool
+	// NoteArrival notes a part of a message of records, and NoteWhole its end.
+	NoteArrival()
+	NoteWhole()
+}
+
 // Start pulls until the context ends.
 func (p *Puller) Start(ctx context.Context) {
 	go p.loop(ctx)
@@ -54,7 +66,7 @@
 func (p *Puller) loop(ctx context.Context) {
 	p.startedAt = time.Now()
 	for pauses.Wait(ctx, pullEvery) {
-		if !p.mustPull(time.Now()) {
+		if !p.mustPull(time.Now()) || p.Feed.IsReceiving() {
 			continue
 		}
 		near := p.Mesh.listNear()
@@ -72,7 +84,7 @@
 // ingress follows, or from the store; peers are asked for it where neither brings it.
 func (p *Puller) mustPull(now time.Time) bool {
 	if !p.Book.IsListed() {
-		return now.Sub(p.startedAt) >= firstPullAfter && !p.IsFollowing()
+		return now.Sub(p.startedAt) >= firstPullAfter && !p.Feed.IsFollowing()
 	}
 	return p.Book.IsLost() || p.Book.Age() >= staleAfter
 }
@@ -86,7 +98,8 @@
 	seed := p.Seeds[rand.IntN(len(p.Seeds))] //nolint:gosec // any of them will do
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	got, err := p.Mesh.SyncAt(ctx, seed, p.newSync())
+	defer p.Feed.NoteWhole()
+	got, err := p.Mesh.SyncAt(ctx, seed, p.newSync(), p.Feed.NoteArrival)
 	if err != nil {
 		p.Log.Info("pull-failed", zap.Stringer("seed", seed), logs.Err(err))
 		return
@@ -98,20 +111,44 @@
 	return &wire.Sync{At: p.Book.At()}
 }
 
-// runPull asks one ingress that is known to be ahead.
-func (p *Puller) runPull(name string) {
-	p.pull(context.Background(), name)
+// runPull asks one ingress that is known to be ahead, until the records here have come up to it.
+func (p *Puller) runPull(name string, newest uint64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.runUntil(ctx, cancel, newest)
+	p.pull(ctx, name)
+}
+
+// runUntil cancels a pull once the records here are complete up to a revision.
+func (p *Puller) runUntil(ctx context.Context, cancel context.CancelFunc, newest uint64) {
+	for {
+		changed := p.Book.Changed()
+		if p.Book.At() >= newest {
+			cancel()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 func (p *Puller) pull(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
+	defer p.Feed.NoteWhole()
 	began := time.Now()
-	got, err := p.Mesh.Sync(ctx, name, p.newSync())
+	got, err := p.Mesh.Sync(ctx, name, p.newSync(), p.Feed.NoteArrival)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return // the records came from elsewhere
+	}
 	if err != nil {
 		p.Log.Info("pull-failed", zap.String("ingress", name), zap.Duration("took", time.Since(began)), logs.Err(err))
 		return
 	}
+	logLarge(p.Log, name, got, time.Since(began))
 	p.take(got)
 }
 
--- a/ingress/services/mesh/serve.go
+++ b/ingress/services/mesh/serve.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/modules/link"
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/wire"
@@ -25,7 +24,6 @@
 
 // Handler serves the sessions that other ingresses open.
 type Handler struct {
-	Book   *state.Book
 	Maker  Maker
 	Placer Placer
 	Feeder *Feeder
@@ -53,7 +51,9 @@
 	}
 	switch {
 	case frame.GetSync() != nil:
-		records := EncodeDelta(h.Book.Since(frame.GetSync().GetAt()))
+		w := watcher{reader: reader, cancel: func() { _ = stream.Close() }}
+		go w.run()
+		records := h.Feeder.collect(frame.GetSync().GetAt())
 		h.answer(stream, &wire.Frame{Body: &wire.Frame_Records{Records: records}})
 	case frame.GetFollow() != nil:
 		ctx, cancel := context.WithCancel(ctx)
--- a/share/decide/feed/feed.go
+++ b/share/decide/feed/feed.go
@@ -59,6 +59,8 @@
 	// gapTime is how long another ingress may be known to be ahead before it is asked for
 	// what is missing: what is pushed is on its way meanwhile.
 	gapTime = 250 * time.Millisecond
+	// arrivalTime is how long after a part of a message the next one is expected.
+	arrivalTime = 700 * time.Millisecond
 )
 
 // ProbeEvery is how often an ingress that watches has the store confirm that it answers.
@@ -121,6 +123,11 @@
 	leaving      bool
 	// gaps holds by name where others are that are ahead of this ingress.
 	gaps map[string]gap
+	// askedGapAt is when another ingress was last asked for what is missing; zero once it has answered.
+	askedGapAt time.Time
+	// arrivedAt is when a part of a message of records last arrived that is not whole yet,
+	// from any ingress, and fedAt the same from the followed one; zero where there is none.
+	arrivedAt, fedAt time.Time
 }
 
 // member is an ingress that has been reachable since a time; word is what it said last, at heardAt.
@@ -237,8 +244,39 @@
 // TakeLeaving notes that this ingress stops.
 func (c *Chooser) TakeLeaving() { c.leaving = true }
 
+// TakeArrival notes a part of a message of records, from the followed ingress or from one that was asked.
+func (c *Chooser) TakeArrival(now time.Time, fed bool) {
+	c.arrivedAt = now
+	if fed {
+		c.fedAt = now
+	}
+}
+
+// TakeWhole notes that such a message is whole and taken, or was given up.
+func (c *Chooser) TakeWhole(fed bool) {
+	c.arrivedAt = time.Time{}
+	if fed {
+		c.fedAt = time.Time{}
+		return
+	}
+	c.askedGapAt = time.Time{}
+}
+
+// IsReceiving tells whether records are on their way here already.
+//
+// Guards against a congested link: each copy that is asked for delays those under way.
+func (c *Chooser) IsReceiving(now time.Time) bool {
+	return now.Sub(c.arrivedAt) < arrivalTime || now.Sub(c.askedGapAt) < arrivalTime
+}
+
+// isFed tells whether records are on their way from the followed ingress.
+func (c *Chooser) isFed(now time.Time) bool {
+	return c.follow != "" && now.Sub(c.fedAt) < arrivalTime
+}
+
 // NoteGap notes up to which revision another ingress and this one know the store, and
-// tells whether the other is to be asked: this one has not come up in gapTime to where the other was.
+// tells whether the other is to be asked: this one has not come up in gapTime to where the other was,
+// and nothing is on its way.
 func (c *Chooser) NoteGap(now time.Time, name string, theirs, own uint64) (ask bool) {
 	g, noted := c.gaps[name]
 	switch {
@@ -246,8 +284,9 @@
 		delete(c.gaps, name)
 	case !noted || g.revision <= own:
 		c.gaps[name] = gap{revision: theirs, since: now}
-	case now.Sub(g.since) >= gapTime:
+	case now.Sub(g.since) >= gapTime && !c.IsReceiving(now):
 		delete(c.gaps, name)
+		c.askedGapAt = now
 		return true
 	}
 	return false
@@ -274,9 +313,10 @@
 	return Plan{Follow: c.follow, Check: c.pickCheck(now), Read: c.reading}
 }
 
-// judge doubts a followed ingress that does not know the store well.
+// judge doubts a followed ingress that does not know the store well. One whose records are
+// arriving is left its time: its heartbeats may wait behind them.
 func (c *Chooser) judge(now time.Time) {
-	if c.follow == "" || c.IsGood(now) {
+	if c.follow == "" || c.IsGood(now) || c.isFed(now) {
 		return
 	}
 	if now.Sub(c.askedAt) >= openTimeout {
@@ -376,7 +416,7 @@
 
 // mustRead tells whether this ingress watches the store itself.
 func (c *Chooser) mustRead(now time.Time) bool {
-	if c.IsGood(now) {
+	if c.IsGood(now) || c.isFed(now) {
 		c.badSince = time.Time{}
 	} else if c.badSince.IsZero() {
 		c.badSince = now
--- a/share/decide/feed/feed_test.go
+++ b/share/decide/feed/feed_test.go
@@ -182,3 +182,31 @@
 	c.TakeEnded(after(7500*time.Millisecond), "b")
 	is.Equal(c.Plan(after(7500*time.Millisecond)), feed.Plan{Read: true})
 }
+
+// Guards against a full link: each further copy of the records that is asked for delays those under way.
+func TestNobodyIsAskedWhileRecordsArrive(t *testing.T) {
+	is := is.New(t)
+	c := newFollower(newMember("b", "x2"), newMember("d", "y1"))
+	is.True(!c.NoteGap(begin, "b", 7, 6))
+	is.True(!c.NoteGap(begin, "d", 7, 6))
+	for at := time.Duration(0); at <= 3*time.Second; at += 300 * time.Millisecond {
+		c.TakeArrival(after(at), true)
+		is.True(!c.NoteGap(after(at), "b", 7, 6))
+	}
+	c.TakeWhole(true)
+	is.True(c.NoteGap(after(3300*time.Millisecond), "b", 7, 6))  // it did not bring what is missing
+	is.True(!c.NoteGap(after(3400*time.Millisecond), "d", 7, 6)) // the first one is to answer
+	c.TakeWhole(false)
+	is.True(c.NoteGap(after(3500*time.Millisecond), "d", 7, 6))
+}
+
+// Guards against a source that is given up in the middle of a large message, behind which its heartbeats wait.
+func TestSourceWhoseRecordsArriveIsKept(t *testing.T) {
+	is := is.New(t)
+	c := newFollower(newMember("b", "x1"))
+	for at := time.Duration(0); at <= 4*time.Second; at += 200 * time.Millisecond {
+		c.TakeArrival(after(at), true)
+		is.Equal(c.Plan(after(at)), feed.Plan{Follow: "a"})
+	}
+	is.True(c.Plan(after(5*time.Second)).Follow != "a") // nothing more came
+}
--- a/share/modules/link/batch.go
+++ b/share/modules/link/batch.go
@@ -10,8 +10,9 @@
 const (
 	// readBufferBytes lets one system call bring the frames of many streams.
 	readBufferBytes = 16 << 10
-	// maxPendingBytes holds writers back when the connection is slower than they are.
-	maxPendingBytes = 1 << 20
+	// maxPendingBytes holds writers back when the connection is slower than they are. Heartbeats
+	// wait behind what is pending.
+	maxPendingBytes = 64 << 10
 	// closeFlush bounds writing out what is pending at the close.
 	closeFlush = time.Second
 )
--- a/share/modules/link/beat.go
+++ b/share/modules/link/beat.go
@@ -16,7 +16,7 @@
 	sequence := uint64(0)
 	for {
 		if s.Silence() > s.options.SilentAfter {
-			s.end(ErrLink.Wrap(&SilentError{Silence: s.Silence(), Received: s.counter.read.Load() - s.readAtBeat.Load()}))
+			s.end(ErrLink.New("silent for %v", s.Silence().Round(time.Millisecond)))
 			return
 		}
 		sequence++
@@ -65,8 +65,6 @@
 
 func (s *Session) takeBeat(beat *wire.Beat) {
 	now := int64(time.Since(s.started))
-	s.lastHeard.Store(now)
-	s.readAtBeat.Store(s.counter.read.Load())
 	s.heardAt.Store(now)
 	s.peerSequence.Store(beat.GetSequence())
 	sent := s.findSent(beat.GetEcho())
--- a/share/modules/link/conn.go
+++ b/share/modules/link/conn.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"verbenaroad.example/share/modules/wire"
 )
@@ -26,20 +27,36 @@
 	return errors.As(err, &version)
 }
 
-// countingConn counts what passes, so that control and cross-region bytes can be reported.
+// countingConn counts what passes, so that control and cross-region bytes can be reported,
+// and notes when something arrived.
 type countingConn struct {
 	net.Conn
 	read    atomic.Uint64
 	written atomic.Uint64
+	opened  time.Time
+	// readAt is the monotonic time of the last arrival, as nanoseconds since opened.
+	readAt atomic.Int64
+}
+
+func newCountingConn(conn net.Conn) *countingConn {
+	return &countingConn{Conn: conn, opened: time.Now()}
 }
 
 // Read counts what arrives.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.read.Add(uint64(n))
+	if n > 0 {
+		c.read.Add(uint64(n))
+		c.readAt.Store(int64(time.Since(c.opened)))
+	}
 	return n, err
 }
 
+// silence returns how long nothing has arrived.
+func (c *countingConn) silence() time.Duration {
+	return time.Since(c.opened) - time.Duration(c.readAt.Load())
+}
+
 // Write counts what leaves.
 func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/share/modules/link/exchange.go
+++ b/share/modules/link/exchange.go
@@ -32,9 +32,20 @@
 	return frame.GetTold(), nil
 }
 
-// Sync asks a peer for store records that it knows and this process does not.
-func Sync(ctx context.Context, s *Session, sync *wire.Sync) (*wire.Records, error) {
-	frame, err := exchange(ctx, s, &wire.Frame{Body: &wire.Frame_Sync{Sync: sync}})
+// Sync asks a peer for store records that it knows and this process does not. The call ends
+// once nothing has arrived for the stall time; onArrival is told of each arrival.
+func Sync(ctx context.Context, s *Session, sync *wire.Sync, stall time.Duration, onArrival func()) (*wire.Records, error) {
+	stream, err := s.Open()
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	stop := CloseOnDone(ctx, stream)
+	defer stop()
+	if err := wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_Sync{Sync: sync}}); err != nil {
+		return nil, err
+	}
+	frame, err := wire.NewReader(&arrivals{Conn: stream, stall: stall, onArrival: onArrival}).Next()
 	if err != nil {
 		return nil, err
 	}
@@ -50,8 +61,8 @@
 	reader *wire.Reader
 }
 
-// Follow opens a feed. The end of the context closes it.
-func Follow(ctx context.Context, s *Session, follow *wire.Follow) (*Feed, error) {
+// Follow opens a feed. The end of the context closes it; onArrival is told of each arrival.
+func Follow(ctx context.Context, s *Session, follow *wire.Follow, onArrival func()) (*Feed, error) {
 	stream, err := s.Open()
 	if err != nil {
 		return nil, err
@@ -61,7 +72,7 @@
 		_ = stream.Close()
 		return nil, err
 	}
-	return &Feed{stream: stream, reader: wire.NewReader(stream)}, nil
+	return &Feed{stream: stream, reader: wire.NewReader(&arrivals{Conn: stream, onArrival: onArrival})}, nil
 }
 
 // Next waits for the next records.
--- a/share/modules/link/session.go
+++ b/share/modules/link/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -27,10 +26,6 @@
 	counter *countingConn
 	peer    *wire.Hello
 
-	// lastHeard is the monotonic time of the peer's last heartbeat, as nanoseconds since started.
-	lastHeard atomic.Int64
-	// readAtBeat is how many bytes the connection had brought when that heartbeat came.
-	readAtBeat atomic.Uint64
 	// delay is the smoothed one-way delay measured by echoed heartbeats, in nanoseconds.
 	delay atomic.Int64
 	// peerSequence and heardAt belong to the last heartbeat received; they are echoed.
@@ -65,7 +60,7 @@
 	if err != nil {
 		return nil, ErrLink.Wrap(err)
 	}
-	counter := &countingConn{Conn: conn}
+	counter := newCountingConn(conn)
 	conn = counter
 	if options.TLS != nil {
 		settings := options.TLS.Clone()
@@ -110,7 +105,7 @@
 // Accept exchanges hellos on a connection that a peer opened.
 func Accept(conn net.Conn, options Options) (*Session, error) {
 	options = options.withDefaults()
-	counter := &countingConn{Conn: conn}
+	counter := newCountingConn(conn)
 	conn = counter
 	if options.TLS != nil {
 		conn = tls.Server(conn, options.TLS)
@@ -191,7 +186,6 @@
 }
 
 func (s *Session) start() {
-	s.lastHeard.Store(int64(time.Since(s.started)))
 	go s.loopRead()
 	go s.loopBeat()
 }
@@ -218,22 +212,10 @@
 	return time.Duration(s.delay.Load())
 }
 
-// Silence returns how long the peer has sent no heartbeat.
+// Silence returns how long the peer has sent nothing. Any bytes count and not heartbeats alone,
+// since these wait behind a large message on a slow link.
 func (s *Session) Silence() time.Duration {
-	return time.Since(s.started) - time.Duration(s.lastHeard.Load())
-}
-
-// SilentError says that a peer sent no heartbeat for too long.
-type SilentError struct {
-	Silence time.Duration
-	// Received is how many bytes came meanwhile: some mean that the link is slow or full and
-	// the peer is alive, none that it is frozen or cut off.
-	Received uint64
-}
-
-// Error names both.
-func (e *SilentError) Error() string {
-	return fmt.Sprintf("silent for %v, %d bytes received meanwhile", e.Silence.Round(time.Millisecond), e.Received)
+	return s.counter.silence()
 }
 
 // IsClosed tells whether the session has ended.
--- a/share/modules/wire/frame.go
+++ b/share/modules/wire/frame.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/zeebo/errs"
@@ -55,14 +56,18 @@
 // maxPooledBytes keeps a rare large frame from pinning its buffer.
 const maxPooledBytes = 64 << 10
 
-// WriteFrame writes one frame to w in a single Write, which makes it a single yamux frame too.
+// pieceBytes bounds one Write. yamux shows a reader none of a write before all of it has
+// arrived, and other streams send nothing in between.
+const pieceBytes = 4 << 10
+
+// WriteFrame writes one frame to w. Most frames take a single Write, which makes them a single yamux frame too.
 func WriteFrame(w io.Writer, frame *Frame) error {
 	pooled, _ := buffers.Get().(*[]byte)
 	size := proto.Size(frame)
 	encoded := protowire.AppendVarint((*pooled)[:0], uint64(size)) //nolint:gosec // a size is not negative
 	encoded, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(encoded, frame)
 	if err == nil {
-		_, err = w.Write(encoded)
+		err = writePieces(w, encoded)
 	}
 	if cap(encoded) <= maxPooledBytes {
 		*pooled = encoded
@@ -70,3 +75,12 @@
 	buffers.Put(pooled)
 	return ErrFrame.Wrap(err)
 }
+
+func writePieces(w io.Writer, encoded []byte) error {
+	for piece := range slices.Chunk(encoded, pieceBytes) {
+		if _, err := w.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
