keyval: an answer of the store may take as long as its link needs

An ingress on a link of 10 Mbit/s that watches the store itself needs 1.1 s for a configuration of 1 MB in base64; a watch that begins after a failure is given 0.72 s, and a listing 1.5 s beside all else on the link, so that neither may ever end. What arrives also counts as the store's contact: renewals wait behind it, and the ingress must not be taken for cut off by those that follow it.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -110,7 +110,10 @@
 	i.stopper = stops.NewStopper(drain.Settings{
 		Grace: s.Stop.Grace - graceReserve, Linger: s.Stop.Admit, Admit: s.Stop.Admit,
 	})
-	i.store = keyval.NewClient(keyval.Options{Address: s.Store.Address, CallTimeout: s.Store.Timeout})
+	i.store = keyval.NewClient(keyval.Options{
+		Address: s.Store.Address, CallTimeout: s.Store.Timeout,
+		OnArrival: func() { i.book.ConfirmOwn(time.Now()) },
+	})
 	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.takeView})
 	i.mesh = mesh.NewMesh(mesh.Options{
 		Self: i.self, Regions: s.Place.Regions, IsLeaving: i.stopper.IsLeaving, Link: i.newLink(), Log: i.log,
