link: the close of a session leaves its readers at rest while a write is under way

Trace: a dump of the process. A peer had ended a connection on which 730 kB were being written. yamux's receiver marked the session as shut down and waited in the close of the connection for that write, and a blocked Stream.Read looped meanwhile, since yamux 0.1.2 returns from such a read only once its streams are closed.

Change: the connection's close ends reads, bounds the write and returns; the goroutine that writes closes it. A session's close waits for it after the streams are closed.

TestPeerThatEndsLeavesReadersAtRest failed before (more than 300 ms of processor time in 0.6 s), passes now.

--- a/share/modules/link/batch.go
+++ b/share/modules/link/batch.go
@@ -27,31 +27,32 @@
 	lock sync.Mutex
 	// changed is signaled when pending, failed, readFailed or closed change.
 	changed *sync.Cond
-	// readFailed is set once a read brought an error.
+	// readFailed is set once a read brought an error before the close.
 	readFailed bool
 	// pending is not written yet; writing is the buffer that the loop is writing out.
 	pending []byte
 	writing []byte
-	busy    bool
 	// failed is the first error of a write; all later writes return it.
 	failed error
 	closed bool
+	// ended is closed once the connection is, with what was pending written out or given up.
+	ended chan struct{}
 }
 
 func newBatchConn(conn net.Conn) *batchConn {
-	c := &batchConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+	c := &batchConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), ended: make(chan struct{})}
 	c.changed = sync.NewCond(&c.lock)
 	go c.loop()
 	return c
 }
 
 // Read returns what has arrived. A connection that brings nothing more takes nothing
-// more either, so its close need not wait for what is pending.
+// more either, so what is pending is given up at its close.
 func (c *batchConn) Read(p []byte) (int, error) {
 	n, err := c.reader.Read(p)
 	if err != nil {
 		c.lock.Lock()
-		c.readFailed = true
+		c.readFailed = c.readFailed || !c.closed // the close itself ends reads
 		c.changed.Broadcast()
 		c.lock.Unlock()
 	}
@@ -62,8 +63,8 @@
 // written once the close has begun is dropped without an error.
 //
 // Guards against readers that take a whole core at the close: an error here has yamux
-// mark its session as shut down at once, while the close still waits for what is
-// pending, and until its streams are closed each blocked Stream.Read loops without waiting.
+// mark its session as shut down at once, and until its streams are closed each blocked
+// Stream.Read loops without waiting.
 func (c *batchConn) Write(p []byte) (int, error) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -81,12 +82,24 @@
 	return len(p), nil
 }
 
-// loop writes out what is pending.
+// loop writes out what is pending, and closes the connection in the end.
 func (c *batchConn) loop() {
+	defer close(c.ended)
 	for c.take() {
 		_, err := c.Conn.Write(c.writing)
 		c.settle(err)
 	}
+	c.waitClose()
+	_ = c.Conn.Close()
+}
+
+// waitClose waits for the close of a connection whose writes fail.
+func (c *batchConn) waitClose() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	for !c.closed {
+		c.changed.Wait()
+	}
 }
 
 // take moves pending into writing; false once the connection is done.
@@ -96,18 +109,16 @@
 	for len(c.pending) == 0 && !c.closed && c.failed == nil {
 		c.changed.Wait()
 	}
-	if c.failed != nil || len(c.pending) == 0 {
+	if c.failed != nil || len(c.pending) == 0 || c.closed && c.readFailed {
 		return false
 	}
 	c.pending, c.writing = c.writing[:0], c.pending
-	c.busy = true
 	return true
 }
 
 func (c *batchConn) settle(err error) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.busy = false
 	if cap(c.writing) > maxPendingBytes {
 		c.writing = nil
 	}
@@ -115,15 +126,26 @@
 	c.changed.Broadcast()
 }
 
-// Close writes out what is pending, within a bound, and closes.
+// Close ends reads at once and returns; what is pending is written out, within a bound, and
+// the connection closed, beside it.
+//
+// Guards against readers that take a whole core: yamux calls it with its session marked as
+// shut down and its streams open, between which each blocked Stream.Read loops without waiting.
 func (c *batchConn) Close() error {
-	_ = c.SetWriteDeadline(time.Now().Add(closeFlush))
 	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.closed {
+		return nil
+	}
 	c.closed = true
 	c.changed.Broadcast()
-	for (len(c.pending) > 0 || c.busy) && c.failed == nil && !c.readFailed {
-		c.changed.Wait()
+	now := time.Now()
+	_ = c.SetReadDeadline(now)
+	if c.readFailed {
+		return c.SetWriteDeadline(now)
 	}
-	c.lock.Unlock()
-	return c.Conn.Close()
+	return c.SetWriteDeadline(now.Add(closeFlush))
 }
+
+// wait waits until the connection is closed.
+func (c *batchConn) wait() { <-c.ended }
--- a/share/modules/link/close_test.go
+++ b/share/modules/link/close_test.go
@@ -88,3 +88,79 @@
 	_ = s.Close()
 	is.True(processorTime()-before < 300*time.Millisecond)
 }
+
+// slowCloseConn is closed only once its last write has ended, as a connection of the runtime is.
+type slowCloseConn struct {
+	*stuckConn
+	writes sync.WaitGroup
+}
+
+// writeEnds is how long such a write takes to notice the close.
+const writeEnds = 600 * time.Millisecond
+
+func (c *slowCloseConn) Write(p []byte) (int, error) {
+	c.lock.Lock()
+	stuck := c.stuck
+	c.lock.Unlock()
+	if !stuck {
+		return c.Conn.Write(p)
+	}
+	c.writes.Add(1)
+	defer c.writes.Done()
+	<-c.ended
+	time.Sleep(writeEnds)
+	return 0, net.ErrClosed
+}
+
+// SetWriteDeadline ends the write once a deadline has passed already.
+func (c *slowCloseConn) SetWriteDeadline(deadline time.Time) error {
+	if !deadline.IsZero() && !deadline.After(time.Now()) {
+		c.once.Do(func() { close(c.ended) })
+	}
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+func (c *slowCloseConn) Close() error {
+	c.once.Do(func() { close(c.ended) })
+	c.writes.Wait()
+	return c.Conn.Close()
+}
+
+// Guards against readers that take a whole core when a peer ends its connection while a
+// message to it is under way, since the close waits for that write.
+func TestPeerThatEndsLeavesReadersAtRest(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	accepted := make(chan *link.Session, 1)
+	conns := make(chan *slowCloseConn, 1)
+	down := make(chan struct{})
+	options := newOptions("a")
+	options.SilentAfter = time.Minute
+	ending := options
+	ending.OnDown = func(*link.Session, error) { close(down) }
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		c := &slowCloseConn{stuckConn: &stuckConn{Conn: conn, ended: make(chan struct{})}}
+		conns <- c
+		s, err := link.Accept(c, ending)
+		if err == nil {
+			accepted <- s
+		}
+	}()
+	peer, err := link.Dial(context.Background(), netip.MustParseAddrPort(listener.Addr().String()), options)
+	is.NoErr(err)
+	s := <-accepted
+	(<-conns).getStuck()
+	time.Sleep(100 * time.Millisecond) // a heartbeat is under way now
+
+	before := processorTime()
+	is.NoErr(peer.Close())
+	<-down
+	is.NoErr(s.Close())
+	is.True(processorTime()-before < writeEnds/2)
+}
--- a/share/modules/link/session.go
+++ b/share/modules/link/session.go
@@ -20,7 +20,7 @@
 	options Options
 	mux     *yamux.Session
 	// conn carries mux.
-	conn    net.Conn
+	conn    *batchConn
 	control *yamux.Stream
 	reader  *wire.Reader
 	counter *countingConn
@@ -67,20 +67,20 @@
 		settings.ServerName = address.Addr().String()
 		conn = tls.Client(conn, settings)
 	}
-	conn = newBatchConn(conn)
-	_ = conn.SetDeadline(time.Now().Add(options.HelloTimeout))
-	s, err := dialMux(conn, options)
+	batch := newBatchConn(conn)
+	_ = batch.SetDeadline(time.Now().Add(options.HelloTimeout))
+	s, err := dialMux(batch, options)
 	if err != nil {
-		_ = conn.Close()
+		_ = batch.Close()
 		return nil, err
 	}
 	s.counter = counter
-	_ = conn.SetDeadline(time.Time{})
+	_ = batch.SetDeadline(time.Time{})
 	s.start()
 	return s, nil
 }
 
-func dialMux(conn net.Conn, options Options) (*Session, error) {
+func dialMux(conn *batchConn, options Options) (*Session, error) {
 	mux, err := yamux.Client(conn, muxConfig())
 	if err != nil {
 		return nil, ErrLink.Wrap(err)
@@ -110,9 +110,9 @@
 	if options.TLS != nil {
 		conn = tls.Server(conn, options.TLS)
 	}
-	conn = newBatchConn(conn)
-	_ = conn.SetDeadline(time.Now().Add(options.HelloTimeout))
-	mux, err := yamux.Server(conn, muxConfig())
+	batch := newBatchConn(conn)
+	_ = batch.SetDeadline(time.Now().Add(options.HelloTimeout))
+	mux, err := yamux.Server(batch, muxConfig())
 	if err != nil {
 		return nil, ErrLink.Wrap(err)
 	}
@@ -121,18 +121,18 @@
 		_ = mux.Close()
 		return nil, ErrLink.Wrap(err)
 	}
-	s := newSession(mux, conn, control, options)
+	s := newSession(mux, batch, control, options)
 	if err := s.answerHello(); err != nil {
 		_ = mux.Close()
 		return nil, err
 	}
 	s.counter = counter
-	_ = conn.SetDeadline(time.Time{})
+	_ = batch.SetDeadline(time.Time{})
 	s.start()
 	return s, nil
 }
 
-func newSession(mux *yamux.Session, conn net.Conn, control *yamux.Stream, options Options) *Session {
+func newSession(mux *yamux.Session, conn *batchConn, control *yamux.Stream, options Options) *Session {
 	return &Session{
 		options: options,
 		mux:     mux,
@@ -234,24 +234,17 @@
 	return nil
 }
 
-// closeConn closes the connection before yamux does.
-//
-// Guards against readers that take a whole core: from the moment at which yamux
-// marks a session as shut down until it has closed its streams, each blocked
-// Stream.Read loops without waiting. It closes the connection in between, which
-// here waits until what is pending is written, up to closeFlush. With the
-// connection closed before, nothing is left to wait for in between.
-func (s *Session) closeConn() {
-	_ = s.conn.Close()
-}
-
+// end closes the connection, and the streams as soon as yamux has noticed, which must not wait
+// for each other: see batchConn.Close. It returns once what was pending is written out or given up.
 func (s *Session) end(reason error) {
 	s.closeOnce.Do(func() {
 		close(s.closed)
-		s.closeConn()
+		_ = s.conn.Close()
+		<-s.mux.CloseChan() // its reader fails now
 		_ = s.mux.Close()
 		if s.options.OnDown != nil {
 			s.options.OnDown(s, reason)
 		}
+		s.conn.wait()
 	})
 }
