logs: attempts that break off name their request by a digest

An attempt's ID says nothing of the request behind it, so that the lines could not tell a request that crashes servers from those that were at the same servers. The digest is the same for all attempts of a request.

--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	"verbenaroad.example/share/decide/budget"
 	"verbenaroad.example/share/decide/cold"
 	"verbenaroad.example/share/decide/place"
+	"verbenaroad.example/share/decide/poison"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/codes"
 )
@@ -155,7 +157,9 @@
 	server  *Server
 	route   *site.Route
 	service string
-	log     *zap.Logger
+	// digest is the same for all attempts of a request.
+	digest poison.ID
+	log    *zap.Logger
 	// ends is when the request must have its final answer.
 	ends time.Time
 	// seat is the place at an engine; nil for plain services.
@@ -193,11 +197,13 @@
 		patience = min(patience, r.Timeout)
 	}
 	service := access.PickService(r, rand.Float64()) //nolint:gosec // a share of traffic, no secret
+	path, _, _ := strings.Cut(q.Target, "?")
 	return &exchange{
 		Request: q,
 		server:  s,
 		route:   r,
 		service: service,
+		digest:  poison.NewID(q.Grant.Team, q.Host, path, q.Body),
 		ends:    q.Arrived.Add(patience),
 		log: s.options.Log.With(zap.String("request", q.AttemptID), zap.String("route", r.Name),
 			zap.String("service", service), zap.Uint64("config", q.View.Version())),
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -133,7 +133,7 @@
 // judgeError decides after an attempt that brought no whole answer.
 func (x *exchange) judgeError(ctx context.Context, server site.Server, err error, took time.Duration) verdict {
 	notSent := errors.Is(err, reach.ErrNotSent)
-	x.log.Warn("attempt-broken", zap.String("server", server.ID), zap.Stringer("address", server.Address),
+	x.log.Warn("attempt-broken", zap.String("digest", string(x.digest)), zap.String("server", server.ID), zap.Stringer("address", server.Address),
 		zap.Bool("not-sent", notSent), zap.Duration("took", took), logs.Err(err))
 	if errors.Is(ctx.Err(), context.Canceled) {
 		x.end(server, place.ResultLeft, took, nil)
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -273,7 +273,7 @@
 	if left || errors.Is(err, reach.ErrNotSent) || ctx.Err() == nil && !r.route.Resumable {
 		return r.judgeError(ctx, server, err, took)
 	}
-	r.log.Warn("stream-broken", zap.String("server", server.ID), zap.String("last-event", r.lastID),
+	r.log.Warn("stream-broken", zap.String("digest", string(r.digest)), zap.String("server", server.ID), zap.String("last-event", r.lastID),
 		zap.Duration("took", took), logs.Err(err))
 	r.end(server, place.ResultBroken, took, nil)
 	r.runs++
