--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -72,12 +72,15 @@
 	Room  int
 	// Advertised is the address that its entry names where something stands before it.
 	Advertised netip.AddrPort
+	// Version is that of its software; empty: v1.
+	Version string
 
 	store  *Store
 	world  *World
 	server *httpServer
 
 	lock    sync.Mutex
+	crashed bool
 	faults  []Fault
 	seen    []Seen
 	running int
@@ -116,8 +119,12 @@
 	if s.Advertised.IsValid() {
 		address = s.Advertised
 	}
+	version := s.Version
+	if version == "" {
+		version = "v1"
+	}
 	s.store.Put("servers/"+s.ID, map[string]any{
-		"Service": s.Service, "Address": address.String(), "Zone": s.Zone, "Version": "v1",
+		"Service": s.Service, "Address": address.String(), "Zone": s.Zone, "Version": version,
 		"Slots": slots, "State": state, "ColdRemainingMs": s.ColdFor.Milliseconds(), "Sequence": 1, "born": 1,
 	})
 }
@@ -135,6 +142,29 @@
 	return nil
 }
 
+// crashFor crashes the server and has it listen again after a time; nothing where it has crashed already.
+func (s *Server) crashFor(down time.Duration) {
+	s.lock.Lock()
+	crashed := s.crashed
+	s.crashed = true
+	s.lock.Unlock()
+	if crashed {
+		return
+	}
+	s.Crash()
+	go s.runRestart(down)
+}
+
+func (s *Server) runRestart(down time.Duration) {
+	time.Sleep(down)
+	if err := s.Restart(); err != nil {
+		s.world.note(s.ID + " did not restart: " + err.Error())
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.crashed = false
+}
+
 const slots = 6
 
 func (s *Server) takeFault() Fault {
@@ -177,6 +207,10 @@
 	}
 	n := s.begin(r, string(body))
 	defer s.end(n, r)
+	if down, crashes := s.world.crashTime(string(body)); crashes {
+		s.crashFor(down)
+		return
+	}
 	if s.Events > 0 {
 		s.stream(w, r, fault)
 		return
--- a/fakes/services/hosted/world.go
+++ b/fakes/services/hosted/world.go
@@ -16,6 +16,9 @@
 	held    map[string]holding
 	notes   []string
 	version int
+	// poison is the body of requests that crash who runs them, for how long; empty: there are none.
+	poison string
+	down   time.Duration
 }
 
 type holding struct {
@@ -78,6 +81,35 @@
 	return runs
 }
 
+// SetPoison has each server crash that begins a request with this body, and start again after a time.
+func (w *World) SetPoison(body string, down time.Duration) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.poison, w.down = body, down
+}
+
+func (w *World) crashTime(body string) (down time.Duration, crashes bool) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.down, w.poison != "" && body == w.poison
+}
+
+// CountRuns returns how often a request with this body was run.
+func (w *World) CountRuns(body string) int {
+	w.lock.Lock()
+	servers := append([]*Server{}, w.servers...)
+	w.lock.Unlock()
+	count := 0
+	for _, s := range servers {
+		for _, seen := range s.Seen() {
+			if seen.Body == body {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // Notes returns what was wrong with the calls of the system.
 func (w *World) Notes() []string {
 	w.lock.Lock()
