screen: requests that crash the servers that run them are quarantined

Cause: nothing remembered a request between its attempts. An attempt has an ID of its own, and a server that breaks off counts against the server, so that each arrival cost up to MaxAttempts servers, for as long as the caller came back. Class: a fault that follows the work and not the worker, in a system that learns of workers alone.

Change: attempts are known again by a digest of team, host, path and body. Where an attempt breaks off and its server takes no connection, the ingress that counts for the request is told; after three crashes, one after the other and none of them of a request that was served, a record in the store has every ingress refuse it, at once and before each send (code 2013, 503, not run, no Retry-After: no time is known at which it would do better). New software of all servers lifts the quarantine; one crash renews it. Whoever served the request lately ends it.

Why it works: the count is one for all ingresses, the news takes a way on the link and a watch's answer, and the record outlasts the ingresses. Ruled out: engines that crash by themselves (crashes only in the spans in which the request came).

TestReadServer names the version of the server's software, which was not read before. New: TestBystandersAreNotQuarantined, TestQuarantinedRequestIsNotSent, the tests of decide/poison and services/screen.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -23,6 +23,7 @@
 	"verbenaroad.example/ingress/services/meters"
 	"verbenaroad.example/ingress/services/pieces"
 	"verbenaroad.example/ingress/services/reach"
+	"verbenaroad.example/ingress/services/screen"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/platform/heads"
 	"verbenaroad.example/platform/keyval"
@@ -30,6 +31,7 @@
 	"verbenaroad.example/platform/record"
 	"verbenaroad.example/share/decide/drain"
 	"verbenaroad.example/share/decide/feed"
+	"verbenaroad.example/share/decide/poison"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/link"
 	"verbenaroad.example/share/modules/logs"
@@ -68,6 +70,7 @@
 	maker    *pieces.Maker
 	placer   *assign.Placer
 	desk     *assign.Desk
+	screen   *screen.Screen
 	flow     *flow.Server
 	stopper  *stops.Stopper
 	front    *Front
@@ -134,9 +137,12 @@
 	})
 	i.placer = assign.NewPlacer(s.Place.Regions, s.Cold.Settings)
 	i.desk = assign.NewDesk(i.mesh, i.book, i.placer, i.log)
+	i.screen = screen.NewScreen(screen.Options{
+		Peers: i.mesh, Store: i.store, Codec: record.Codec{}, Prober: client, Limit: poison.DefaultLimit, Log: i.log,
+	})
 	i.maker = pieces.NewMaker(i.mesh, i.owner, i.log)
 	i.flow = flow.NewServer(flow.Options{
-		Views: i.book, Sender: client, Maker: i.maker, Desk: i.desk, Meter: i.meters, Log: i.log,
+		Views: i.book, Sender: client, Maker: i.maker, Desk: i.desk, Screen: i.screen, Meter: i.meters, Log: i.log,
 		Domain: s.Place.Domain, Region: s.Place.Region, Regions: s.Place.Regions, Repeats: s.Repeats.Settings,
 		Cold: s.Cold.Settings, Peers: i.mesh,
 	})
@@ -167,6 +173,7 @@
 	i.maker.TakeView(v)
 	i.owner.TakeView(v)
 	i.mesh.TakeView(v)
+	i.screen.TakeView(v)
 	i.meters.SetVersion(v.Version())
 }
 
@@ -190,7 +197,7 @@
 	var err error
 	i.links, err = peers.NewServer(peers.Options{
 		Address: s.Peers.Listen, Link: i.newLink(),
-		Handler: &mesh.Handler{Maker: i.maker, Placer: i.desk, Feeder: i.feeder, Log: i.log}, Log: i.log,
+		Handler: &mesh.Handler{Maker: i.maker, Placer: i.desk, Screen: i.screen, Feeder: i.feeder, Log: i.log}, Log: i.log,
 	})
 	if err != nil {
 		return err
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -57,6 +57,15 @@
 	Self() string
 }
 
+// Screen knows the requests that crash the servers that run them.
+type Screen interface {
+	// IsQuarantined tells whether a request is to reach no server.
+	IsQuarantined(id poison.ID) bool
+	// NoteBroken notes an attempt that broke off its server, NoteServed a request that was answered whole.
+	NoteBroken(id poison.ID, server site.Server, sent time.Time)
+	NoteServed(id poison.ID)
+}
+
 // Meter counts what is served.
 type Meter interface {
 	CountAnswer(route, outcome string, took time.Duration)
@@ -70,6 +79,7 @@
 	Sender Sender
 	Maker  Maker
 	Desk   Desk
+	Screen Screen
 	Meter  Meter
 	Log    *zap.Logger
 	// Domain and Region are where this ingress stands, Regions where each failure domain does.
@@ -178,15 +188,25 @@
 // Serve answers one request.
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, q *Request) {
 	x := s.newExchange(q)
-	var result *codes.Result
-	if x.route.Kind == site.KindStream {
+	result := x.refuseQuarantined()
+	switch {
+	case result != nil:
+	case x.route.Kind == site.KindStream:
 		result = x.serveStream(ctx, w)
-	} else {
+	default:
 		result = x.servePlain(ctx, w)
 	}
 	x.finish(ctx, w, result)
 }
 
+// refuseQuarantined returns the answer to a request that crashes servers; nil for any other.
+func (x *exchange) refuseQuarantined() *codes.Result {
+	if !x.server.options.Screen.IsQuarantined(x.digest) {
+		return nil
+	}
+	return codes.NewResult(codes.Quarantined, "request "+string(x.digest)+" crashed the servers that ran it")
+}
+
 func (s *Server) newExchange(q *Request) *exchange {
 	r := q.Grant.Route
 	patience := q.Patience
--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -29,8 +29,9 @@
 
 // scene is a deployment of two regions whose view changes while results are made.
 type scene struct {
-	lock sync.Mutex
-	view *state.View
+	screen screen
+	lock   sync.Mutex
+	view   *state.View
 	// next is the view from when the first results are made; nil: it does not change.
 	next   *state.View
 	placer *assign.Placer
@@ -105,7 +106,7 @@
 	s.placer = assign.NewPlacer(sceneRegions, cold.Settings{Overage: 1.5, Slack: 5})
 	s.placer.TakeView(s.view)
 	server := flow.NewServer(flow.Options{
-		Views: s, Sender: s, Maker: s, Desk: s, Meter: noMeter{}, Log: zap.NewNop(),
+		Views: s, Sender: s, Maker: s, Desk: s, Screen: &s.screen, Meter: noMeter{}, Log: zap.NewNop(),
 		Domain: "n1", Region: "north", Regions: sceneRegions, Cold: cold.Settings{Overage: 1.5, Slack: 5},
 		Repeats: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second},
 	})
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -44,6 +44,9 @@
 func (x *exchange) servePlain(ctx context.Context, w http.ResponseWriter) *codes.Result {
 	x.countRequest()
 	for {
+		if quarantined := x.refuseQuarantined(); quarantined != nil {
+			return quarantined
+		}
 		server, found := x.pick()
 		if !found {
 			return x.refuseNoServer()
@@ -86,6 +89,7 @@
 		return v
 	}
 	x.runs++
+	x.server.options.Screen.NoteServed(x.digest)
 	served := reply.Status < http.StatusInternalServerError
 	x.end(server, outcomeOf(served), took, reply.Load)
 	if !served && x.route.Kind == site.KindIdempotent && x.mayRunAgain("server-error") {
@@ -147,6 +151,7 @@
 		return verdict{result: x.refuseNoServer()}
 	}
 	x.end(server, place.ResultBroken, took, nil)
+	x.noteBroken(server, took)
 	x.runs++
 	if x.route.Kind == site.KindIdempotent && x.mayRunAgain("broken") {
 		return verdict{again: true, result: codes.NewResult(codes.DeadlineExceeded, "no whole answer in time")}
@@ -157,6 +162,11 @@
 	return verdict{result: codes.NewResult(codes.BackendLost, "the connection to "+server.ID+" broke")}
 }
 
+// noteBroken notes an attempt that broke off a given time after it was sent.
+func (x *exchange) noteBroken(server site.Server, took time.Duration) {
+	x.server.options.Screen.NoteBroken(x.digest, server, time.Now().Add(-took))
+}
+
 // mayRunAgain tells whether an idempotent request may run at one more server.
 func (x *exchange) mayRunAgain(reason string) bool {
 	return x.runs < x.route.MaxAttempts && x.left() > 0 && x.mayRepeat(reason)
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -178,6 +178,10 @@
 		if result := r.makeResults(ctx); result != nil {
 			return r.stop(result)
 		}
+		// While the results were made it may have crashed servers elsewhere.
+		if quarantined := r.refuseQuarantined(); quarantined != nil {
+			return r.stop(quarantined)
+		}
 		r.seat.Sent()
 		v := r.try(ctx, r.seat.Server())
 		if !v.again || r.left() <= 0 {
@@ -237,6 +241,7 @@
 		return r.judgeBreak(ctx, server, err, took)
 	}
 	r.end(server, place.ResultServed, took, reply.Load)
+	r.server.options.Screen.NoteServed(r.digest)
 	return verdict{}
 }
 
@@ -250,6 +255,7 @@
 	}
 	r.log.Warn("stream-refused", zap.String("server", server.ID), zap.Int("status", reply.Status), zap.Duration("took", took))
 	r.runs++
+	r.server.options.Screen.NoteServed(r.digest)
 	r.end(server, outcomeOf(reply.Status < http.StatusInternalServerError), took, reply.Load)
 	if r.route.Resumable && r.mayRunAgain("server-error") {
 		return verdict{again: true, result: codes.NewResult(codes.BackendFailed, server.ID+" failed")}
@@ -276,6 +282,7 @@
 	r.log.Warn("stream-broken", zap.String("digest", string(r.digest)), zap.String("server", server.ID), zap.String("last-event", r.lastID),
 		zap.Duration("took", took), logs.Err(err))
 	r.end(server, place.ResultBroken, took, nil)
+	r.noteBroken(server, took)
 	r.runs++
 	if ctx.Err() != nil || r.left() <= 0 {
 		return verdict{result: codes.NewResult(codes.DeadlineExceeded, "the stream did not end in time")}
--- a/ingress/services/flow/stream_test.go
+++ b/ingress/services/flow/stream_test.go
@@ -99,7 +99,7 @@
 	results := &maker{}
 	engines := &busy{maker: results}
 	server := flow.NewServer(flow.Options{
-		Views: views{view}, Sender: engines, Maker: results, Desk: desk{placer}, Meter: noMeter{}, Log: zap.NewNop(),
+		Views: views{view}, Sender: engines, Maker: results, Desk: desk{placer}, Screen: &screen{}, Meter: noMeter{}, Log: zap.NewNop(),
 		Repeats: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second},
 	})
 	answer := httptest.NewRecorder()
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -240,6 +240,24 @@
 	return link.Discard(session, d)
 }
 
+// TellCrash tells another ingress that a request ended with its server.
+func (m *Mesh) TellCrash(ctx context.Context, name string, c *wire.Crash) (*wire.CrashNoted, error) {
+	session, err := m.getSession(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	return link.TellCrash(ctx, session, c)
+}
+
+// TellServed tells another ingress that a request was served.
+func (m *Mesh) TellServed(ctx context.Context, name string, s *wire.Served) error {
+	session, err := m.getSession(ctx, name)
+	if err != nil {
+		return err
+	}
+	return link.TellServed(session, s)
+}
+
 // Sync asks another ingress for records.
 func (m *Mesh) Sync(ctx context.Context, name string, s *wire.Sync, onArrival func()) (*wire.Records, error) {
 	session, err := m.getSession(ctx, name)
--- a/ingress/services/mesh/serve.go
+++ b/ingress/services/mesh/serve.go
@@ -22,10 +22,17 @@
 	ServeAssign(stream net.Conn, reader *wire.Reader, a *wire.Assign)
 }
 
+// Screen counts for other ingresses the servers that requests crash.
+type Screen interface {
+	ServeCrash(c *wire.Crash) *wire.CrashNoted
+	ServeServed(s *wire.Served)
+}
+
 // Handler serves the sessions that other ingresses open.
 type Handler struct {
 	Maker  Maker
 	Placer Placer
+	Screen Screen
 	Feeder *Feeder
 	Log    *zap.Logger
 }
@@ -70,6 +77,10 @@
 		h.answer(stream, &wire.Frame{Body: &wire.Frame_Produced{Produced: made}})
 	case frame.GetDiscard() != nil:
 		h.Maker.ServeDiscard(frame.GetDiscard())
+	case frame.GetCrash() != nil:
+		h.answer(stream, &wire.Frame{Body: &wire.Frame_CrashNoted{CrashNoted: h.Screen.ServeCrash(frame.GetCrash())}})
+	case frame.GetServed() != nil:
+		h.Screen.ServeServed(frame.GetServed())
 	case frame.GetAssign() != nil:
 		h.Placer.ServeAssign(stream, reader, frame.GetAssign())
 	default:
--- a/ingress/services/reach/reach.go
+++ b/ingress/services/reach/reach.go
@@ -84,6 +84,7 @@
 	// answers say nothing but that they were done.
 	kept   *http.Transport
 	spares *spares
+	dialer *net.Dialer
 }
 
 // NewClient returns a client.
@@ -93,7 +94,7 @@
 	kept.MaxIdleConnsPerHost = idlePerServer
 	kept.IdleConnTimeout = idleTime
 	s := newSpares(newDialer())
-	return &Client{codec: codec, fresh: newTransport(s.dial), kept: kept, spares: s}
+	return &Client{codec: codec, fresh: newTransport(s.dial), kept: kept, spares: s, dialer: newDialer()}
 }
 
 func newDialer() *net.Dialer {
@@ -138,6 +139,16 @@
 // Warm opens a connection ahead for the next request to a server.
 func (c *Client) Warm(address netip.AddrPort) { c.spares.warm(address) }
 
+// IsUp tells whether a server takes connections.
+func (c *Client) IsUp(ctx context.Context, address netip.AddrPort) bool {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // Do sends a request that an adapter made, on a connection of its own.
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
 	return c.fresh.RoundTrip(r)
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -16,6 +16,7 @@
 	"verbenaroad.example/share/decide/access"
 	"verbenaroad.example/share/decide/alive"
 	"verbenaroad.example/share/decide/mirror"
+	"verbenaroad.example/share/decide/poison"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
 )
@@ -32,6 +33,9 @@
 	ReadServer(key string, value []byte) (site.Server, error)
 	IngressKey(name string) string
 	WriteIngress(i site.Ingress) ([]byte, error)
+	QuarantinePrefix() string
+	QuarantineID(key string) string
+	ReadQuarantine(value []byte) (site.Quarantine, error)
 	ReadIngress(key string, value []byte) (site.Ingress, error)
 }
 
@@ -45,6 +49,8 @@
 	Evacuated []string
 	// Ingresses are the registered ones, this one included.
 	Ingresses []site.Ingress
+	// Quarantines are those of requests that crash servers.
+	Quarantines map[poison.ID]site.Quarantine
 }
 
 // Version returns that of the configuration, 0 where there is none.
@@ -81,6 +87,8 @@
 	peers   map[string]site.Ingress
 	// peersGone holds since when registrations of ingresses are missing.
 	peersGone map[string]time.Time
+	// quarantines are replaced and not changed, since views hold them.
+	quarantines map[poison.ID]site.Quarantine
 	// direct is set while this ingress watches the store itself, which it began at directSince.
 	direct      bool
 	directSince time.Time
@@ -109,7 +117,7 @@
 
 func isWanted(c Codec, key string) bool {
 	return c.IsConfig(key) || strings.HasPrefix(key, c.ServerPrefix()) || strings.HasPrefix(key, c.IngressPrefix()) ||
-		strings.HasPrefix(key, c.EvacuationPrefix())
+		strings.HasPrefix(key, c.EvacuationPrefix()) || strings.HasPrefix(key, c.QuarantinePrefix())
 }
 
 // IngressPrefix is that of the ingresses' registrations.
--- a/ingress/services/state/take.go
+++ b/ingress/services/state/take.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"verbenaroad.example/share/decide/access"
+	"verbenaroad.example/share/decide/poison"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
 )
@@ -25,9 +26,36 @@
 		b.takeIngress(r)
 	case strings.HasPrefix(r.Key, c.EvacuationPrefix()):
 		b.takeEvacuation(r, source)
+	case strings.HasPrefix(r.Key, c.QuarantinePrefix()):
+		b.takeQuarantine(r, source)
 	}
 }
 
+// takeQuarantine has a request that crashes servers refused, or let through again.
+func (b *Book) takeQuarantine(r site.Record, source string) {
+	id := poison.ID(b.options.Codec.QuarantineID(r.Key))
+	all := maps.Clone(b.quarantines)
+	if all == nil {
+		all = map[poison.ID]site.Quarantine{}
+	}
+	delete(all, id)
+	b.quarantines = all
+	if r.Deleted {
+		b.options.Log.Info("quarantine-ended", zap.String("digest", string(id)), zap.String("source", source))
+		return
+	}
+	q, err := b.options.Codec.ReadQuarantine(r.Value)
+	if err != nil {
+		b.options.Log.Warn("quarantine-unreadable", zap.String("key", r.Key), logs.Err(err))
+		return
+	}
+	q.Revision = r.Revision
+	all[id] = q
+	b.options.Log.Info("quarantine-seen", zap.String("digest", string(id)), zap.String("service", q.Service),
+		zap.Strings("servers", q.Servers), zap.Strings("versions", q.Versions),
+		zap.Uint64("revision", r.Revision), zap.String("source", source))
+}
+
 // takeEvacuation has a failure domain's servers get no new work, or some again.
 func (b *Book) takeEvacuation(r site.Record, source string) {
 	domain := b.options.Codec.EvacuatedDomain(r.Key)
@@ -116,7 +144,7 @@
 
 // publish makes a new view; called under the lock.
 func (b *Book) publish() {
-	v := &View{Table: b.table, Servers: b.servers.List(), Evacuated: b.servers.Evacuated()}
+	v := &View{Table: b.table, Servers: b.servers.List(), Evacuated: b.servers.Evacuated(), Quarantines: b.quarantines}
 	for _, name := range slices.Sorted(maps.Keys(b.peers)) {
 		v.Ingresses = append(v.Ingresses, b.peers[name])
 	}
--- a/proofs/hosted/poison_test.go
+++ b/proofs/hosted/poison_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -81,3 +82,32 @@
 		})
 	}
 }
+
+// Guards against a request that many send, and that is refused for good since it was at several servers that
+// crashed for another reason.
+func TestBystandersAreNotQuarantined(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 3)
+	for range 4 {
+		var group sync.WaitGroup
+		for _, i := range d.ingresses {
+			group.Go(func() { i.send(context.Background(), newRequest("/read/1")) })
+		}
+		time.Sleep(d.plain[0].Work / 2)
+		for _, s := range d.plain {
+			s.Crash()
+		}
+		group.Wait()
+		for _, s := range d.plain {
+			is.NoErr(s.Restart())
+		}
+		for _, i := range d.ingresses {
+			eventually(t, "reads are served", func() bool {
+				return i.send(context.Background(), newRequest("/read/1")).status == http.StatusOK
+			})
+		}
+	}
+	for _, i := range d.ingresses {
+		is.Equal(len(i.output.lines("event=quarantine-seen")), 0)
+	}
+}
--- a/share/models/site/config.go
+++ b/share/models/site/config.go
@@ -183,6 +183,8 @@
 	Service string
 	Address netip.AddrPort
 	Domain  string
+	// Version is that of its software.
+	Version string
 	Slots   int
 	State   ServerState
 	// ColdFor is how much longer the server was cold when it wrote its registration.
@@ -195,6 +197,16 @@
 // IsCold tells whether the server takes only a few requests a second.
 func (s *Server) IsCold(now time.Time) bool { return now.Before(s.ColdUntil) }
 
+// Quarantine keeps a request that crashes backend servers from reaching any more of them.
+type Quarantine struct {
+	Service string
+	// Servers are those that it crashed, Versions those of their software.
+	Servers  []string
+	Versions []string
+	// Revision is that of its record.
+	Revision uint64
+}
+
 // Ingress is one process of the system that takes callers' requests, as it registered itself.
 type Ingress struct {
 	Name string
--- a/share/modules/codes/codes.go
+++ b/share/modules/codes/codes.go
@@ -51,6 +51,7 @@
 	Tombstoned         Code = 2010
 	StaleConfig        Code = 2011
 	Preempted          Code = 2012
+	Quarantined        Code = 2013
 
 	DeadlineExceeded Code = 3001
 	BackendFailed    Code = 3002
@@ -108,6 +109,7 @@
 		{Tombstoned, "tombstoned", http.StatusServiceUnavailable, OutcomeNotRun, "this attempt was given up on before it started"},
 		{StaleConfig, "stale-config", http.StatusServiceUnavailable, OutcomeNotRun, "cut off for longer than stale-after allows"},
 		{Preempted, "preempted", http.StatusServiceUnavailable, OutcomeNotRun, "gave way to higher priority"},
+		{Quarantined, "quarantined", http.StatusServiceUnavailable, OutcomeNotRun, "the request crashes the servers that run it; sending it again changes nothing until their software is replaced"},
 		{DeadlineExceeded, "deadline-exceeded", http.StatusGatewayTimeout, OutcomeUnknown, "the deadline passed; the outcome field says whether it ran"},
 		{BackendFailed, "backend-failed", http.StatusBadGateway, OutcomeRan, "the backend server answered with an error"},
 		{BackendLost, "backend-lost", http.StatusBadGateway, OutcomeUnknown, "the connection was lost after the request was sent"},
--- a/share/modules/link/exchange.go
+++ b/share/modules/link/exchange.go
@@ -105,12 +105,34 @@
 
 // Discard tells a peer that results are of no use any more.
 func Discard(s *Session, discard *wire.Discard) error {
+	return tell(s, &wire.Frame{Body: &wire.Frame_Discard{Discard: discard}})
+}
+
+// tell sends what is not answered.
+func tell(s *Session, frame *wire.Frame) error {
 	stream, err := s.Open()
 	if err != nil {
 		return err
 	}
 	defer func() { _ = stream.Close() }()
-	return wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_Discard{Discard: discard}})
+	return wire.WriteFrame(stream, frame)
+}
+
+// TellCrash tells a peer that a request ended with its server, and returns its word on the request.
+func TellCrash(ctx context.Context, s *Session, crash *wire.Crash) (*wire.CrashNoted, error) {
+	frame, err := exchange(ctx, s, &wire.Frame{Body: &wire.Frame_Crash{Crash: crash}})
+	if err != nil {
+		return nil, err
+	}
+	if frame.GetCrashNoted() == nil {
+		return nil, ErrLink.New("the answer to a crash says nothing of the request")
+	}
+	return frame.GetCrashNoted(), nil
+}
+
+// TellServed tells a peer that a request was served.
+func TellServed(s *Session, served *wire.Served) error {
+	return tell(s, &wire.Frame{Body: &wire.Frame_Served{Served: served}})
 }
 
 // Assignment is an open question about one request's engine.
