batch: a request whose items crash their servers is told from its bystanders

Change: jobs of a call that broke off go on alone, at servers that have no other call. A call that breaks off with one request's items in it is a crash of that request, and is counted as at any other server; a chain of a quarantined request begins no further stage.

--- a/fakes/services/hosted/pool.go
+++ b/fakes/services/hosted/pool.go
@@ -39,6 +39,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if down, crashes := s.world.hasPoison(call.Items); crashes {
+		s.noteCrash()
+		s.crashFor(down)
+		return
+	}
 	s.world.expire()
 	results := []stageResult{}
 	for _, i := range call.Items {
--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -81,6 +81,7 @@
 
 	lock    sync.Mutex
 	crashed bool
+	crashes int
 	faults  []Fault
 	seen    []Seen
 	running int
@@ -155,6 +156,21 @@
 	go s.runRestart(down)
 }
 
+// noteCrash counts a call that crashes the server.
+func (s *Server) noteCrash() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.crashes++
+	s.busy = false
+}
+
+// Crashes returns how often calls have crashed the server.
+func (s *Server) Crashes() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.crashes
+}
+
 func (s *Server) runRestart(down time.Duration) {
 	time.Sleep(down)
 	if err := s.Restart(); err != nil {
--- a/fakes/services/hosted/world.go
+++ b/fakes/services/hosted/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -19,6 +20,8 @@
 	// poison is the body of requests that crash who runs them, for how long; empty: there are none.
 	poison string
 	down   time.Duration
+	// poisonKey is the key of items that do the same.
+	poisonKey string
 }
 
 type holding struct {
@@ -88,6 +91,20 @@
 	w.poison, w.down = body, down
 }
 
+// SetPoisonKey has each server crash that makes results of items with this key, and start again after a time.
+func (w *World) SetPoisonKey(key string, down time.Duration) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.poisonKey, w.down = key, down
+}
+
+// hasPoison tells whether a call crashes its server.
+func (w *World) hasPoison(items []stageItem) (down time.Duration, crashes bool) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.down, w.poisonKey != "" && slices.ContainsFunc(items, func(i stageItem) bool { return i.Key == w.poisonKey })
+}
+
 func (w *World) crashTime(body string) (down time.Duration, crashes bool) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -29,6 +29,7 @@
 	"verbenaroad.example/platform/keyval"
 	"verbenaroad.example/platform/pools"
 	"verbenaroad.example/platform/record"
+	"verbenaroad.example/share/decide/batch"
 	"verbenaroad.example/share/decide/drain"
 	"verbenaroad.example/share/decide/feed"
 	"verbenaroad.example/share/decide/poison"
@@ -134,6 +135,7 @@
 		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Repeats: s.Repeats.Settings, Log: i.log,
 		Regions: s.Place.Regions, Region: s.Place.Region,
 		Discard: func(service string, handles []string) { i.maker.Discard(service, handles) },
+		OnCrash: func(c batch.Crash) { i.screen.NoteBroken(poison.ID(c.Request), c.Server, c.Sent) },
 	})
 	i.placer = assign.NewPlacer(s.Place.Regions, s.Cold.Settings)
 	i.desk = assign.NewDesk(i.mesh, i.book, i.placer, i.log)
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -118,6 +118,7 @@
 	}
 	results, failed := r.server.options.Maker.MakeChain(ctx, pieces.Chain{
 		AttemptID: r.AttemptID,
+		Request:   string(r.digest),
 		Key:       r.ItemKey,
 		Items:     r.Items,
 		Stages:    r.route.Stages,
@@ -126,6 +127,7 @@
 		Ends:      r.route.FirstEventBy(r.Arrived, r.ends),
 		Domain:    r.seat.Server().Domain,
 		Residency: r.residency(),
+		Refuse:    r.refuseQuarantined,
 		OnLast:    func() { r.server.options.Sender.Warm(r.seat.Server().Address) },
 		Log:       r.log,
 	})
--- a/ingress/services/pieces/chain.go
+++ b/ingress/services/pieces/chain.go
@@ -18,7 +18,9 @@
 // Chain is what one request needs.
 type Chain struct {
 	AttemptID string
-	Key       string
+	// Request is the same for all attempts of the request.
+	Request string
+	Key     string
 	// Items is the number of results of each stage.
 	Items  []int
 	Stages []site.Stage
@@ -30,6 +32,9 @@
 	Residency site.Residency
 	// Domain is the failure domain of the engine.
 	Domain string
+	// Refuse says why no further stage is to begin; nil: nothing speaks against it. It is not set
+	// where nothing ever does.
+	Refuse func() *codes.Result
 	// OnLast is told once when the last stage begins; nil: nobody is.
 	OnLast func()
 	Log    *zap.Logger
--- a/ingress/services/pieces/maker.go
+++ b/ingress/services/pieces/maker.go
@@ -226,6 +226,7 @@
 		InputService:   j.InputService,
 		InputBytes:     j.InputBytes,
 		Residency:      encode.Residency(j.Residency),
+		Request:        j.Request,
 	})
 	if err != nil {
 		return batch.Done{}, err
@@ -261,6 +262,7 @@
 	now := time.Now()
 	done := m.owner.Produce(ctx, p.GetService(), batch.Job{
 		AttemptID:   p.GetAttemptId(),
+		Request:     p.GetRequest(),
 		Stage:       int(p.GetStage()),
 		Count:       int(p.GetCount()),
 		Key:         p.GetKey(),
--- a/ingress/services/pieces/owner.go
+++ b/ingress/services/pieces/owner.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"net/netip"
 	"slices"
 	"strings"
@@ -47,6 +49,8 @@
 	Region  string
 	// Discard releases results of another service, which may be batched elsewhere.
 	Discard func(service string, handles []string)
+	// OnCrash is told of calls that broke off with one request's items alone in them; nil: nobody is.
+	OnCrash func(c batch.Crash)
 	Log     *zap.Logger
 }
 
@@ -203,6 +207,11 @@
 		}
 	}
 	o.gather(service, a.Release)
+	for _, c := range a.Crashes {
+		if o.options.OnCrash != nil {
+			o.options.OnCrash(c)
+		}
+	}
 	for _, f := range a.Fetched {
 		go o.runFetched(f)
 	}
@@ -240,10 +249,16 @@
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	o.perform(service, u, u.planner.End(time.Now(), c.ID, batch.Ended{
-		Results: made.Results, Load: made.Load, RoundTrip: made.RoundTrip, Failed: err != nil,
+		Results: made.Results, Load: made.Load, RoundTrip: made.RoundTrip, Failed: err != nil, Unsent: isUnsent(err),
 	}))
 }
 
+// isUnsent tells whether a call failed since its server took no connection.
+func isUnsent(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
+
 // countOutcomes describes the results of a call, such as "made=12,no-room=2".
 func countOutcomes(results []site.ItemResult) string {
 	counts := map[string]int{}
--- a/ingress/services/pieces/walk.go
+++ b/ingress/services/pieces/walk.go
@@ -80,6 +80,9 @@
 
 // makeAll starts each stage when its inputs are there and its turn has come.
 func (w *walk) makeAll(ctx context.Context) *codes.Result {
+	if refused := w.refuse(); refused != nil {
+		return refused
+	}
 	ends := make(chan ended, len(w.Stages))
 	states := make([]stageState, len(w.Stages))
 	running := w.startReady(ctx, states, ends)
@@ -99,6 +102,9 @@
 			continue
 		}
 		w.take(e)
+		if failed == nil {
+			failed = w.refuse()
+		}
 		if failed == nil {
 			running += w.startReady(ctx, states, ends)
 		}
@@ -106,6 +112,13 @@
 	return failed
 }
 
+func (w *walk) refuse() *codes.Result {
+	if w.Refuse == nil {
+		return nil
+	}
+	return w.Refuse()
+}
+
 // stageState is how far a stage is.
 type stageState string
 
@@ -167,6 +180,7 @@
 	inputs := w.inputsOf(stage)
 	done := w.maker.produce(ctx, s.Service, batch.Job{
 		AttemptID:   w.AttemptID,
+		Request:     w.Request,
 		Stage:       stage,
 		Count:       n,
 		Key:         w.keyOf(stage),
--- a/proofs/hosted/poison_test.go
+++ b/proofs/hosted/poison_test.go
@@ -111,3 +111,58 @@
 		is.Equal(len(i.output.lines("event=quarantine-seen")), 0)
 	}
 }
+
+// Guards against a request whose items crash the servers that make results for it, one after the
+// other, and against its bystanders being refused for it.
+func TestRequestWhoseItemsCrashServersIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 3)
+	for n := range 6 {
+		d.pools = append(d.pools, d.add(&hosted.Server{
+			Service: "encoders", Zone: []string{"a1", "b1"}[n%2], Work: 20 * time.Millisecond, Batch: 8, Room: 50,
+		}))
+	}
+	const poisonKey = "00dead00beef"
+	d.SetPoisonKey(poisonKey, poisonDown)
+	sendOne := func(n int) {
+		q := newReview()
+		q.body = poisonBody
+		q.header["X-Verbenaroad-Segment-Key"] = poisonKey
+		is.True(d.ingresses[n%len(d.ingresses)].send(context.Background(), q).status != http.StatusOK)
+	}
+	var group sync.WaitGroup
+	for n := range 6 {
+		for _, i := range d.ingresses {
+			group.Go(func() {
+				q := newReview()
+				q.body = fmt.Sprint("a sound board ", n)
+				i.send(context.Background(), q)
+			})
+		}
+		sendOne(n)
+		group.Wait()
+	}
+	time.Sleep(quarantineTime)
+	before := d.countCrashes()
+	is.True(before >= 3)
+	for n := range 6 {
+		sendOne(n)
+	}
+	is.Equal(d.countCrashes(), before)
+	for n := range 6 {
+		for _, i := range d.ingresses {
+			q := newReview()
+			q.body = fmt.Sprint("a sound board ", n)
+			eventually(t, "bystanders are served", func() bool { return i.send(context.Background(), q).status == http.StatusOK })
+		}
+	}
+}
+
+// countCrashes returns how often calls have crashed servers that make results.
+func (d *deployment) countCrashes() int {
+	crashes := 0
+	for _, s := range d.pools {
+		crashes += s.Crashes()
+	}
+	return crashes
+}
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -20,10 +20,12 @@
 	// ID is given by the planner's caller and unique in it.
 	ID        uint64
 	AttemptID string
-	Stage     int
-	Count     int
-	Key       string
-	Inputs    []string
+	// Request is the same for all attempts of a request.
+	Request string
+	Stage   int
+	Count   int
+	Key     string
+	Inputs  []string
 	// ResultBytes is about the size of one result.
 	ResultBytes int64
 	// Target is when the results must be made for the request to be on time,
@@ -75,6 +77,8 @@
 	Held    int64
 	Waiting int
 	jobs    []placed
+	// shared is set once another call of this planner was at the server beside it.
+	shared  bool
 	started time.Time
 	// turn is about when the server begins it.
 	turn time.Time
@@ -119,6 +123,15 @@
 	Release []string
 	// Fetched holds the inputs to be given up.
 	Fetched []Inputs
+	// Crashes are the calls that broke off with one request's items alone in them.
+	Crashes []Crash
+}
+
+// Crash is a call that broke off its server with the items of one request in it.
+type Crash struct {
+	Request string
+	Server  site.Server
+	Sent    time.Time
 }
 
 // RepeatFunc asks for permission to send n calls once more.
@@ -149,6 +162,8 @@
 	made    int
 	repeats int
 	over    bool
+	// suspect is set once a call with items of the job broke off. A suspect shares no call.
+	suspect bool
 	// fetched counts the items whose servers have fetched the inputs.
 	fetched int
 	// released is set once the inputs were given up.
@@ -261,6 +276,7 @@
 	a.Done = append(a.Done, b.Done...)
 	a.Release = append(a.Release, b.Release...)
 	a.Fetched = append(a.Fetched, b.Fetched...)
+	a.Crashes = append(a.Crashes, b.Crashes...)
 }
 
 func compareText(a, b string) int {
--- a/share/decide/batch/batch_test.go
+++ b/share/decide/batch/batch_test.go
@@ -36,7 +36,7 @@
 
 func newJob(now time.Time, id uint64, count int) batch.Job {
 	return batch.Job{
-		ID: id, AttemptID: fmt.Sprint(id), Count: count, ResultBytes: 10_000,
+		ID: id, AttemptID: fmt.Sprint(id), Request: fmt.Sprint(id) + "-digest", Count: count, ResultBytes: 10_000,
 		Target: now.Add(2 * time.Second), Expires: now.Add(6 * time.Second),
 	}
 }
--- a/share/decide/batch/ends.go
+++ b/share/decide/batch/ends.go
@@ -15,8 +15,9 @@
 	Load *site.Load
 	// RoundTrip is how long opening the connection took; 0: not known.
 	RoundTrip time.Duration
-	// Failed calls have no results, and nothing is known of their items.
+	// Failed calls have no results, and nothing is known of their items. Unsent ones did not reach the server.
 	Failed bool
+	Unsent bool
 }
 
 // End takes the end of a call.
@@ -33,6 +34,9 @@
 		p.beginNext(now, w)
 	}
 	a := Actions{}
+	if failed && !e.Unsent {
+		p.noteBroken(&a, call)
+	}
 	again := true
 	if failed || isRefused(results) {
 		again = p.repeat(now, 1)
@@ -51,6 +55,19 @@
 	return a
 }
 
+// noteBroken has the jobs of a call that broke off go on alone, so that a request whose items crash
+// their servers is told from those that shared a call with it.
+func (p *Planner) noteBroken(a *Actions, call *Call) {
+	alone := !call.shared
+	for _, place := range call.jobs {
+		place.job.suspect = true
+		alone = alone && place.job == call.jobs[0].job
+	}
+	if alone {
+		a.Crashes = append(a.Crashes, Crash{Request: call.jobs[0].job.Request, Server: call.Server, Sent: call.started})
+	}
+}
+
 // beginNext notes that the call behind the one that ended has its turn now.
 func (p *Planner) beginNext(now time.Time, w *worker) {
 	if w.current != nil {
--- a/share/decide/batch/fill.go
+++ b/share/decide/batch/fill.go
@@ -21,8 +21,11 @@
 		empty: used == 0,
 	}
 	jobs := p.sortFor(now, w)
+	if w.calls > 0 {
+		jobs = slices.DeleteFunc(jobs, func(j *job) bool { return j.suspect })
+	}
 	for _, j := range jobs {
-		if d.fits(j, len(j.todo)) || p.maySplit(now, j) {
+		if d.mayShare(j) && (d.fits(j, len(j.todo)) || p.maySplit(now, j)) {
 			d.take(now, j)
 		}
 	}
@@ -123,6 +126,14 @@
 	empty bool
 }
 
+// mayShare tells whether a job may go with what is in the call: a suspect goes alone.
+func (d *draft) mayShare(j *job) bool {
+	if len(d.call.jobs) == 0 {
+		return true
+	}
+	return !j.suspect && !d.call.jobs[0].job.suspect
+}
+
 func (d *draft) fits(j *job, n int) bool {
 	if len(d.call.Items)+n > d.most {
 		return false
