screen: a server that is down counts once against a request; the soak has requests that crash servers

Crashes are counted by starts of servers now (TestOneServerCountsOnce). A relay that takes connections for a server that is down made the soak's crashing request look harmless; a connection that is closed at once shows it (TestUpServersKeepConnections).

--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -82,6 +82,8 @@
 	lock    sync.Mutex
 	crashed bool
 	crashes int
+	// starts counts those after the first.
+	starts  int64
 	faults  []Fault
 	seen    []Seen
 	running int
@@ -120,13 +122,16 @@
 	if s.Advertised.IsValid() {
 		address = s.Advertised
 	}
+	s.lock.Lock()
+	starts := s.starts
+	s.lock.Unlock()
 	version := s.Version
 	if version == "" {
 		version = "v1"
 	}
 	s.store.Put("servers/"+s.ID, map[string]any{
 		"Service": s.Service, "Address": address.String(), "Zone": s.Zone, "Version": version,
-		"Slots": slots, "State": state, "ColdRemainingMs": s.ColdFor.Milliseconds(), "Sequence": 1, "born": 1,
+		"Slots": slots, "State": state, "ColdRemainingMs": s.ColdFor.Milliseconds(), "Sequence": 1, "born": 1 + starts,
 	})
 }
 
@@ -140,6 +145,10 @@
 		return err
 	}
 	s.server = server
+	s.lock.Lock()
+	s.starts++
+	s.lock.Unlock()
+	s.Register("ready")
 	return nil
 }
 
--- a/ingress/services/reach/reach.go
+++ b/ingress/services/reach/reach.go
@@ -13,6 +13,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -139,14 +140,22 @@
 // Warm opens a connection ahead for the next request to a server.
 func (c *Client) Warm(address netip.AddrPort) { c.spares.warm(address) }
 
-// IsUp tells whether a server takes connections.
+// closeTime is within what time a connection is closed that something took in a server's place.
+const closeTime = 100 * time.Millisecond
+
+// IsUp tells whether a server takes connections and keeps them open: a relay on the way
+// may take one for a server that is down.
 func (c *Client) IsUp(ctx context.Context, address netip.AddrPort) bool {
 	conn, err := c.dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return false
 	}
-	_ = conn.Close()
-	return true
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetReadDeadline(time.Now().Add(closeTime)); err != nil {
+		return false
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // Do sends a request that an adapter made, on a connection of its own.
--- /dev/null
+++ b/ingress/services/reach/up_test.go
@@ -0,0 +1,46 @@
+package reach_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/ingress/services/reach"
+	"verbenaroad.example/platform/heads"
+)
+
+// taker takes connections, and closes them at once where closes is set.
+type taker struct {
+	listener net.Listener
+	closes   bool
+}
+
+func (t *taker) run() {
+	for {
+		conn, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		if t.closes {
+			_ = conn.Close()
+		}
+	}
+}
+
+// Guards against a crashed server that is held to be up since a relay before it takes connections.
+func TestUpServersKeepConnections(t *testing.T) {
+	for _, closes := range []bool{false, true} {
+		is := is.New(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		go (&taker{listener: listener, closes: closes}).run()
+		c := reach.NewClient(heads.Codec{})
+		address := netip.MustParseAddrPort(listener.Addr().String())
+		is.Equal(c.IsUp(context.Background(), address), !closes)
+		is.NoErr(listener.Close())
+		is.True(!c.IsUp(context.Background(), address))
+	}
+}
--- a/ingress/services/screen/screen.go
+++ b/ingress/services/screen/screen.go
@@ -10,6 +10,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -135,9 +136,12 @@
 
 // NoteBroken notes an attempt that broke off its server, and has it counted where the server crashed.
 func (s *Screen) NoteBroken(id poison.ID, server site.Server, sent time.Time) {
-	go s.runReport(id, server, poison.Crash{Server: server.ID, Version: server.Version, Sent: sent, Broke: time.Now()})
+	go s.runReport(id, server, poison.Crash{Server: startOf(server), Version: server.Version, Sent: sent, Broke: time.Now()})
 }
 
+// startOf names one start of a server.
+func startOf(s site.Server) string { return s.ID + "/" + strconv.FormatInt(s.Born, 10) }
+
 // ownerKey is that by which the ingress that counts for a request is chosen.
 func ownerKey(id poison.ID) string { return "poison/" + string(id) }
 
--- a/proofs/hosted/poison_test.go
+++ b/proofs/hosted/poison_test.go
@@ -141,6 +141,7 @@
 		}
 		sendOne(n)
 		group.Wait()
+		time.Sleep(poisonDown + 100*time.Millisecond) // the servers are back
 	}
 	time.Sleep(quarantineTime)
 	before := d.countCrashes()
--- a/proofs/hosted/soak_check_test.go
+++ b/proofs/hosted/soak_check_test.go
@@ -106,12 +106,40 @@
 	}
 	close(s.stop)
 	s.work.Wait()
+	s.settlePoison()
 	eventually(s.t, "all results are released", func() bool { return s.Held() == 0 })
 	for _, server := range s.all() {
 		eventually(s.t, server.ID+" is at rest", func() bool { return server.Running() == 0 })
 	}
 }
 
+// settlePoison has a request that crashes servers come again and again, and checks that it is
+// quarantined and that others are served.
+func (s *soak) settlePoison() {
+	s.SetPoison(poisonBody, poisonDown)
+	for n := range 9 {
+		q := newRequest("/advice/7")
+		q.body = poisonBody
+		s.ingresses[n%len(s.ingresses)].send(context.Background(), q)
+		time.Sleep(poisonDown)
+	}
+	time.Sleep(quarantineTime)
+	before := s.CountRuns(poisonBody)
+	for n, i := range s.ingresses {
+		q := newRequest("/advice/7")
+		q.body = poisonBody
+		if a := i.send(context.Background(), q); a.err == nil && a.status == http.StatusOK {
+			s.t.Errorf("%s served a request that crashes servers", i.name)
+		}
+		q = newRequest("/advice/7")
+		q.body = fmt.Sprint("a sound board ", n)
+		eventually(s.t, i.name+" serves others", func() bool { return i.send(context.Background(), q).status == http.StatusOK })
+	}
+	if runs := s.CountRuns(poisonBody); runs != before {
+		s.t.Errorf("a request that crashes servers was run %d times, then %d", before, runs)
+	}
+}
+
 // check compares what callers saw with what servers ran.
 func (s *soak) check() {
 	s.lock.Lock()
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -149,6 +149,8 @@
 	calls   map[uint64]*Call
 	lastID  uint64
 	demand  *ahead.Demand
+	// blamed are the requests that were alone in a call that broke off, and of which nothing was made since.
+	blamed map[string]bool
 	// ready are the workers by ID, so that choices do not depend on the order of a map.
 	ready []*worker
 }
@@ -162,14 +164,21 @@
 	made    int
 	repeats int
 	over    bool
-	// suspect is set once a call with items of the job broke off. A suspect shares no call.
-	suspect bool
+	// broken counts the calls with items of the job that broke off.
+	broken int
 	// fetched counts the items whose servers have fetched the inputs.
 	fetched int
 	// released is set once the inputs were given up.
 	released bool
 }
 
+// suspectAfter is how many of a job's calls break off before it shares no more of them. Most
+// servers crash by themselves, and a call with one job in it uses its server badly.
+const suspectAfter = 2
+
+// isSuspect tells whether the items of a job may be what crashes servers.
+func (p *Planner) isSuspect(j *job) bool { return j.broken >= suspectAfter || p.blamed[j.Request] }
+
 // NewPlanner returns a planner without backend servers. Regions maps failure domains to their regions.
 func NewPlanner(pool site.Pool, regions map[string]string, repeat RepeatFunc) *Planner {
 	return &Planner{
@@ -180,6 +189,7 @@
 		jobs:    map[uint64]*job{},
 		calls:   map[uint64]*Call{},
 		demand:  ahead.NewDemand(),
+		blamed:  map[string]bool{},
 	}
 }
 
--- a/share/decide/batch/ends.go
+++ b/share/decide/batch/ends.go
@@ -55,17 +55,31 @@
 	return a
 }
 
-// noteBroken has the jobs of a call that broke off go on alone, so that a request whose items crash
+// maxBlamed bounds the requests that are blamed; any of them is let go first.
+const maxBlamed = 256
+
+// noteBroken has jobs of calls that broke off go on alone, so that a request whose items crash
 // their servers is told from those that shared a call with it.
 func (p *Planner) noteBroken(a *Actions, call *Call) {
-	alone := !call.shared
+	jobs := []*job{}
 	for _, place := range call.jobs {
-		place.job.suspect = true
-		alone = alone && place.job == call.jobs[0].job
+		if !slices.Contains(jobs, place.job) {
+			jobs = append(jobs, place.job)
+			place.job.broken++
+		}
 	}
-	if alone {
-		a.Crashes = append(a.Crashes, Crash{Request: call.jobs[0].job.Request, Server: call.Server, Sent: call.started})
+	request := jobs[0].Request
+	if len(jobs) > 1 || call.shared || request == "" {
+		return
+	}
+	for other := range p.blamed {
+		if len(p.blamed) < maxBlamed {
+			break
+		}
+		delete(p.blamed, other)
 	}
+	p.blamed[request] = true
+	a.Crashes = append(a.Crashes, Crash{Request: request, Server: call.Server, Sent: call.started})
 }
 
 // beginNext notes that the call behind the one that ended has its turn now.
@@ -105,6 +119,7 @@
 		j.handles[place.index] = result.Handle
 		j.made++
 		j.fetched++
+		delete(p.blamed, j.Request)
 		if j.made == j.Count {
 			p.finish(a, now, j, Done{JobID: j.ID, Outcome: OutcomeMade})
 		}
--- a/share/decide/batch/fill.go
+++ b/share/decide/batch/fill.go
@@ -22,10 +22,10 @@
 	}
 	jobs := p.sortFor(now, w)
 	if w.calls > 0 {
-		jobs = slices.DeleteFunc(jobs, func(j *job) bool { return j.suspect })
+		jobs = slices.DeleteFunc(jobs, p.isSuspect)
 	}
 	for _, j := range jobs {
-		if d.mayShare(j) && (d.fits(j, len(j.todo)) || p.maySplit(now, j)) {
+		if p.mayShare(d, j) && (d.fits(j, len(j.todo)) || p.maySplit(now, j)) {
 			d.take(now, j)
 		}
 	}
@@ -127,11 +127,11 @@
 }
 
 // mayShare tells whether a job may go with what is in the call: a suspect goes alone.
-func (d *draft) mayShare(j *job) bool {
+func (p *Planner) mayShare(d draft, j *job) bool {
 	if len(d.call.jobs) == 0 {
 		return true
 	}
-	return !j.suspect && !d.call.jobs[0].job.suspect
+	return !p.isSuspect(j) && !p.isSuspect(d.call.jobs[0].job)
 }
 
 func (d *draft) fits(j *job, n int) bool {
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -142,7 +142,7 @@
 		if w.calls == 0 && !passed[w] {
 			idle = append(idle, w)
 		}
-		if p.pool.Queue > 0 && w.isSoonFree(now) && !passed[w] {
+		if p.pool.Queue > 0 && w.isSoonFree(now) && !passed[w] && !p.isSuspect(w.current.jobs[0].job) {
 			soon = append(soon, w)
 		}
 	}
--- a/share/decide/batch/worker.go
+++ b/share/decide/batch/worker.go
@@ -86,15 +86,12 @@
 // isSoonFree tells whether a call that is sent now arrives when the server ends its
 // current one.
 func (w *worker) isSoonFree(now time.Time) bool {
-	if w.calls != 1 || w.current == nil || w.current.hasSuspect() || w.roundTrip == 0 {
+	if w.calls != 1 || w.current == nil || w.roundTrip == 0 {
 		return false
 	}
 	return !now.Before(w.freeAt().Add(-w.lead()))
 }
 
-// hasSuspect tells whether the call is that of a suspect, beside which no other call is to be at its server.
-func (c *Call) hasSuspect() bool { return c.jobs[0].job.suspect }
-
 // freeAt is when the server has probably ended its current call; zero while it is idle.
 func (w *worker) freeAt() time.Time {
 	if w.current == nil {
--- a/share/decide/poison/ledger.go
+++ b/share/decide/poison/ledger.go
@@ -17,6 +17,7 @@
 
 // Crash is an attempt of a request that ended with its server.
 type Crash struct {
+	// Server names one start of the server: its ID and when it started.
 	Server string
 	// Version is that of the server's software.
 	Version string
@@ -35,10 +36,11 @@
 	lastBroke time.Time
 }
 
-// overlaps tells whether an attempt was under way when one that is counted was, too.
-func (s *Suspect) overlaps(c Crash) bool {
+// isCounted tells whether a crash is counted already: that of the same server, or of one whose attempt
+// was under way at the same time.
+func (s *Suspect) isCounted(c Crash) bool {
 	return slices.ContainsFunc(s.crashes, func(other Crash) bool {
-		return c.Sent.Before(other.Broke) && other.Sent.Before(c.Broke)
+		return c.Server == other.Server || c.Sent.Before(other.Broke) && other.Sent.Before(c.Broke)
 	})
 }
 
@@ -46,7 +48,8 @@
 //
 // A crash breaks every request at its server, and most of them are bystanders. A request is told
 // from these by its history: it was never served, and crashed one server after the other.
-// Attempts that were under way at the same time count once, as where several servers crash together.
+// Attempts that were under way at the same time count once, as where several servers crash together, and so
+// do those that found the same server down.
 type Ledger struct {
 	limit    int
 	suspects map[ID]*Suspect
@@ -65,7 +68,7 @@
 		s = &Suspect{lastBroke: c.Broke}
 		l.suspects[id] = s
 	}
-	if s.overlaps(c) {
+	if s.isCounted(c) {
 		return *s
 	}
 	s.crashes = append(s.crashes, c)
--- a/share/decide/poison/poison_test.go
+++ b/share/decide/poison/poison_test.go
@@ -64,6 +64,15 @@
 	is.True(l.IsPoison(l.Note(begin, "a", crash("s2", time.Second))))
 }
 
+// Guards against a common request that is quarantined since it was sent to a server that was down, again and again.
+func TestOneServerCountsOnce(t *testing.T) {
+	is := is.New(t)
+	l := poison.NewLedger(3)
+	for n := range 10 {
+		is.True(!l.IsPoison(l.Note(begin, "a", crash("s1", time.Duration(n)*time.Second))))
+	}
+}
+
 // Guards against a bystander that is quarantined though it was served in between.
 func TestServedRequestIsNoSuspect(t *testing.T) {
 	is := is.New(t)
