screen: a quarantined request is tried again twice, at one server each time

The ingress that counts for a request lets one attempt through after 30 s, and one 10 min later, each with a conditional write of the record, so that all ingresses together do so twice.

TestQuarantinedRequestIsTriedAgain, TestTrialIsTakenByOneIngress, TestTrialIsSentOnce.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -140,7 +140,8 @@
 	i.placer = assign.NewPlacer(s.Place.Regions, s.Cold.Settings)
 	i.desk = assign.NewDesk(i.mesh, i.book, i.placer, i.log)
 	i.screen = screen.NewScreen(screen.Options{
-		Peers: i.mesh, Store: i.store, Codec: record.Codec{}, Prober: client, Limit: poison.DefaultLimit, Log: i.log,
+		Peers: i.mesh, Store: i.store, Codec: record.Codec{}, Prober: client, Limit: poison.DefaultLimit,
+		Trials: poison.DefaultTrials(), Log: i.log,
 	})
 	i.maker = pieces.NewMaker(i.mesh, i.owner, i.log)
 	i.flow = flow.NewServer(flow.Options{
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -61,6 +61,8 @@
 type Screen interface {
 	// IsQuarantined tells whether a request is to reach no server.
 	IsQuarantined(id poison.ID) bool
+	// TakeTrial tells whether a quarantined request is to be sent to one server after all.
+	TakeTrial(ctx context.Context, id poison.ID) bool
 	// NoteBroken notes an attempt that broke off its server, NoteServed a request that was answered whole.
 	NoteBroken(id poison.ID, server site.Server, sent time.Time)
 	NoteServed(id poison.ID)
@@ -169,7 +171,9 @@
 	service string
 	// digest is the same for all attempts of a request.
 	digest poison.ID
-	log    *zap.Logger
+	// trial is set where a quarantined request is sent to one server.
+	trial bool
+	log   *zap.Logger
 	// ends is when the request must have its final answer.
 	ends time.Time
 	// seat is the place at an engine; nil for plain services.
@@ -188,6 +192,7 @@
 // Serve answers one request.
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, q *Request) {
 	x := s.newExchange(q)
+	x.trial = s.options.Screen.IsQuarantined(x.digest) && s.options.Screen.TakeTrial(ctx, x.digest)
 	result := x.refuseQuarantined()
 	switch {
 	case result != nil:
@@ -201,7 +206,7 @@
 
 // refuseQuarantined returns the answer to a request that crashes servers; nil for any other.
 func (x *exchange) refuseQuarantined() *codes.Result {
-	if !x.server.options.Screen.IsQuarantined(x.digest) {
+	if x.trial && x.sends == 0 || !x.server.options.Screen.IsQuarantined(x.digest) {
 		return nil
 	}
 	return codes.NewResult(codes.Quarantined, "request "+string(x.digest)+" crashed the servers that ran it")
--- a/ingress/services/flow/quarantine_test.go
+++ b/ingress/services/flow/quarantine_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"testing"
@@ -15,6 +16,8 @@
 // screen quarantines every request from the given question on; 0: none.
 type screen struct {
 	from int
+	// tried is set where a quarantined request is to be sent once.
+	tried bool
 
 	lock  sync.Mutex
 	asked int
@@ -29,6 +32,8 @@
 	return s.from > 0 && s.asked >= s.from
 }
 
+func (s *screen) TakeTrial(context.Context, poison.ID) bool { return s.tried }
+
 func (s *screen) NoteBroken(poison.ID, site.Server, time.Time) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -63,3 +68,13 @@
 	is.Equal(s.screen.served, 1)
 	is.Equal(s.screen.broken, 0)
 }
+
+// Guards against a quarantine that nothing can end: a trial reaches one server.
+func TestTrialIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	route := sceneRoute()
+	s := &scene{view: sceneView(1, route, engine("n", "n1", "10.0.0.8:1")), screen: screen{from: 1, tried: true}}
+	is.Equal(s.serve(route).Code, http.StatusOK)
+	is.Equal(len(s.sent), 1)
+	is.Equal(s.screen.served, 1)
+}
--- a/ingress/services/screen/report.go
+++ b/ingress/services/screen/report.go
@@ -141,6 +141,35 @@
 	}
 }
 
+// TakeTrial tells whether a quarantined request is to be sent to one server, to see whether it
+// still crashes it. The ingress that counts for the request says so, and as often as the record allows over all ingresses.
+func (s *Screen) TakeTrial(ctx context.Context, id poison.ID) bool {
+	q, known := s.view.Load().Quarantines[id]
+	if !known || s.listOwners(id)[0] != s.options.Peers.Self() {
+		return false
+	}
+	now := time.Now()
+	s.lock.Lock()
+	due := s.options.Trials.IsDue(now, s.since[id], q.Trials)
+	if due {
+		s.since[id] = now // also where the write fails: it is tried later
+	}
+	s.lock.Unlock()
+	if !due {
+		return false
+	}
+	q.Trials++
+	value, err := s.options.Codec.WriteQuarantine(q)
+	if err == nil {
+		err = s.writeOnce(ctx, func(ctx context.Context) error {
+			return s.options.Store.PutIf(ctx, s.options.Codec.QuarantineKey(string(id)), value, q.Revision)
+		})
+	}
+	s.options.Log.Warn("quarantine", zap.String("digest", string(id)), zap.String("what", "tried"),
+		zap.Int("trials", q.Trials), logs.Err(err))
+	return err == nil
+}
+
 // runPut writes a quarantine, and ends the oldest ones where there are too many.
 func (s *Screen) runPut(id poison.ID, q site.Quarantine) {
 	value, err := s.options.Codec.WriteQuarantine(q)
--- a/ingress/services/screen/screen.go
+++ b/ingress/services/screen/screen.go
@@ -35,6 +35,8 @@
 // Store writes records.
 type Store interface {
 	Put(ctx context.Context, key string, value []byte, lease uint64) error
+	// PutIf writes a record whose last change was that of a revision.
+	PutIf(ctx context.Context, key string, value []byte, revision uint64) error
 	Remove(ctx context.Context, key string) error
 }
 
@@ -57,7 +59,9 @@
 	Prober Prober
 	// Limit is how many servers a request may crash.
 	Limit int
-	Log   *zap.Logger
+	// Trials are when a quarantined request is tried again.
+	Trials poison.Trials
+	Log    *zap.Logger
 }
 
 // Screen knows the requests that crash servers; its methods may be used by many goroutines.
@@ -74,6 +78,8 @@
 	// reported are the requests of which this ingress reported a crash, and that were not served since.
 	reported map[poison.ID]bool
 	probes   map[string]*probe
+	// since holds when the last change of a quarantine was seen.
+	since map[poison.ID]time.Time
 }
 
 // maxReported bounds the requests whose service would be told.
@@ -84,6 +90,7 @@
 	s := &Screen{
 		options: options, ledger: poison.NewLedger(options.Limit), served: poison.NewServed(),
 		decided: map[poison.ID]bool{}, reported: map[poison.ID]bool{}, probes: map[string]*probe{},
+		since: map[poison.ID]time.Time{},
 	}
 	s.view.Store(&state.View{})
 	return s
@@ -100,6 +107,7 @@
 			continue
 		}
 		delete(s.decided, id)
+		s.since[id] = time.Now()
 		if s.served.Has(id) {
 			go s.runEnd(id, "it was served here")
 		}
@@ -107,6 +115,7 @@
 	for id := range before.Quarantines {
 		if _, stays := v.Quarantines[id]; !stays {
 			s.ledger.Clear(id)
+			delete(s.since, id)
 		}
 	}
 }
@@ -132,6 +141,9 @@
 	if reported {
 		go s.runTellServed(id)
 	}
+	if _, quarantined := s.view.Load().Quarantines[id]; quarantined {
+		go s.runEnd(id, "it was served")
+	}
 }
 
 // NoteBroken notes an attempt that broke off its server, and has it counted where the server crashed.
--- a/ingress/services/screen/screen_test.go
+++ b/ingress/services/screen/screen_test.go
@@ -20,9 +20,11 @@
 )
 
 const (
-	request  = poison.ID("7c1e07a291bd")
-	service  = "engines"
-	patience = 5 * time.Second
+	request = poison.ID("7c1e07a291bd")
+	service = "engines"
+	// trialPause is how long a quarantine holds until its only trial.
+	trialPause = 100 * time.Millisecond
+	patience   = 5 * time.Second
 )
 
 // world is two ingresses whose screens tell each other, the store that both hear of, and servers
@@ -51,7 +53,8 @@
 	w := &world{t: t, screens: map[string]*screen.Screen{}, owner: "b"}
 	for _, name := range []string{"a", "b"} {
 		w.screens[name] = screen.NewScreen(screen.Options{
-			Peers: peer{w, name}, Store: w, Codec: record.Codec{}, Prober: w, Limit: 3, Log: zap.NewNop(),
+			Peers: peer{w, name}, Store: w, Codec: record.Codec{}, Prober: w, Limit: 3,
+			Trials: poison.Trials{trialPause}, Log: zap.NewNop(),
 		})
 	}
 	return w
@@ -95,6 +98,16 @@
 	})
 }
 
+func (w *world) PutIf(ctx context.Context, key string, value []byte, revision uint64) error {
+	w.lock.Lock()
+	current := w.view.Quarantines[request].Revision
+	w.lock.Unlock()
+	if current != revision {
+		return errors.New("it has changed")
+	}
+	return w.Put(ctx, key, value, 0)
+}
+
 func (w *world) Remove(_ context.Context, key string) error {
 	return w.write(func(all map[poison.ID]site.Quarantine) { delete(all, poison.ID(record.Codec{}.QuarantineID(key))) })
 }
@@ -234,3 +247,46 @@
 	w.crash("a", 1, "v2")
 	w.eventually("one crash is enough", func() bool { a, b := w.isQuarantined(); return a && b })
 }
+
+// quarantine has the request quarantined.
+func (w *world) quarantine() {
+	w.t.Helper()
+	w.setVersion("v1")
+	w.crash("a", 3, "v1")
+	w.eventually("it is quarantined", func() bool {
+		w.lock.Lock()
+		defer w.lock.Unlock()
+		return len(w.view.Quarantines) == 1
+	})
+}
+
+// Guards against a bystander that is refused for good: it is tried again, once and by one ingress.
+func TestQuarantinedRequestIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.quarantine()
+	for _, s := range w.screens {
+		is.True(!s.TakeTrial(context.Background(), request))
+	}
+	time.Sleep(trialPause)
+	is.True(!w.screens["a"].TakeTrial(context.Background(), request)) // the other one counts
+	is.True(w.screens["b"].TakeTrial(context.Background(), request))
+	a, b := w.isQuarantined()
+	is.True(a && b)
+	time.Sleep(2 * trialPause)
+	is.True(!w.screens["b"].TakeTrial(context.Background(), request)) // there is one trial
+
+	w.screens["b"].NoteServed(request)
+	w.eventually("it is let go", func() bool { a, b := w.isQuarantined(); return !a && !b })
+}
+
+// Guards against trials at several ingresses that each take themselves for the one that counts.
+func TestTrialIsTakenByOneIngress(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.quarantine()
+	time.Sleep(trialPause)
+	is.True(w.screens["b"].TakeTrial(context.Background(), request))
+	w.owner = "a"
+	is.True(!w.screens["a"].TakeTrial(context.Background(), request))
+}
--- a/share/decide/poison/poison_test.go
+++ b/share/decide/poison/poison_test.go
@@ -123,3 +123,14 @@
 	}
 	is.Equal(poison.FindExcess(quarantines), []poison.ID{"0", "1"})
 }
+
+func TestTrialsAreFew(t *testing.T) {
+	is := is.New(t)
+	trials := poison.DefaultTrials()
+	is.True(!trials.IsDue(after(29*time.Second), begin, 0))
+	is.True(trials.IsDue(after(30*time.Second), begin, 0))
+	is.True(!trials.IsDue(after(30*time.Second), begin, 1))
+	is.True(trials.IsDue(after(time.Hour), begin, 1))
+	is.True(!trials.IsDue(after(time.Hour), begin, 2))
+	is.True(!trials.IsDue(after(time.Hour), time.Time{}, 0)) // it is not known since when
+}
--- a/share/models/site/config.go
+++ b/share/models/site/config.go
@@ -203,6 +203,8 @@
 	// Servers are those that it crashed, Versions those of their software.
 	Servers  []string
 	Versions []string
+	// Trials counts how often the request was let through to see whether it still does.
+	Trials int
 	// Revision is that of its record.
 	Revision uint64
 }
