link: no stream is read past the end of its session

Cause: yamux marks a session as shut down, then waits for its receiver and closes the streams last. In between each blocked Stream.Read loops without waiting, whichever goroutine began it: its receiver, its sender after a failed write, a stream that was not acknowledged, or our own close.

Change: only the receiver ends a session, and before it does so all reads are ended by a deadline that has passed (streams.go). Writes return no error: what fails has reads end. Streams that are not acknowledged have the deadline of their call.

--- a/share/modules/link/batch.go
+++ b/share/modules/link/batch.go
@@ -23,6 +23,8 @@
 type batchConn struct {
 	net.Conn
 	reader *bufio.Reader
+	// onReadEnd is told of each read that brought an error, before its caller is.
+	onReadEnd func()
 
 	lock sync.Mutex
 	// changed is signaled when pending, failed, readFailed or closed change.
@@ -32,15 +34,17 @@
 	// pending is not written yet; writing is the buffer that the loop is writing out.
 	pending []byte
 	writing []byte
-	// failed is the first error of a write; all later writes return it.
-	failed error
+	// failed is set once a write brought an error; what is written later is dropped.
+	failed bool
 	closed bool
 	// ended is closed once the connection is, with what was pending written out or given up.
 	ended chan struct{}
 }
 
-func newBatchConn(conn net.Conn) *batchConn {
-	c := &batchConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), ended: make(chan struct{})}
+func newBatchConn(conn net.Conn, onReadEnd func()) *batchConn {
+	c := &batchConn{
+		Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), onReadEnd: onReadEnd, ended: make(chan struct{}),
+	}
 	c.changed = sync.NewCond(&c.lock)
 	go c.loop()
 	return c
@@ -55,26 +59,23 @@
 		c.readFailed = c.readFailed || !c.closed // the close itself ends reads
 		c.changed.Broadcast()
 		c.lock.Unlock()
+		c.onReadEnd()
 	}
 	return n, err
 }
 
-// Write takes p over; an error of the connection shows at a later write. What is
-// written once the close has begun is dropped without an error.
+// Write takes p over. It returns no error: where the connection fails or is closed, what is written
+// is dropped, and reads end.
 //
-// Guards against readers that take a whole core at the close: an error here has yamux
-// mark its session as shut down at once, and until its streams are closed each blocked
-// Stream.Read loops without waiting.
+// Guards against readers that take a whole core, as streams do: after an error here yamux would mark
+// its session as shut down by itself. It is left to its receiver, which ends the reads first.
 func (c *batchConn) Write(p []byte) (int, error) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	for len(c.pending) > maxPendingBytes && c.failed == nil && !c.closed {
+	for len(c.pending) > maxPendingBytes && !c.failed && !c.closed {
 		c.changed.Wait()
 	}
-	if c.failed != nil {
-		return 0, c.failed
-	}
-	if c.closed {
+	if c.failed || c.closed {
 		return len(p), nil
 	}
 	c.pending = append(c.pending, p...)
@@ -106,10 +107,10 @@
 func (c *batchConn) take() bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	for len(c.pending) == 0 && !c.closed && c.failed == nil {
+	for len(c.pending) == 0 && !c.closed && !c.failed {
 		c.changed.Wait()
 	}
-	if c.failed != nil || len(c.pending) == 0 || c.closed && c.readFailed {
+	if c.failed || len(c.pending) == 0 || c.closed && c.readFailed {
 		return false
 	}
 	c.pending, c.writing = c.writing[:0], c.pending
@@ -122,15 +123,18 @@
 	if cap(c.writing) > maxPendingBytes {
 		c.writing = nil
 	}
-	c.failed = err
+	if err != nil {
+		c.failed = true
+		_ = c.SetReadDeadline(time.Now())
+	}
 	c.changed.Broadcast()
 }
 
 // Close ends reads at once and returns; what is pending is written out, within a bound, and
 // the connection closed, beside it.
 //
-// Guards against readers that take a whole core: yamux calls it with its session marked as
-// shut down and its streams open, between which each blocked Stream.Read loops without waiting.
+// Guards against readers that take a whole core, as streams do: yamux calls it with its session marked as
+// shut down and its streams open.
 func (c *batchConn) Close() error {
 	c.lock.Lock()
 	defer c.lock.Unlock()
--- a/share/modules/link/options.go
+++ b/share/modules/link/options.go
@@ -73,6 +73,8 @@
 	// The control stream's heartbeats watch the session; yamux's own pings would double them.
 	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = writeTimeout
+	// Each call has its own deadline; yamux would end the whole session.
+	c.StreamOpenTimeout = 0
 	c.MaxStreamWindowSize = streamWindowBytes
 	c.LogOutput = io.Discard
 	return c
--- a/share/modules/link/session.go
+++ b/share/modules/link/session.go
@@ -21,7 +21,8 @@
 	mux     *yamux.Session
 	// conn carries mux.
 	conn    *batchConn
-	control *yamux.Stream
+	streams *streams
+	control net.Conn
 	reader  *wire.Reader
 	counter *countingConn
 	peer    *wire.Hello
@@ -67,9 +68,10 @@
 		settings.ServerName = address.Addr().String()
 		conn = tls.Client(conn, settings)
 	}
-	batch := newBatchConn(conn)
+	open := newStreams()
+	batch := newBatchConn(conn, open.endReads)
 	_ = batch.SetDeadline(time.Now().Add(options.HelloTimeout))
-	s, err := dialMux(batch, options)
+	s, err := dialMux(batch, open, options)
 	if err != nil {
 		_ = batch.Close()
 		return nil, err
@@ -80,7 +82,7 @@
 	return s, nil
 }
 
-func dialMux(conn *batchConn, options Options) (*Session, error) {
+func dialMux(conn *batchConn, open *streams, options Options) (*Session, error) {
 	mux, err := yamux.Client(conn, muxConfig())
 	if err != nil {
 		return nil, ErrLink.Wrap(err)
@@ -90,7 +92,7 @@
 		_ = mux.Close()
 		return nil, ErrLink.Wrap(err)
 	}
-	s := newSession(mux, conn, control, options)
+	s := newSession(mux, conn, open, open.add(control), options)
 	if err := s.writeHello(); err != nil {
 		_ = mux.Close()
 		return nil, err
@@ -110,7 +112,8 @@
 	if options.TLS != nil {
 		conn = tls.Server(conn, options.TLS)
 	}
-	batch := newBatchConn(conn)
+	open := newStreams()
+	batch := newBatchConn(conn, open.endReads)
 	_ = batch.SetDeadline(time.Now().Add(options.HelloTimeout))
 	mux, err := yamux.Server(batch, muxConfig())
 	if err != nil {
@@ -121,7 +124,7 @@
 		_ = mux.Close()
 		return nil, ErrLink.Wrap(err)
 	}
-	s := newSession(mux, batch, control, options)
+	s := newSession(mux, batch, open, open.add(control), options)
 	if err := s.answerHello(); err != nil {
 		_ = mux.Close()
 		return nil, err
@@ -132,11 +135,12 @@
 	return s, nil
 }
 
-func newSession(mux *yamux.Session, conn *batchConn, control *yamux.Stream, options Options) *Session {
+func newSession(mux *yamux.Session, conn *batchConn, open *streams, control net.Conn, options Options) *Session {
 	return &Session{
 		options: options,
 		mux:     mux,
 		conn:    conn,
+		streams: open,
 		control: control,
 		reader:  wire.NewReader(control),
 		started: time.Now(),
@@ -198,13 +202,19 @@
 // Open opens a stream for one call.
 func (s *Session) Open() (net.Conn, error) {
 	stream, err := s.mux.OpenStream()
-	return stream, ErrLink.Wrap(err)
+	if err != nil {
+		return nil, ErrLink.Wrap(err)
+	}
+	return s.streams.add(stream), nil
 }
 
 // Accept waits for a stream that the peer opens.
 func (s *Session) Accept() (net.Conn, error) {
 	stream, err := s.mux.AcceptStream()
-	return stream, ErrLink.Wrap(err)
+	if err != nil {
+		return nil, ErrLink.Wrap(err)
+	}
+	return s.streams.add(stream), nil
 }
 
 // Delay returns the smoothed one-way delay to the peer.
@@ -234,14 +244,13 @@
 	return nil
 }
 
-// end closes the connection, and the streams as soon as yamux has noticed, which must not wait
-// for each other: see batchConn.Close. It returns once what was pending is written out or given up.
+// end closes the connection, at which yamux's receiver ends the session. It returns once what was pending is written out or given up.
 func (s *Session) end(reason error) {
 	s.closeOnce.Do(func() {
 		close(s.closed)
 		_ = s.conn.Close()
-		<-s.mux.CloseChan() // its reader fails now
-		_ = s.mux.Close()
+		<-s.mux.CloseChan()
+		_ = s.mux.Close() // waits until the receiver has closed the streams
 		if s.options.OnDown != nil {
 			s.options.OnDown(s, reason)
 		}
