limits: log the rate limits that servers state, and the requests sent to such servers

Each change of a stated limit and each send to a limited server is now logged and counted, in the one place that all requests and calls to backend servers pass. No decision uses it.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -19,6 +19,7 @@
 	"verbenaroad.example/ingress/routers/public"
 	"verbenaroad.example/ingress/services/assign"
 	"verbenaroad.example/ingress/services/flow"
+	"verbenaroad.example/ingress/services/limits"
 	"verbenaroad.example/ingress/services/mesh"
 	"verbenaroad.example/ingress/services/meters"
 	"verbenaroad.example/ingress/services/reach"
@@ -73,6 +74,7 @@
 	producer      *stages.Producer
 	placer        *assign.Placer
 	dispatcher    *assign.Dispatcher
+	limits        *limits.Registry
 	screen        *screen.Screen
 	flow          *flow.Server
 	stopper       *stops.Stopper
@@ -132,7 +134,8 @@
 		Reader: &state.Reader{Book: i.book, Store: i.store, Wait: s.Store.Wait, HistoryGone: keyval.ErrHistoryGone, Log: i.log},
 	})
 	i.puller.Feed = i.feeder
-	client := reach.NewClient(heads.Codec{})
+	i.limits = limits.NewRegistry(i.meters, i.log)
+	client := reach.NewClient(heads.Codec{}, i.limits)
 	i.batcher = stages.NewBatcher(stages.BatcherOptions{
 		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Retries: s.Repeats.Settings, Log: i.log,
 		Regions: s.Place.Regions, Region: s.Place.Region,
--- a/ingress/services/meters/meters.go
+++ b/ingress/services/meters/meters.go
@@ -17,6 +17,7 @@
 	retries       *prometheus.CounterVec
 	batches       *prometheus.HistogramVec
 	batchItems    *prometheus.CounterVec
+	limitedSends  *prometheus.CounterVec
 	droppedLines  *prometheus.CounterVec
 	reloads       *prometheus.CounterVec
 	configVersion prometheus.Gauge
@@ -49,6 +50,9 @@
 		batchItems: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenaroad_batch_items_total", Help: "Items in calls that make results of stages.",
 		}, []string{"service", "outcome"}),
+		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "verbenaroad_limited_sends_total", Help: "Requests that were sent to a backend server that states a rate limit.",
+		}, []string{"service"}),
 		droppedLines: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenaroad_log_lines_dropped_total", Help: "Log lines that were left out.",
 		}, []string{"reason"}),
@@ -62,7 +66,7 @@
 			Name: "verbenaroad_store_age_seconds", Help: "Time since the store answered.",
 		}, func() float64 { return storeAge().Seconds() }),
 	}
-	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.droppedLines, m.reloads, m.configVersion, m.storeAge)
+	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.limitedSends, m.droppedLines, m.reloads, m.configVersion, m.storeAge)
 	return m
 }
 
@@ -92,6 +96,11 @@
 	m.batchItems.WithLabelValues(service, outcome).Add(float64(items))
 }
 
+// CountLimitedSend counts a request that is sent to a backend server that states a rate limit.
+func (m *Meters) CountLimitedSend(service string) {
+	m.limitedSends.WithLabelValues(service).Inc()
+}
+
 // CountDroppedLines counts n log lines that were dropped.
 func (m *Meters) CountDroppedLines(reason string, n int) {
 	m.droppedLines.WithLabelValues(reason).Add(float64(n))
--- a/ingress/services/reach/reach.go
+++ b/ingress/services/reach/reach.go
@@ -50,6 +50,14 @@
 	ReadAnswer(status int, h http.Header) site.Answer
 }
 
+// RateObserver tracks the requests that backend servers receive and the rate limits that they state.
+type RateObserver interface {
+	// ObserveSend is called before a request is sent. Request is the ID of the attempt, or empty for a
+	// request that an adapter has built.
+	ObserveSend(server site.Server, request string)
+	ObserveAnswer(server site.Server, a site.Answer)
+}
+
 // Request is one attempt at one backend server.
 type Request struct {
 	Method string
@@ -74,6 +82,7 @@
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
 	codec Codec
+	rates RateObserver
 	// singleUse uses each connection for one request and closes it afterwards.
 	//
 	// Guards against a non-idempotent request running twice. Backend servers may reset idle
@@ -88,14 +97,15 @@
 	dialer    *net.Dialer
 }
 
-// NewClient returns a client that encodes and decodes headers with codec.
-func NewClient(codec Codec) *Client {
+// NewClient returns a client that encodes and decodes headers with codec and reports each request
+// that has a server, and its answer, to rates.
+func NewClient(codec Codec, rates RateObserver) *Client {
 	keepAlive := newTransport(newDialer().DialContext)
 	keepAlive.DisableKeepAlives = false
 	keepAlive.MaxIdleConnsPerHost = maxIdlePerServer
 	keepAlive.IdleConnTimeout = idleTimeout
 	s := newSpares(newDialer())
-	return &Client{codec: codec, singleUse: newTransport(s.dial), keepAlive: keepAlive, spares: s, dialer: newDialer()}
+	return &Client{codec: codec, rates: rates, singleUse: newTransport(s.dial), keepAlive: keepAlive, spares: s, dialer: newDialer()}
 }
 
 func newDialer() *net.Dialer {
@@ -159,9 +169,15 @@
 	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// Do sends a request that an adapter has built, on a connection of its own.
-func (c *Client) Do(r *http.Request) (*http.Response, error) {
-	return c.singleUse.RoundTrip(r)
+// Do sends a request that an adapter has built for a server, on a connection of its own.
+func (c *Client) Do(server site.Server, r *http.Request) (*http.Response, error) {
+	c.rates.ObserveSend(server, "")
+	response, err := c.singleUse.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	c.rates.ObserveAnswer(server, c.codec.ReadAnswer(response.StatusCode, response.Header))
+	return response, nil
 }
 
 // DoIdempotent sends an idempotent request that an adapter has built, on a reused connection if
@@ -190,6 +206,7 @@
 	if err != nil {
 		return nil, ErrReach.Wrap(errors.Join(ErrNotSent, err))
 	}
+	c.rates.ObserveSend(r.Server, r.UpstreamHeaders.AttemptID)
 	response, err := c.singleUse.RoundTrip(request) //nolint:bodyclose // the reply's reader closes it
 	if err != nil && !sent.Load() {
 		return nil, ErrReach.Wrap(errors.Join(ErrNotSent, err))
@@ -197,11 +214,9 @@
 	if err != nil {
 		return nil, ErrReach.Wrap(err)
 	}
-	return &Reply{
-		Answer: c.codec.ReadAnswer(response.StatusCode, response.Header),
-		Body:   response.Body,
-		Length: response.ContentLength,
-	}, nil
+	answer := c.codec.ReadAnswer(response.StatusCode, response.Header)
+	c.rates.ObserveAnswer(r.Server, answer)
+	return &Reply{Answer: answer, Body: response.Body, Length: response.ContentLength}, nil
 }
 
 func (c *Client) newRequest(ctx context.Context, r Request) (*http.Request, error) {
--- a/ingress/services/reach/spares_test.go
+++ b/ingress/services/reach/spares_test.go
@@ -13,6 +13,8 @@
 	"github.com/matryer/is"
 
 	"verbenaroad.example/ingress/services/reach"
+	"verbenaroad.example/platform/heads"
+	"verbenaroad.example/share/models/site"
 )
 
 // server accepts connections and passes them on to the test.
@@ -56,6 +58,13 @@
 	return errors.Join(err, conn.Close())
 }
 
+// noRates ignores the rate limits of servers.
+type noRates struct{}
+
+func (noRates) ObserveSend(site.Server, string) {}
+
+func (noRates) ObserveAnswer(site.Server, site.Answer) {}
+
 func post(c *reach.Client, address netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -63,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := c.Do(r)
+	response, err := c.Do(site.Server{}, r)
 	if err != nil {
 		return err
 	}
@@ -76,7 +85,7 @@
 func TestRequestUsesTheSpareConnection(t *testing.T) {
 	is := is.New(t)
 	s := newServer(t)
-	c := reach.NewClient(nil)
+	c := reach.NewClient(heads.Codec{}, noRates{})
 	c.Preconnect(s.address())
 	spare := <-s.accepted
 	time.Sleep(50 * time.Millisecond) // until the client has stored it
@@ -95,7 +104,7 @@
 func TestClosedSpareConnectionIsNotUsed(t *testing.T) {
 	is := is.New(t)
 	s := newServer(t)
-	c := reach.NewClient(nil)
+	c := reach.NewClient(heads.Codec{}, noRates{})
 	c.Preconnect(s.address())
 	spare := <-s.accepted
 	is.NoErr(spare.Close())
--- a/ingress/services/reach/up_test.go
+++ b/ingress/services/reach/up_test.go
@@ -38,7 +38,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 		go (&acceptor{listener: listener, closes: closes}).run()
-		c := reach.NewClient(heads.Codec{})
+		c := reach.NewClient(heads.Codec{}, noRates{})
 		address := netip.MustParseAddrPort(listener.Addr().String())
 		is.Equal(c.IsUp(context.Background(), address), !closes)
 		is.NoErr(listener.Close())
--- a/share/models/site/request.go
+++ b/share/models/site/request.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 )
 
@@ -75,6 +76,42 @@
 	Encoded bool
 	// Load is nil if the backend server does not report it.
 	Load *Load
+	// RateLimit is what the backend server states about the rate of requests that it takes.
+	RateLimit RateLimit
+}
+
+// RateLimit is what an answer states about the rate of requests that its backend server takes from
+// all ingresses together. It applies until an answer of that server states another one, or none.
+type RateLimit struct {
+	State RateLimitState
+	// PerSecond is the rate in requests per second; finite and not negative, and 0 unless State is
+	// RateLimited.
+	PerSecond float64
+}
+
+// RateLimitState is whether an answer states a rate limit.
+type RateLimitState string
+
+// The states.
+const (
+	// RateUnlimited answers state no limit.
+	RateUnlimited RateLimitState = ""
+	// RateLimited answers state a limit.
+	RateLimited RateLimitState = "limited"
+	// RateUnreadable answers state a limit that is not a valid rate.
+	RateUnreadable RateLimitState = "unreadable"
+)
+
+// String returns the rate, or the state if there is no rate.
+func (r RateLimit) String() string {
+	switch r.State {
+	case RateLimited:
+		return strconv.FormatFloat(r.PerSecond, 'g', -1, 64)
+	case RateUnlimited:
+		return "none"
+	default:
+		return string(r.State)
+	}
 }
 
 // Load is the load that a backend server reports.
