--- /dev/null
+++ b/proofs/hosted/limits_test.go
@@ -0,0 +1,165 @@
+package hosted_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/fakes/services/hosted"
+)
+
+const (
+	// limitHeader is the header in which a server states how many requests per second it takes from
+	// all ingresses together.
+	limitHeader = "Server-Limit"
+	// statedRate is the rate that a limited server states, and statedText its text in the header.
+	statedRate = 2
+	statedText = "2"
+	// limitWindow is the span in which a limited server may receive at most limitOverage times the
+	// stated rate, plus limitSlack requests.
+	limitWindow  = 4 * time.Second
+	limitOverage = 1.5
+	limitSlack   = 5
+	// limitSettleTime is how long after the first statement the limit must be in force.
+	limitSettleTime = 4 * time.Second
+)
+
+// load sends requests through all ingresses until it is stopped.
+type load struct {
+	deployment *deployment
+	newRequest func() request
+	stop       chan struct{}
+	callers    sync.WaitGroup
+
+	lock sync.Mutex
+	// answers counts the answers by status; 0 stands for those that are missing or incomplete.
+	answers map[int]int
+	// slowest is the time of the slowest answer with status 503.
+	slowest time.Duration
+}
+
+// startLoad sends requests from n callers at each ingress, each of which sends one after the other.
+func (d *deployment) startLoad(n int, newRequest func() request) *load {
+	l := &load{deployment: d, newRequest: newRequest, stop: make(chan struct{}), answers: map[int]int{}}
+	for _, i := range d.ingresses {
+		for range n {
+			l.callers.Add(1)
+			go l.run(i)
+		}
+	}
+	return l
+}
+
+func (l *load) run(i *ingress) {
+	defer l.callers.Done()
+	for {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		a := i.send(context.Background(), l.newRequest())
+		l.record(a)
+		if a.status != http.StatusOK {
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func (l *load) record(a answer) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	status := a.status
+	if a.err != nil {
+		status = 0
+	}
+	l.answers[status]++
+	if status == http.StatusServiceUnavailable {
+		l.slowest = max(l.slowest, a.took)
+	}
+}
+
+// end stops the callers and returns the answers by status.
+func (l *load) end() map[int]int {
+	close(l.stop)
+	l.callers.Wait()
+	return l.answers
+}
+
+// checkStatedRate checks that a server receives no more than the rate that it states, in any window
+// since the given time, and that it receives at least half of that rate.
+func checkStatedRate(t *testing.T, server *hosted.Server, since time.Time) {
+	t.Helper()
+	allowed := int(limitOverage*statedRate*limitWindow.Seconds()) + limitSlack
+	arrivals := []time.Time{}
+	for _, at := range server.Arrivals() {
+		if at.After(since) {
+			arrivals = append(arrivals, at)
+		}
+	}
+	most := 0
+	for first := range arrivals {
+		last := first
+		for last < len(arrivals) && arrivals[last].Sub(arrivals[first]) < limitWindow {
+			last++
+		}
+		most = max(most, last-first)
+	}
+	if most > allowed {
+		t.Errorf("%s stated %v requests per second and received %d within %v; allowed are %d", server.ID, statedRate, most, limitWindow, allowed)
+	}
+	if least := int(statedRate * time.Since(since).Seconds() / 2); len(arrivals) < least {
+		t.Errorf("%s takes %v requests per second and received %d since %v; at least %d expected", server.ID, statedRate, len(arrivals), time.Since(since), least)
+	}
+}
+
+// testStatedRate checks that a server that states a rate, one of two of its service, receives no
+// more than that from three ingresses, that the other one serves the rest, and that the server is
+// used without limit once it states none any more.
+func testStatedRate(t *testing.T, pick func(*deployment) *hosted.Server, newRequest func() request) {
+	t.Helper()
+	is := is.New(t)
+	d := newDeployment(t, 3)
+	server := pick(d)
+	server.SetHeader(limitHeader, statedText)
+	l := d.startLoad(4, newRequest)
+	time.Sleep(limitSettleTime)
+	since := time.Now()
+	time.Sleep(limitWindow + time.Second)
+	checkStatedRate(t, server, since)
+	server.SetHeader(limitHeader, "")
+	withdrawn := time.Now()
+	eventually(t, "the server is used without limit", func() bool {
+		recent := 0
+		for _, at := range server.Arrivals() {
+			if at.After(withdrawn) && time.Since(at) < time.Second {
+				recent++
+			}
+		}
+		return recent > 4*statedRate
+	})
+	answers := l.end()
+	is.True(answers[http.StatusOK] > 0)
+	is.Equal(len(answers), 1) // all requests are served
+}
+
+// Guards against an engine in need receiving more requests than it takes from all ingresses together.
+func TestStatedRateOfEngineIsKept(t *testing.T) {
+	testStatedRate(t, func(d *deployment) *hosted.Server { return d.engines[0] }, func() request { return newRequest("/advice/1") })
+}
+
+// Guards against a plain server in need receiving more requests than it takes from all ingresses
+// together.
+func TestStatedRateOfPlainServerIsKept(t *testing.T) {
+	testStatedRate(t, func(d *deployment) *hosted.Server { return d.plainServers[0] }, func() request { return newRequest("/order/1") })
+}
+
+// Guards against a pool server in need receiving more calls than it takes from all ingresses
+// together.
+func TestStatedRateOfPoolServerIsKept(t *testing.T) {
+	testStatedRate(t, func(d *deployment) *hosted.Server { return d.poolServers[0] }, newReview)
+}
