limits: engines receive no more requests than they state that they take

Cause: no decision knew of the stated rate. Evidence: server-limit lines show that the ingresses heard it within 5 ms of the first answer, limited-send lines that they went on as before: 392 sends in 9 s to an engine that took 2 a second (TestStatedRateOfEngineIsKept).

The ingress that places a service's requests keeps a token bucket for each engine with a rate (share/decide/quota); a request is charged when it is placed, and those that wait for their stages are limited too, since they are sent together. Ingresses tell each other the rates with their heartbeats, ordered by a version that grows with each observed change. An ingress that cannot reach the placer leaves such engines alone, and a request that was placed before its engine stated a rate is placed again. A request for which no engine is left is refused at once, with a time to return: one caller after another, at the rate that the engines take.

Why it holds: all requests of a service pass its placer.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -123,10 +123,12 @@
 		OnArrival: func() { i.book.ObserveOwnAnswer(time.Now()) },
 	})
 	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.setView})
+	i.limits = limits.NewRegistry(i.meters, i.log)
 	i.mesh = mesh.NewMesh(mesh.Options{
 		Self: i.self, Regions: s.Place.Regions, IsLeaving: i.stopper.IsLeaving, Link: i.newLinkOptions(), Log: i.log,
 		OnBacklog:     func(backlog *wire.Outlook) { i.producer.RecordBacklog(backlog) },
 		OnStoreStatus: func(name string, status *wire.Reading) { i.feeder.ObserveStoreStatus(name, status) },
+		OnRateLimits:  i.limits.Merge,
 	})
 	i.puller = &mesh.Puller{Mesh: i.mesh, Book: i.book, Seeds: s.Peers.Seeds, Log: i.log}
 	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
@@ -134,7 +136,6 @@
 		Reader: &state.Reader{Book: i.book, Store: i.store, Wait: s.Store.Wait, HistoryGone: keyval.ErrHistoryGone, Log: i.log},
 	})
 	i.puller.Feed = i.feeder
-	i.limits = limits.NewRegistry(i.meters, i.log)
 	client := reach.NewClient(heads.Codec{}, i.limits)
 	i.batcher = stages.NewBatcher(stages.BatcherOptions{
 		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Retries: s.Repeats.Settings, Log: i.log,
@@ -142,7 +143,7 @@
 		Discard: func(service string, handles []string) { i.producer.Discard(service, handles) },
 		OnCrash: func(c batch.Crash) { i.screen.RecordCrash(poison.ID(c.RequestDigest), c.Server, c.SentAt) },
 	})
-	i.placer = assign.NewPlacer(s.Place.Regions, s.Cold.Settings)
+	i.placer = assign.NewPlacer(s.Place.Regions, s.Cold.Settings, i.limits)
 	i.dispatcher = assign.NewDispatcher(i.mesh, i.book, i.placer, i.log)
 	i.screen = screen.NewScreen(screen.Options{
 		Peers: i.mesh, Store: i.store, Codec: record.Codec{}, Prober: client, Limit: poison.DefaultLimit,
@@ -152,7 +153,7 @@
 	i.flow = flow.NewServer(flow.Options{
 		Views: i.book, Sender: client, StageRunner: i.producer, EnginePlacer: i.dispatcher, Screen: i.screen, Meter: i.meters, Log: i.log,
 		Domain: s.Place.Domain, Region: s.Place.Region, Regions: s.Place.Regions, Retries: s.Repeats.Settings,
-		Cold: s.Cold.Settings, Peers: i.mesh,
+		Cold: s.Cold.Settings, Limits: i.limits, Peers: i.mesh,
 	})
 }
 
@@ -171,13 +172,21 @@
 		NewHeartbeat: func() *wire.Beat {
 			return &wire.Beat{
 				Leaving: i.stopper.IsLeaving(), Outlooks: i.batcher.Backlogs(), Reading: mesh.EncodeStoreStatus(i.book),
+				RateLimits: i.limits.Statements(),
 			}
 		},
 	}
 }
 
+// mergeRateLimits records the rate limits in a heartbeat of an ingress that opened a session to this
+// one. The rest of the heartbeat is for the ingress that opened the session.
+func (i *Ingress) mergeRateLimits(session *link.Session, beat *wire.Beat, _ time.Time) {
+	i.limits.Merge(session.Peer().GetName(), beat.GetRateLimits())
+}
+
 // setView passes a new view of the deployment to the services.
 func (i *Ingress) setView(v *state.View) {
+	i.limits.SetView(v)
 	i.flow.SetView(v)
 	i.placer.SetView(v)
 	i.producer.SetView(v)
@@ -207,8 +216,10 @@
 func (i *Ingress) listen(ctx context.Context) error {
 	s := i.settings
 	var err error
+	accepted := i.newLinkOptions()
+	accepted.OnHeartbeat = i.mergeRateLimits
 	i.peerServer, err = peers.NewServer(peers.Options{
-		Address: s.Peers.Listen, Link: i.newLinkOptions(),
+		Address: s.Peers.Listen, Link: accepted,
 		Handler: &mesh.Handler{Producer: i.producer, Placer: i.dispatcher, Screen: i.screen, Feeder: i.feeder, Log: i.log}, Log: i.log,
 	})
 	if err != nil {
--- a/ingress/services/assign/dispatcher.go
+++ b/ingress/services/assign/dispatcher.go
@@ -65,27 +65,29 @@
 	}
 }
 
-// Place reserves an engine of a service for a request. It returns nil if no engine accepts the
-// request.
-func (d *Dispatcher) Place(ctx context.Context, service string, q place.Query) *Reservation {
-	reservation := d.reserve(ctx, service, q)
-	if reservation != nil {
-		reservation.WasCold = reservation.server.IsCold(time.Now())
-	}
-	if reservation != nil && q.Generation != nil {
-		d.recordHints(service, q.Generation.Parts, reservation.Server().ID)
-	}
-	return reservation
+// Place reserves an engine of a service for a request. If no engine accepts the request, it returns
+// nil and, if that is because of rate limits, how long the caller is to wait.
+func (d *Dispatcher) Place(ctx context.Context, service string, q place.Query) (r *Reservation, retryAfter time.Duration) {
+	r, retryAfter = d.reserve(ctx, service, q)
+	if r == nil {
+		return nil, retryAfter
+	}
+	r.WasCold = r.server.IsCold(time.Now())
+	_, r.WasLimited = d.placer.limits.Find(&r.server)
+	if q.Generation != nil {
+		d.recordHints(service, q.Generation.Parts, r.server.ID)
+	}
+	return r, 0
 }
 
-func (d *Dispatcher) reserve(ctx context.Context, service string, q place.Query) *Reservation {
+func (d *Dispatcher) reserve(ctx context.Context, service string, q place.Query) (*Reservation, time.Duration) {
 	ranked := d.peers.Rank(keyPrefix + service)
 	if len(ranked) == 0 || ranked[0] == d.peers.Self() {
 		return d.placeLocally(service, q)
 	}
-	reservation, err := d.placeAtPeer(ctx, ranked[0], service, q)
+	reservation, retryAfter, err := d.placeAtPeer(ctx, ranked[0], service, q)
 	if err == nil {
-		return reservation
+		return reservation, retryAfter
 	}
 	d.forgetInformed(service)
 	d.log.Warn("placer-lost", zap.String("service", service), zap.String("ingress", ranked[0]), logs.Err(err))
@@ -93,7 +95,7 @@
 	return d.placeLocally(service, q)
 }
 
-func (d *Dispatcher) placeLocally(service string, q place.Query) *Reservation {
+func (d *Dispatcher) placeLocally(service string, q place.Query) (*Reservation, time.Duration) {
 	d.placer.MergeHints(service, d.takeUnsentHints(service, d.peers.Self()))
 	return d.placer.Place(service, q)
 }
@@ -136,7 +138,7 @@
 	delete(d.informed, service)
 }
 
-func (d *Dispatcher) placeAtPeer(ctx context.Context, name, service string, q place.Query) (*Reservation, error) {
+func (d *Dispatcher) placeAtPeer(ctx context.Context, name, service string, q place.Query) (*Reservation, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, assignTimeout)
 	defer cancel()
 	request := &wire.Assign{Service: service, Domain: q.Domain, Region: q.Region, Exclude: q.Exclude, Residency: encode.Residency(q.Residency)}
@@ -154,15 +156,21 @@
 	}
 	assignment, err := d.peers.Assign(ctx, name, request)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
+	}
+	answer := assignment.Answer
+	if answer.GetServerId() == "" && answer.GetRetryAfterNanos() > 0 {
+		assignment.Close()
+		return nil, time.Duration(answer.GetRetryAfterNanos()), nil
 	}
-	server, found := FindServer(d.views.View(), service, assignment.Answer.GetServerId())
+	server, found := FindServer(d.views.View(), service, answer.GetServerId())
 	if !found {
 		assignment.Close()
 		q.IsFallback = true
-		return d.placer.Place(service, q), nil
+		reservation, retryAfter := d.placer.Place(service, q)
+		return reservation, retryAfter, nil
 	}
-	return &Reservation{server: server, PlacedBy: name, Wait: time.Duration(assignment.Answer.GetWaitNanos()), FetchFrom: assignment.Answer.GetFetchServerId(), remote: assignment}, nil
+	return &Reservation{server: server, PlacedBy: name, Wait: time.Duration(answer.GetWaitNanos()), FetchFrom: answer.GetFetchServerId(), remote: assignment}, 0, nil
 }
 
 // FindServer returns the server of a service with the given ID, if it accepts new work.
@@ -179,8 +187,8 @@
 // the stream ends.
 func (d *Dispatcher) ServeAssign(stream net.Conn, reader *wire.Reader, a *wire.Assign) {
 	d.placer.MergeHints(a.GetService(), decodeHints(a))
-	reservation := d.placer.Place(a.GetService(), decodeQuery(a))
-	answer := &wire.Assigned{}
+	reservation, retryAfter := d.placer.Place(a.GetService(), decodeQuery(a))
+	answer := &wire.Assigned{RetryAfterNanos: int64(retryAfter)}
 	if reservation != nil {
 		answer.ServerId = reservation.Server().ID
 		answer.WaitNanos = int64(reservation.Wait)
--- a/ingress/services/assign/placer.go
+++ b/ingress/services/assign/placer.go
@@ -7,12 +7,22 @@
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/cold"
 	"verbenaroad.example/share/decide/place"
+	"verbenaroad.example/share/models/site"
 )
 
+// Limits limits the requests to servers that state a rate. It counts them for all ingresses.
+type Limits interface {
+	place.Limiter
+	// PromiseReturn returns how long a caller that was refused because of the limits of the given
+	// servers is to wait.
+	PromiseReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool)
+}
+
 // Placer places requests at the engines of all services. It is safe for concurrent use.
 type Placer struct {
 	regions map[string]string
 	cold    cold.Settings
+	limits  Limits
 
 	lock sync.Mutex
 	// groups is keyed by service.
@@ -25,9 +35,9 @@
 }
 
 // NewPlacer returns a placer without engines. Regions maps failure domains to their regions;
-// settings limit the rate of requests to a cold engine.
-func NewPlacer(regions map[string]string, settings cold.Settings) *Placer {
-	return &Placer{regions: regions, cold: settings, groups: map[string]*engineGroup{}}
+// settings limit the rate of requests to a cold engine, limits that to an engine that states one.
+func NewPlacer(regions map[string]string, settings cold.Settings, limits Limits) *Placer {
+	return &Placer{regions: regions, cold: settings, limits: limits, groups: map[string]*engineGroup{}}
 }
 
 // SetView replaces the known engines with those of a new view. A view without a configuration is
@@ -54,6 +64,7 @@
 		g := p.groups[s.Name]
 		if g == nil {
 			g = &engineGroup{engines: place.NewEngines(p.regions)}
+			g.engines.SetLimiter(p.limits)
 			p.groups[s.Name] = g
 		}
 		g.engines.SetPoolServers(poolServers)
@@ -62,20 +73,22 @@
 	}
 }
 
-// Place reserves an engine of a service for a request. It returns nil if no engine accepts the
-// request.
-func (p *Placer) Place(service string, q place.Query) *Reservation {
+// Place reserves an engine of a service for a request. If no engine accepts the request, it returns
+// nil and, if that is because of rate limits, how long the caller is to wait.
+func (p *Placer) Place(service string, q place.Query) (r *Reservation, retryAfter time.Duration) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	g := p.groups[service]
 	if g == nil {
-		return nil
+		return nil, 0
 	}
-	placement, found := g.engines.Place(time.Now(), q)
+	now := time.Now()
+	placement, found := g.engines.Place(now, q)
 	if !found {
-		return nil
+		retryAfter, _ = p.limits.PromiseReturn(now, g.engines.ListAllowed(q))
+		return nil, retryAfter
 	}
-	return &Reservation{server: placement.Server, Wait: placement.Wait, FetchFrom: placement.FetchFrom, local: p, id: placement.ID, group: g}
+	return &Reservation{server: placement.Server, Wait: placement.Wait, FetchFrom: placement.FetchFrom, local: p, id: placement.ID, group: g}, 0
 }
 
 // MergeHints adds an ingress's hints about which prompt parts are cached at the engines of a
--- a/ingress/services/assign/reservation.go
+++ b/ingress/services/assign/reservation.go
@@ -26,6 +26,9 @@
 	PlacedBy string
 	// WasCold reports whether the engine was cold when it was chosen, in the view of this ingress.
 	WasCold bool
+	// WasLimited reports whether the engine stated a rate limit when it was chosen, in the view of
+	// this ingress.
+	WasLimited bool
 	// FetchFrom is the ID of the engine from which the chosen one should fetch cached parts of the
 	// prompt; empty if there is none.
 	FetchFrom string
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -46,8 +46,15 @@
 
 // EnginePlacer chooses the engine for a request and reserves capacity there.
 type EnginePlacer interface {
-	// Place returns nil if no engine is eligible for the request.
-	Place(ctx context.Context, service string, q place.Query) *assign.Reservation
+	// Place returns nil if no engine is eligible for the request and, if that is because of rate
+	// limits, how long the caller is to wait.
+	Place(ctx context.Context, service string, q place.Query) (r *assign.Reservation, retryAfter time.Duration)
+}
+
+// RateLimits holds the rates that servers state.
+type RateLimits interface {
+	// Find returns the requests per second that a server takes from all ingresses together.
+	Find(server *site.Server) (perSecond float64, limited bool)
 }
 
 // Peers lists the ingresses that can be reached.
@@ -94,6 +101,7 @@
 	// Retries is the retry budget. Cold limits the requests to a cold server.
 	Retries budget.Settings
 	Cold    cold.Settings
+	Limits  RateLimits
 	Peers   Peers
 }
 
@@ -181,6 +189,9 @@
 	deadline time.Time
 	// reservation is the reserved place at an engine; nil for plain services.
 	reservation *assign.Reservation
+	// limitWait is how long the caller is to wait if no server takes the request because of rate
+	// limits; 0 if these are not the reason.
+	limitWait time.Duration
 	// tried holds the IDs of the servers that were tried.
 	tried []string
 	// runs counts the attempts that ran or may have run.
--- a/ingress/services/flow/places.go
+++ b/ingress/services/flow/places.go
@@ -7,6 +7,7 @@
 
 	"verbenaroad.example/share/decide/cold"
 	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/codes"
 )
 
 // residency returns the regions in which the request may be served under the newest configuration.
@@ -46,6 +47,18 @@
 // that choose the placer and the batcher of a service.
 const coldRankPrefix = "cold/"
 
+// refuseNoServer returns the result for a request that no server may receive now.
+func (x *exchange) refuseNoServer() *codes.Result {
+	switch {
+	case x.limitWait > 0:
+		return codes.NewResult(codes.Overloaded, x.describeNoServer()).WithRetryAfter(max(x.limitWait, shortRetryAfter))
+	case x.sends > 0:
+		return codes.NewResult(codes.Overloaded, "every server that may take it refused").WithRetryAfter(shortRetryAfter)
+	default:
+		return codes.NewResult(codes.NoBackend, x.describeNoServer()).WithRetryAfter(noServerRetryAfter)
+	}
+}
+
 // describeNoServer states why no server of the service may receive the request.
 func (x *exchange) describeNoServer() string {
 	v := x.server.options.Views.View()
@@ -56,5 +69,23 @@
 	if len(v.Evacuated) > 0 {
 		detail += fmt.Sprintf("; evacuated: %s", strings.Join(v.Evacuated, ","))
 	}
+	if limits := x.listLimits(v.Servers[x.service]); len(limits) > 0 {
+		shown := limits[:min(len(limits), maxShownLimits)]
+		detail += fmt.Sprintf("; %d with a rate limit: %s", len(limits), strings.Join(shown, ","))
+	}
 	return detail
 }
+
+// maxShownLimits limits how many rate limits the reason of a refusal names.
+const maxShownLimits = 3
+
+// listLimits returns the servers that state a rate, each with its requests per second.
+func (x *exchange) listLimits(servers []site.Server) []string {
+	limits := []string{}
+	for _, s := range servers {
+		if perSecond, limited := x.server.options.Limits.Find(&s); limited {
+			limits = append(limits, fmt.Sprintf("%s=%g/s", s.ID, perSecond))
+		}
+	}
+	return limits
+}
--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -16,6 +16,7 @@
 
 	"verbenaroad.example/ingress/services/assign"
 	"verbenaroad.example/ingress/services/flow"
+	"verbenaroad.example/ingress/services/limits"
 	"verbenaroad.example/ingress/services/reach"
 	"verbenaroad.example/ingress/services/stages"
 	"verbenaroad.example/ingress/services/state"
@@ -35,22 +36,26 @@
 	view   *state.View
 	// viewAfterStages replaces view when results are produced; nil: the view does not change.
 	viewAfterStages *state.View
-	placer          *assign.Placer
-	placements      int
-	sentTo          []string
+	// limits holds the rates that servers state; nil: none. limitAfterStages is the ID of an engine
+	// that states one while results are produced.
+	limits           *limits.Registry
+	limitAfterStages string
+	placer           *assign.Placer
+	placements       int
+	sentTo           []string
 	// fetchFrom is the ID of the engine from which the placer lets engines fetch. fetchSources are
 	// the addresses that were sent to the engines.
 	fetchFrom    string
 	fetchSources []netip.AddrPort
 }
 
-func (s *deployment) Place(_ context.Context, service string, q place.Query) *assign.Reservation {
+func (s *deployment) Place(_ context.Context, service string, q place.Query) (*assign.Reservation, time.Duration) {
 	s.placements++
-	reservation := s.placer.Place(service, q)
+	reservation, retryAfter := s.placer.Place(service, q)
 	if reservation != nil {
 		reservation.FetchFrom = s.fetchFrom
 	}
-	return reservation
+	return reservation, retryAfter
 }
 
 func (s *deployment) View() *state.View {
@@ -66,6 +71,9 @@
 		s.view = s.viewAfterStages
 		s.placer.SetView(s.view)
 	}
+	if s.limitAfterStages != "" {
+		s.limits.ObserveAnswer(site.Server{ID: s.limitAfterStages}, newLimitAnswer(1))
+	}
 	return stages.NewResults([]string{"10.0.0.1:1/a"}, func() {}), nil
 }
 
@@ -104,12 +112,15 @@
 }
 
 func (s *deployment) serve(route site.Route) *httptest.ResponseRecorder {
-	s.placer = assign.NewPlacer(regions, cold.Settings{Overage: 1.5, Slack: 5})
+	if s.limits == nil {
+		s.limits = newLimits()
+	}
+	s.placer = assign.NewPlacer(regions, cold.Settings{Overage: 1.5, Slack: 5}, s.limits)
 	s.placer.SetView(s.view)
 	server := flow.NewServer(flow.Options{
 		Views: s, Sender: s, StageRunner: s, EnginePlacer: s, Screen: &s.screen, Meter: noMeter{}, Log: zap.NewNop(),
 		Domain: "n1", Region: "north", Regions: regions, Cold: cold.Settings{Overage: 1.5, Slack: 5},
-		Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second},
+		Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second}, Limits: s.limits,
 	})
 	decision := access.Decision{Verdict: access.Granted, Route: &route, Residency: site.NewResidency(route.AllowedRegions)}
 	answer := httptest.NewRecorder()
@@ -168,6 +179,37 @@
 	is.Equal(len(s.sentTo), 1)
 }
 
+func newLimitAnswer(perSecond float64) site.Answer {
+	return site.Answer{Status: http.StatusOK, Signed: true, RateLimit: site.RateLimit{State: site.RateLimited, PerSecond: perSecond}}
+}
+
+// Guards against requests that were placed at an engine reaching it all at once after it stated a
+// rate limit, because they were not counted against it.
+func TestRequestIsPlacedAgainIfItsEngineStatesARateLimit(t *testing.T) {
+	is := is.New(t)
+	north, south := newEngine("n", "n1", "10.0.0.8:1"), newEngine("s", "s1", "10.0.0.9:1")
+	s := &deployment{view: newView(1, newRoute(), north, south), limits: newLimits(), limitAfterStages: "n"}
+	is.Equal(s.serve(newRoute()).Code, http.StatusOK)
+	is.Equal(s.placements, 2)
+	is.Equal(s.sentTo, []string{"s"})
+}
+
+// Guards against a request that waits although the rate limits of all engines are used up, and
+// against a refusal that does not state when to return.
+func TestRequestBeyondAllRateLimitsIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	north := newEngine("n", "n1", "10.0.0.8:1")
+	s := &deployment{view: newView(1, newRoute(), north), limits: newLimits()}
+	s.limits.ObserveAnswer(north, newLimitAnswer(0.5))
+	began := time.Now()
+	answer := s.serve(newRoute())
+	is.Equal(answer.Code, http.StatusServiceUnavailable)
+	is.Equal(answer.Header().Get("Retry-After"), "2.00")
+	is.True(strings.Contains(answer.Body.String(), "1 with a rate limit: n=0.5/s"))
+	is.True(time.Since(began) < time.Second)
+	is.Equal(len(s.sentTo), 0)
+}
+
 // Guards against an engine being instructed to fetch from an engine that has left, or from one
 // outside the regions in which the request's data may be held.
 func TestEngineFetchesOnlyFromAvailableEnginesInAllowedRegions(t *testing.T) {
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -63,13 +63,6 @@
 	}
 }
 
-func (x *exchange) refuseNoServer() *codes.Result {
-	if x.sends > 0 {
-		return codes.NewResult(codes.Overloaded, "every server that may take it refused").WithRetryAfter(shortRetryAfter)
-	}
-	return codes.NewResult(codes.NoBackend, x.describeNoServer()).WithRetryAfter(noServerRetryAfter)
-}
-
 // tryPlain sends the request to one server and delivers its answer once it is complete or exceeds
 // the buffer.
 func (x *exchange) tryPlain(ctx context.Context, w http.ResponseWriter, server site.Server) verdict {
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -41,7 +41,7 @@
 // engine is eligible.
 func (x *exchange) reserveEngine(ctx context.Context) bool {
 	x.cancelReservation()
-	x.reservation = x.server.options.EnginePlacer.Place(ctx, x.service, x.newQuery())
+	x.reservation, x.limitWait = x.server.options.EnginePlacer.Place(ctx, x.service, x.newQuery())
 	if x.reservation == nil {
 		return false
 	}
@@ -74,14 +74,15 @@
 
 // isReservationUsable reports whether the request may still be sent to the reserved engine. While
 // the results were produced, the engine may have begun to leave, its failure domain may have been
-// evacuated, or a new configuration may exclude its region. It may also have become cold, in which
-// case the requests placed there before were not counted against its rate limit.
+// evacuated, or a new configuration may exclude its region. It may also have become cold or have
+// stated a rate limit, in which case the requests placed there before were not counted against it.
 func (x *exchange) isReservationUsable() bool {
 	server, found := assign.FindServer(x.server.options.Views.View(), x.service, x.reservation.Server().ID)
 	if !found || !x.residency().Allows(x.server.options.Regions[server.Domain]) {
 		return false
 	}
-	return !server.IsCold(time.Now()) || x.reservation.WasCold
+	_, limited := x.server.options.Limits.Find(&server)
+	return (!server.IsCold(time.Now()) || x.reservation.WasCold) && (!limited || x.reservation.WasLimited)
 }
 
 // resolveCancellation distinguishes whether the caller disconnected or the deadline passed: an
--- a/ingress/services/flow/stream_test.go
+++ b/ingress/services/flow/stream_test.go
@@ -16,6 +16,7 @@
 
 	"verbenaroad.example/ingress/services/assign"
 	"verbenaroad.example/ingress/services/flow"
+	"verbenaroad.example/ingress/services/limits"
 	"verbenaroad.example/ingress/services/reach"
 	"verbenaroad.example/ingress/services/stages"
 	"verbenaroad.example/ingress/services/state"
@@ -34,7 +35,7 @@
 // enginePlacer places requests at the engines of a view.
 type enginePlacer struct{ placer *assign.Placer }
 
-func (d enginePlacer) Place(_ context.Context, service string, q place.Query) *assign.Reservation {
+func (d enginePlacer) Place(_ context.Context, service string, q place.Query) (*assign.Reservation, time.Duration) {
 	return d.placer.Place(service, q)
 }
 
@@ -43,6 +44,10 @@
 func (noMeter) CountAnswer(string, string, time.Duration) {}
 func (noMeter) CountFirstEvent(string, time.Duration)     {}
 func (noMeter) CountRetry(string, string)                 {}
+func (noMeter) CountLimitedSend(string)                   {}
+
+// newLimits returns a registry without rate limits.
+func newLimits() *limits.Registry { return limits.NewRegistry(noMeter{}, zap.NewNop()) }
 
 // stageRunner counts how often results were produced, and how many are not yet released.
 type stageRunner struct{ runs, held atomic.Int64 }
@@ -94,13 +99,14 @@
 			{ID: "e2", Address: netip.MustParseAddrPort("10.0.0.9:1"), State: site.ServerReady},
 		}},
 	}
-	placer := assign.NewPlacer(nil, cold.Settings{})
+	noLimits := newLimits()
+	placer := assign.NewPlacer(nil, cold.Settings{}, noLimits)
 	placer.SetView(view)
 	results := &stageRunner{}
 	engines := &slowEngines{stageRunner: results}
 	server := flow.NewServer(flow.Options{
 		Views: fixedView{view}, Sender: engines, StageRunner: results, EnginePlacer: enginePlacer{placer}, Screen: &fakeScreen{}, Meter: noMeter{}, Log: zap.NewNop(),
-		Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second},
+		Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second}, Limits: noLimits,
 	})
 	answer := httptest.NewRecorder()
 	server.Serve(context.Background(), answer, &flow.Request{
--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -1,13 +1,16 @@
-// Package limits tracks the rate limits that backend servers state in their answers.
+// Package limits tracks the rate limits that backend servers state in their answers, and counts the
+// requests to these servers. The ingresses tell each other the limits with their heartbeats.
 package limits
 
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/quota"
 	"verbenaroad.example/share/models/site"
 )
@@ -18,26 +21,47 @@
 	CountLimitedSend(service string)
 }
 
-// Registry holds the rate limits of the backend servers. It is safe for concurrent use.
+// Registry holds the rate limits of the backend servers and counts the requests that this ingress
+// places there, or batches for them, on behalf of all ingresses. It is safe for concurrent use.
 type Registry struct {
 	meter Meter
 	log   *zap.Logger
 
-	lock  sync.Mutex
-	table *quota.Table
+	// hasLimits is set while any server has a limit. Without one, requests are not delayed by lock.
+	hasLimits atomic.Bool
+
+	lock    sync.Mutex
+	limiter *quota.Limiter
+	// services maps the IDs of the servers in the view to their services.
+	services map[string]string
 }
 
 // NewRegistry returns a registry without limits.
 func NewRegistry(meter Meter, log *zap.Logger) *Registry {
-	return &Registry{meter: meter, log: log, table: quota.NewTable()}
+	return &Registry{meter: meter, log: log, limiter: quota.NewLimiter(), services: map[string]string{}}
+}
+
+// SetView forgets the limits of all servers that are not in a new view.
+func (r *Registry) SetView(v *state.View) {
+	services := map[string]string{}
+	live := map[string]bool{}
+	for service, servers := range v.Servers {
+		for _, s := range servers {
+			services[s.ID] = service
+			live[s.ID] = true
+		}
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.services = services
+	r.limiter.Retain(live)
+	r.hasLimits.Store(r.limiter.HasLimits())
 }
 
 // ObserveSend records that a request is sent to a server. Request is the ID of the attempt, or empty
 // for a call that produces results of stages.
 func (r *Registry) ObserveSend(server site.Server, request string) {
-	r.lock.Lock()
-	perSecond, limited := r.table.Find(server)
-	r.lock.Unlock()
+	perSecond, limited := r.Find(&server)
 	if !limited {
 		return
 	}
@@ -58,7 +82,8 @@
 		return
 	}
 	r.lock.Lock()
-	changed := r.table.Observe(time.Now(), server, a.RateLimit)
+	changed := r.limiter.Observe(time.Now(), &server, a.RateLimit)
+	r.hasLimits.Store(r.limiter.HasLimits())
 	r.lock.Unlock()
 	if a.RateLimit.State == site.RateUnreadable {
 		r.log.Warn("server-limit-unreadable", zap.String("server", server.ID), zap.String("service", server.Service),
@@ -69,3 +94,52 @@
 			zap.Stringer("per-second", a.RateLimit), zap.String("request", a.AttemptID), zap.String("source", "answer"))
 	}
 }
+
+// Find returns the requests per second that a server takes from all ingresses together.
+func (r *Registry) Find(server *site.Server) (perSecond float64, limited bool) {
+	if !r.hasLimits.Load() {
+		return 0, false
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.limiter.Find(server)
+}
+
+// Allows reports whether a request to the server may be reserved now.
+func (r *Registry) Allows(now time.Time, server *site.Server) bool {
+	if !r.hasLimits.Load() {
+		return true
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.limiter.Allows(now, server)
+}
+
+// Reserve counts a request that is to be sent to the server.
+func (r *Registry) Reserve(now time.Time, server *site.Server) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.limiter.Reserve(now, server)
+}
+
+// MarkSent records that a reserved request is sent.
+func (r *Registry) MarkSent(server *site.Server) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.limiter.MarkSent(server)
+}
+
+// Cancel drops the reservation of a request that will not be sent.
+func (r *Registry) Cancel(now time.Time, server *site.Server) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.limiter.Cancel(now, server)
+}
+
+// PromiseReturn returns how long a caller that was refused because of the limits of the given servers
+// is to wait.
+func (r *Registry) PromiseReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.limiter.PromiseReturn(now, servers)
+}
--- a/ingress/services/limits/limits_test.go
+++ b/ingress/services/limits/limits_test.go
@@ -1,6 +1,7 @@
 package limits_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -9,6 +10,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"verbenaroad.example/ingress/services/limits"
+	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/models/site"
 )
 
@@ -51,3 +53,54 @@
 	is.Equal(logged.FilterMessage("server-limit").Len(), 2) // stated and withdrawn
 	is.Equal(logged.FilterMessage("server-limit-unreadable").Len(), 1)
 }
+
+// newRegistryWith returns a registry whose view has n servers, i-0 and so on.
+func newRegistryWith(n int) *limits.Registry {
+	r := limits.NewRegistry(&sendCounter{}, zap.NewNop())
+	servers := []site.Server{}
+	for i := range n {
+		servers = append(servers, site.Server{ID: fmt.Sprintf("i-%d", i)})
+	}
+	r.SetView(&state.View{Servers: map[string][]site.Server{"engines": servers}})
+	return r
+}
+
+// Guards against a limit that reaches no other ingress, and against limits of servers that left and
+// are passed on between the ingresses for ever.
+func TestStatementsReachAnotherIngress(t *testing.T) {
+	is := is.New(t)
+	first, second := newRegistryWith(1), newRegistryWith(1)
+	server := site.Server{ID: "i-0"}
+	first.ObserveAnswer(server, newAnswer(http.StatusOK, true, site.RateLimit{State: site.RateLimited, PerSecond: 2.5}))
+	second.Merge("first", first.Statements())
+	perSecond, limited := second.Find(&server)
+	is.True(limited)
+	is.Equal(perSecond, 2.5)
+	second.SetView(&state.View{})
+	_, limited = second.Find(&server)
+	is.True(!limited)
+	second.Merge("first", first.Statements())
+	is.Equal(len(second.Statements()), 0)
+}
+
+// Guards against heartbeats that grow with the number of servers.
+func TestHeartbeatCarriesALimitedNumberOfStatements(t *testing.T) {
+	is := is.New(t)
+	first, second := newRegistryWith(500), newRegistryWith(500)
+	for i := range 500 {
+		first.ObserveAnswer(site.Server{ID: fmt.Sprintf("i-%d", i)}, newAnswer(http.StatusOK, true, site.RateLimit{State: site.RateLimited, PerSecond: 1}))
+	}
+	for range 200 {
+		statements := first.Statements()
+		is.True(len(statements) <= 64)
+		second.Merge("first", statements)
+	}
+	is.Equal(len(second.Statements()), 64)
+	known := 0
+	for i := range 500 {
+		if _, limited := second.Find(&site.Server{ID: fmt.Sprintf("i-%d", i)}); limited {
+			known++
+		}
+	}
+	is.Equal(known, 500)
+}
--- /dev/null
+++ b/ingress/services/limits/spread.go
@@ -0,0 +1,61 @@
+package limits
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/share/decide/quota"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/wire"
+)
+
+// maxStatements limits the statements in one heartbeat, to about 3 KB. Of more, each heartbeat
+// carries a random selection.
+const maxStatements = 64
+
+// Statements returns what the heartbeats of this ingress tell the others about the limits of servers.
+func (r *Registry) Statements() []*wire.RateLimit {
+	r.lock.Lock()
+	list := r.limiter.Statements(time.Now())
+	r.lock.Unlock()
+	if len(list) > maxStatements {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		list = list[:maxStatements]
+	}
+	messages := make([]*wire.RateLimit, 0, len(list))
+	for _, s := range list {
+		messages = append(messages, &wire.RateLimit{
+			ServerId: s.ServerID, Incarnation: s.Incarnation, Limited: s.Limited, PerSecond: s.PerSecond, Version: s.Version,
+		})
+	}
+	return messages
+}
+
+// Merge records what a heartbeat of another ingress tells about the limits of servers. Statements
+// about servers that are not in the view are ignored.
+func (r *Registry) Merge(ingress string, messages []*wire.RateLimit) {
+	now := time.Now()
+	for _, m := range messages {
+		s := quota.Statement{
+			ServerID: m.GetServerId(), Incarnation: m.GetIncarnation(), Limited: m.GetLimited(), PerSecond: m.GetPerSecond(), Version: m.GetVersion(),
+		}
+		r.lock.Lock()
+		service, known := r.services[s.ServerID]
+		changed := known && r.limiter.Merge(now, s)
+		r.hasLimits.Store(r.limiter.HasLimits())
+		r.lock.Unlock()
+		if changed {
+			r.log.Info("server-limit", zap.String("server", s.ServerID), zap.String("service", service),
+				zap.Stringer("per-second", rateLimitOf(s)), zap.String("source", ingress))
+		}
+	}
+}
+
+func rateLimitOf(s quota.Statement) site.RateLimit {
+	if !s.Limited {
+		return site.RateLimit{}
+	}
+	return site.RateLimit{State: site.RateLimited, PerSecond: s.PerSecond}
+}
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -55,7 +55,10 @@
 	// OnStoreStatus is called with the state of another ingress's connection to the store and of
 	// its copy of the records, as reported in its heartbeats.
 	OnStoreStatus func(name string, status *wire.Reading)
-	Log           *zap.Logger
+	// OnRateLimits is called with the rate limits of backend servers that another ingress knows, as
+	// reported in its heartbeats. It may be nil.
+	OnRateLimits func(name string, limits []*wire.RateLimit)
+	Log          *zap.Logger
 }
 
 // Mesh holds the sessions that this ingress opened to the other ingresses.
@@ -332,6 +335,9 @@
 	if beat.GetReading() != nil {
 		m.options.OnStoreStatus(name, beat.GetReading())
 	}
+	if m.options.OnRateLimits != nil {
+		m.options.OnRateLimits(name, beat.GetRateLimits())
+	}
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	p := m.peers[name]
--- a/proofs/hosted/limits_test.go
+++ b/proofs/hosted/limits_test.go
@@ -163,3 +163,35 @@
 func TestStatedRateOfPoolServerIsKept(t *testing.T) {
 	testStatedRate(t, func(d *deployment) *hosted.Server { return d.poolServers[0] }, newReview)
 }
+
+// Guards against an ingress that sends requests to a server in need because it has not received an
+// answer of that server itself, and against one that keeps a limit which the server has withdrawn.
+func TestIngressesTellEachOtherTheStatedRates(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 3)
+	server := d.engines[0]
+	server.SetHeader(limitHeader, statedText)
+	sendUntil := func(condition string, check func() bool) {
+		eventually(t, condition, func() bool {
+			is.Equal(d.ingresses[0].send(context.Background(), newRequest("/advice/1")).status, http.StatusOK)
+			return check()
+		})
+	}
+	sendUntil("an answer states the limit", func() bool {
+		return len(d.ingresses[0].output.lines("event=server-limit", server.ID, "per-second=2", "source=answer")) > 0
+	})
+	for _, i := range d.ingresses[1:] {
+		eventually(t, i.name+" knows the limit", func() bool {
+			return len(i.output.lines("event=server-limit", server.ID, "per-second=2", "source=ingress-")) > 0
+		})
+	}
+	server.SetHeader(limitHeader, "")
+	sendUntil("an answer withdraws the limit", func() bool {
+		return len(d.ingresses[0].output.lines("event=server-limit", server.ID, "per-second=none", "source=answer")) > 0
+	})
+	for _, i := range d.ingresses[1:] {
+		eventually(t, i.name+" knows that the limit is withdrawn", func() bool {
+			return len(i.output.lines("event=server-limit", server.ID, "per-second=none", "source=ingress-")) > 0
+		})
+	}
+}
--- a/share/decide/place/engines.go
+++ b/share/decide/place/engines.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenaroad.example/share/decide/cold"
+	"verbenaroad.example/share/decide/quota"
 	"verbenaroad.example/share/models/site"
 )
 
@@ -76,6 +77,7 @@
 	// coldLimit is the maximum number of requests per second to a cold engine; nil if there is
 	// no limit.
 	coldLimit *int
+	limiter   Limiter
 }
 
 type engine struct {
@@ -155,6 +157,7 @@
 		lastUsed:     map[string]time.Time{},
 		poolServers:  map[string]int{},
 		staged:       map[string]int{},
+		limiter:      quota.NewLimiter(),
 	}
 }
 
@@ -162,15 +165,6 @@
 // domain.
 func (e *Engines) SetPoolServers(counts map[string]int) { e.poolServers = counts }
 
-// SetColdLimit sets the maximum number of requests per second to a cold engine. If limited is
-// false, there is no limit.
-func (e *Engines) SetColdLimit(limit int, limited bool) {
-	e.coldLimit = nil
-	if limited {
-		e.coldLimit = &limit
-	}
-}
-
 // SetServers replaces the set of engines that accept new work; spec describes each of them. An
 // engine that has restarted or has a new address starts without history.
 func (e *Engines) SetServers(servers []site.Server, spec site.Engine) {
@@ -222,17 +216,6 @@
 	return e.reserve(now, q, best, sources), true
 }
 
-// isEligible reports whether the request may be placed at an engine.
-func (e *Engines) isEligible(now time.Time, q Query, c *engine) bool {
-	if slices.Contains(q.Exclude, c.ID) || !q.Residency.Allows(e.regions[c.Domain]) {
-		return false
-	}
-	if e.coldLimit == nil || !c.IsCold(now) {
-		return true
-	}
-	return !q.IsFallback && c.arrivals.Count(now) < *e.coldLimit
-}
-
 // cost returns the cost of placing a request at an engine, as a duration.
 func (e *Engines) cost(now time.Time, q Query, c *engine, sources []source) time.Duration {
 	plan := e.planPrefill(now, q.Generation, c, sources)
@@ -295,6 +278,7 @@
 	c.pendingPrefill += plan.prefill
 	c.reservations++
 	c.arrivals.Reserve()
+	e.limiter.Reserve(now, &c.Server)
 	c.memoryTokens += r.memoryTokens
 	if q.Generation != nil {
 		r.staged = q.Generation.Staged
--- a/share/decide/place/place.go
+++ b/share/decide/place/place.go
@@ -68,8 +68,8 @@
 	// Residency restricts the regions of the server.
 	Residency site.Residency
 	// IsFallback is set if this ingress places the request itself because it got no usable
-	// choice from the placer. Such a request is not placed at a cold engine: the placer places
-	// requests there too, and no ingress counts the requests of both.
+	// choice from the placer. Such a request is not placed at an engine that is cold or states a
+	// rate limit: the placer places requests there too, and no ingress counts the requests of both.
 	IsFallback bool
 	// ColdLimit returns how many requests per second this ingress may send to a cold server.
 	// If it is nil, there is no limit.
--- a/share/decide/place/reservations.go
+++ b/share/decide/place/reservations.go
@@ -10,6 +10,7 @@
 	}
 	r.sent = true
 	r.engine.arrivals.MarkSent(now)
+	e.limiter.MarkSent(&r.engine.Server)
 	e.releaseStages(r)
 	r.sentAt = now
 	r.engine.sentPrefill += r.prefill
@@ -117,6 +118,7 @@
 	}
 	if !r.sent {
 		c.arrivals.Cancel()
+		e.limiter.Cancel(now, &c.Server)
 		r.removeUnsentParts()
 	}
 	c.reservations--
--- /dev/null
+++ b/share/decide/quota/limiter.go
@@ -0,0 +1,205 @@
+package quota
+
+import (
+	"time"
+
+	"verbenaroad.example/share/models/site"
+)
+
+const (
+	// minRate is the lowest rate in requests per second. A server that takes fewer, or none, still
+	// gets this rate: only its answers can withdraw the limit.
+	minRate = 0.1
+	// minBurst is the smallest number of requests that may be sent at once. A server with a higher
+	// rate may get what it takes within burstTime.
+	minBurst  = 1.5
+	burstTime = 250 * time.Millisecond
+	// unsentTime limits the reservations for requests that wait for their stages: to what the server
+	// takes within unsentTime, plus one burst. Requests that wait may all be sent at the same moment.
+	unsentTime = time.Second
+	// maxReturnTime limits how far in the future refused callers are told to return.
+	maxReturnTime = 5 * time.Second
+)
+
+// Limiter limits the requests to the servers that state a rate. It is a token bucket for each of
+// them. It is not safe for concurrent use.
+type Limiter struct {
+	*Table
+	// accounts is keyed by server ID.
+	accounts map[string]*account
+}
+
+// account counts the requests to one start of a server.
+type account struct {
+	incarnation int64
+	// tokens is the number of requests that may be reserved now, as of refilledAt.
+	tokens     float64
+	refilledAt time.Time
+	// unsent counts the reservations whose request was neither sent nor canceled. Of these, uncharged
+	// counts those that took no token, because the server had no limit when they were made.
+	unsent    int
+	uncharged int
+	// promisedUntil is the time up to which the rate of the server is promised to refused callers.
+	promisedUntil time.Time
+}
+
+// NewLimiter returns a limiter without limits.
+func NewLimiter() *Limiter {
+	return &Limiter{Table: NewTable(), accounts: map[string]*account{}}
+}
+
+// Allows reports whether a request to the server may be reserved now.
+func (l *Limiter) Allows(now time.Time, server *site.Server) bool {
+	rate, limited := l.rate(server)
+	if !limited {
+		return true
+	}
+	a := l.getAccount(now, server)
+	a.refill(now, rate)
+	return a.tokens >= 1 && float64(a.unsent) < rate*unsentTime.Seconds()+burst(rate)
+}
+
+// Reserve counts a request that is to be sent to the server. Each reservation is ended by MarkSent or
+// Cancel. Requests to servers without a limit are counted too: they may be sent after the server has
+// stated one.
+func (l *Limiter) Reserve(now time.Time, server *site.Server) {
+	a := l.getAccount(now, server)
+	a.unsent++
+	rate, limited := l.rate(server)
+	if !limited {
+		a.uncharged++
+		return
+	}
+	a.refill(now, rate)
+	a.tokens--
+}
+
+// MarkSent records that a reserved request is sent now.
+func (l *Limiter) MarkSent(server *site.Server) {
+	if a := l.findAccount(server); a != nil {
+		a.endReservation()
+		l.dropUnused(server, a)
+	}
+}
+
+// Cancel drops the reservation of a request that will not be sent.
+func (l *Limiter) Cancel(now time.Time, server *site.Server) {
+	a := l.findAccount(server)
+	if a == nil {
+		return
+	}
+	charged := a.endReservation()
+	if rate, limited := l.rate(server); limited && charged {
+		a.refill(now, rate)
+		a.tokens = min(a.tokens+1, burst(rate))
+	}
+	l.dropUnused(server, a)
+}
+
+// NextAt returns when the rate of the server allows the next request; now if it has no limit. Allows may
+// return false for longer if requests wait for their stages.
+func (l *Limiter) NextAt(now time.Time, server *site.Server) time.Time {
+	rate, limited := l.rate(server)
+	if !limited {
+		return now
+	}
+	a := l.getAccount(now, server)
+	a.refill(now, rate)
+	return now.Add(seconds(max(1-a.tokens, 0) / rate))
+}
+
+// PromiseReturn returns how long a caller that was refused because of the limits of the given servers
+// is to wait. Callers that are refused one after another are told to return one after another, at the
+// rate that the servers take. Without a server with a limit, limited is false.
+func (l *Limiter) PromiseReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool) {
+	var first *account
+	firstRate := 0.0
+	at := time.Time{}
+	for _, s := range servers {
+		rate, isLimited := l.rate(s)
+		if !isLimited {
+			continue
+		}
+		a := l.getAccount(now, s)
+		next := l.NextAt(now, s)
+		if a.promisedUntil.After(next) {
+			next = a.promisedUntil
+		}
+		if first == nil || next.Before(at) {
+			first, firstRate, at = a, rate, next
+		}
+	}
+	if first == nil {
+		return 0, false
+	}
+	wait = at.Sub(now)
+	if wait > maxReturnTime {
+		return maxReturnTime, true
+	}
+	first.promisedUntil = at.Add(seconds(1 / firstRate))
+	return wait, true
+}
+
+// Retain removes the limits and the accounts of all servers whose ID is not in live.
+func (l *Limiter) Retain(live map[string]bool) {
+	l.Table.Retain(live)
+	for id := range l.accounts {
+		if !live[id] {
+			delete(l.accounts, id)
+		}
+	}
+}
+
+// rate returns the rate to which requests to the server are limited.
+func (l *Limiter) rate(server *site.Server) (rate float64, limited bool) {
+	perSecond, limited := l.Find(server)
+	return max(perSecond, minRate), limited
+}
+
+// getAccount returns the account of a server. A new one has no tokens: another ingress may have
+// counted the requests before and have used them.
+func (l *Limiter) getAccount(now time.Time, server *site.Server) *account {
+	a := l.findAccount(server)
+	if a == nil {
+		a = &account{incarnation: server.Incarnation, refilledAt: now}
+		l.accounts[server.ID] = a
+	}
+	return a
+}
+
+func (l *Limiter) findAccount(server *site.Server) *account {
+	a := l.accounts[server.ID]
+	if a == nil || a.incarnation != server.Incarnation {
+		return nil
+	}
+	return a
+}
+
+// dropUnused removes an account that counts nothing.
+func (l *Limiter) dropUnused(server *site.Server, a *account) {
+	if _, limited := l.rate(server); !limited && a.unsent == 0 {
+		delete(l.accounts, server.ID)
+	}
+}
+
+// endReservation drops the oldest reservation and reports whether it took a token.
+func (a *account) endReservation() (charged bool) {
+	a.unsent = max(a.unsent-1, 0)
+	if a.uncharged > 0 {
+		a.uncharged--
+		return false
+	}
+	return true
+}
+
+func (a *account) refill(now time.Time, rate float64) {
+	elapsed := max(now.Sub(a.refilledAt), 0)
+	a.tokens = min(a.tokens+rate*elapsed.Seconds(), burst(rate))
+	a.refilledAt = now
+}
+
+// burst returns the number of requests that may be sent at once.
+func burst(rate float64) float64 { return max(minBurst, rate*burstTime.Seconds()) }
+
+// seconds converts a number of seconds to a duration.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/share/decide/quota/table.go
+++ b/share/decide/quota/table.go
@@ -1,80 +1,155 @@
 // Package quota keeps the requests of all ingresses within the rate that a backend server states in
 // its answers.
+//
+// Each ingress learns of a limit from the answers that it receives itself and from the other
+// ingresses. The requests to a server are counted by one ingress, so that the limit holds for all of
+// them together: the one that places the requests of the server's service, or that batches its calls.
 package quota
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"verbenaroad.example/share/models/site"
 )
 
+// Statement is what one ingress tells another about the limit of one start of a server.
+type Statement struct {
+	ServerID    string
+	Incarnation int64
+	// Limited is false if the server has withdrawn its limit.
+	Limited bool
+	// PerSecond is the rate in requests per second from all ingresses together; 0 if not Limited.
+	PerSecond float64
+	// Version increases with each change that an ingress observes in the server's answers.
+	Version uint64
+}
+
 // Table holds the rate limits that backend servers have stated. It is not safe for concurrent use.
 type Table struct {
 	// entries is keyed by server ID. A server that never stated a limit has none.
 	entries map[string]*entry
 }
 
-// entry is what is known about the limit of one start of a server.
+// entry is the newest known statement about a server.
 type entry struct {
-	incarnation int64
-	limited     bool
-	// perSecond is the stated rate; 0 if the server is not limited.
-	perSecond float64
-	// heardAt is when an answer stated or withdrew the limit last.
-	heardAt time.Time
+	Statement
+	// spreadUntil is until when a withdrawn limit is passed on to other ingresses.
+	spreadUntil time.Time
 }
 
+// spreadTime is how long a withdrawn limit is passed on. Limits that are in force always are.
+const spreadTime = 10 * time.Second
+
 // NewTable returns a table without limits.
 func NewTable() *Table { return &Table{entries: map[string]*entry{}} }
 
-// maxEntries limits the size of a table. The entry that was not heard of for the longest time makes
-// room for a new one.
-const maxEntries = 4096
-
 // Observe records what an answer of a server states about its rate. It returns true if the known
 // limit of the server has changed. An unreadable limit changes nothing: the server is limited, but
 // the rate that it takes is not known.
-func (t *Table) Observe(now time.Time, server site.Server, stated site.RateLimit) (changed bool) {
+func (t *Table) Observe(now time.Time, server *site.Server, stated site.RateLimit) (changed bool) {
 	if stated.State == site.RateUnreadable {
 		return false
 	}
 	limited := stated.State == site.RateLimited
-	e := t.entries[server.ID]
-	if e == nil && !limited {
+	old := t.entries[server.ID]
+	known := old != nil && old.Incarnation == server.Incarnation
+	if !known && !limited || known && old.Limited == limited && old.PerSecond == stated.PerSecond {
 		return false
 	}
-	if e == nil || e.incarnation != server.Incarnation {
-		e = &entry{incarnation: server.Incarnation}
-		t.add(server.ID, e)
+	version := uint64(1)
+	if known {
+		version = old.Version + 1
 	}
-	changed = e.limited != limited || e.perSecond != stated.PerSecond
-	e.limited, e.perSecond, e.heardAt = limited, stated.PerSecond, now
-	return changed
+	t.set(now, Statement{
+		ServerID: server.ID, Incarnation: server.Incarnation, Limited: limited, PerSecond: stated.PerSecond, Version: version,
+	})
+	return true
 }
 
-func (t *Table) add(id string, e *entry) {
-	if t.entries[id] == nil && len(t.entries) >= maxEntries {
-		t.evictOldest()
+// Merge records what another ingress states about a server. It returns true if the known limit of
+// the server has changed.
+func (t *Table) Merge(now time.Time, s Statement) (changed bool) {
+	if math.IsNaN(s.PerSecond) || math.IsInf(s.PerSecond, 0) || s.PerSecond < 0 {
+		return false
 	}
-	t.entries[id] = e
+	old := t.entries[s.ServerID]
+	if old == nil {
+		t.set(now, s)
+		return s.Limited
+	}
+	switch compareStatements(s, old.Statement) {
+	case 0:
+		return false
+	case -1:
+		old.spreadUntil = now.Add(spreadTime) // the other ingress has missed the newer one
+		return false
+	}
+	changed = old.Incarnation != s.Incarnation || old.Limited != s.Limited || old.PerSecond != s.PerSecond
+	t.set(now, s)
+	return changed
 }
 
-func (t *Table) evictOldest() {
-	oldest := ""
-	for id, e := range t.entries {
-		if oldest == "" || e.heardAt.Before(t.entries[oldest].heardAt) {
-			oldest = id
-		}
+func (t *Table) set(now time.Time, s Statement) {
+	t.entries[s.ServerID] = &entry{Statement: s, spreadUntil: now.Add(spreadTime)}
+}
+
+// compareStatements returns -1, 0 or 1 if a is to be superseded by b, equals it, or supersedes it. Of
+// two different statements with the same version, the stricter one holds until the next answer.
+func compareStatements(a, b Statement) int {
+	if c := cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Version, b.Version)); c != 0 {
+		return c
+	}
+	switch {
+	case a.Limited && !b.Limited:
+		return 1
+	case b.Limited && !a.Limited:
+		return -1
+	default:
+		return cmp.Compare(b.PerSecond, a.PerSecond)
 	}
-	delete(t.entries, oldest)
 }
 
 // Find returns the requests per second that a server takes from all ingresses together. If the
 // server has not stated a limit since its start, or has withdrawn it, limited is false.
-func (t *Table) Find(server site.Server) (perSecond float64, limited bool) {
+func (t *Table) Find(server *site.Server) (perSecond float64, limited bool) {
 	e := t.entries[server.ID]
-	if e == nil || !e.limited || e.incarnation != server.Incarnation {
+	if e == nil || !e.Limited || e.Incarnation != server.Incarnation {
 		return 0, false
 	}
-	return e.perSecond, true
+	return e.PerSecond, true
+}
+
+// HasLimits reports whether any server has a limit.
+func (t *Table) HasLimits() bool {
+	for _, e := range t.entries {
+		if e.Limited {
+			return true
+		}
+	}
+	return false
+}
+
+// Statements returns what other ingresses are to be told, ordered by server ID: the limits in force
+// and those that were withdrawn a short time ago.
+func (t *Table) Statements(now time.Time) []Statement {
+	list := []Statement{}
+	for _, e := range t.entries {
+		if e.Limited || now.Before(e.spreadUntil) {
+			list = append(list, e.Statement)
+		}
+	}
+	slices.SortFunc(list, func(a, b Statement) int { return cmp.Compare(a.ServerID, b.ServerID) })
+	return list
+}
+
+// Retain removes the limits of all servers whose ID is not in live.
+func (t *Table) Retain(live map[string]bool) {
+	for id := range t.entries {
+		if !live[id] {
+			delete(t.entries, id)
+		}
+	}
 }
