limits: plain servers receive no more requests than they state that they take

What is seen: a plain server that stated 2 requests a second got 1,392 in 4 s from three ingresses, 17 allowed (TestStatedRateOfPlainServerIsKept).

Cause: as for engines, no decision knew of the stated rate. Besides, each ingress chooses plain servers by itself, so that each one keeping to the rate would let N times the rate through.

Fix: the placer of the service counts the requests to its plain servers with a rate as well, in the same buckets. An ingress asks it for each request that it would send to such a server. A server that is not granted is deferred until the time that the placer names, and the next best one is chosen; if there is none, the caller is refused at once with that time.

Why it holds: one ingress counts, whoever sends. An ingress that cannot reach it leaves such servers alone. Weighed: a share of the rate for each ingress, as for cold servers; at 1 request a second most ingresses would have none and would refuse their callers while others idle.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -153,7 +153,7 @@
 	i.flow = flow.NewServer(flow.Options{
 		Views: i.book, Sender: client, StageRunner: i.producer, EnginePlacer: i.dispatcher, Screen: i.screen, Meter: i.meters, Log: i.log,
 		Domain: s.Place.Domain, Region: s.Place.Region, Regions: s.Place.Regions, Retries: s.Repeats.Settings,
-		Cold: s.Cold.Settings, Limits: i.limits, Peers: i.mesh,
+		Cold: s.Cold.Settings, Peers: i.mesh, Limits: i.limits, Admitter: i.dispatcher,
 	})
 }
 
--- a/ingress/services/assign/dispatcher.go
+++ b/ingress/services/assign/dispatcher.go
@@ -186,6 +186,10 @@
 // ServeAssign places a request for another ingress and records its progress until the request or
 // the stream ends.
 func (d *Dispatcher) ServeAssign(stream net.Conn, reader *wire.Reader, a *wire.Assign) {
+	if a.GetServerId() != "" {
+		d.serveAdmit(stream, a)
+		return
+	}
 	d.placer.MergeHints(a.GetService(), decodeHints(a))
 	reservation, retryAfter := d.placer.Place(a.GetService(), decodeQuery(a))
 	answer := &wire.Assigned{RetryAfterNanos: int64(retryAfter)}
--- a/ingress/services/assign/placer.go
+++ b/ingress/services/assign/placer.go
@@ -8,6 +8,7 @@
 	"verbenaroad.example/share/decide/cold"
 	"verbenaroad.example/share/decide/place"
 	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/wire"
 )
 
 // Limits limits the requests to servers that state a rate. It counts them for all ingresses.
@@ -16,6 +17,13 @@
 	// PromiseReturn returns how long a caller that was refused because of the limits of the given
 	// servers is to wait.
 	PromiseReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool)
+	// Take counts a request that is sent at once. If the limit does not allow it, Take returns how
+	// long to wait before the next attempt.
+	Take(now time.Time, server *site.Server) (granted bool, retryAfter time.Duration)
+	// Statement returns what is known about the limit of a server; nil: nothing. Merge records what
+	// another ingress knows.
+	Statement(server *site.Server) *wire.RateLimit
+	Merge(ingress string, statements []*wire.RateLimit)
 }
 
 // Placer places requests at the engines of all services. It is safe for concurrent use.
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -57,6 +57,13 @@
 	Find(server *site.Server) (perSecond float64, limited bool)
 }
 
+// Admitter admits requests to plain servers that state a rate.
+type Admitter interface {
+	// Admit asks for one request that is sent at once. If it is not granted, Admit returns how long
+	// to wait before the server is asked for again.
+	Admit(ctx context.Context, server site.Server) (granted bool, retryAfter time.Duration)
+}
+
 // Peers lists the ingresses that can be reached.
 type Peers interface {
 	// Rank orders the names of the ingresses by their score for a key.
@@ -101,8 +108,10 @@
 	// Retries is the retry budget. Cold limits the requests to a cold server.
 	Retries budget.Settings
 	Cold    cold.Settings
-	Limits  RateLimits
 	Peers   Peers
+	// Limits holds the rates that servers state. Admitter admits requests to such servers.
+	Limits   RateLimits
+	Admitter Admitter
 }
 
 // Server serves requests. It is safe for concurrent use.
@@ -120,6 +129,8 @@
 type serviceState struct {
 	chooser *place.Chooser
 	retries *budget.Budget
+	// deferred holds, by ID, the servers whose rate limit did not allow a request.
+	deferred map[string]deferral
 }
 
 // NewServer returns a server without backend servers.
@@ -154,7 +165,9 @@
 func (s *Server) getService(service string) *serviceState {
 	p := s.services[service]
 	if p == nil {
-		p = &serviceState{chooser: place.NewChooser(s.options.Regions), retries: budget.NewBudget(s.options.Retries)}
+		p = &serviceState{
+			chooser: place.NewChooser(s.options.Regions), retries: budget.NewBudget(s.options.Retries), deferred: map[string]deferral{},
+		}
 		s.services[service] = p
 	}
 	return p
@@ -284,21 +297,6 @@
 // remaining returns the time until the deadline of the request.
 func (x *exchange) remaining() time.Duration { return time.Until(x.deadline) }
 
-// pick chooses the next backend server of a plain service and records that the request is sent to
-// it.
-func (x *exchange) pick() (site.Server, bool) {
-	s := x.server
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	p := s.getService(x.service)
-	now := time.Now()
-	server, found := p.chooser.Pick(now, x.newQuery())
-	if found {
-		p.chooser.Start(now, server.ID)
-	}
-	return server, found
-}
-
 func (x *exchange) newQuery() place.Query {
 	return place.Query{
 		Domain:    x.server.options.Domain,
--- /dev/null
+++ b/ingress/services/flow/pick.go
@@ -0,0 +1,106 @@
+package flow
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"verbenaroad.example/share/models/site"
+)
+
+// pick chooses the next backend server of a plain service and records that the request is sent to
+// it. A server with a rate limit is used only if it is granted; otherwise the next best one is chosen.
+func (x *exchange) pick(ctx context.Context) (site.Server, bool) {
+	for {
+		server, found := x.choose()
+		if !found {
+			return site.Server{}, false
+		}
+		if x.isGranted(ctx, server) {
+			x.start(server)
+			return server, true
+		}
+	}
+}
+
+// deferral is a server that is not asked for until a point in time, because its rate limit did not
+// allow a request.
+type deferral struct {
+	server site.Server
+	until  time.Time
+}
+
+// choose returns the best server of a plain service that is not deferred.
+func (x *exchange) choose() (site.Server, bool) {
+	s := x.server
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	p := s.getService(x.service)
+	now := time.Now()
+	q := x.newQuery()
+	q.Exclude = append(slices.Clone(q.Exclude), x.listDeferred(now, p)...)
+	return p.chooser.Pick(now, q)
+}
+
+// listDeferred returns the IDs of the servers that are deferred, and sets limitWait to the time until
+// the first of them may take the request. The caller holds the lock of the server.
+func (x *exchange) listDeferred(now time.Time, p *serviceState) []string {
+	x.limitWait = 0
+	ids := []string{}
+	for id, d := range p.deferred {
+		if _, limited := x.server.options.Limits.Find(&d.server); !limited || !now.Before(d.until) {
+			delete(p.deferred, id)
+			continue
+		}
+		ids = append(ids, id)
+		if slices.Contains(x.tried, id) || !x.residency().Allows(x.server.options.Regions[d.server.Domain]) {
+			continue
+		}
+		if wait := d.until.Sub(now); x.limitWait == 0 || wait < x.limitWait {
+			x.limitWait = wait
+		}
+	}
+	return ids
+}
+
+// isGranted reports whether a request may be sent to a server now. A server whose rate limit does not
+// allow it is deferred.
+func (x *exchange) isGranted(ctx context.Context, server site.Server) bool {
+	if _, limited := x.server.options.Limits.Find(&server); !limited {
+		return true
+	}
+	granted, retryAfter := x.server.options.Admitter.Admit(ctx, server)
+	if granted {
+		return true
+	}
+	s := x.server
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.getService(x.service).deferred[server.ID] = deferral{server: server, until: time.Now().Add(max(retryAfter, minDeferral))}
+	return false
+}
+
+// minDeferral is the shortest time for which a server is deferred.
+const minDeferral = 50 * time.Millisecond
+
+func (x *exchange) start(server site.Server) {
+	s := x.server
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.getService(x.service).chooser.Start(time.Now(), server.ID)
+}
+
+// maxShownLimits limits how many rate limits the reason of a refusal names.
+const maxShownLimits = 3
+
+// listLimits returns the servers that state a rate, each with its requests per second.
+func (x *exchange) listLimits(servers []site.Server) []string {
+	limits := []string{}
+	for _, s := range servers {
+		if perSecond, limited := x.server.options.Limits.Find(&s); limited {
+			limits = append(limits, fmt.Sprintf("%s=%g/s", s.ID, perSecond))
+		}
+	}
+	return limits
+}
--- /dev/null
+++ b/ingress/services/flow/pick_test.go
@@ -0,0 +1,129 @@
+package flow_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"verbenaroad.example/ingress/services/flow"
+	"verbenaroad.example/ingress/services/limits"
+	"verbenaroad.example/ingress/services/reach"
+	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/decide/access"
+	"verbenaroad.example/share/decide/budget"
+	"verbenaroad.example/share/models/site"
+)
+
+// orderDesk simulates two servers of a plain service and the ingress that counts the requests to those
+// with a rate limit.
+type orderDesk struct {
+	limits *limits.Registry
+	// refuses holds the servers that are not granted, with the time after which to ask again.
+	refuses map[string]time.Duration
+	asked   []string
+	sentTo  []string
+}
+
+func (d *orderDesk) Admit(_ context.Context, server site.Server) (bool, time.Duration) {
+	d.asked = append(d.asked, server.ID)
+	wait, refused := d.refuses[server.ID]
+	return !refused, wait
+}
+
+func (d *orderDesk) Send(_ context.Context, r reach.Request) (*reach.Reply, error) {
+	d.sentTo = append(d.sentTo, r.Server.ID)
+	answer := site.Answer{Status: http.StatusOK, Signed: true, AttemptID: r.UpstreamHeaders.AttemptID, Header: http.Header{}}
+	return &reach.Reply{Answer: answer, Body: io.NopCloser(strings.NewReader("ok")), Length: 2}, nil
+}
+
+func (*orderDesk) Preconnect(netip.AddrPort) {}
+
+func newOrderDesk() *orderDesk {
+	return &orderDesk{limits: newLimits(), refuses: map[string]time.Duration{}}
+}
+
+// newOrders returns a function that serves one order.
+func (d *orderDesk) newOrders() func() *httptest.ResponseRecorder {
+	route := site.Route{
+		Name: "orders", Kind: site.KindOnce, Timeout: time.Second, LatencyTarget: 300 * time.Millisecond, MaxAttempts: 1,
+		Backends: []site.Backend{{Service: "desk", Weight: 1}},
+	}
+	view := &state.View{
+		Table:   access.NewTable(&site.Config{Version: 1, Routes: []site.Route{route}, Services: []site.Service{{Name: "desk"}}}),
+		Servers: map[string][]site.Server{"desk": {newEngine("a", "n1", "10.0.0.8:1"), newEngine("b", "s1", "10.0.0.9:1")}},
+	}
+	server := flow.NewServer(flow.Options{
+		Views: fixedView{view}, Sender: d, Screen: &fakeScreen{}, Meter: noMeter{}, Log: zap.NewNop(), Domain: "n1", Region: "north", Regions: regions,
+		Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second}, Limits: d.limits, Admitter: d,
+	})
+	server.SetView(view)
+	return func() *httptest.ResponseRecorder {
+		answer := httptest.NewRecorder()
+		server.Serve(context.Background(), answer, &flow.Request{
+			Request: site.Request{AttemptID: "a", CallerTimeout: time.Second}, Method: http.MethodPost, Target: "/", Arrived: time.Now(),
+			Header: http.Header{}, Decision: access.Decision{Verdict: access.Granted, Route: &route}, View: view,
+		})
+		return answer
+	}
+}
+
+// Guards against a plain server in need receiving a request that the ingress which counts them has not
+// granted, and against asking for that server again with each request.
+func TestServerThatIsNotGrantedIsDeferred(t *testing.T) {
+	is := is.New(t)
+	d := newOrderDesk()
+	order := d.newOrders()
+	is.Equal(order().Code, http.StatusOK)
+	is.Equal(d.sentTo, []string{"a"}) // the closer one
+	is.Equal(len(d.asked), 0)         // it has no limit
+	d.limits.ObserveAnswer(site.Server{ID: "a"}, newLimitAnswer(1))
+	is.Equal(order().Code, http.StatusOK)
+	is.Equal(d.sentTo, []string{"a", "a"})
+	d.refuses["a"] = time.Minute
+	for range 3 {
+		is.Equal(order().Code, http.StatusOK)
+	}
+	is.Equal(d.sentTo, []string{"a", "a", "b", "b", "b"})
+	is.Equal(d.asked, []string{"a", "a"})
+}
+
+// Guards against a request that waits although no server may receive it, and against a refusal that
+// does not state when to return.
+func TestRequestThatNoServerIsGrantedForIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newOrderDesk()
+	order := d.newOrders()
+	for _, id := range []string{"a", "b"} {
+		d.limits.ObserveAnswer(site.Server{ID: id}, newLimitAnswer(0.5))
+	}
+	d.refuses["a"], d.refuses["b"] = 3*time.Second, 2*time.Second
+	answer := order()
+	is.Equal(answer.Code, http.StatusServiceUnavailable)
+	is.Equal(answer.Header().Get("Retry-After"), "2.00")
+	is.True(strings.Contains(answer.Body.String(), "2 with a rate limit: a=0.5/s,b=0.5/s"))
+	is.Equal(len(d.sentTo), 0)
+}
+
+// Guards against a server that is left alone after it has withdrawn its limit.
+func TestDeferralEndsWithTheLimit(t *testing.T) {
+	is := is.New(t)
+	d := newOrderDesk()
+	order := d.newOrders()
+	is.Equal(order().Code, http.StatusOK)
+	d.limits.ObserveAnswer(site.Server{ID: "a"}, newLimitAnswer(1))
+	d.refuses["a"] = time.Minute
+	is.Equal(order().Code, http.StatusOK)
+	is.Equal(d.sentTo, []string{"a", "b"})
+	d.limits.ObserveAnswer(site.Server{ID: "a"}, site.Answer{Status: http.StatusOK, Signed: true})
+	is.Equal(order().Code, http.StatusOK)
+	is.Equal(d.sentTo, []string{"a", "b", "a"})
+	is.Equal(d.asked, []string{"a"})
+}
--- a/ingress/services/flow/places.go
+++ b/ingress/services/flow/places.go
@@ -75,17 +75,3 @@
 	}
 	return detail
 }
-
-// maxShownLimits limits how many rate limits the reason of a refusal names.
-const maxShownLimits = 3
-
-// listLimits returns the servers that state a rate, each with its requests per second.
-func (x *exchange) listLimits(servers []site.Server) []string {
-	limits := []string{}
-	for _, s := range servers {
-		if perSecond, limited := x.server.options.Limits.Find(&s); limited {
-			limits = append(limits, fmt.Sprintf("%s=%g/s", s.ID, perSecond))
-		}
-	}
-	return limits
-}
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -49,7 +49,7 @@
 		if quarantined := x.refuseQuarantined(); quarantined != nil {
 			return quarantined
 		}
-		server, found := x.pick()
+		server, found := x.pick(ctx)
 		if !found {
 			return x.refuseNoServer()
 		}
--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -136,6 +136,20 @@
 	r.limiter.Cancel(now, server)
 }
 
+// Take counts a request that is sent to the server at once. If the limit does not allow it, Take
+// returns how long to wait before the next attempt.
+func (r *Registry) Take(now time.Time, server *site.Server) (granted bool, retryAfter time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if !r.limiter.Allows(now, server) {
+		retryAfter, _ = r.limiter.PromiseReturn(now, []*site.Server{server})
+		return false, retryAfter
+	}
+	r.limiter.Reserve(now, server)
+	r.limiter.MarkSent(server)
+	return true, 0
+}
+
 // PromiseReturn returns how long a caller that was refused because of the limits of the given servers
 // is to wait.
 func (r *Registry) PromiseReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool) {
--- a/ingress/services/limits/spread.go
+++ b/ingress/services/limits/spread.go
@@ -26,13 +26,29 @@
 	}
 	messages := make([]*wire.RateLimit, 0, len(list))
 	for _, s := range list {
-		messages = append(messages, &wire.RateLimit{
-			ServerId: s.ServerID, Incarnation: s.Incarnation, Limited: s.Limited, PerSecond: s.PerSecond, Version: s.Version,
-		})
+		messages = append(messages, encodeStatement(s))
 	}
 	return messages
 }
 
+// Statement returns what other ingresses are told about the limit of one server, or nil if none is
+// known.
+func (r *Registry) Statement(server *site.Server) *wire.RateLimit {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	s, known := r.limiter.FindStatement(server)
+	if !known {
+		return nil
+	}
+	return encodeStatement(s)
+}
+
+func encodeStatement(s quota.Statement) *wire.RateLimit {
+	return &wire.RateLimit{
+		ServerId: s.ServerID, Incarnation: s.Incarnation, Limited: s.Limited, PerSecond: s.PerSecond, Version: s.Version,
+	}
+}
+
 // Merge records what a heartbeat of another ingress tells about the limits of servers. Statements
 // about servers that are not in the view are ignored.
 func (r *Registry) Merge(ingress string, messages []*wire.RateLimit) {
--- a/proofs/hosted/limits_test.go
+++ b/proofs/hosted/limits_test.go
@@ -38,8 +38,10 @@
 	lock sync.Mutex
 	// answers counts the answers by status; 0 stands for those that are missing or incomplete.
 	answers map[int]int
-	// slowest is the time of the slowest answer with status 503.
-	slowest time.Duration
+	// slowest is the time of the slowest answer with status 503. unusable counts those that do not state
+	// when to return, or whose request has run.
+	slowest  time.Duration
+	unusable int
 }
 
 // startLoad sends requests from n callers at each ingress, each of which sends one after the other.
@@ -62,15 +64,16 @@
 			return
 		default:
 		}
-		a := i.send(context.Background(), l.newRequest())
-		l.record(a)
+		q := l.newRequest()
+		a := i.send(context.Background(), q)
+		l.record(q, a)
 		if a.status != http.StatusOK {
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
 }
 
-func (l *load) record(a answer) {
+func (l *load) record(q request, a answer) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	status := a.status
@@ -78,8 +81,12 @@
 		status = 0
 	}
 	l.answers[status]++
-	if status == http.StatusServiceUnavailable {
-		l.slowest = max(l.slowest, a.took)
+	if status != http.StatusServiceUnavailable {
+		return
+	}
+	l.slowest = max(l.slowest, a.took)
+	if a.header.Get("Retry-After") == "" || len(l.deployment.Runs(q.id)) > 0 {
+		l.unusable++
 	}
 }
 
@@ -195,3 +202,34 @@
 		})
 	}
 }
+
+// Guards against callers that wait although all servers of a service have received what they take, and
+// against refusals that do not state when to return or whose requests run later.
+func TestRequestsBeyondAllStatedRatesAreRefusedAtOnce(t *testing.T) {
+	for target, pick := range map[string]func(*deployment) []*hosted.Server{
+		"/order/1":  func(d *deployment) []*hosted.Server { return d.plainServers },
+		"/advice/1": func(d *deployment) []*hosted.Server { return d.engines },
+	} {
+		t.Run(target, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t, 3)
+			servers := pick(d)
+			for _, s := range servers {
+				s.SetHeader(limitHeader, statedText)
+			}
+			l := d.startLoad(4, func() request { return newRequest(target) })
+			time.Sleep(limitSettleTime)
+			since := time.Now()
+			time.Sleep(limitWindow + time.Second)
+			for _, s := range servers {
+				checkStatedRate(t, s, since)
+			}
+			answers := l.end()
+			is.True(answers[http.StatusOK] > 0)
+			is.True(answers[http.StatusServiceUnavailable] > 0)
+			is.Equal(len(answers), 2)
+			is.Equal(l.unusable, 0)
+			is.True(l.slowest < time.Second)
+		})
+	}
+}
--- a/share/decide/quota/table.go
+++ b/share/decide/quota/table.go
@@ -115,11 +115,17 @@
 // Find returns the requests per second that a server takes from all ingresses together. If the
 // server has not stated a limit since its start, or has withdrawn it, limited is false.
 func (t *Table) Find(server *site.Server) (perSecond float64, limited bool) {
+	s, known := t.FindStatement(server)
+	return s.PerSecond, known && s.Limited
+}
+
+// FindStatement returns the newest statement about a server.
+func (t *Table) FindStatement(server *site.Server) (s Statement, known bool) {
 	e := t.entries[server.ID]
-	if e == nil || !e.Limited || e.Incarnation != server.Incarnation {
-		return 0, false
+	if e == nil || e.Incarnation != server.Incarnation {
+		return Statement{}, false
 	}
-	return e.PerSecond, true
+	return e.Statement, true
 }
 
 // HasLimits reports whether any server has a limit.
