limits: pool servers receive no more calls than they state that they take

What is seen: a pool server that stated 2 requests a second got 117 calls in 4 s, 17 allowed (TestStatedRateOfPoolServerIsKept).

Cause: as for engines, no decision knew of the stated rate: the planner sends the next call when the last one ends. Releases of results went to the same servers beside the calls, up to one each 10 ms.

Fix: the planner leaves servers out whose rate does not allow a call, works out its backlog and waits with that rate, and does not let a job wait for the server of its own domain while that one takes none. Releases to such a server are gathered for a second and count like calls; they name the server, so that their answers are observed like all others.

Why it holds: one ingress batches for a queue and counts there, in the same registry that observes the answers. After a change of the batcher the new one starts without tokens.

--- a/fakes/services/hosted/arrivals.go
+++ b/fakes/services/hosted/arrivals.go
@@ -21,14 +21,15 @@
 	s.header = header
 }
 
-// Arrivals returns when requests and pool calls arrived, including those that the server refused.
+// Arrivals returns when requests, pool calls and releases of results arrived, including those that the
+// server refused.
 func (s *Server) Arrivals() []time.Time {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	return slices.Clone(s.arrivals)
 }
 
-// arrive records a request or pool call, and sets the headers of its answer.
+// arrive records a request, and sets the additional headers of its answer.
 func (s *Server) arrive(w http.ResponseWriter) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -91,10 +91,10 @@
 	// restarts is the number of restarts; the registered incarnation is derived from it.
 	restarts int64
 	faults   []Fault
-	// header holds additional headers of every answer to a request or pool call.
+	// header holds additional headers of every answer.
 	header http.Header
 	runs   []Run
-	// arrivals holds when requests and pool calls arrived, without releases of results.
+	// arrivals holds when requests, pool calls and releases of results arrived.
 	arrivals []time.Time
 	running  int
 	// busy is set while a pool call runs; waiting is the number of pool calls that wait for it.
@@ -228,14 +228,14 @@
 	if err != nil {
 		return
 	}
-	if r.URL.Path == "/api/stage-free" {
-		s.serveFree(w, body)
-		return
-	}
 	s.arrive(w)
-	if r.URL.Path == "/api/stage-run" {
+	switch r.URL.Path {
+	case "/api/stage-run":
 		s.serveRun(w, r, body)
 		return
+	case "/api/stage-free":
+		s.serveFree(w, body)
+		return
 	}
 	fault := s.takeFault()
 	w.Header().Set("X-Verbenaroad-Attempt-Id", r.Header.Get("X-Verbenaroad-Attempt-Id"))
--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -115,6 +115,16 @@
 	return r.limiter.Allows(now, server)
 }
 
+// NextAt returns when the rate of the server allows the next request.
+func (r *Registry) NextAt(now time.Time, server *site.Server) time.Time {
+	if !r.hasLimits.Load() {
+		return now
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.limiter.NextAt(now, server)
+}
+
 // Reserve counts a request that is to be sent to the server.
 func (r *Registry) Reserve(now time.Time, server *site.Server) {
 	r.lock.Lock()
--- a/ingress/services/reach/reach.go
+++ b/ingress/services/reach/reach.go
@@ -171,19 +171,14 @@
 
 // Do sends a request that an adapter has built for a server, on a connection of its own.
 func (c *Client) Do(server site.Server, r *http.Request) (*http.Response, error) {
-	c.rates.ObserveSend(server, "")
-	response, err := c.singleUse.RoundTrip(r)
-	if err != nil {
-		return nil, err
-	}
-	c.rates.ObserveAnswer(server, c.codec.ReadAnswer(response.StatusCode, response.Header))
-	return response, nil
+	return c.roundTrip(c.singleUse, server, r)
 }
 
-// DoIdempotent sends an idempotent request that an adapter has built, on a reused connection if
-// there is one. If that fails before the context ends, it retries once on a connection of its own.
-func (c *Client) DoIdempotent(r *http.Request) (*http.Response, error) {
-	response, err := c.keepAlive.RoundTrip(r)
+// DoIdempotent sends an idempotent request that an adapter has built for a server, on a reused
+// connection if there is one. If that fails before the context ends, it retries once on a connection
+// of its own.
+func (c *Client) DoIdempotent(server site.Server, r *http.Request) (*http.Response, error) {
+	response, err := c.roundTrip(c.keepAlive, server, r)
 	if err == nil || r.Context().Err() != nil || r.GetBody == nil {
 		return response, err
 	}
@@ -192,7 +187,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.singleUse.RoundTrip(retry)
+	return c.roundTrip(c.singleUse, server, retry)
+}
+
+// roundTrip sends a request that an adapter has built, and observes it and its answer.
+func (c *Client) roundTrip(transport *http.Transport, server site.Server, r *http.Request) (*http.Response, error) {
+	c.rates.ObserveSend(server, "")
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	c.rates.ObserveAnswer(server, c.codec.ReadAnswer(response.StatusCode, response.Header))
+	return response, nil
 }
 
 // Send makes one attempt. When the context ends, the connection is closed, which makes most backend
--- a/ingress/services/stages/batcher.go
+++ b/ingress/services/stages/batcher.go
@@ -28,8 +28,9 @@
 type Pools interface {
 	// Produce sends one call with the given items to a server.
 	Produce(ctx context.Context, server site.Server, items []site.Item) (site.BatchAnswer, error)
-	// Release releases results at the server that holds them.
-	Release(ctx context.Context, holder netip.AddrPort, handles []string) error
+	// Release releases results at the server that holds them. Of a server that is not known any more
+	// only the address is set.
+	Release(ctx context.Context, holder site.Server, handles []string) error
 	// Preconnect opens a connection in advance, for the next call to a server.
 	Preconnect(server site.Server)
 	// ReadHolder returns the address of the server that holds a result.
@@ -47,6 +48,8 @@
 	Meter Meter
 	// Retries limits how many calls are retried.
 	Retries budget.Settings
+	// Limits limits the calls and releases to servers that state a rate.
+	Limits batch.Limiter
 	// Regions maps failure domains to their regions; Region is the region of this ingress.
 	Regions map[string]string
 	Region  string
@@ -64,6 +67,8 @@
 	tickInterval = 5 * time.Millisecond
 	// releaseInterval is how long handles are gathered, so that one call releases many of them.
 	releaseInterval = 10 * time.Millisecond
+	// limitedReleaseInterval is the same for a server with a rate limit, which counts releases too.
+	limitedReleaseInterval = time.Second
 	// releaseTimeout limits the duration of a release call. If the call fails, the server removes
 	// the results by itself a few seconds later.
 	releaseTimeout = 2 * time.Second
@@ -79,13 +84,23 @@
 	// queues is keyed by queue name, budgets by service.
 	queues  map[string]*jobQueue
 	budgets map[string]*budget.Budget
-	// toRelease holds the handles of the next release by the server that holds their results.
-	toRelease map[netip.AddrPort][]queueHandle
+	// toRelease holds the releases that are gathered, by the address of the server that holds the
+	// results.
+	toRelease map[netip.AddrPort]*release
+	// servers holds the servers that produce results by their addresses.
+	servers map[netip.AddrPort]site.Server
 	// ingresses is the highest number of registered ingresses in any view so far.
 	ingresses int
 	lastJobID uint64
 }
 
+// release is a call that lets a server discard results.
+type release struct {
+	handles []queueHandle
+	// since is when the first of the handles was added.
+	since time.Time
+}
+
 // queueHandle is the handle of a result that was produced by a queue.
 type queueHandle struct {
 	queue  string
@@ -102,7 +117,7 @@
 
 // NewBatcher returns a Batcher without servers.
 func NewBatcher(options BatcherOptions) *Batcher {
-	return &Batcher{options: options, queues: map[string]*jobQueue{}, budgets: map[string]*budget.Budget{}, toRelease: map[netip.AddrPort][]queueHandle{}}
+	return &Batcher{options: options, queues: map[string]*jobQueue{}, budgets: map[string]*budget.Budget{}, toRelease: map[netip.AddrPort]*release{}, servers: map[netip.AddrPort]site.Server{}}
 }
 
 // Start starts the goroutines of the batcher. They run until the context ends.
@@ -130,10 +145,14 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	b.ingresses = max(b.ingresses, len(v.Ingresses))
+	b.servers = map[netip.AddrPort]site.Server{}
 	for _, s := range v.Table.Config().Services {
 		if s.Pool == nil {
 			continue
 		}
+		for _, server := range v.Servers[s.Name] {
+			b.servers[server.Address] = server
+		}
 		b.setServers(s, shard.QueueName(s.Name, ""), v.Servers[s.Name])
 		for region, servers := range shard.GroupByRegion(v.Servers[s.Name], b.options.Regions) {
 			b.setServers(s, shard.QueueName(s.Name, region), servers)
@@ -163,6 +182,7 @@
 	planner := batch.NewPlanner(*s.Pool, b.options.Regions, func(now time.Time, n int) bool {
 		return retryBudget.TakeRetries(now, n, b.ingresses)
 	})
+	planner.SetLimiter(b.options.Limits)
 	return &jobQueue{planner: planner, retryBudget: retryBudget, waiters: map[uint64]chan batch.Completion{}}
 }
 
--- a/ingress/services/stages/release.go
+++ b/ingress/services/stages/release.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/pauses"
 )
@@ -26,7 +26,12 @@
 			b.options.Log.Warn("handle-unreadable", zap.String("handle", h), logs.Err(err))
 			continue
 		}
-		b.toRelease[holder] = append(b.toRelease[holder], queueHandle{queue: queue, handle: h})
+		r := b.toRelease[holder]
+		if r == nil {
+			r = &release{since: time.Now()}
+			b.toRelease[holder] = r
+		}
+		r.handles = append(r.handles, queueHandle{queue: queue, handle: h})
 	}
 }
 
@@ -34,16 +39,37 @@
 func (b *Batcher) loopRelease(ctx context.Context) {
 	for pauses.Wait(ctx, releaseInterval) {
 		b.lock.Lock()
-		toRelease := b.toRelease
-		b.toRelease = map[netip.AddrPort][]queueHandle{}
-		b.lock.Unlock()
-		for holder, queued := range toRelease {
-			go b.runRelease(ctx, holder, queued)
+		now := time.Now()
+		for address, r := range b.toRelease {
+			holder, known := b.servers[address]
+			if !known {
+				holder = site.Server{Address: address}
+			}
+			if !b.mayRelease(now, holder, r) {
+				continue
+			}
+			delete(b.toRelease, address)
+			go b.runRelease(ctx, holder, r.handles)
 		}
+		b.lock.Unlock()
+	}
+}
+
+// mayRelease reports whether a release may be sent now. Releases count against the rate limit of a
+// server like calls.
+func (b *Batcher) mayRelease(now time.Time, holder site.Server, r *release) bool {
+	if _, limited := b.options.Limits.Find(&holder); !limited {
+		return true
+	}
+	if now.Sub(r.since) < limitedReleaseInterval || !b.options.Limits.Allows(now, &holder) {
+		return false
 	}
+	b.options.Limits.Reserve(now, &holder)
+	b.options.Limits.MarkSent(&holder)
+	return true
 }
 
-func (b *Batcher) runRelease(ctx context.Context, holder netip.AddrPort, queued []queueHandle) {
+func (b *Batcher) runRelease(ctx context.Context, holder site.Server, queued []queueHandle) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	handles := make([]string, 0, len(queued))
@@ -51,7 +77,7 @@
 		handles = append(handles, h.handle)
 	}
 	if err := b.options.Pools.Release(ctx, holder, handles); err != nil {
-		b.options.Log.Info("release-failed", zap.Stringer("holder", holder), zap.Int("handles", len(handles)), logs.Err(err))
+		b.options.Log.Info("release-failed", zap.Stringer("holder", holder.Address), zap.Int("handles", len(handles)), logs.Err(err))
 	}
 	b.lock.Lock()
 	defer b.lock.Unlock()
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"verbenaroad.example/share/decide/delay"
+	"verbenaroad.example/share/decide/quota"
 	"verbenaroad.example/share/models/site"
 )
 
@@ -149,6 +150,7 @@
 	retry RetryFunc
 	// regions maps failure domains to their regions.
 	regions map[string]string
+	limiter Limiter
 	workers map[string]*worker
 	queue   []*job
 	jobs    map[uint64]*job
@@ -195,6 +197,7 @@
 		pool:     pool,
 		retry:    retry,
 		regions:  regions,
+		limiter:  quota.NewLimiter(),
 		workers:  map[string]*worker{},
 		jobs:     map[uint64]*job{},
 		calls:    map[uint64]*Call{},
--- a/share/decide/batch/fill.go
+++ b/share/decide/batch/fill.go
@@ -117,6 +117,8 @@
 	w.start(&call, d.bytes)
 	call.inputsFetchedAt = p.predictFetch(w, &call)
 	p.calls[call.ID] = &call
+	p.limiter.Reserve(call.started, &w.server)
+	p.limiter.MarkSent(&w.server)
 	a.Calls = append(a.Calls, call)
 }
 
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -131,13 +131,14 @@
 func (j *job) isStarted() bool { return len(j.queued) < j.Count }
 
 // chooseWorker returns the fastest idle server, or else the fastest that is about to be idle. It
-// returns nil if there is none, or if it is better to wait for a faster server that is busy.
+// returns nil if there is none, or if it is better to wait for a faster server that is busy. Servers
+// whose rate limit does not allow a call are left out.
 func (p *Planner) chooseWorker(now time.Time, skipped map[*worker]bool) *worker {
 	idle, soonIdle := []*worker{}, []*worker{}
 	fastest := math.Inf(1)
 	healthy := 0
 	for _, w := range p.ready {
-		if now.Before(w.backoffUntil) {
+		if now.Before(w.backoffUntil) || !p.limiter.Allows(now, &w.server) {
 			continue
 		}
 		healthy++
@@ -150,7 +151,7 @@
 		}
 	}
 	if healthy == 0 {
-		return p.probeWorker(skipped)
+		return p.probeWorker(now, skipped)
 	}
 	items := p.CountQueuedItems()
 	if len(idle) == 0 {
@@ -176,10 +177,10 @@
 
 // probeWorker returns the idle server whose backoff ends first. It is used when all servers are in
 // backoff: if none got work, none would be probed.
-func (p *Planner) probeWorker(skipped map[*worker]bool) *worker {
+func (p *Planner) probeWorker(now time.Time, skipped map[*worker]bool) *worker {
 	var best *worker
 	for _, w := range p.ready {
-		if w.inFlight > 0 || skipped[w] {
+		if w.inFlight > 0 || skipped[w] || !p.limiter.Allows(now, &w.server) {
 			continue
 		}
 		if best == nil || w.backoffUntil.Before(best.backoffUntil) {
@@ -236,7 +237,7 @@
 		return true
 	}
 	for _, w := range p.ready {
-		if w.server.Domain == j.Domain && !now.Before(w.backoffUntil) && !w.idleAt().After(ends) {
+		if w.server.Domain == j.Domain && !now.Before(w.backoffUntil) && !w.idleAt().After(ends) && !p.limiter.NextAt(now, &w.server).After(ends) {
 			return false
 		}
 	}
@@ -270,14 +271,15 @@
 	return b.LateWait(j.Rank)
 }
 
-// rate returns how many items per second the servers that are not in backoff process in full calls.
+// rate returns how many items per second the servers that are not in backoff process in full calls. A
+// server with a rate limit processes no more calls than that.
 func (p *Planner) rate(now time.Time) float64 {
 	rate := 0.0
 	for _, w := range p.ready {
 		if now.Before(w.backoffUntil) {
 			continue
 		}
-		rate += float64(p.pool.MaxBatch) / (p.fullCallTime().Seconds() * w.slowdown)
+		rate += float64(p.pool.MaxBatch) * p.callRate(w)
 	}
 	return rate
 }
--- a/share/decide/quota/limiter.go
+++ b/share/decide/quota/limiter.go
@@ -6,10 +6,11 @@
 	"verbenaroad.example/share/models/site"
 )
 
+// MinRate is the lowest rate in requests per second. A server that takes fewer, or none, still gets
+// this rate: only its answers can withdraw the limit.
+const MinRate = 0.1
+
 const (
-	// minRate is the lowest rate in requests per second. A server that takes fewer, or none, still
-	// gets this rate: only its answers can withdraw the limit.
-	minRate = 0.1
 	// minBurst is the smallest number of requests that may be sent at once. A server with a higher
 	// rate may get what it takes within burstTime.
 	minBurst  = 1.5
@@ -153,7 +154,7 @@
 // rate returns the rate to which requests to the server are limited.
 func (l *Limiter) rate(server *site.Server) (rate float64, limited bool) {
 	perSecond, limited := l.Find(server)
-	return max(perSecond, minRate), limited
+	return max(perSecond, MinRate), limited
 }
 
 // getAccount returns the account of a server. A new one has no tokens: another ingress may have
