limits: an ingress has one turn at a time at a plain server with a rate limit

What is seen: a plain server that took 2 requests a second got 4 in 5 s from twelve callers at three ingresses (TestStatedRateOfPlainServerIsKept in a run of the whole package; one of six runs).

Cause: requests of one ingress that were refused at the same moment were each promised a later moment, of which the ingress used one. The others passed unused while all ingresses waited.

Fix: the promise is made to the ingress, one at a time (quota.TakeTurn).

--- a/ingress/services/assign/admit.go
+++ b/ingress/services/assign/admit.go
@@ -22,12 +22,12 @@
 func (d *Dispatcher) Admit(ctx context.Context, server site.Server) (granted bool, retryAfter time.Duration) {
 	ranked := d.peers.Rank(keyPrefix + server.Service)
 	if len(ranked) == 0 || ranked[0] == d.peers.Self() {
-		return d.placer.limits.Take(time.Now(), &server)
+		return d.placer.limits.Take(time.Now(), &server, d.peers.Self())
 	}
 	ctx, cancel := context.WithTimeout(ctx, assignTimeout)
 	defer cancel()
 	assignment, err := d.peers.Assign(ctx, ranked[0], &wire.Assign{
-		Service: server.Service, ServerId: server.ID, RateLimit: d.placer.limits.Statement(&server),
+		Service: server.Service, ServerId: server.ID, RateLimit: d.placer.limits.Statement(&server), Ingress: d.peers.Self(),
 	})
 	if err != nil {
 		d.log.Warn("placer-lost", zap.String("service", server.Service), zap.String("ingress", ranked[0]), logs.Err(err))
@@ -42,9 +42,9 @@
 	answer := &wire.Assigned{RetryAfterNanos: int64(admitRetryAfter)}
 	if server, found := FindServer(d.views.View(), a.GetService(), a.GetServerId()); found {
 		if a.GetRateLimit() != nil {
-			d.placer.limits.Merge("request", []*wire.RateLimit{a.GetRateLimit()})
+			d.placer.limits.Merge(a.GetIngress(), []*wire.RateLimit{a.GetRateLimit()})
 		}
-		granted, retryAfter := d.placer.limits.Take(time.Now(), &server)
+		granted, retryAfter := d.placer.limits.Take(time.Now(), &server, a.GetIngress())
 		answer.RetryAfterNanos = int64(retryAfter)
 		if granted {
 			answer.ServerId = server.ID
--- a/ingress/services/assign/placer.go
+++ b/ingress/services/assign/placer.go
@@ -17,9 +17,9 @@
 	// PromiseReturn returns how long a caller that was refused because of the limits of the given
 	// servers is to wait.
 	PromiseReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool)
-	// Take counts a request that is sent at once. If the limit does not allow it, Take returns how
-	// long to wait before the next attempt.
-	Take(now time.Time, server *site.Server) (granted bool, retryAfter time.Duration)
+	// Take counts a request that an ingress sends at once. If the limit does not allow it, Take
+	// returns how long the ingress is to wait before it asks again.
+	Take(now time.Time, server *site.Server, ingress string) (granted bool, retryAfter time.Duration)
 	// Statement returns what is known about the limit of a server; nil: nothing. Merge records what
 	// another ingress knows.
 	Statement(server *site.Server) *wire.RateLimit
--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -146,14 +146,13 @@
 	r.limiter.Cancel(now, server)
 }
 
-// Take counts a request that is sent to the server at once. If the limit does not allow it, Take
-// returns how long to wait before the next attempt.
-func (r *Registry) Take(now time.Time, server *site.Server) (granted bool, retryAfter time.Duration) {
+// Take counts a request that an ingress sends to the server at once. If the limit does not allow it,
+// Take returns how long the ingress is to wait before it asks again.
+func (r *Registry) Take(now time.Time, server *site.Server, ingress string) (granted bool, retryAfter time.Duration) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if !r.limiter.Allows(now, server) {
-		retryAfter, _ = r.limiter.PromiseReturn(now, []*site.Server{server})
-		return false, retryAfter
+		return false, r.limiter.TakeTurn(now, server, ingress)
 	}
 	r.limiter.Reserve(now, server)
 	r.limiter.MarkSent(server)
--- a/proofs/hosted/limits_test.go
+++ b/proofs/hosted/limits_test.go
@@ -116,6 +116,7 @@
 		}
 		most = max(most, last-first)
 	}
+	t.Logf("%s received %d requests in %v, at most %d within %v", server.ID, len(arrivals), time.Since(since), most, limitWindow)
 	if most > allowed {
 		t.Errorf("%s stated %v requests per second and received %d within %v; allowed are %d", server.ID, statedRate, most, limitWindow, allowed)
 	}
--- a/share/decide/quota/limiter.go
+++ b/share/decide/quota/limiter.go
@@ -18,6 +18,8 @@
 	// unsentTime limits the reservations for requests that wait for their stages: to what the server
 	// takes within unsentTime, plus one burst. Requests that wait may all be sent at the same moment.
 	unsentTime = time.Second
+	// rounding is the error that the number of tokens may have.
+	rounding = 1e-6
 	// maxReturnTime limits how far in the future refused callers are told to return.
 	maxReturnTime = 5 * time.Second
 )
@@ -40,8 +42,11 @@
 	// counts those that took no token, because the server had no limit when they were made.
 	unsent    int
 	uncharged int
-	// promisedUntil is the time up to which the rate of the server is promised to refused callers.
+	// promisedUntil is the time up to which the rate of the server is promised: to refused callers, and
+	// to the ingresses in turns.
 	promisedUntil time.Time
+	// turns holds when each ingress that was refused may ask again.
+	turns map[string]time.Time
 }
 
 // NewLimiter returns a limiter without limits.
@@ -57,7 +62,7 @@
 	}
 	a := l.getAccount(now, server)
 	a.refill(now, rate)
-	return a.tokens >= 1 && float64(a.unsent) < rate*unsentTime.Seconds()+burst(rate)
+	return a.tokens >= 1-rounding && float64(a.unsent) < rate*unsentTime.Seconds()+burst(rate)
 }
 
 // Reserve counts a request that is to be sent to the server. Each reservation is ended by MarkSent or
@@ -113,32 +118,56 @@
 // is to wait. Callers that are refused one after another are told to return one after another, at the
 // rate that the servers take. Without a server with a limit, limited is false.
 func (l *Limiter) PromiseReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool) {
-	var first *account
-	firstRate := 0.0
+	var first *site.Server
 	at := time.Time{}
 	for _, s := range servers {
-		rate, isLimited := l.rate(s)
-		if !isLimited {
+		if _, isLimited := l.Find(s); !isLimited {
 			continue
 		}
-		a := l.getAccount(now, s)
-		next := l.NextAt(now, s)
-		if a.promisedUntil.After(next) {
-			next = a.promisedUntil
-		}
-		if first == nil || next.Before(at) {
-			first, firstRate, at = a, rate, next
+		if next := l.nextUnpromised(now, s); first == nil || next.Before(at) {
+			first, at = s, next
 		}
 	}
 	if first == nil {
 		return 0, false
 	}
-	wait = at.Sub(now)
-	if wait > maxReturnTime {
-		return maxReturnTime, true
+	return l.promise(now, first, at).Sub(now), true
+}
+
+// TakeTurn returns how long an ingress is to wait until it asks for the server again. Ingresses that
+// are refused one after another are told to ask one after another. An ingress has one turn at a time,
+// however many of its requests are refused.
+func (l *Limiter) TakeTurn(now time.Time, server *site.Server, ingress string) time.Duration {
+	a := l.getAccount(now, server)
+	if at := a.turns[ingress]; at.After(now) {
+		return at.Sub(now)
+	}
+	at := l.promise(now, server, l.nextUnpromised(now, server))
+	if a.turns == nil {
+		a.turns = map[string]time.Time{}
+	}
+	a.turns[ingress] = at
+	return at.Sub(now)
+}
+
+// nextUnpromised returns when the rate of the server allows a request beyond those that are promised.
+func (l *Limiter) nextUnpromised(now time.Time, server *site.Server) time.Time {
+	next := l.NextAt(now, server)
+	if promised := l.getAccount(now, server).promisedUntil; promised.After(next) {
+		return promised
+	}
+	return next
+}
+
+// promise promises the request that the rate of the server allows at the given time, and returns that
+// time. If it is too far in the future, promise returns an earlier time and promises nothing.
+func (l *Limiter) promise(now time.Time, server *site.Server, at time.Time) time.Time {
+	if latest := now.Add(maxReturnTime); at.After(latest) {
+		return latest
 	}
-	first.promisedUntil = at.Add(seconds(1 / firstRate))
-	return wait, true
+	rate, _ := l.rate(server)
+	l.getAccount(now, server).promisedUntil = at.Add(seconds(1 / rate))
+	return at
 }
 
 // Retain removes the limits and the accounts of all servers whose ID is not in live.
--- a/share/decide/quota/limiter_test.go
+++ b/share/decide/quota/limiter_test.go
@@ -192,3 +192,24 @@
 	})
 	is.Equal(waits[len(waits)-1], 5*time.Second)
 }
+
+// Guards against the rate of a server being promised several times to one ingress, which uses it once,
+// so that the server gets fewer requests than it takes.
+func TestIngressHasOneTurnAtATime(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	server := &site.Server{ID: "i-1"}
+	limiter := quota.NewLimiter()
+	limiter.Observe(now, server, limitOf(2))
+	for range 10 {
+		is.Equal(limiter.TakeTurn(now, server, "first"), 500*time.Millisecond)
+		is.Equal(limiter.TakeTurn(now, server, "second"), time.Second)
+	}
+	now = now.Add(500 * time.Millisecond)
+	is.True(limiter.Allows(now, server)) // the turn of the first
+	limiter.Reserve(now, server)
+	is.Equal(limiter.TakeTurn(now, server, "first"), time.Second) // after the second
+	is.Equal(limiter.TakeTurn(now, server, "second"), 500*time.Millisecond)
+	now = now.Add(500 * time.Millisecond)
+	is.True(limiter.Allows(now, server))
+}
