stages: releases to a pool server with a rate limit take no call's place

Cause: each release took the place of a call, so that such a server made half as many results as it takes calls for, and held the results that filled its memory for longer.

Change: releases are gathered for 2/(rate + 1) seconds and take no token.

--- a/ingress/services/stages/batcher.go
+++ b/ingress/services/stages/batcher.go
@@ -48,7 +48,7 @@
 	Meter Meter
 	// Retries limits how many calls are retried.
 	Retries budget.Settings
-	// Limits limits the calls and releases to servers that state a rate.
+	// Limits limits the calls to servers that state a rate.
 	Limits batch.Limiter
 	// Regions maps failure domains to their regions; Region is the region of this ingress.
 	Regions map[string]string
@@ -67,8 +67,6 @@
 	tickInterval = 5 * time.Millisecond
 	// releaseInterval is how long handles are gathered, so that one call releases many of them.
 	releaseInterval = 10 * time.Millisecond
-	// limitedReleaseInterval is the same for a server with a rate limit, which counts releases too.
-	limitedReleaseInterval = time.Second
 	// releaseTimeout limits the duration of a release call. If the call fails, the server removes
 	// the results by itself a few seconds later.
 	releaseTimeout = 2 * time.Second
--- a/ingress/services/stages/release.go
+++ b/ingress/services/stages/release.go
@@ -55,18 +55,18 @@
 	}
 }
 
-// mayRelease reports whether a release may be sent now. Releases count against the rate limit of a
-// server like calls.
+// mayRelease reports whether a release may be sent now. Releases to a server with a rate limit are
+// gathered for longer.
 func (b *Batcher) mayRelease(now time.Time, holder site.Server, r *release) bool {
-	if _, limited := b.options.Limits.Find(&holder); !limited {
-		return true
-	}
-	if now.Sub(r.since) < limitedReleaseInterval || !b.options.Limits.Allows(now, &holder) {
-		return false
-	}
-	b.options.Limits.Reserve(now, &holder)
-	b.options.Limits.MarkSent(&holder)
-	return true
+	perSecond, limited := b.options.Limits.Find(&holder)
+	return !limited || now.Sub(r.since) >= limitedReleaseInterval(perSecond)
+}
+
+// limitedReleaseInterval returns the time between two releases to a server that takes perSecond
+// requests. Releases take no call's place, because they free the memory that the next call needs. They
+// add half as many requests as the server takes, and one every two seconds.
+func limitedReleaseInterval(perSecond float64) time.Duration {
+	return time.Duration(2 / (perSecond + 1) * float64(time.Second))
 }
 
 func (b *Batcher) runRelease(ctx context.Context, holder site.Server, queued []queueHandle) {
