--- a/fakes/services/hosted/pool.go
+++ b/fakes/services/hosted/pool.go
@@ -104,7 +104,7 @@
 		return stageResult{Reason: "room"}
 	}
 	s.results++
-	handle := fmt.Sprintf("%s/%s-%d-%d-%d", s.Address(), i.Id, i.Phase, i.Segment, time.Now().UnixNano())
+	handle := fmt.Sprintf("%s/%s-%d-%d-%d", s.registeredAddress(), i.Id, i.Phase, i.Segment, time.Now().UnixNano())
 	s.world.hold(handle, i.Id, s)
 	return stageResult{Handle: handle}
 }
--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -127,12 +127,17 @@
 	return s.running
 }
 
-// Register writes the server's registration to the store, with the given state.
-func (s *Server) Register(state string) {
-	address := s.Address()
+// registeredAddress returns the address at which others reach the server.
+func (s *Server) registeredAddress() netip.AddrPort {
 	if s.Advertised.IsValid() {
-		address = s.Advertised
+		return s.Advertised
 	}
+	return s.Address()
+}
+
+// Register writes the server's registration to the store, with the given state.
+func (s *Server) Register(state string) {
+	address := s.registeredAddress()
 	s.lock.Lock()
 	restarts := s.restarts
 	s.lock.Unlock()
--- a/ingress/services/flow/stream_test.go
+++ b/ingress/services/flow/stream_test.go
@@ -45,6 +45,7 @@
 func (noMeter) CountFirstEvent(string, time.Duration)     {}
 func (noMeter) CountRetry(string, string)                 {}
 func (noMeter) CountLimitedSend(string)                   {}
+func (noMeter) SetLimitedServers(int)                     {}
 
 // newLimits returns a registry without rate limits.
 func newLimits() *limits.Registry { return limits.NewRegistry(noMeter{}, zap.NewNop()) }
--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -19,6 +19,8 @@
 type Meter interface {
 	// CountLimitedSend counts a request that is sent to a server with a rate limit.
 	CountLimitedSend(service string)
+	// SetLimitedServers sets the number of servers with a rate limit.
+	SetLimitedServers(n int)
 }
 
 // Registry holds the rate limits of the backend servers and counts the requests that this ingress
@@ -55,7 +57,14 @@
 	defer r.lock.Unlock()
 	r.services = services
 	r.limiter.Retain(live)
-	r.hasLimits.Store(r.limiter.HasLimits())
+	r.countLimits()
+}
+
+// countLimits updates the number of servers with a limit. The caller holds the lock.
+func (r *Registry) countLimits() {
+	n := r.limiter.CountLimits()
+	r.hasLimits.Store(n > 0)
+	r.meter.SetLimitedServers(n)
 }
 
 // ObserveSend records that a request is sent to a server. Request is the ID of the attempt, or empty
@@ -72,8 +81,8 @@
 
 // ObserveAnswer records what an answer of a server states about its rate.
 func (r *Registry) ObserveAnswer(server site.Server, a site.Answer) {
-	if a.Status == http.StatusMisdirectedRequest {
-		return // another server now has the address
+	if server.ID == "" || a.Status == http.StatusMisdirectedRequest {
+		return // it is not known which server has answered, or another one now has the address
 	}
 	// A refusal, or a failure without the server's signature, may come from something in front of the
 	// server that does not know its limit.
@@ -83,7 +92,9 @@
 	}
 	r.lock.Lock()
 	changed := r.limiter.Observe(time.Now(), &server, a.RateLimit)
-	r.hasLimits.Store(r.limiter.HasLimits())
+	if changed {
+		r.countLimits()
+	}
 	r.lock.Unlock()
 	if a.RateLimit.State == site.RateUnreadable {
 		r.log.Warn("server-limit-unreadable", zap.String("server", server.ID), zap.String("service", server.Service),
--- a/ingress/services/limits/limits_test.go
+++ b/ingress/services/limits/limits_test.go
@@ -19,6 +19,8 @@
 
 func (c *sendCounter) CountLimitedSend(string) { c.count++ }
 
+func (*sendCounter) SetLimitedServers(int) {}
+
 func newAnswer(status int, signed bool, limit site.RateLimit) site.Answer {
 	return site.Answer{Status: status, Signed: signed, RateLimit: limit}
 }
@@ -39,6 +41,8 @@
 	one := site.RateLimit{State: site.RateLimited, PerSecond: 1}
 	registry.ObserveAnswer(server, newAnswer(http.StatusMisdirectedRequest, false, one))
 	is.True(!isLimited())
+	registry.ObserveAnswer(site.Server{}, newAnswer(http.StatusOK, true, one)) // only its address is known
+	is.Equal(len(registry.Statements()), 0)
 	refusal := newAnswer(http.StatusServiceUnavailable, false, one)
 	refusal.NotRun = true
 	registry.ObserveAnswer(server, refusal)
--- a/ingress/services/limits/spread.go
+++ b/ingress/services/limits/spread.go
@@ -60,7 +60,9 @@
 		r.lock.Lock()
 		service, known := r.services[s.ServerID]
 		changed := known && r.limiter.Merge(now, s)
-		r.hasLimits.Store(r.limiter.HasLimits())
+		if changed {
+			r.countLimits()
+		}
 		r.lock.Unlock()
 		if changed {
 			r.log.Info("server-limit", zap.String("server", s.ServerID), zap.String("service", service),
--- a/ingress/services/meters/meters.go
+++ b/ingress/services/meters/meters.go
@@ -18,6 +18,7 @@
 	batches       *prometheus.HistogramVec
 	batchItems    *prometheus.CounterVec
 	limitedSends  *prometheus.CounterVec
+	limitedCount  prometheus.Gauge
 	droppedLines  *prometheus.CounterVec
 	reloads       *prometheus.CounterVec
 	configVersion prometheus.Gauge
@@ -53,6 +54,9 @@
 		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenaroad_limited_sends_total", Help: "Requests that were sent to a backend server that states a rate limit.",
 		}, []string{"service"}),
+		limitedCount: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "verbenaroad_limited_servers", Help: "Backend servers that state a rate limit, as far as this ingress knows.",
+		}),
 		droppedLines: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenaroad_log_lines_dropped_total", Help: "Log lines that were left out.",
 		}, []string{"reason"}),
@@ -66,7 +70,7 @@
 			Name: "verbenaroad_store_age_seconds", Help: "Time since the store answered.",
 		}, func() float64 { return storeAge().Seconds() }),
 	}
-	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.limitedSends, m.droppedLines, m.reloads, m.configVersion, m.storeAge)
+	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.limitedSends, m.limitedCount, m.droppedLines, m.reloads, m.configVersion, m.storeAge)
 	return m
 }
 
@@ -101,6 +105,9 @@
 	m.limitedSends.WithLabelValues(service).Inc()
 }
 
+// SetLimitedServers sets the number of backend servers that state a rate limit.
+func (m *Meters) SetLimitedServers(n int) { m.limitedCount.Set(float64(n)) }
+
 // CountDroppedLines counts n log lines that were dropped.
 func (m *Meters) CountDroppedLines(reason string, n int) {
 	m.droppedLines.WithLabelValues(reason).Add(float64(n))
--- a/ingress/services/stages/batcher.go
+++ b/ingress/services/stages/batcher.go
@@ -276,7 +276,7 @@
 	b.options.Meter.CountBatch(queue, outcome, len(c.Items), took)
 	b.options.Log.Info("batch", zap.String("service", queue), zap.String("server", c.Server.ID), zap.Int("items", len(c.Items)),
 		zap.String("outcome", outcome), zap.String("results", formatOutcomes(answer.Results)), zap.Stringer("load", answer.Load),
-		zap.Int64("held-bytes", c.HeldBytes), zap.Int("waiting", c.QueuedItems),
+		zap.Int64("held-bytes", c.HeldBytes), zap.Int("waiting", c.QueuedItems), zap.Int("limited-servers", c.LimitedServers),
 		zap.Duration("took", took), logs.Err(err))
 	b.lock.Lock()
 	defer b.lock.Unlock()
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -74,10 +74,12 @@
 	// Timeout is how long to wait for the answer before the call is canceled.
 	Timeout time.Duration
 	// HeldBytes is the memory that other results take at the server, as planned; QueuedItems
-	// is the number of items that stayed in the queue.
-	HeldBytes   int64
-	QueuedItems int
-	refs        []itemRef
+	// is the number of items that stayed in the queue; LimitedServers is the number of servers of
+	// the queue that state a rate limit.
+	HeldBytes      int64
+	QueuedItems    int
+	LimitedServers int
+	refs           []itemRef
 	// shared is set once another call of this planner was at the server at the same time.
 	shared  bool
 	started time.Time
--- a/share/decide/batch/fill.go
+++ b/share/decide/batch/fill.go
@@ -113,6 +113,7 @@
 	call.expected = p.pool.CallTime + time.Duration(len(call.Items))*p.pool.ItemTime
 	call.Timeout = w.timeout(call.expected)
 	call.QueuedItems = p.CountQueuedItems()
+	call.LimitedServers = p.countLimited()
 	call.turn = call.started.Add(w.leadTime())
 	w.start(&call, d.bytes)
 	call.inputsFetchedAt = p.predictFetch(w, &call)
--- a/share/decide/batch/limits.go
+++ b/share/decide/batch/limits.go
@@ -27,3 +27,14 @@
 	}
 	return calls
 }
+
+// countLimited returns the number of servers that state a rate limit.
+func (p *Planner) countLimited() int {
+	n := 0
+	for _, w := range p.ready {
+		if _, limited := p.limiter.Find(&w.server); limited {
+			n++
+		}
+	}
+	return n
+}
--- a/share/decide/quota/limiter.go
+++ b/share/decide/quota/limiter.go
@@ -8,7 +8,7 @@
 
 // MinRate is the lowest rate in requests per second. A server that takes fewer, or none, still gets
 // this rate: only its answers can withdraw the limit.
-const MinRate = 0.1
+const MinRate = 0.25
 
 const (
 	// minBurst is the smallest number of requests that may be sent at once. A server with a higher
--- a/share/decide/quota/table.go
+++ b/share/decide/quota/table.go
@@ -128,14 +128,15 @@
 	return e.Statement, true
 }
 
-// HasLimits reports whether any server has a limit.
-func (t *Table) HasLimits() bool {
+// CountLimits returns the number of servers with a limit.
+func (t *Table) CountLimits() int {
+	n := 0
 	for _, e := range t.entries {
 		if e.Limited {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // Statements returns what other ingresses are to be told, ordered by server ID: the limits in force
