agent: a backend server that asks for no further calls gets none

What callers saw: an overloaded backend server that answered 429 with Retry-After: 3 got the next call at once (TestBackendServerThatAsksToWaitGetsNoCalls failed: the second order was sent and run after 0.6 s).

Cause: the agent passes the status of an answer on and drops Retry-After; its queue knows only slots.

Fix: the agent reads Retry-After of answers with 429 and 503 (a minute at most) and pauses its queue for that long. The wait shows in its load, so entries choose other agents; calls that cannot wait as long are refused at once, as not run, with the time. The agent is the only way into its server, so no other process has to know.

--- a/agent/services/gate/gate.go
+++ b/agent/services/gate/gate.go
@@ -170,6 +170,16 @@
 	g.grantFreeSlots(now)
 }
 
+// Pause lets no call start for the given time. Waiting calls that can then no longer meet their
+// deadline are refused at once.
+func (g *Gate) Pause(length time.Duration) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	now := time.Now()
+	g.queue.Pause(now.Add(length))
+	g.grantFreeSlots(now)
+}
+
 // GetLoad returns the load of the queue and its running set.
 func (g *Gate) GetLoad() queue.Load {
 	g.lock.Lock()
--- a/agent/services/gate/gate_test.go
+++ b/agent/services/gate/gate_test.go
@@ -137,3 +137,56 @@
 	<-r.ctx.Done()
 	r.gate.Release(r.ticket, 0)
 }
+
+// Guards against a backend server that has asked for no further calls and gets those that wait, and
+// against calls that wait although their deadline passes meanwhile.
+func TestPausedGateStartsNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		g := newGate()
+		g.Start(ctx)
+		const pause = 2 * time.Second
+		g.Pause(pause)
+		is.True(g.GetLoad().Wait >= pause) // entries prefer other agents
+		_, refused := g.Acquire(t.Context(), "generate", newItem("short", config.PriorityNormal, time.Second))
+		is.True(refused != nil)
+		is.Equal(refused.Code, codes.DeadlineUnmeetable)
+		is.Equal(refused.RetryAfter, pause)
+		ticket, refused := g.Acquire(t.Context(), "generate", newItem("long", config.PriorityNormal, time.Minute))
+		is.Equal(refused, nil)
+		is.True(ticket.Queued >= pause)
+		is.True(ticket.Queued < pause+time.Second)
+		g.Release(ticket, 1)
+	})
+}
+
+// Guards against calls that wait until their deadline when it is known before that they cannot start.
+func TestPauseRefusesWaitingCallsThatCannotStartInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGate()
+		running, refused := g.Acquire(t.Context(), "generate", newItem("running", config.PriorityNormal, time.Minute))
+		is.Equal(refused, nil)
+		w := &waitingCall{gate: g, item: newItem("waiting", config.PriorityNormal, time.Second)}
+		go w.run(t.Context())
+		synctest.Wait()
+		g.Pause(5 * time.Second)
+		synctest.Wait()
+		is.True(w.refused != nil)
+		is.Equal(w.refused.Outcome, codes.OutcomeNotRun)
+		g.Release(running, 1)
+	})
+}
+
+// waitingCall is a call that waits for a slot.
+type waitingCall struct {
+	gate    *gate.Gate
+	item    queue.Item
+	refused *codes.Result
+}
+
+func (w *waitingCall) run(ctx context.Context) {
+	_, w.refused = w.gate.Acquire(ctx, "generate", w.item)
+}
--- a/agent/services/intake/intake.go
+++ b/agent/services/intake/intake.go
@@ -208,6 +208,10 @@
 	span.SetAttributes(attribute.Int("status", result.Status))
 	span.End()
 	took := time.Since(started)
+	if result.RetryAfter > 0 {
+		i.options.Log.Warn("backend-paused", zap.Int("status", result.Status), zap.Duration("retry-after", result.RetryAfter))
+		i.options.Gate.Pause(result.RetryAfter)
+	}
 	i.options.Gate.Release(ticket, call.GetCost())
 	if !call.GetIdempotent() {
 		i.finishAttempt(ctx, call, result, sink)
--- a/agent/services/target/target.go
+++ b/agent/services/target/target.go
@@ -60,6 +60,8 @@
 	Bytes uint64
 	// Tokens is the number of events of a stream, including the [DONE] event.
 	Tokens uint64
+	// RetryAfter is how long the backend server asks for no further calls; 0 if it does not.
+	RetryAfter time.Duration
 }
 
 // Sink receives an answer in parts, in order. It must not retain a part, because its memory is
@@ -125,6 +127,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	result := CallResult{Status: response.StatusCode, ContentType: response.Header.Get(contentTypeHeader)}
+	result.RetryAfter = readRetryAfter(response, time.Now())
 	s.copyAnswer(ctx, call, response.Body, sink, &result)
 	if result.Failure == nil && response.StatusCode >= http.StatusInternalServerError {
 		result.Failure = codes.NewResult(codes.BackendFailed, response.Status)
--- a/agent/services/target/target_test.go
+++ b/agent/services/target/target_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -94,3 +95,34 @@
 	is.Equal(result.Failure.Code, codes.NoBackend)
 	is.Equal(result.Failure.Outcome, codes.OutcomeNotRun)
 }
+
+// Guards against a backend server that is overloaded and gets further calls because nothing reads for
+// how long it asks for none.
+func TestRetryAfterOfAnOverloadedBackendServerIsReported(t *testing.T) {
+	later := time.Now().Add(time.Hour).UTC().Format(http.TimeFormat)
+	earlier := time.Now().Add(-time.Hour).UTC().Format(http.TimeFormat)
+	for _, c := range []struct {
+		status int
+		text   string
+		want   time.Duration
+	}{
+		{http.StatusTooManyRequests, "2", 2 * time.Second},
+		{http.StatusServiceUnavailable, "0.5", 500 * time.Millisecond},
+		{http.StatusServiceUnavailable, "86400", time.Minute},
+		{http.StatusTooManyRequests, later, time.Minute},
+		{http.StatusTooManyRequests, earlier, 0},
+		{http.StatusTooManyRequests, "-1", 0},
+		{http.StatusTooManyRequests, "NaN", 0},
+		{http.StatusTooManyRequests, "soon", 0},
+		{http.StatusTooManyRequests, "", 0},
+		{http.StatusOK, "2", 0},
+	} {
+		is := is.New(t)
+		s := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", c.text)
+			w.WriteHeader(c.status)
+		})
+		result := s.Send(context.Background(), target.Call{Method: http.MethodPost, Path: "/"}, io.Discard)
+		is.Equal(result.RetryAfter, c.want)
+	}
+}
--- a/fakes/modules/fault/fault.go
+++ b/fakes/modules/fault/fault.go
@@ -53,6 +53,8 @@
 	// Status is the HTTP status of the answer to every call, which then does not reach the handler
 	// and takes no effect; 0: none.
 	Status int `json:"status,omitempty"`
+	// RetryAfter is the Retry-After in answers with Status, in whole seconds; 0: none.
+	RetryAfter int `json:"retry-after,omitempty"`
 }
 
 // LostAnswer selects the calls whose answer is lost.
--- a/fakes/modules/serve/handler.go
+++ b/fakes/modules/serve/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"verbenaroad.example/fakes/modules/fault"
@@ -50,6 +51,9 @@
 		return
 	}
 	if settings.Status != 0 {
+		if settings.RetryAfter > 0 {
+			w.Header().Set("Retry-After", strconv.Itoa(settings.RetryAfter))
+		}
 		http.Error(w, http.StatusText(settings.Status), settings.Status)
 		return
 	}
--- a/proofs/harns/refusal_test.go
+++ b/proofs/harns/refusal_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -102,3 +103,28 @@
 		}
 	}
 }
+
+// Guards against a backend server that has asked for no further calls and gets them nevertheless, and
+// against callers that wait although it is known that their calls cannot start in time.
+func TestBackendServerThatAsksToWaitGetsNoCalls(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := deploy(t, plan{entries: 1, backends: []backend{orderServer("ord-1")}})
+	const pause = 3 * time.Second
+	server := d.servers["ord-1"]
+	server.setFault(fault.Settings{Status: http.StatusTooManyRequests, RetryAfter: int(pause.Seconds())})
+	first := d.send(0, clientRequest{method: http.MethodGet, path: "/v1/services/orders/orders/1", deadline: "10s"})
+	is.Equal(first.status, http.StatusTooManyRequests)
+	server.setFault(fault.Settings{})
+	short := orderRequest("short")
+	short.deadline = "1s"
+	refused := d.send(0, short)
+	is.True(refused.notRun())
+	is.True(refused.took < time.Second)
+	is.True(refused.retryAfter != "")
+	served := d.send(0, orderRequest("long"))
+	is.True(served.ok())
+	is.True(served.sentAt.Add(served.took).Sub(first.sentAt) >= pause)
+	is.Equal(d.countRuns("short"), 0)
+	is.Equal(d.countRuns("long"), 1)
+}
--- a/share/decide/queue/queue.go
+++ b/share/decide/queue/queue.go
@@ -110,6 +110,8 @@
 	// expired holds the expired items that Expire has not returned yet; Pop adds to it too.
 	expired  []Item
 	sequence uint64
+	// pausedUntil is until when no item starts.
+	pausedUntil time.Time
 	// serviceTime and timePerCost are moving averages in nanoseconds, of a run and of one cost unit.
 	serviceTime float64
 	timePerCost float64
@@ -135,8 +137,8 @@
 func (q *Queue) Push(now time.Time, i Item) PushResult {
 	i.Cost = max(i.Cost, minCost)
 	e := q.newEntry(now, i)
-	if e.latestStart.Before(now) {
-		return PushResult{Refused: codes.NewResult(codes.DeadlineUnmeetable, "too late to start")}
+	if e.latestStart.Before(q.earliestStart(now)) {
+		return PushResult{Refused: codes.NewResult(codes.DeadlineUnmeetable, "too late to start").WithRetryAfter(q.pauseLeft(now))}
 	}
 	if q.contains(i.ID) {
 		return PushResult{Refused: codes.NewResult(codes.BadRequest, "the attempt is in the queue already")}
@@ -207,11 +209,24 @@
 
 func (q *Queue) idleLimit() int { return idleTeamFactor * max(q.settings.MaxWaiting, 1) }
 
-// Pop moves the next item into the running set and returns it. It returns false when none waits or
-// no slot is free.
+// Pause lets no item start before the given time. It does not shorten a pause.
+func (q *Queue) Pause(until time.Time) {
+	if until.After(q.pausedUntil) {
+		q.pausedUntil = until
+	}
+}
+
+// pauseLeft returns the time until the pause ends; 0 if there is none.
+func (q *Queue) pauseLeft(now time.Time) time.Duration { return max(q.pausedUntil.Sub(now), 0) }
+
+// earliestStart returns the earliest time at which an item may start.
+func (q *Queue) earliestStart(now time.Time) time.Time { return now.Add(q.pauseLeft(now)) }
+
+// Pop moves the next item into the running set and returns it. It returns false when none waits, no
+// slot is free or the queue is paused.
 func (q *Queue) Pop(now time.Time) (Item, bool) {
 	q.expire(now)
-	if len(q.running) >= q.settings.Slots {
+	if len(q.running) >= q.settings.Slots || q.pauseLeft(now) > 0 {
 		return Item{}, false
 	}
 	for _, c := range q.classes {
@@ -237,7 +252,8 @@
 }
 
 func (q *Queue) expire(now time.Time) {
-	for len(q.byLatestStart.entries) > 0 && q.byLatestStart.entries[0].latestStart.Before(now) {
+	earliest := q.earliestStart(now)
+	for len(q.byLatestStart.entries) > 0 && q.byLatestStart.entries[0].latestStart.Before(earliest) {
 		e := q.byLatestStart.entries[0]
 		q.removeEntry(e)
 		q.expired = append(q.expired, e.item)
--- a/share/decide/queue/running.go
+++ b/share/decide/queue/running.go
@@ -114,10 +114,10 @@
 func (q *Queue) EstimateWait(now time.Time, i Item) time.Duration {
 	ahead := q.costQueuedAhead(q.classify(i))
 	if ahead == 0 && len(q.running) < q.settings.Slots {
-		return 0
+		return q.pauseLeft(now)
 	}
 	slots := float64(max(q.settings.Slots, 1))
-	return time.Duration((q.serviceTime + ahead*q.timePerCost) / slots)
+	return q.pauseLeft(now) + time.Duration((q.serviceTime+ahead*q.timePerCost)/slots)
 }
 
 // costQueuedAhead estimates the total cost of the waiting items that would run before a new item of
