--- a/share/decide/place/limits_test.go
+++ b/share/decide/place/limits_test.go
@@ -51,7 +51,9 @@
 	is := is.New(t)
 	now := time.Unix(100, 0)
 	e, limiter := newLimitedEngines(now, 100)
+	limiter.NextAt(now, &site.Server{ID: "s0"}) // it has tokens from now on
 	now = now.Add(time.Minute)
+	is.True(limiter.Allows(now, &site.Server{ID: "s0"}))
 	q := newReviewQuery(1)
 	q.IsFallback = true
 	for range 10 {
@@ -67,6 +69,30 @@
 	is.True(found)
 }
 
+// Guards against requests that are given up before they are sent and count against the rate of an
+// engine for ever.
+func TestUnsentRequestReleasesItsReservationAtAnEngineWithARateLimit(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	e, _ := newLimitedEngines(now, 1)
+	q := newReviewQuery(1)
+	q.Exclude = []string{"s1"}
+	for range 10 {
+		placed := []place.Placement{}
+		for range 50 {
+			now = now.Add(100 * time.Millisecond)
+			if p, found := e.Place(now, q); found {
+				placed = append(placed, p)
+			}
+		}
+		is.True(len(placed) > 0) // as many as may wait for their stages
+		is.True(len(placed) < 5)
+		for _, p := range placed {
+			e.End(now, p.ID, place.ResultCanceled)
+		}
+	}
+}
+
 // limitedPlacers simulates the placers of a service with one engine that states a rate. The second
 // placer takes over from the first.
 type limitedPlacers struct {
