limits: a server that comes back keeps its limit, a caller that leaves defers no server

Found by reading. A server that leaves the view for a while (an evacuation, a lapse of its registration while the store is away) had its limit forgotten and could get a burst on its return; it is remembered for a minute. A caller that left while its ingress asked for a server made that ingress defer the server for half a second for all callers.

TestLimitOfAServerThatComesBackIsKept and TestCallerThatLeavesDefersNoServer fail without the changes.

--- a/ingress/services/assign/admit.go
+++ b/ingress/services/assign/admit.go
@@ -24,11 +24,14 @@
 	if len(ranked) == 0 || ranked[0] == d.peers.Self() {
 		return d.placer.limits.Take(time.Now(), &server, d.peers.Self())
 	}
-	ctx, cancel := context.WithTimeout(ctx, assignTimeout)
+	askCtx, cancel := context.WithTimeout(ctx, assignTimeout)
 	defer cancel()
-	assignment, err := d.peers.Assign(ctx, ranked[0], &wire.Assign{
+	assignment, err := d.peers.Assign(askCtx, ranked[0], &wire.Assign{
 		Service: server.Service, ServerId: server.ID, RateLimit: d.placer.limits.Statement(&server), Ingress: d.peers.Self(),
 	})
+	if ctx.Err() != nil {
+		return false, 0
+	}
 	if err != nil {
 		d.log.Warn("placer-lost", zap.String("service", server.Service), zap.String("ingress", ranked[0]), logs.Err(err))
 		return false, admitRetryAfter
--- a/ingress/services/flow/pick.go
+++ b/ingress/services/flow/pick.go
@@ -11,6 +11,7 @@
 
 // pick chooses the next backend server of a plain service and records that the request is sent to
 // it. A server with a rate limit is used only if it is granted; otherwise the next best one is chosen.
+// It returns false if there is none, or if the context has ended meanwhile.
 func (x *exchange) pick(ctx context.Context) (site.Server, bool) {
 	for {
 		server, found := x.choose()
@@ -21,6 +22,9 @@
 			x.start(server)
 			return server, true
 		}
+		if ctx.Err() != nil {
+			return site.Server{}, false
+		}
 	}
 }
 
@@ -71,6 +75,9 @@
 		return true
 	}
 	granted, retryAfter := x.server.options.Admitter.Admit(ctx, server)
+	if ctx.Err() != nil {
+		return false
+	}
 	if granted {
 		return true
 	}
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -50,6 +50,9 @@
 			return quarantined
 		}
 		server, found := x.pick(ctx)
+		if !found && ctx.Err() != nil {
+			return codes.NewResult(codes.Canceled, "the caller left").WithOutcome(codes.OutcomeNotRun)
+		}
 		if !found {
 			return x.refuseNoServer()
 		}
--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -43,7 +43,7 @@
 	return &Registry{meter: meter, log: log, limiter: quota.NewLimiter(), services: map[string]string{}}
 }
 
-// SetView forgets the limits of all servers that are not in a new view.
+// SetView forgets the limits of servers that are no longer in the view.
 func (r *Registry) SetView(v *state.View) {
 	services := map[string]string{}
 	live := map[string]bool{}
@@ -56,7 +56,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.services = services
-	r.limiter.Retain(live)
+	r.limiter.Retain(time.Now(), live)
 	r.countLimits()
 }
 
--- a/share/decide/quota/limiter.go
+++ b/share/decide/quota/limiter.go
@@ -170,11 +170,12 @@
 	return at
 }
 
-// Retain removes the limits and the accounts of all servers whose ID is not in live.
-func (l *Limiter) Retain(live map[string]bool) {
-	l.Table.Retain(live)
+// Retain removes the limits of the servers that have not been in the view for some time, and the
+// accounts of those that are not in the view and have no limit. Live holds the IDs of those that are.
+func (l *Limiter) Retain(now time.Time, live map[string]bool) {
+	l.Table.Retain(now, live)
 	for id := range l.accounts {
-		if !live[id] {
+		if !live[id] && l.entries[id] == nil {
 			delete(l.accounts, id)
 		}
 	}
--- a/share/decide/quota/table.go
+++ b/share/decide/quota/table.go
@@ -38,6 +38,8 @@
 	Statement
 	// spreadUntil is until when a withdrawn limit is passed on to other ingresses.
 	spreadUntil time.Time
+	// missingSince is since when the server is not in the view; zero if it is.
+	missingSince time.Time
 }
 
 // spreadTime is how long a withdrawn limit is passed on. Limits that are in force always are.
@@ -93,7 +95,11 @@
 }
 
 func (t *Table) set(now time.Time, s Statement) {
-	t.entries[s.ServerID] = &entry{Statement: s, spreadUntil: now.Add(spreadTime)}
+	e := &entry{Statement: s, spreadUntil: now.Add(spreadTime)}
+	if old := t.entries[s.ServerID]; old != nil {
+		e.missingSince = old.missingSince
+	}
+	t.entries[s.ServerID] = e
 }
 
 // compareStatements returns -1, 0 or 1 if a is to be superseded by b, equals it, or supersedes it. Of
@@ -152,10 +158,20 @@
 	return list
 }
 
-// Retain removes the limits of all servers whose ID is not in live.
-func (t *Table) Retain(live map[string]bool) {
-	for id := range t.entries {
-		if !live[id] {
+// retainTime is how long the limit of a server that left the view is remembered. It may come back:
+// its failure domain was evacuated, or its registration lapsed while the store was away.
+const retainTime = time.Minute
+
+// Retain removes the limits of the servers that have not been in the view for retainTime; live holds
+// the IDs of those that are.
+func (t *Table) Retain(now time.Time, live map[string]bool) {
+	for id, e := range t.entries {
+		switch {
+		case live[id]:
+			e.missingSince = time.Time{}
+		case e.missingSince.IsZero():
+			e.missingSince = now
+		case now.Sub(e.missingSince) >= retainTime:
 			delete(t.entries, id)
 		}
 	}
