--- a/share/decide/quota/table_test.go
+++ b/share/decide/quota/table_test.go
@@ -118,6 +118,7 @@
 	}
 	limiter.Retain(now, map[string]bool{"a": true})
 	now = now.Add(30 * time.Second)
+	limiter.Retain(now, map[string]bool{"a": true})
 	limiter.Retain(now, map[string]bool{"a": true, "b": true})
 	is.Equal(len(limiter.Statements(now)), 2)
 	limiter.Retain(now, map[string]bool{"b": true})
