limits: a view costs nothing while no server has a limit; a stricter test of limited pools

Large deployments change their views thousands of times at a start, and each one was indexed by server. The test of a queue whose servers state rates passed with a backlog worked out without them; it now asks that jobs are refused at once.

--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -34,32 +34,47 @@
 
 	lock    sync.Mutex
 	limiter *quota.Limiter
-	// services maps the IDs of the servers in the view to their services.
+	view    *state.View
+	// services maps the IDs of the servers in the view to their services. It is nil until it is needed:
+	// views of large deployments change often while no server has a limit.
 	services map[string]string
 }
 
 // NewRegistry returns a registry without limits.
 func NewRegistry(meter Meter, log *zap.Logger) *Registry {
-	return &Registry{meter: meter, log: log, limiter: quota.NewLimiter(), services: map[string]string{}}
+	return &Registry{meter: meter, log: log, limiter: quota.NewLimiter(), view: &state.View{}}
 }
 
 // SetView forgets the limits of servers that are no longer in the view.
 func (r *Registry) SetView(v *state.View) {
-	services := map[string]string{}
-	live := map[string]bool{}
-	for service, servers := range v.Servers {
-		for _, s := range servers {
-			services[s.ID] = service
-			live[s.ID] = true
-		}
-	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.services = services
+	r.view, r.services = v, nil
+	if r.limiter.IsEmpty() {
+		return
+	}
+	live := map[string]bool{}
+	for id := range r.getServices() {
+		live[id] = true
+	}
 	r.limiter.Retain(time.Now(), live)
 	r.countLimits()
 }
 
+// getServices returns the services of the servers in the view by server ID. The caller holds the lock.
+func (r *Registry) getServices() map[string]string {
+	if r.services != nil {
+		return r.services
+	}
+	r.services = map[string]string{}
+	for service, servers := range r.view.Servers {
+		for _, s := range servers {
+			r.services[s.ID] = service
+		}
+	}
+	return r.services
+}
+
 // countLimits updates the number of servers with a limit. The caller holds the lock.
 func (r *Registry) countLimits() {
 	n := r.limiter.CountLimits()
--- a/ingress/services/limits/spread.go
+++ b/ingress/services/limits/spread.go
@@ -58,7 +58,7 @@
 			ServerID: m.GetServerId(), Incarnation: m.GetIncarnation(), Limited: m.GetLimited(), PerSecond: m.GetPerSecond(), Version: m.GetVersion(),
 		}
 		r.lock.Lock()
-		service, known := r.services[s.ServerID]
+		service, known := r.getServices()[s.ServerID]
 		changed := known && r.limiter.Merge(now, s)
 		if changed {
 			r.countLimits()
--- a/share/decide/batch/limits_test.go
+++ b/share/decide/batch/limits_test.go
@@ -16,10 +16,12 @@
 	planner *batch.Planner
 	// open holds the calls in flight with the times at which they end.
 	open map[uint64]openCall
-	// calls counts the calls and items the items by server, outcomes the completed jobs by outcome.
+	// calls counts the calls by server, outcomes the completed jobs by outcome.
 	calls    map[string]int
-	items    map[string]int
 	outcomes map[batch.Outcome]int
+	// added holds when the open jobs were added, waits how long the refused ones had waited.
+	added map[uint64]time.Time
+	waits []time.Duration
 }
 
 type openCall struct {
@@ -33,17 +35,19 @@
 	limiter.Observe(now, &servers[0], site.RateLimit{State: site.RateLimited, PerSecond: rate})
 	p := newPlanner(now, domains...)
 	p.SetLimiter(limiter)
-	return &limitedPool{planner: p, open: map[uint64]openCall{}, calls: map[string]int{}, items: map[string]int{}, outcomes: map[batch.Outcome]int{}}
+	return &limitedPool{planner: p, open: map[uint64]openCall{}, calls: map[string]int{}, outcomes: map[batch.Outcome]int{}, added: map[uint64]time.Time{}}
 }
 
 func (l *limitedPool) perform(now time.Time, a batch.Actions) {
 	for _, c := range a.Calls {
 		l.calls[c.Server.ID]++
-		l.items[c.Server.ID] += len(c.Items)
 		l.open[c.ID] = openCall{call: c, ends: now.Add(200*time.Millisecond + time.Duration(len(c.Items))*20*time.Millisecond)}
 	}
 	for _, c := range a.Completions {
 		l.outcomes[c.Outcome]++
+		if c.Outcome == batch.OutcomeBusy {
+			l.waits = append(l.waits, now.Sub(l.added[c.JobID]))
+		}
 		l.perform(now, l.planner.MarkReleased(now, c.Handles))
 	}
 }
@@ -57,6 +61,7 @@
 		if !now.Before(next) {
 			id++
 			next = next.Add(interval)
+			l.added[id] = now
 			l.perform(now, l.planner.Add(now, newJob(now, id, 1)))
 		}
 		for callID, o := range l.open {
@@ -83,7 +88,7 @@
 }
 
 // Guards against a queue that is thought to be served as fast as without the limit, so that jobs are
-// accepted and then expire.
+// accepted and then expire, or wait before they are refused.
 func TestQueueOfServersWithARateLimitRefusesAtOnce(t *testing.T) {
 	for _, rate := range []float64{0, 0.5} {
 		is := is.New(t)
@@ -92,6 +97,13 @@
 		l.run(now, 50*time.Millisecond, 20*time.Second)
 		is.True(l.outcomes[batch.OutcomeBusy] > 200)
 		is.Equal(l.outcomes[batch.OutcomeExpired], 0)
+		atOnce := 0
+		for _, wait := range l.waits {
+			if wait == 0 {
+				atOnce++
+			}
+		}
+		is.True(4*atOnce > len(l.waits))
 		is.True(l.calls["p0"] <= int(max(rate, quota.MinRate)*20)+2)
 	}
 }
--- a/share/decide/quota/table.go
+++ b/share/decide/quota/table.go
@@ -134,6 +134,9 @@
 	return e.Statement, true
 }
 
+// IsEmpty reports whether no server has stated a limit.
+func (t *Table) IsEmpty() bool { return len(t.entries) == 0 }
+
 // CountLimits returns the number of servers with a limit.
 func (t *Table) CountLimits() int {
 	n := 0
