spec: a model of rate limits: how ingresses learn of them, and how their requests are counted

Four mutants: each ingress keeps to the rate by itself, any number of requests waits for its stages, any statement takes the place of the known one, an observed change has the version of the one before.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -37,6 +37,13 @@
 		holds|feed|two that watch, a follower, 3 faults|
 		holds|feed|two that watch, a follower, 5 faults, 3 changes|-DFAULTS=5 -DCHANGES=3
 		holds|evacuate|one that places, one that sends, 3 changes, 3 faults|
+		holds|limit|two ingresses learn of a limit, 3 changes, 2 faults|
+		holds|limit|two ingresses learn of a limit, 5 changes, 4 faults|-DCHANGES=5 -DFAULTS=4
+		holds|limit|requests to a server with a limit, a change of the placer|-DCOUNTING
+		mutant|limit|an observed change has the version of the statement before|-DMUTANT_SAME_VERSION
+		mutant|limit|any statement takes the place of the known one|-DMUTANT_ANY_VERSION
+		mutant|limit|each ingress keeps to the limit by itself|-DCOUNTING -DMUTANT_EACH_COUNTS_ALONE
+		mutant|limit|any number of requests waits for its stages|-DCOUNTING -DMUTANT_UNSENT_UNLIMITED
 		mutant|evacuate|a request is sent where it was placed without another look|-DMUTANT_NO_LOOK_BEFORE_SENDING
 		mutant|evacuate|an older word takes the place of a newer one|-DMUTANT_ANY_REVISION
 		mutant|attempt|a request that may have run is sent again|-DMUTANT_RESEND
