--- /dev/null
+++ b/ingress/cmds/links.go
@@ -0,0 +1,36 @@
+package cmds
+
+import (
+	"time"
+
+	"verbenaroad.example/ingress/services/mesh"
+	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/wire"
+)
+
+// newLinkOptions returns the options for links that this ingress opens and for those it accepts.
+func (i *Ingress) newLinkOptions() link.Options {
+	interval := i.settings.Peers.HeartbeatInterval
+	return link.Options{
+		Hello: &wire.Hello{
+			Version: wire.Version, Name: i.self.Name, Incarnation: i.self.Incarnation, Role: "ingress",
+			Region: i.settings.Place.Region, Domain: i.self.Domain,
+		},
+		TLS:               i.linkTLS,
+		Private:           i.settings.Peers.Private,
+		HeartbeatInterval: interval,
+		SilenceTimeout:    time.Duration(silenceFactor * float64(interval)),
+		NewHeartbeat: func() *wire.Beat {
+			return &wire.Beat{
+				Leaving: i.stopper.IsLeaving(), Outlooks: i.batcher.Backlogs(), Reading: mesh.EncodeStoreStatus(i.book),
+				RateLimits: i.limits.Statements(),
+			}
+		},
+	}
+}
+
+// mergeRateLimits records the rate limits in a heartbeat of an ingress that opened a session to this
+// one. The rest of the heartbeat is for the ingress that opened the session.
+func (i *Ingress) mergeRateLimits(session *link.Session, beat *wire.Beat, _ time.Time) {
+	i.limits.Merge(session.Peer().GetName(), beat.GetRateLimits())
+}
--- a/ingress/services/assign/placer.go
+++ b/ingress/services/assign/placer.go
@@ -14,9 +14,9 @@
 // Limits limits the requests to servers that state a rate. It counts them for all ingresses.
 type Limits interface {
 	place.Limiter
-	// PromiseReturn returns how long a caller that was refused because of the limits of the given
+	// ScheduleReturn returns how long a caller that was refused because of the limits of the given
 	// servers is to wait.
-	PromiseReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool)
+	ScheduleReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool)
 	// Take counts a request that an ingress sends at once. If the limit does not allow it, Take
 	// returns how long the ingress is to wait before it asks again.
 	Take(now time.Time, server *site.Server, ingress string) (granted bool, retryAfter time.Duration)
@@ -93,7 +93,7 @@
 	now := time.Now()
 	placement, found := g.engines.Place(now, q)
 	if !found {
-		retryAfter, _ = p.limits.PromiseReturn(now, g.engines.ListAllowed(q))
+		retryAfter, _ = p.limits.ScheduleReturn(now, g.engines.ListAllowed(q))
 		return nil, retryAfter
 	}
 	return &Reservation{server: placement.Server, Wait: placement.Wait, FetchFrom: placement.FetchFrom, local: p, id: placement.ID, group: g}, 0
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -14,8 +13,6 @@
 	"go.uber.org/zap"
 
 	"verbenaroad.example/ingress/services/assign"
-	"verbenaroad.example/ingress/services/reach"
-	"verbenaroad.example/ingress/services/stages"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/access"
 	"verbenaroad.example/share/decide/budget"
@@ -26,72 +23,6 @@
 	"verbenaroad.example/share/modules/codes"
 )
 
-// Views provides the current view of the deployment.
-type Views interface {
-	View() *state.View
-}
-
-// Sender sends requests to backend servers.
-type Sender interface {
-	// Send makes one attempt.
-	Send(ctx context.Context, r reach.Request) (*reach.Reply, error)
-	// Preconnect opens a connection in advance for the next attempt at a server.
-	Preconnect(address netip.AddrPort)
-}
-
-// StageRunner produces the results of a request's stages.
-type StageRunner interface {
-	ProduceChain(ctx context.Context, c stages.Chain) (*stages.Results, *codes.Result)
-}
-
-// EnginePlacer chooses the engine for a request and reserves capacity there.
-type EnginePlacer interface {
-	// Place returns nil if no engine is eligible for the request and, if that is because of rate
-	// limits, how long the caller is to wait.
-	Place(ctx context.Context, service string, q place.Query) (r *assign.Reservation, retryAfter time.Duration)
-}
-
-// RateLimits holds the rates that servers state.
-type RateLimits interface {
-	// Find returns the requests per second that a server takes from all ingresses together.
-	Find(server *site.Server) (perSecond float64, limited bool)
-}
-
-// Admitter admits requests to plain servers that state a rate.
-type Admitter interface {
-	// Admit asks for one request that is sent at once. If it is not granted, Admit returns how long
-	// to wait before the server is asked for again.
-	Admit(ctx context.Context, server site.Server) (granted bool, retryAfter time.Duration)
-}
-
-// Peers lists the ingresses that can be reached.
-type Peers interface {
-	// Rank orders the names of the ingresses by their score for a key.
-	Rank(key string) []string
-	// Self returns the name of this ingress.
-	Self() string
-}
-
-// Screen quarantines requests that crash the servers that run them.
-type Screen interface {
-	// IsQuarantined reports whether a request must not be sent to any server.
-	IsQuarantined(id poison.ID) bool
-	// TakeTrial reports whether a quarantined request is to be sent to a single server as a trial.
-	// Each trial is granted once.
-	TakeTrial(ctx context.Context, id poison.ID) bool
-	// RecordCrash records an attempt that broke and may have crashed its server. RecordServed
-	// records a request that received a complete answer.
-	RecordCrash(id poison.ID, server site.Server, sent time.Time)
-	RecordServed(id poison.ID)
-}
-
-// Meter records metrics of requests.
-type Meter interface {
-	CountAnswer(route, outcome string, took time.Duration)
-	CountFirstEvent(route string, took time.Duration)
-	CountRetry(service, reason string)
-}
-
 // Options are the settings of a Server.
 type Options struct {
 	Views        Views
--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -178,17 +178,17 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if !r.limiter.Allows(now, server) {
-		return false, r.limiter.TakeTurn(now, server, ingress)
+		return false, r.limiter.ScheduleRetry(now, server, ingress)
 	}
 	r.limiter.Reserve(now, server)
 	r.limiter.MarkSent(server)
 	return true, 0
 }
 
-// PromiseReturn returns how long a caller that was refused because of the limits of the given servers
+// ScheduleReturn returns how long a caller that was refused because of the limits of the given servers
 // is to wait.
-func (r *Registry) PromiseReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool) {
+func (r *Registry) ScheduleReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return r.limiter.PromiseReturn(now, servers)
+	return r.limiter.ScheduleReturn(now, servers)
 }
--- a/share/decide/quota/limiter.go
+++ b/share/decide/quota/limiter.go
@@ -42,11 +42,11 @@
 	// counts those that took no token, because the server had no limit when they were made.
 	unsent    int
 	uncharged int
-	// promisedUntil is the time up to which the rate of the server is promised: to refused callers, and
-	// to the ingresses in turns.
-	promisedUntil time.Time
-	// turns holds when each ingress that was refused may ask again.
-	turns map[string]time.Time
+	// scheduledUntil is the time up to which requests at the rate of the server are scheduled: those of
+	// refused callers, and one of each refused ingress.
+	scheduledUntil time.Time
+	// retryAt holds when each ingress that was refused is to ask again.
+	retryAt map[string]time.Time
 }
 
 // NewLimiter returns a limiter without limits.
@@ -114,59 +114,59 @@
 	return now.Add(seconds(max(1-a.tokens, 0) / rate))
 }
 
-// PromiseReturn returns how long a caller that was refused because of the limits of the given servers
+// ScheduleReturn returns how long a caller that was refused because of the limits of the given servers
 // is to wait. Callers that are refused one after another are told to return one after another, at the
 // rate that the servers take. Without a server with a limit, limited is false.
-func (l *Limiter) PromiseReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool) {
+func (l *Limiter) ScheduleReturn(now time.Time, servers []*site.Server) (wait time.Duration, limited bool) {
 	var first *site.Server
 	at := time.Time{}
 	for _, s := range servers {
 		if _, isLimited := l.Find(s); !isLimited {
 			continue
 		}
-		if next := l.nextUnpromised(now, s); first == nil || next.Before(at) {
+		if next := l.nextUnscheduled(now, s); first == nil || next.Before(at) {
 			first, at = s, next
 		}
 	}
 	if first == nil {
 		return 0, false
 	}
-	return l.promise(now, first, at).Sub(now), true
+	return l.schedule(now, first, at).Sub(now), true
 }
 
-// TakeTurn returns how long an ingress is to wait until it asks for the server again. Ingresses that
-// are refused one after another are told to ask one after another. An ingress has one turn at a time,
-// however many of its requests are refused.
-func (l *Limiter) TakeTurn(now time.Time, server *site.Server, ingress string) time.Duration {
+// ScheduleRetry returns how long an ingress is to wait until it asks for the server again. Ingresses that
+// are refused one after another are told to ask one after another. An ingress has one scheduled retry
+// at a time, however many of its requests are refused.
+func (l *Limiter) ScheduleRetry(now time.Time, server *site.Server, ingress string) time.Duration {
 	a := l.getAccount(now, server)
-	if at := a.turns[ingress]; at.After(now) {
+	if at := a.retryAt[ingress]; at.After(now) {
 		return at.Sub(now)
 	}
-	at := l.promise(now, server, l.nextUnpromised(now, server))
-	if a.turns == nil {
-		a.turns = map[string]time.Time{}
+	at := l.schedule(now, server, l.nextUnscheduled(now, server))
+	if a.retryAt == nil {
+		a.retryAt = map[string]time.Time{}
 	}
-	a.turns[ingress] = at
+	a.retryAt[ingress] = at
 	return at.Sub(now)
 }
 
-// nextUnpromised returns when the rate of the server allows a request beyond those that are promised.
-func (l *Limiter) nextUnpromised(now time.Time, server *site.Server) time.Time {
+// nextUnscheduled returns when the rate of the server allows a request beyond those that are scheduled.
+func (l *Limiter) nextUnscheduled(now time.Time, server *site.Server) time.Time {
 	next := l.NextAt(now, server)
-	if promised := l.getAccount(now, server).promisedUntil; promised.After(next) {
-		return promised
+	if scheduled := l.getAccount(now, server).scheduledUntil; scheduled.After(next) {
+		return scheduled
 	}
 	return next
 }
 
-// promise promises the request that the rate of the server allows at the given time, and returns that
-// time. If it is too far in the future, promise returns an earlier time and promises nothing.
-func (l *Limiter) promise(now time.Time, server *site.Server, at time.Time) time.Time {
+// schedule schedules the request that the rate of the server allows at the given time, and returns that
+// time. If it is too far in the future, schedule returns an earlier time and schedules nothing.
+func (l *Limiter) schedule(now time.Time, server *site.Server, at time.Time) time.Time {
 	if latest := now.Add(maxReturnTime); at.After(latest) {
 		return latest
 	}
 	rate, _ := l.rate(server)
-	l.getAccount(now, server).promisedUntil = at.Add(seconds(1 / rate))
+	l.getAccount(now, server).scheduledUntil = at.Add(seconds(1 / rate))
 	return at
 }
 
--- a/share/decide/quota/limiter_test.go
+++ b/share/decide/quota/limiter_test.go
@@ -177,13 +177,13 @@
 	now := time.Unix(100, 0)
 	a, b, c := &site.Server{ID: "a"}, &site.Server{ID: "b"}, &site.Server{ID: "c"}
 	limiter := quota.NewLimiter()
-	_, limited := limiter.PromiseReturn(now, []*site.Server{a, b, c})
+	_, limited := limiter.ScheduleReturn(now, []*site.Server{a, b, c})
 	is.True(!limited)
 	limiter.Observe(now, a, limitOf(1))
 	limiter.Observe(now, b, limitOf(0.5))
 	waits := []time.Duration{}
 	for range 20 {
-		wait, limited := limiter.PromiseReturn(now, []*site.Server{a, b, c})
+		wait, limited := limiter.ScheduleReturn(now, []*site.Server{a, b, c})
 		is.True(limited)
 		waits = append(waits, wait)
 	}
@@ -193,23 +193,23 @@
 	is.Equal(waits[len(waits)-1], 5*time.Second)
 }
 
-// Guards against the rate of a server being promised several times to one ingress, which uses it once,
-// so that the server gets fewer requests than it takes.
-func TestIngressHasOneTurnAtATime(t *testing.T) {
+// Guards against several retries being scheduled for one ingress, which uses one of them, so that the
+// server gets fewer requests than it takes.
+func TestIngressHasOneScheduledRetryAtATime(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
 	server := &site.Server{ID: "i-1"}
 	limiter := quota.NewLimiter()
 	limiter.Observe(now, server, limitOf(2))
 	for range 10 {
-		is.Equal(limiter.TakeTurn(now, server, "first"), 500*time.Millisecond)
-		is.Equal(limiter.TakeTurn(now, server, "second"), time.Second)
+		is.Equal(limiter.ScheduleRetry(now, server, "first"), 500*time.Millisecond)
+		is.Equal(limiter.ScheduleRetry(now, server, "second"), time.Second)
 	}
 	now = now.Add(500 * time.Millisecond)
-	is.True(limiter.Allows(now, server)) // the turn of the first
+	is.True(limiter.Allows(now, server)) // the retry of the first
 	limiter.Reserve(now, server)
-	is.Equal(limiter.TakeTurn(now, server, "first"), time.Second) // after the second
-	is.Equal(limiter.TakeTurn(now, server, "second"), 500*time.Millisecond)
+	is.Equal(limiter.ScheduleRetry(now, server, "first"), time.Second) // after the second
+	is.Equal(limiter.ScheduleRetry(now, server, "second"), 500*time.Millisecond)
 	now = now.Add(500 * time.Millisecond)
 	is.True(limiter.Allows(now, server))
 }
