--- a/ingress/services/assign/dispatcher.go
+++ b/ingress/services/assign/dispatcher.go
@@ -212,13 +212,14 @@
 		if err != nil || frame.GetProgress() == nil {
 			return
 		}
-		switch progress := frame.GetProgress().GetState(); progress {
+		progress := frame.GetProgress()
+		switch progress.GetState() {
 		case stateSent:
 			reservation.MarkSent()
 		case stateAnswering:
-			reservation.MarkAnswering()
+			reservation.markAnswering(progress.GetPace())
 		default:
-			reservation.End(place.Result(progress))
+			reservation.End(place.Result(progress.GetState()))
 			return
 		}
 	}
--- a/ingress/services/assign/reservation.go
+++ b/ingress/services/assign/reservation.go
@@ -10,6 +10,7 @@
 	"verbenaroad.example/share/decide/place"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/wire"
 )
 
 // The states that an ingress reports to the placer while a request is in flight. The last report
@@ -49,19 +50,28 @@
 // MarkSent records that the request is being sent to the engine.
 func (r *Reservation) MarkSent() {
 	if r.remote != nil {
-		r.remote.Report(stateSent)
+		r.remote.Report(&wire.Progress{State: stateSent})
 		return
 	}
 	r.local.update(func(now time.Time) { r.group.engines.MarkSent(now, r.id) })
 }
 
-// MarkAnswering records that the answer has begun.
-func (r *Reservation) MarkAnswering() {
+// MarkAnswering records that the answer has begun, with the load that the engine reported in it; nil:
+// none.
+func (r *Reservation) MarkAnswering(load *site.Load) {
+	pace := 0.0
+	if load != nil {
+		pace = load.Pace
+	}
+	r.markAnswering(pace)
+}
+
+func (r *Reservation) markAnswering(pace float64) {
 	if r.remote != nil {
-		r.remote.Report(stateAnswering)
+		r.remote.Report(&wire.Progress{State: stateAnswering, Pace: pace})
 		return
 	}
-	r.local.update(func(now time.Time) { r.group.engines.MarkAnswering(now, r.id) })
+	r.local.update(func(now time.Time) { r.group.engines.MarkAnswering(now, r.id, pace) })
 }
 
 // End releases the reservation and records how the request ended. Further calls do nothing.
@@ -71,7 +81,7 @@
 
 func (r *Reservation) end(result place.Result) {
 	if r.remote != nil {
-		r.remote.Report(string(result))
+		r.remote.Report(&wire.Progress{State: string(result)})
 		r.remote.Close()
 		return
 	}
--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -41,7 +41,7 @@
 		n, err := reply.Body.Read(buffer)
 		if n > 0 && !started {
 			started = true
-			r.observeFirstEvent(server)
+			r.observeFirstEvent(server, reply)
 		}
 		pending = append(pending, buffer[:n]...)
 		complete := completeLength(pending)
@@ -65,9 +65,9 @@
 }
 
 // observeFirstEvent records that the engine has begun to send events.
-func (r *relay) observeFirstEvent(server site.Server) {
+func (r *relay) observeFirstEvent(server site.Server, reply *reach.Reply) {
 	r.releaseResults() // the engine has fetched the results of the stages
-	r.reservation.MarkAnswering()
+	r.reservation.MarkAnswering(reply.Load)
 	took := time.Since(r.Arrived)
 	r.log.Info("stream-begun", zap.String("server", server.ID), zap.Duration("took", took))
 	r.server.options.Meter.CountFirstEvent(r.route.Name, took)
--- a/share/decide/place/engines.go
+++ b/share/decide/place/engines.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenaroad.example/share/decide/cold"
+	"verbenaroad.example/share/decide/pace"
 	"verbenaroad.example/share/decide/quota"
 	"verbenaroad.example/share/models/site"
 )
@@ -92,8 +93,9 @@
 	// parts maps the IDs of prompt parts to their state in the engine's cache.
 	parts map[string]cachedPart
 	// slowdown is the smoothed ratio of the time until an answer began to the time that
-	// prefillRate predicts.
+	// prefillRate predicts at the engine's pace.
 	slowdown    float64
+	pace        pace.Pace
 	failureRate float64
 	// connFailures counts the connection failures in a row. The engine is avoided until
 	// backoffUntil.
@@ -219,7 +221,7 @@
 // cost returns the cost of placing a request at an engine, as a duration.
 func (e *Engines) cost(now time.Time, q Query, c *engine, sources []source) time.Duration {
 	plan := e.planPrefill(now, q.Generation, c, sources)
-	cost := seconds(c.slowdown*(c.pendingPrefill+plan.prefill+recomputeWeight*plan.recomputed)/prefillRate) + e.fetchCost(plan.fetched)
+	cost := seconds(c.slowdownAt(now)*(c.pendingPrefill+plan.prefill+recomputeWeight*plan.recomputed)/prefillRate) + e.fetchCost(plan.fetched)
 	cost += time.Duration(c.reservations) * streamCost
 	cost += e.networkCost(q, c)
 	cost += e.stageCost(q, c)
@@ -229,6 +231,9 @@
 	return cost + time.Duration(c.failureRate*float64(failureCost))
 }
 
+// slowdownAt returns the slowdown of the engine at the pace that it has now.
+func (c *engine) slowdownAt(now time.Time) float64 { return c.slowdown * c.pace.At(now) }
+
 // networkCost returns the cost of the network path from the caller's ingress to an engine.
 func (e *Engines) networkCost(q Query, c *engine) time.Duration {
 	switch {
@@ -271,7 +276,7 @@
 // reserve reserves an engine for a request.
 func (e *Engines) reserve(now time.Time, q Query, c *engine, sources []source) Placement {
 	plan := e.planPrefill(now, q.Generation, c, sources)
-	wait := seconds(c.slowdown*(c.pendingPrefill+plan.prefill)/prefillRate) + e.spec.FetchTime(plan.fetched)
+	wait := seconds(c.slowdownAt(now)*(c.pendingPrefill+plan.prefill)/prefillRate) + e.spec.FetchTime(plan.fetched)
 	e.lastID++
 	r := &reservation{engine: c, placedAt: now, prefill: plan.prefill, memoryTokens: estimateMemory(q.Generation)}
 	e.reservations[e.lastID] = r
--- a/share/decide/place/engines_test.go
+++ b/share/decide/place/engines_test.go
@@ -49,7 +49,7 @@
 	first, found := e.Place(now, newReviewQuery(1))
 	is.True(found)
 	e.MarkSent(now, first.ID)
-	e.MarkAnswering(now.Add(300*time.Millisecond), first.ID)
+	e.MarkAnswering(now.Add(300*time.Millisecond), first.ID, 0)
 	e.End(now.Add(2*time.Second), first.ID, place.ResultServed)
 	again, _ := e.Place(now.Add(3*time.Second), newReviewQuery(1))
 	is.Equal(again.Server.ID, first.Server.ID)
@@ -120,7 +120,7 @@
 	for range rate * 6 {
 		now = now.Add(time.Duration(source.ExpFloat64() * float64(time.Second) / rate))
 		for len(running) > 0 && !running[0].ends.After(now) {
-			e.MarkAnswering(running[0].ends, running[0].id)
+			e.MarkAnswering(running[0].ends, running[0].id, 0)
 			e.End(running[0].ends, running[0].id, place.ResultServed)
 			running = running[1:]
 		}
@@ -190,7 +190,7 @@
 	for range 4 {
 		p, _ := e.Place(now, q)
 		e.MarkSent(now, p.ID)
-		e.MarkAnswering(now, p.ID)
+		e.MarkAnswering(now, p.ID, 0)
 		counts[p.Server.ID]++
 	}
 	is.Equal(counts["s0"], 2)
@@ -227,7 +227,7 @@
 	e.MarkSent(now, p.ID)
 	e.End(now, p.ID, place.ResultCanceled)
 	e.End(now, p.ID, place.ResultServed)
-	e.MarkAnswering(now, p.ID)
+	e.MarkAnswering(now, p.ID, 0)
 	q, _ := e.Place(now, newReviewQuery(1))
 	is.True(q.Wait <= p.Wait)
 }
@@ -253,3 +253,21 @@
 	again, _ = e.Place(now.Add(2*time.Second), newReviewQuery(1))
 	is.Equal(again.Server.ID, first.Server.ID)
 }
+
+// Guards against placing prompts at an engine whose machine is busy at the moment, and against leaving
+// it alone after that.
+func TestStatedPaceOfEngineCountsWhileFresh(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	e := newEngines(2)
+	q := place.Query{Domain: "a1", Region: "a", Generation: &place.Generation{PromptTokens: 6000}}
+	first, _ := e.Place(now, q)
+	e.MarkSent(now, first.ID)
+	e.MarkAnswering(now.Add(200*time.Millisecond), first.ID, 2.5)
+	e.End(now.Add(200*time.Millisecond), first.ID, place.ResultServed)
+	second, _ := e.Place(now.Add(250*time.Millisecond), q)
+	is.True(second.Server.ID != first.Server.ID)
+	e.End(now.Add(250*time.Millisecond), second.ID, place.ResultCanceled)
+	third, _ := e.Place(now.Add(3*time.Second), q)
+	is.Equal(third.Server.ID, first.Server.ID)
+}
--- a/share/decide/place/fetch_test.go
+++ b/share/decide/place/fetch_test.go
@@ -30,7 +30,7 @@
 		t.Fatal("no engine accepts the request")
 	}
 	e.MarkSent(now, p.ID)
-	e.MarkAnswering(now, p.ID)
+	e.MarkAnswering(now, p.ID, 0)
 	e.End(now, p.ID, place.ResultServed)
 	return p
 }
@@ -79,7 +79,7 @@
 	is.Equal(second.FetchFrom, "")
 	e.End(now, second.ID, place.ResultCanceled)
 	e.MarkSent(now, first.ID)
-	e.MarkAnswering(now, first.ID)
+	e.MarkAnswering(now, first.ID, 0)
 	third, _ := e.Place(now, excluding(newReviewQuery(1), first.Server.ID))
 	is.Equal(third.FetchFrom, "") // an excluded engine, where the request was already sent, is not a source
 	e.End(now, third.ID, place.ResultCanceled)
@@ -104,7 +104,7 @@
 	again, _ := e.Place(now, newReviewQuery(1))
 	is.Equal(again.Wait, first.Wait)
 	e.MarkSent(now, again.ID)
-	e.MarkAnswering(now, again.ID)
+	e.MarkAnswering(now, again.ID, 0)
 	e.End(now, again.ID, place.ResultServed)
 	third, _ := e.Place(now, newReviewQuery(1))
 	is.True(third.Wait < first.Wait)
--- a/share/decide/place/place.go
+++ b/share/decide/place/place.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"verbenaroad.example/share/decide/cold"
+	"verbenaroad.example/share/decide/pace"
 	"verbenaroad.example/share/models/site"
 )
 
@@ -102,8 +103,9 @@
 	site.Server
 	// inFlight counts this ingress's requests in flight at the server.
 	inFlight int
-	// latency is smoothed; 0 before the first answer.
+	// latency is smoothed and holds for the usual pace; 0 before the first answer.
 	latency time.Duration
+	pace    pace.Pace
 	// failureRate is smoothed, from 0 to 1.
 	failureRate float64
 	// load is the server's own report, received at loadAt.
@@ -200,7 +202,7 @@
 		outstanding = max(outstanding, s.load.Running+s.load.Waiting)
 	}
 	queueFactor := 1 + float64(outstanding)/float64(max(s.Slots, 1))
-	estimate := time.Duration(float64(latency) * queueFactor * (1 + failureWeight*s.failureRate))
+	estimate := time.Duration(float64(latency) * queueFactor * s.pace.At(now) * (1 + failureWeight*s.failureRate))
 	return estimate + c.networkLatency(q, s)
 }
 
@@ -236,10 +238,11 @@
 	if load != nil {
 		s.load = *load
 		s.loadAt = now
+		s.pace.Observe(now, load.Pace)
 	}
 	switch result {
 	case ResultServed:
-		s.recordSuccess(took)
+		s.recordSuccess(time.Duration(float64(took) / s.pace.At(now)))
 	case ResultFailed:
 		s.recordFailure()
 		s.connFailures = 0
--- a/share/decide/place/place_test.go
+++ b/share/decide/place/place_test.go
@@ -150,3 +150,26 @@
 	c.SetServers(servers)
 	is.Equal(pick(t, c, now), "s0")
 }
+
+// Guards against requests queueing at a server whose machine is busy at the moment, and against leaving
+// it alone after that.
+func TestStatedPaceCountsWhileFresh(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	c := newChooser("a1", "a1")
+	serve := func(id string, took time.Duration, stated float64) {
+		c.Start(now, id)
+		c.End(now, id, place.ResultServed, took, &site.Load{Slots: 6, Pace: stated})
+	}
+	for range 10 {
+		serve("s0", 20*time.Millisecond, 1)
+		serve("s1", 30*time.Millisecond, 1)
+	}
+	is.Equal(pick(t, c, now), "s0")
+	for range 3 {
+		serve("s0", 50*time.Millisecond, 2.5)
+	}
+	is.Equal(pick(t, c, now), "s1")
+	now = now.Add(1500 * time.Millisecond)
+	is.Equal(pick(t, c, now), "s0") // nothing was learned from its slow answers but the pace
+}
--- a/share/decide/place/reservations.go
+++ b/share/decide/place/reservations.go
@@ -14,15 +14,17 @@
 	e.releaseStages(r)
 	r.sentAt = now
 	r.engine.sentPrefill += r.prefill
-	r.predictedWait = seconds(r.engine.slowdown * r.engine.sentPrefill / prefillRate)
+	r.predictedWait = seconds(r.engine.slowdownAt(now) * r.engine.sentPrefill / prefillRate)
 }
 
-// MarkAnswering records that the answer has begun, which means that the prompt is prefilled.
-func (e *Engines) MarkAnswering(now time.Time, id uint64) {
+// MarkAnswering records that the answer has begun, which means that the prompt is prefilled. Pace is
+// the engine's statement in the answer; 0: none.
+func (e *Engines) MarkAnswering(now time.Time, id uint64, pace float64) {
 	r := e.reservations[id]
 	if r == nil || r.prefillDone {
 		return
 	}
+	r.engine.pace.Observe(now, pace)
 	r.finishPrefill()
 	r.observeSlowdown(now)
 	r.markPartsPrefilled(now)
--- a/share/models/site/request.go
+++ b/share/models/site/request.go
@@ -119,14 +119,21 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes at the server at the moment, relative to the usual time; above 0
+	// and finite, or 0 if the server does not state it.
+	Pace float64
 }
 
-// String returns running, waiting and slots, or "none" if the server did not report its load.
+// String returns running, waiting, slots and pace, or "none" if the server did not report its load.
 func (l *Load) String() string {
 	if l == nil {
 		return "none"
 	}
-	return fmt.Sprintf("running=%d waiting=%d slots=%d", l.Running, l.Waiting, l.Slots)
+	text := fmt.Sprintf("running=%d waiting=%d slots=%d", l.Running, l.Waiting, l.Slots)
+	if l.Pace > 0 {
+		text += fmt.Sprintf(" pace=%.2f", l.Pace)
+	}
+	return text
 }
 
 // Item is one result that a pool is asked to produce.
--- a/share/modules/link/exchange.go
+++ b/share/modules/link/exchange.go
@@ -170,8 +170,8 @@
 
 // Report reports the request's progress to the peer. A write error is ignored, because a peer that
 // is gone does not need the report.
-func (a *Assignment) Report(state string) {
-	_ = wire.WriteFrame(a.stream, &wire.Frame{Body: &wire.Frame_Progress{Progress: &wire.Progress{State: state}}})
+func (a *Assignment) Report(progress *wire.Progress) {
+	_ = wire.WriteFrame(a.stream, &wire.Frame{Body: &wire.Frame_Progress{Progress: progress}})
 }
 
 // Close closes the stream, which ends the assignment.
