memory: what slow callers make an ingress hold is bounded by a setting

An ingress read each body whole and kept each plain answer until its caller had read it, with no bound but the number of connections: 40 bodies of 3.6 MB, sent slowly, take 130 MB where the smallest instances have 184 MB, and a caller that never reads an answer held it for as long as its connection lived.

Change: callers.memory states the memory of the process, and a quarter of it is for bodies and unread answers (ingress/modules/memory). A body that does not fit is refused at once as not run; an answer that does not fit is relayed as it arrives. A body must arrive before its request's time is over, and a write that makes no progress for 20 s ends, for plain answers as for streams. The garbage collector is told to stay below 85 % of the memory.

--- a/fakes/services/hosted/answers.go
+++ b/fakes/services/hosted/answers.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -16,6 +17,7 @@
 		return
 	}
 	text := "answer of " + s.ID + " to " + r.Header.Get("X-Verbenaroad-Attempt-Id")
+	text += strings.Repeat(".", max(s.AnswerBytes-len(text), 0))
 	switch fault {
 	case UnclassifiedFailure:
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -65,6 +65,8 @@
 	ColdRemaining time.Duration
 	// WorkTime is how long a plain request or a pool call takes.
 	WorkTime time.Duration
+	// AnswerBytes is the least length of the answer to a plain request.
+	AnswerBytes int
 	// Events is the number of events of a stream, EventInterval the time before each of them.
 	Events        int
 	EventInterval time.Duration
--- a/fakes/services/hosted/world.go
+++ b/fakes/services/hosted/world.go
@@ -11,6 +11,8 @@
 // World is a small deployment: a store, backend servers and the results that the pool servers hold.
 type World struct {
 	Store *Store
+	// MaxBodyBytes is the largest body that configurations written from now on allow.
+	MaxBodyBytes int
 
 	lock       sync.Mutex
 	servers    []*Server
@@ -34,13 +36,16 @@
 	expiry time.Time
 }
 
+// defaultMaxBodyBytes is the largest body that a configuration allows unless the world sets another.
+const defaultMaxBodyBytes = 64 << 10
+
 // NewWorld returns a World without servers whose store listens on n addresses.
 func NewWorld(n int) (*World, error) {
 	store, err := NewStore(n)
 	if err != nil {
 		return nil, err
 	}
-	return &World{Store: store, held: map[string]heldResult{}}, nil
+	return &World{MaxBodyBytes: defaultMaxBodyBytes, Store: store, held: map[string]heldResult{}}, nil
 }
 
 // Add starts a backend server and registers it as ready. A server without an ID gets one.
@@ -219,7 +224,7 @@
 	w.Store.Put("op/config", map[string]any{
 		"Version": version, "Routes": routes, "Services": services, "Tenants": tenants,
 		"Limits": map[string]any{
-			"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000,
+			"MaxHeaderBytes": 16384, "MaxBodyBytes": w.MaxBodyBytes, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000,
 		},
 	})
 	return version
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -10,11 +10,13 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/modules/memory"
 	"verbenaroad.example/ingress/routers/ops"
 	"verbenaroad.example/ingress/routers/public"
 	"verbenaroad.example/ingress/services/assign"
@@ -64,6 +66,7 @@
 	// linkTLS is used at both ends of the links between ingresses; nil: links without TLS.
 	linkTLS       *tls.Config
 	meters        *meters.Meters
+	memory        *memory.Budget
 	self          site.Ingress
 	store         *keyval.Client
 	book          *state.Book
@@ -90,13 +93,15 @@
 // Serve runs the ingress until a signal stops it and the drain has ended.
 func Serve(ctx context.Context, settings *Settings, reload ReloadFunc, output io.Writer) error {
 	i := &Ingress{settings: settings, reload: reload}
-	i.meters = meters.NewMeters(func() time.Duration { return i.book.Age() })
+	i.memory = memory.NewBudget(settings.Callers.RequestMemory())
+	i.meters = meters.NewMeters(func() time.Duration { return i.book.Age() }, i.memory.Used)
 	log, logOutput, err := logs.NewAsyncLogger(output, settings.Log.Level, i.meters.CountDroppedLines)
 	if err != nil {
 		return err
 	}
 	i.log = log.With(zap.String("instance", settings.Place.Name))
 	i.logOutput = logOutput
+	debug.SetMemoryLimit(settings.Callers.CollectedMemory())
 	i.linkTLS, err = settings.Secure.BuildConfig()
 	if err != nil {
 		return err
@@ -201,7 +206,8 @@
 	i.callerServer, err = NewCallerServer(ctx, CallerServerOptions{
 		Address: s.Callers.Listen, Views: i.book, Log: i.log, MaxConnections: s.Callers.MaxConnections(),
 		Handler: public.NewRouter(public.Options{
-			Codec: heads.Codec{}, Views: i.book, Flow: i.flow, Admission: i.stopper, Peers: i.mesh, StoreStatus: i.book, Log: i.log,
+			Codec: heads.Codec{}, Views: i.book, Flow: i.flow, Admission: i.stopper, Peers: i.mesh, StoreStatus: i.book,
+			Memory: i.memory, Log: i.log,
 		}),
 	})
 	if err != nil {
--- a/ingress/cmds/settings.go
+++ b/ingress/cmds/settings.go
@@ -19,11 +19,17 @@
 	// Ready and ReadyPath are the address and path of the load balancer's readiness check.
 	Ready     netip.AddrPort
 	ReadyPath string
+	// Memory is how many megabytes of memory the process may use; a quarter of them are for what
+	// callers' requests hold.
+	Memory int
 	// Descriptors is how many file descriptors the process may open; half of them are for
 	// callers' connections.
 	Descriptors int
 }
 
+// minMemory is the least memory, in megabytes, that a process needs for itself and a few requests.
+const minMemory = 32
+
 // descriptorsPerCaller is how many file descriptors a caller's request needs: one for the caller's
 // connection and one for the connection to the backend server.
 const descriptorsPerCaller = 2
@@ -31,17 +37,38 @@
 // MaxConnections returns how many connections from callers may be open.
 func (c *Callers) MaxConnections() int { return max(c.Descriptors/descriptorsPerCaller, 1) }
 
+const (
+	// requestShare is the part of the memory that is for bodies of requests and for answers, which
+	// take up to twice their size between two runs of the garbage collector. The rest is for
+	// connections, the links to other ingresses and the records.
+	requestShare = 0.25
+	// collectedShare is the part of the memory beyond which the garbage collector runs as often as it
+	// takes to stay below.
+	collectedShare = 0.85
+	megabyte       = 1 << 20
+)
+
+// RequestMemory returns how many bytes the requests of callers may hold together.
+func (c *Callers) RequestMemory() int64 { return int64(requestShare * float64(c.Memory*megabyte)) }
+
+// CollectedMemory returns the number of bytes in use that the garbage collector aims to stay below.
+func (c *Callers) CollectedMemory() int64 { return int64(collectedShare * float64(c.Memory*megabyte)) }
+
 // Register declares the keys of the section.
 func (c *Callers) Register(fs *flag.FlagSet) {
 	fs.TextVar(&c.Listen, "callers.listen", netip.AddrPort{}, "`ip:port` for callers")
 	fs.TextVar(&c.Ready, "callers.ready", netip.AddrPort{}, "`ip:port` of the load balancer's readiness check")
 	fs.StringVar(&c.ReadyPath, "callers.ready-path", "/readyz", "`path` of the readiness check")
+	fs.IntVar(&c.Memory, "callers.memory", 256, "`megabytes` of memory that the process may use; a quarter of them are for bodies of requests and answers that are not read yet, and beyond that requests are refused")
 	fs.IntVar(&c.Descriptors, "callers.descriptors", 4096, "`number` of file descriptors that the process may open; half of them are for callers' connections, and beyond that the connection that has been idle longest is closed for each new one")
 }
 
 // Check returns the faults of the section.
 func (c *Callers) Check() []error {
 	faults := checkAddresses(map[string]netip.AddrPort{"callers.listen": c.Listen, "callers.ready": c.Ready})
+	if c.Memory < minMemory {
+		faults = append(faults, errs.New("callers.memory: must be %d or more", minMemory))
+	}
 	if c.Descriptors < descriptorsPerCaller {
 		faults = append(faults, errs.New("callers.descriptors: must be %d or more", descriptorsPerCaller))
 	}
--- a/ingress/routers/public/public.go
+++ b/ingress/routers/public/public.go
@@ -7,14 +7,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/modules/memory"
 	"verbenaroad.example/ingress/services/flow"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/access"
@@ -75,7 +76,9 @@
 	Views       Views
 	Flow        Flow
 	Admission   Admission
-	Log         *zap.Logger
+	// Memory limits what all requests hold together.
+	Memory *memory.Budget
+	Log    *zap.Logger
 }
 
 // Router reads requests, checks whether they are allowed, and serves or refuses them.
@@ -105,6 +108,9 @@
 	// drainingRetryAfter is the Retry-After of a stopping ingress if another ingress takes new
 	// requests: that one can take the request at once.
 	drainingRetryAfter = 50 * time.Millisecond
+	// memoryRetryAfter is the Retry-After of an ingress without memory for the body of a request. Most
+	// requests end within a second, and another ingress may take the next attempt.
+	memoryRetryAfter = 300 * time.Millisecond
 	// aloneRetryAfter is the Retry-After of a stopping ingress if no other ingress takes new requests:
 	// a restart takes seconds. Callers respect a Retry-After of up to a third of their remaining time.
 	aloneRetryAfter = 2 * time.Second
@@ -124,7 +130,9 @@
 		return
 	}
 	defer t.options.Admission.EndWork(workID)
-	q, result := t.read(w, r, request, arrived)
+	account := t.options.Memory.NewAccount()
+	defer account.Close()
+	q, result := t.read(w, r, request, arrived, account)
 	if result == nil && !admitted && !t.admitLastResort(workID, q) {
 		result = codes.NewResult(codes.Draining, "stopping, as all others").WithRetryAfter(aloneRetryAfter)
 	}
@@ -149,7 +157,9 @@
 
 // read checks whether a request is allowed and reads its body. A request that is not allowed is
 // refused before its body is read.
-func (t *Router) read(w http.ResponseWriter, r *http.Request, request site.Request, arrived time.Time) (*flow.Request, *codes.Result) {
+func (t *Router) read(
+	w http.ResponseWriter, r *http.Request, request site.Request, arrived time.Time, account *memory.Account,
+) (*flow.Request, *codes.Result) {
 	view := t.options.Views.View()
 	if view.Table == nil {
 		return nil, t.refuseUnready()
@@ -167,8 +177,11 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	until := arrived.Add(flow.FinalAnswerTimeout(decision.Route, request.CallerTimeout))
+	body, err := readBody(w, r, limit, until, account)
 	if err != nil {
+		// The connection must not wait for the rest of the body.
+		w.Header().Set("Connection", "close")
 		return nil, refuseBody(err)
 	}
 	header := r.Header.Clone()
@@ -181,6 +194,7 @@
 		Host:     r.Host,
 		Header:   header,
 		Body:     body,
+		Memory:   account,
 		Arrived:  arrived,
 		Decision: decision,
 		View:     view,
@@ -196,11 +210,30 @@
 	return codes.NewResult(codes.NotReady, "no configuration yet").WithRetryAfter(startRetryAfter)
 }
 
+// readBody reads the body of a request, of up to limit bytes, until the given time.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, until time.Time, account *memory.Account) ([]byte, error) {
+	if r.Body == http.NoBody {
+		return []byte{}, nil
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(until) // not all writers support it
+	body, err := account.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 // refuseBody returns the refusal for a body that could not be read.
 func refuseBody(err error) *codes.Result {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return codes.NewResult(codes.BodyTooLarge, "the body is too long")
+	case errors.Is(err, memory.ErrExhausted):
+		return codes.NewResult(codes.Overloaded, err.Error()).WithRetryAfter(memoryRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return codes.NewResult(codes.DeadlineExceeded, "the body did not arrive in time").WithOutcome(codes.OutcomeNotRun)
 	}
 	return codes.NewResult(codes.BadRequest, "the body ended early")
 }
--- a/ingress/routers/public/unready_test.go
+++ b/ingress/routers/public/unready_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/modules/memory"
 	"verbenaroad.example/ingress/routers/public"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/models/site"
@@ -42,7 +43,7 @@
 			is := is.New(t)
 			s := starting{silence: silence}
 			router := public.NewRouter(public.Options{
-				Peers: s, StoreStatus: s, Codec: s, Views: s, Admission: s, Log: zap.NewNop(),
+				Peers: s, StoreStatus: s, Codec: s, Views: s, Admission: s, Memory: memory.NewBudget(1 << 20), Log: zap.NewNop(),
 			})
 			w := httptest.NewRecorder()
 			router.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/order/1", nil))
--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,8 +21,6 @@
 	relayBufferBytes = 16 << 10
 	// maxEventBytes limits the length of an event. The stream fails if an event is longer.
 	maxEventBytes = 1 << 20
-	// writeTimeout limits how long a write waits for a caller that does not read.
-	writeTimeout = 20 * time.Second
 )
 
 // forward relays the answer to the caller. Events are only written complete.
@@ -33,7 +30,6 @@
 		r.writer.WriteHeader(reply.Status)
 		r.headSent = true
 	}
-	control := http.NewResponseController(r.writer)
 	buffer := make([]byte, relayBufferBytes)
 	pending := []byte{}
 	started := false
@@ -46,7 +42,7 @@
 		pending = append(pending, buffer[:n]...)
 		complete := completeLength(pending)
 		if complete > 0 {
-			if failed := r.write(control, pending[:complete]); failed != nil {
+			if failed := r.write(pending[:complete]); failed != nil {
 				return failed
 			}
 			pending = append(pending[:0], pending[complete:]...)
@@ -74,15 +70,14 @@
 }
 
 // write writes complete events to the caller.
-func (r *relay) write(control *http.ResponseController, events []byte) error {
+func (r *relay) write(events []byte) error {
 	if id, found := lastEventID(events); found {
 		r.lastID = id
 	}
-	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout)) // not all writers support it
 	if _, err := r.writer.Write(events); err != nil {
 		return &callerError{cause: err}
 	}
-	if err := control.Flush(); err != nil {
+	if err := r.writer.Flush(); err != nil {
 		return &callerError{cause: err}
 	}
 	return nil
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/modules/memory"
 	"verbenaroad.example/ingress/services/assign"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/access"
@@ -107,11 +108,13 @@
 // Request is a caller's request as parsed by the router.
 type Request struct {
 	site.Request
-	Method  string
-	Target  string
-	Host    string
-	Header  http.Header
-	Body    []byte
+	Method string
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Memory accounts for what the request holds. Body is part of it.
+	Memory  *memory.Account
 	Arrived time.Time
 	// Decision is the result of the access check, which was made against View.
 	Decision access.Decision
@@ -147,6 +150,19 @@
 // defaultCallerTimeout applies if the caller does not state how long it waits.
 const defaultCallerTimeout = 30 * time.Second
 
+// FinalAnswerTimeout returns the time after its arrival at which a request on a route must have its
+// final answer. callerTimeout is how long its caller waits; 0: not stated.
+func FinalAnswerTimeout(r *site.Route, callerTimeout time.Duration) time.Duration {
+	timeout := callerTimeout
+	if timeout == 0 {
+		timeout = defaultCallerTimeout
+	}
+	if r.Timeout > 0 {
+		timeout = min(timeout, r.Timeout)
+	}
+	return timeout
+}
+
 // Serve serves one request and writes its final answer.
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, q *Request) {
 	x := s.newExchange(q)
@@ -173,13 +189,6 @@
 
 func (s *Server) newExchange(q *Request) *exchange {
 	r := q.Decision.Route
-	timeout := q.CallerTimeout
-	if timeout == 0 {
-		timeout = defaultCallerTimeout
-	}
-	if r.Timeout > 0 {
-		timeout = min(timeout, r.Timeout)
-	}
 	service := access.PickService(r, rand.Float64()) //nolint:gosec // a share of traffic, no secret
 	path, _, _ := strings.Cut(q.Target, "?")
 	return &exchange{
@@ -188,7 +197,7 @@
 		route:    r,
 		service:  service,
 		digest:   poison.NewID(q.Decision.Team, q.Host, path, q.Body),
-		deadline: q.Arrived.Add(timeout),
+		deadline: q.Arrived.Add(FinalAnswerTimeout(r, q.CallerTimeout)),
 		log: s.options.Log.With(zap.String("request", q.AttemptID), zap.String("route", r.Name),
 			zap.String("service", service), zap.Uint64("config", q.View.Version())),
 	}
--- a/ingress/services/flow/pick_test.go
+++ b/ingress/services/flow/pick_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/modules/memory"
 	"verbenaroad.example/ingress/services/flow"
 	"verbenaroad.example/ingress/services/limits"
 	"verbenaroad.example/ingress/services/reach"
@@ -71,6 +72,7 @@
 	return func(ctx context.Context) *httptest.ResponseRecorder {
 		answer := httptest.NewRecorder()
 		server.Serve(ctx, answer, &flow.Request{
+			Memory:  memory.NewBudget(4 << 20).NewAccount(),
 			Request: site.Request{AttemptID: "a", CallerTimeout: time.Second}, Method: http.MethodPost, Target: "/", Arrived: time.Now(),
 			Header: http.Header{}, Decision: access.Decision{Verdict: access.Granted, Route: &route}, View: view,
 		})
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/modules/memory"
 	"verbenaroad.example/ingress/services/reach"
 	"verbenaroad.example/share/decide/place"
 	"verbenaroad.example/share/models/site"
@@ -76,9 +77,10 @@
 	began := time.Now()
 	reply, err := x.server.options.Sender.Send(sendCtx, x.newAttempt(server, nil))
 	var buffered []byte
+	isWhole := false
 	if err == nil {
 		defer func() { _ = reply.Body.Close() }()
-		buffered, err = io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+		buffered, isWhole, err = x.buffer(reply)
 	}
 	took := time.Since(began)
 	if err != nil {
@@ -94,10 +96,20 @@
 	if !served && x.route.Kind == site.KindIdempotent && x.mayRunAgain("server-error") {
 		return verdict{retry: true}
 	}
-	x.deliver(w, reply, buffered)
+	x.deliver(w, reply, buffered, isWhole)
 	return verdict{}
 }
 
+// buffer reads an answer until its end, and then returns true, or until no more of it may be buffered.
+func (x *exchange) buffer(reply *reach.Reply) (buffered []byte, isWhole bool, err error) {
+	buffered, err = x.Memory.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes), reply.Length)
+	if errors.Is(err, memory.ErrExhausted) {
+		x.log.Warn("answer-not-buffered", zap.Int("buffered", len(buffered)), zap.Int64("length", reply.Length))
+		return buffered, false, nil
+	}
+	return buffered, len(buffered) < maxBufferedBytes, err
+}
+
 func outcomeOf(served bool) place.Result {
 	if served {
 		return place.ResultServed
@@ -230,21 +242,24 @@
 	return max(x.route.LatencyTarget, shortRetryAfter)
 }
 
-// deliver writes the buffered answer. If it fills the buffer, deliver then copies the rest of the
-// body as it arrives.
-func (x *exchange) deliver(w http.ResponseWriter, reply *reach.Reply, buffered []byte) {
+// deliver writes the buffered answer. Unless that is the whole answer, deliver then copies the rest of
+// the body as it arrives.
+func (x *exchange) deliver(w http.ResponseWriter, reply *reach.Reply, buffered []byte, isWhole bool) {
 	copyHeader(w.Header(), reply.Header)
-	if len(buffered) < maxBufferedBytes {
+	to := newCallerWriter(w)
+	if isWhole {
 		w.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
 		w.WriteHeader(reply.Status)
-		_, _ = w.Write(buffered) // fails only if the caller has disconnected
+		if _, err := to.Write(buffered); err != nil {
+			x.log.Info("answer-not-read", logs.Err(err))
+		}
 		return
 	}
 	if reply.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(reply.Length, 10))
 	}
 	w.WriteHeader(reply.Status)
-	if _, err := io.Copy(w, io.MultiReader(bytes.NewReader(buffered), reply.Body)); err != nil {
+	if _, err := io.Copy(to, io.MultiReader(bytes.NewReader(buffered), reply.Body)); err != nil {
 		x.log.Warn("answer-broken", logs.Err(err))
 		panic(http.ErrAbortHandler) // an incomplete answer must not look complete
 	}
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -28,7 +27,7 @@
 	if !x.reserveEngine(ctx) {
 		return x.resolveCancellation(ctx, x.refuseNoServer())
 	}
-	r := &relay{exchange: x, writer: w}
+	r := &relay{exchange: x, writer: newCallerWriter(w)}
 	defer r.releaseResults()
 	if result := r.produceResults(ctx); result != nil {
 		return x.resolveCancellation(ctx, result)
@@ -104,7 +103,7 @@
 // another engine.
 type relay struct {
 	*exchange
-	writer http.ResponseWriter
+	writer *callerWriter
 	// results are the stage results that the engine fetches; nil if the route has no stages, and
 	// after releaseResults.
 	results *stages.Results
@@ -261,7 +260,7 @@
 // events. A resumable stream is first tried at another engine. Otherwise the engine's answer is
 // delivered unchanged, unless the answer to the caller has already begun; the stream then fails.
 func (r *relay) handleFailure(ctx context.Context, server site.Server, reply *reach.Reply, took time.Duration) verdict {
-	buffered, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+	buffered, isWhole, err := r.buffer(reply)
 	if err != nil {
 		return r.handleBreak(ctx, server, err, took)
 	}
@@ -275,7 +274,7 @@
 	if r.headSent {
 		return verdict{result: codes.NewResult(codes.BackendFailed, server.ID+" failed")}
 	}
-	r.deliver(r.writer, reply, buffered)
+	r.deliver(r.writer, reply, buffered, isWhole)
 	return verdict{}
 }
 
--- a/ingress/services/flow/stream_test.go
+++ b/ingress/services/flow/stream_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/modules/memory"
 	"verbenaroad.example/ingress/services/assign"
 	"verbenaroad.example/ingress/services/flow"
 	"verbenaroad.example/ingress/services/limits"
@@ -111,6 +112,7 @@
 	})
 	answer := httptest.NewRecorder()
 	server.Serve(context.Background(), answer, &flow.Request{
+		Memory:  memory.NewBudget(4 << 20).NewAccount(),
 		Request: site.Request{AttemptID: "a", CallerTimeout: 5 * time.Second, ItemCounts: []int{2}},
 		Method:  http.MethodPost, Target: "/", Arrived: time.Now(), Header: http.Header{},
 		Decision: access.Decision{Verdict: access.Granted, Route: &route}, View: view,
--- a/ingress/services/meters/meters.go
+++ b/ingress/services/meters/meters.go
@@ -23,6 +23,7 @@
 	reloads       *prometheus.CounterVec
 	configVersion prometheus.Gauge
 	storeAge      prometheus.GaugeFunc
+	requestMemory prometheus.GaugeFunc
 }
 
 // latencyBuckets returns histogram buckets in seconds, from the time of a plain service's answer to the
@@ -32,8 +33,8 @@
 }
 
 // NewMeters registers the metrics. The function storeAge returns the time since the store last
-// answered.
-func NewMeters(storeAge func() time.Duration) *Meters {
+// answered, requestMemory the number of bytes that requests and answers hold.
+func NewMeters(storeAge func() time.Duration, requestMemory func() int64) *Meters {
 	m := &Meters{
 		registry: prometheus.NewRegistry(),
 		answers: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -69,8 +70,11 @@
 		storeAge: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "verbenaroad_store_age_seconds", Help: "Time since the store answered.",
 		}, func() float64 { return storeAge().Seconds() }),
+		requestMemory: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "verbenaroad_request_memory_bytes", Help: "Memory held by bodies of requests and by answers that are not read yet.",
+		}, func() float64 { return float64(requestMemory()) }),
 	}
-	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.limitedSends, m.limitedCount, m.droppedLines, m.reloads, m.configVersion, m.storeAge)
+	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.limitedSends, m.limitedCount, m.droppedLines, m.reloads, m.configVersion, m.storeAge, m.requestMemory)
 	return m
 }
 
--- a/proofs/hosted/process_test.go
+++ b/proofs/hosted/process_test.go
@@ -138,6 +138,7 @@
 listen = %q
 ready = %q
 descriptors = 100
+memory = 64
 [store]
 address = %q
 wait = "500ms"
