usage: what an ingress holds, sends and asks of the store, by role

Each ingress counts its calls to the store by kind and the frames on its links by kind and size (verbenaroad_store_calls_total, verbenaroad_link_frames_total and _bytes_total), and logs them each 5 s with its processor time, memory, links, followers and records (event usage). vload roles turns the lines of a run into tables: cost by role, frames by kind, calls by kind, and the median, 99th percentile and last instance for configurations, lost servers and ingresses, and starts.

--- a/ingress/cmds/links.go
+++ b/ingress/cmds/links.go
@@ -19,6 +19,7 @@
 		TLS:               i.linkTLS,
 		Private:           i.settings.Peers.Private,
 		HeartbeatInterval: interval,
+		OnFrame:           i.meters.CountFrame,
 		SilenceTimeout:    time.Duration(silenceFactor * float64(interval)),
 		NewHeartbeat: func() *wire.Beat {
 			return &wire.Beat{
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -126,6 +126,7 @@
 	i.store = keyval.NewClient(keyval.Options{
 		Address: s.Store.Address, CallTimeout: s.Store.Timeout,
 		OnArrival: func() { i.book.ObserveOwnAnswer(time.Now()) },
+		OnCall:    func(call keyval.Call, err error) { i.meters.CountStoreCall(string(call), err) },
 	})
 	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.setView})
 	i.limits = limits.NewRegistry(i.meters, i.log)
@@ -261,6 +262,7 @@
 	i.puller.Start(ctx)
 	i.batcher.Start(ctx)
 	i.peerServer.Start(ctx)
+	(&usageReporter{ingress: i}).Start(ctx)
 	i.log.Info("started", zap.Stringer("callers", s.Callers.Listen), zap.Stringer("peers", s.Peers.Listen),
 		zap.Stringer("metrics", s.Metrics.Listen), zap.Stringer("store", s.Store.Address),
 		zap.String("incarnation", i.self.Incarnation))
--- a/ingress/services/mesh/feeder.go
+++ b/ingress/services/mesh/feeder.go
@@ -357,6 +357,13 @@
 	return c.records
 }
 
+// CountFollowers returns how many ingresses follow this one.
+func (f *Feeder) CountFollowers() int {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.followers
+}
+
 // IsFollowing reports whether this ingress follows another one.
 func (f *Feeder) IsFollowing() bool {
 	f.lock.Lock()
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -196,6 +196,20 @@
 	return p.session != nil && !p.session.IsClosed()
 }
 
+// CountSessions returns how many sessions that this ingress opened are open.
+func (m *Mesh) CountSessions() int {
+	m.lock.Lock()
+	names := slices.Collect(maps.Keys(m.peers))
+	m.lock.Unlock()
+	count := 0
+	for _, name := range names {
+		if m.hasSession(name) {
+			count++
+		}
+	}
+	return count
+}
+
 // Connect opens a session to another ingress unless one is open, in order to receive its
 // heartbeats.
 func (m *Mesh) Connect(ctx context.Context, name string) error {
--- a/ingress/services/meters/meters.go
+++ b/ingress/services/meters/meters.go
@@ -24,6 +24,7 @@
 	configVersion prometheus.Gauge
 	storeAge      prometheus.GaugeFunc
 	requestMemory prometheus.GaugeFunc
+	usage         *usage
 }
 
 // latencyBuckets returns histogram buckets in seconds, from the time of a plain service's answer to the
@@ -37,6 +38,7 @@
 func NewMeters(storeAge func() time.Duration, requestMemory func() int64) *Meters {
 	m := &Meters{
 		registry: prometheus.NewRegistry(),
+		usage:    newUsage(),
 		answers: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "verbenaroad_request_seconds", Help: "Time from arrival to the final answer.", Buckets: latencyBuckets(),
 		}, []string{"route", "outcome"}),
@@ -80,7 +82,7 @@
 
 // Handler returns the HTTP handler of the metrics.
 func (m *Meters) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(prometheus.Gatherers{m.registry, m.usage.registry}, promhttp.HandlerOpts{})
 }
 
 // CountAnswer records the final answer of a request and the time since the request arrived.
--- a/share/modules/link/options.go
+++ b/share/modules/link/options.go
@@ -55,6 +55,9 @@
 	// which the peer can have written it. It is zero if the heartbeat echoes no heartbeat of this
 	// end whose send time is still known.
 	OnHeartbeat func(s *Session, beat *wire.Beat, notBefore time.Time)
+	// OnFrame, if set, is called for each frame that a stream of the session sent or received, with the
+	// name of the frame's body and the encoded size in bytes.
+	OnFrame func(sent bool, body string, bytes int)
 	// OnDown is called once, when the session has ended.
 	OnDown func(s *Session, reason error)
 }
--- a/share/modules/link/session.go
+++ b/share/modules/link/session.go
@@ -70,7 +70,7 @@
 		settings.ServerName = address.Addr().String()
 		conn = tls.Client(conn, settings)
 	}
-	open := newStreams()
+	open := newStreams(options)
 	batch := newBatchConn(conn, open.endReads)
 	_ = batch.SetDeadline(time.Now().Add(options.HelloTimeout))
 	s, err := dialMux(batch, open, options)
@@ -114,7 +114,7 @@
 	if options.TLS != nil {
 		conn = tls.Server(conn, options.TLS)
 	}
-	open := newStreams()
+	open := newStreams(options)
 	batch := newBatchConn(conn, open.endReads)
 	_ = batch.SetDeadline(time.Now().Add(options.HelloTimeout))
 	mux, err := yamux.Server(batch, muxConfig())
--- a/share/modules/link/streams.go
+++ b/share/modules/link/streams.go
@@ -16,6 +16,9 @@
 // closed the streams, each blocked yamux Stream.Read loops without waiting. If the close has to
 // wait, these loops take whole cores.
 type streams struct {
+	// onFrame is told of each frame; nil: nobody is.
+	onFrame func(sent bool, body string, bytes int)
+
 	lock sync.Mutex
 	open map[*muxStream]bool
 	// ended is set once a read of the connection has failed.
@@ -33,7 +36,9 @@
 // pastDeadline is a time in the past. As a deadline it ends reads at once.
 var pastDeadline = time.Unix(1, 0) //nolint:gochecknoglobals // a constant in all but syntax
 
-func newStreams() *streams { return &streams{open: map[*muxStream]bool{}} }
+func newStreams(options Options) *streams {
+	return &streams{onFrame: options.OnFrame, open: map[*muxStream]bool{}}
+}
 
 func (s *streams) add(stream *yamux.Stream) *muxStream {
 	m := &muxStream{Stream: stream, owner: s}
@@ -74,6 +79,13 @@
 	return n, err //nolint:wrapcheck // readers compare it with io.EOF
 }
 
+// ObserveFrame implements wire.FrameObserver.
+func (m *muxStream) ObserveFrame(sent bool, body string, bytes int) {
+	if m.owner.onFrame != nil {
+		m.owner.onFrame(sent, body, bytes)
+	}
+}
+
 // SetReadDeadline sets the deadline of reads. It has no effect once the session has ended, so that
 // reads still return at once.
 func (m *muxStream) SetReadDeadline(deadline time.Time) error {
--- a/share/modules/wire/frame.go
+++ b/share/modules/wire/frame.go
@@ -23,17 +23,37 @@
 // ErrFrame is the class of errors of reading and writing frames.
 var ErrFrame = errs.Class("frame") //nolint:gochecknoglobals // an error class is a constant in all but syntax
 
+// FrameObserver is implemented by streams that count the frames that pass them. It is told the name of
+// the frame's body and the encoded size of the frame in bytes.
+type FrameObserver interface {
+	ObserveFrame(sent bool, body string, bytes int)
+}
+
+// bodyName returns the name of the field that the body of a frame has, or an empty string.
+func bodyName(frame *Frame) string {
+	message := frame.ProtoReflect()
+	field := message.WhichOneof(message.Descriptor().Oneofs().Get(0))
+	if field == nil {
+		return ""
+	}
+	return string(field.Name())
+}
+
 // Reader reads frames from one stream.
 type Reader struct {
 	buffer  *bufio.Reader
 	options protodelim.UnmarshalOptions
+	// observer is nil if the stream counts no frames.
+	observer FrameObserver
 }
 
 // NewReader returns a Reader on r.
 func NewReader(r io.Reader) *Reader {
+	observer, _ := r.(FrameObserver)
 	return &Reader{
-		buffer:  bufio.NewReader(r),
-		options: protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes},
+		buffer:   bufio.NewReader(r),
+		options:  protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes},
+		observer: observer,
 	}
 }
 
@@ -47,6 +67,9 @@
 	if err != nil {
 		return nil, ErrFrame.Wrap(err)
 	}
+	if r.observer != nil {
+		r.observer.ObserveFrame(false, bodyName(frame), proto.Size(frame))
+	}
 	return frame, nil
 }
 
@@ -73,6 +96,9 @@
 		*pooled = encoded
 	}
 	buffers.Put(pooled)
+	if observer, observes := w.(FrameObserver); observes && err == nil {
+		observer.ObserveFrame(true, bodyName(frame), size)
+	}
 	return ErrFrame.Wrap(err)
 }
 
--- a/vload/cmds/causes.go
+++ b/vload/cmds/causes.go
@@ -40,18 +40,34 @@
 	if c.window <= 0 {
 		return ErrCommand.New("causes: --window: must be above 0")
 	}
-	readers := []io.Reader{}
-	for _, name := range files {
-		file, err := os.Open(name)
-		if err != nil {
-			return ErrCommand.Wrap(err)
-		}
-		defer func() { _ = file.Close() }()
-		readers = append(readers, file)
+	in, closeFiles, err := openFiles(files)
+	if err != nil {
+		return err
 	}
+	defer closeFiles()
 	report := cause.NewReport(c.window)
-	if err := report.Read(io.MultiReader(readers...)); err != nil {
+	if err := report.Read(in); err != nil {
 		return err
 	}
 	return report.Write(c.out)
 }
+
+// openFiles opens files for reading one after the other. Close closes them.
+func openFiles(names []string) (in io.Reader, closeFiles func(), err error) {
+	readers, files := []io.Reader{}, []*os.File{}
+	closeFiles = func() {
+		for _, file := range files {
+			_ = file.Close()
+		}
+	}
+	for _, name := range names {
+		file, err := os.Open(name)
+		if err != nil {
+			closeFiles()
+			return nil, nil, ErrCommand.Wrap(err)
+		}
+		files = append(files, file)
+		readers = append(readers, file)
+	}
+	return io.MultiReader(readers...), closeFiles, nil
+}
--- a/vload/cmds/root.go
+++ b/vload/cmds/root.go
@@ -30,6 +30,7 @@
 			newDraftCommand(out),
 			newCapacityCommand(out),
 			newCausesCommand(out),
+			newRolesCommand(out),
 		},
 		Exec: showHelp,
 	}
--- a/vload/services/cause/cause.go
+++ b/vload/services/cause/cause.go
@@ -1,3 +1,5 @@
+// Package cause reads the log lines of a deployment's ingresses and prints tables of where
+// requests spent their time and why some of them failed.
 package cause
 
 import (
@@ -9,6 +11,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"verbenaroad.example/vload/modules/lines"
 )
 
 // ErrCause is the class of errors of this package.
@@ -64,7 +68,7 @@
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
-		if l, ok := parseLine(scanner.Text()); ok {
+		if l, ok := lines.Parse(scanner.Text()); ok {
 			r.add(l)
 		}
 	}
@@ -77,51 +81,51 @@
 	return nil
 }
 
-func (r *Report) add(l line) {
-	switch l.event {
+func (r *Report) add(l lines.Line) {
+	switch l.Event {
 	case "stage-ended":
 		r.addStage(l)
 	case "stream-begun":
-		r.firstEventTimes[l.fields["route"]] = append(r.firstEventTimes[l.fields["route"]], l.duration("took"))
+		r.firstEventTimes[l.Fields["route"]] = append(r.firstEventTimes[l.Fields["route"]], l.Duration("took"))
 	case "batch":
 		r.addCall(l)
 	case "failed":
-		r.failures[[2]string{l.fields["route"], l.fields["code"] + ": " + maskNumbers(l.fields["detail"])}]++
+		r.failures[[2]string{l.Fields["route"], l.Fields["code"] + ": " + maskNumbers(l.Fields["detail"])}]++
 	default:
 		return
 	}
 	r.matched++
 }
 
-func (r *Report) addStage(l line) {
-	key := stageKey{service: l.fields["stage-service"], stage: l.fields["stage"], route: l.fields["route"]}
-	if l.fields["outcome"] != "made" {
+func (r *Report) addStage(l lines.Line) {
+	key := stageKey{service: l.Fields["stage-service"], stage: l.Fields["stage"], route: l.Fields["route"]}
+	if l.Fields["outcome"] != "made" {
 		r.notProduced[key]++
 		return
 	}
-	r.stageTimes[key] = append(r.stageTimes[key], l.duration("took"))
+	r.stageTimes[key] = append(r.stageTimes[key], l.Duration("took"))
 }
 
 // addCall counts a call in the window in which it ended. Windows are counted from the time of
 // the first call.
-func (r *Report) addCall(l line) {
+func (r *Report) addCall(l lines.Line) {
 	if r.start.IsZero() {
-		r.start = l.at
+		r.start = l.At
 	}
-	start := r.start.Add(l.at.Sub(r.start).Truncate(r.window))
-	key := windowKey{service: l.fields["service"], start: start}
+	start := r.start.Add(l.At.Sub(r.start).Truncate(r.window))
+	key := windowKey{service: l.Fields["service"], start: start}
 	c := r.windows[key]
 	if c == nil {
 		c = &windowTotals{servers: map[string]bool{}}
 		r.windows[key] = c
 	}
 	c.calls++
-	c.items += l.count("items")
-	c.waiting += l.count("waiting")
-	c.maxWaiting = max(c.maxWaiting, l.count("waiting"))
-	c.took += l.duration("took")
-	c.servers[l.fields["server"]] = true
-	switch l.fields["outcome"] {
+	c.items += l.Count("items")
+	c.waiting += l.Count("waiting")
+	c.maxWaiting = max(c.maxWaiting, l.Count("waiting"))
+	c.took += l.Duration("took")
+	c.servers[l.Fields["server"]] = true
+	switch l.Fields["outcome"] {
 	case "refused":
 		c.refused++
 	case "broken":
