state: a starting ingress reads the registrations of its own failure domain only

What callers saw: after all 356 ingresses had lost power, they were refused for 0.95 s more than the starts took: power was back at 26.1 s, the configuration arrived at 27.02 s (median of those that reach the store).

Cause: the first look asked for the first page of all records: 500 of them and the configuration, some 300 kB, to each ingress that starts. 249 of them together keep the store's link of 1,000 Mbit/s busy for 0.6 s, and the listings of the six sources, which the others wait for, and the registrations queue behind them (sources: reading from 26.3 s, whole at 26.8 s; registered after 0.3 to 0.5 s). In a large deployment nothing of that page was used. It grows with the number of starts times the page, the listing of all ingresses that followed with the square of their number.

Change: registrations have the failure domain in their key; a start lists those of its own. With more than eight of them it follows the domain's source, as before; else it lists all records itself, which costs small deployments one call more a start. An earlier version's registration under the old key is read, and its end is ignored once the new one is known.

--- a/ingress/services/mesh/fleet_test.go
+++ b/ingress/services/mesh/fleet_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -195,16 +197,12 @@
 	return nil
 }
 
-func (s store) List(ctx context.Context, _ string) ([]site.Record, uint64, error) {
+func (s store) List(ctx context.Context, prefix string) ([]site.Record, uint64, error) {
 	found, at := s.since(0)
+	found = slices.DeleteFunc(found, func(r site.Record) bool { return !strings.HasPrefix(r.Key, prefix) })
 	return found, at, s.receive(ctx, found)
 }
 
-func (s store) Peek(ctx context.Context, prefix string) ([]site.Record, uint64, bool, error) {
-	found, at, err := s.List(ctx, prefix)
-	return found, at, true, err
-}
-
 func (s store) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]site.Record, uint64, error) {
 	for ends := time.Now().Add(wait); ; {
 		found, at := s.since(after)
@@ -300,7 +298,7 @@
 	i.puller = &mesh.Puller{Mesh: i.mesh, Book: i.book, Log: log}
 	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
 		Mesh: i.mesh, Book: i.book, Puller: i.puller, Self: i.self, Regions: f.regions, IsLeaving: isLeaving, Log: log,
-		Reader: &state.Reader{Book: i.book, Store: f.newStore(i), Wait: 4 * time.Second, Log: log},
+		Reader: &state.Reader{Book: i.book, Store: f.newStore(i), Domain: rate.domain, Wait: 4 * time.Second, Log: log},
 	})
 	i.puller.Feed = i.feeder
 	var err error
--- a/ingress/services/state/apply.go
+++ b/ingress/services/state/apply.go
@@ -128,7 +128,10 @@
 }
 
 func (b *Book) applyIngress(r site.Record) {
-	name := strings.TrimPrefix(r.Key, b.options.Codec.IngressPrefix())
+	name := b.options.Codec.IngressName(r.Key)
+	if r.Deleted && b.peerKeys[name] != r.Key {
+		return // the ingress has registered under another key since
+	}
 	if r.Deleted {
 		b.removedPeers[name] = time.Now()
 		b.options.Log.Info("ingress-removed", zap.String("ingress", name))
@@ -140,6 +143,7 @@
 		return
 	}
 	b.peers[name] = ingress
+	b.peerKeys[name] = r.Key
 	delete(b.removedPeers, name)
 	b.options.Log.Info("ingress-seen", zap.String("ingress", name), zap.Stringer("address", ingress.Address))
 }
--- a/ingress/services/state/register.go
+++ b/ingress/services/state/register.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	if err := r.Leases.Put(ctx, r.Codec.IngressKey(r.Self.Name), value, lease); err != nil {
+	if err := r.Leases.Put(ctx, r.Codec.IngressKey(r.Self), value, lease); err != nil {
 		return err
 	}
 	r.lease = lease
--- a/ingress/services/state/register_test.go
+++ b/ingress/services/state/register_test.go
@@ -27,10 +27,6 @@
 
 func (s *stubStore) List(context.Context, string) ([]site.Record, uint64, error) { return nil, 1, nil }
 
-func (s *stubStore) Peek(context.Context, string) ([]site.Record, uint64, bool, error) {
-	return nil, 1, true, nil
-}
-
 func (s *stubStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]site.Record, uint64, error) {
 	select {
 	case <-time.After(wait):
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -31,7 +31,9 @@
 	ServerID(key string) string
 	ReadConfig(value []byte) (*site.Config, error)
 	ReadServer(key string, value []byte) (site.Server, error)
-	IngressKey(name string) string
+	IngressDomainPrefix(domain string) string
+	IngressKey(i site.Ingress) string
+	IngressName(key string) string
 	WriteIngress(i site.Ingress) ([]byte, error)
 	QuarantinePrefix() string
 	QuarantineID(key string) string
@@ -88,6 +90,8 @@
 	servers *alive.Set
 	table   *access.Table
 	peers   map[string]site.Ingress
+	// peerKeys holds the key of the registration that each peer was last seen with.
+	peerKeys map[string]string
 	// removedPeers holds when the registration of a peer ended, until the peer is dropped or
 	// registers again.
 	removedPeers map[string]time.Time
@@ -112,6 +116,7 @@
 		records:      mirror.NewMirror(func(key string) bool { return isWanted(options.Codec, key) }),
 		servers:      alive.NewSet(),
 		peers:        map[string]site.Ingress{},
+		peerKeys:     map[string]string{},
 		removedPeers: map[string]time.Time{},
 		unanswered:   map[StoreCall]bool{},
 		changed:      make(chan struct{}),
@@ -126,8 +131,10 @@
 		strings.HasPrefix(key, c.EvacuationPrefix()) || strings.HasPrefix(key, c.QuarantinePrefix())
 }
 
-// IngressPrefix is the key prefix of the ingresses' registrations.
-func (b *Book) IngressPrefix() string { return b.options.Codec.IngressPrefix() }
+// IngressDomainPrefix is the key prefix of the registrations of a failure domain's ingresses.
+func (b *Book) IngressDomainPrefix(domain string) string {
+	return b.options.Codec.IngressDomainPrefix(domain)
+}
 
 // View returns the current view.
 func (b *Book) View() *View { return b.view.Load() }
@@ -379,6 +386,7 @@
 		}
 		delete(b.removedPeers, name)
 		delete(b.peers, name)
+		delete(b.peerKeys, name)
 		dropped = append(dropped, name)
 		b.options.Log.Info("ingress-dropped", zap.String("ingress", name))
 	}
--- a/ingress/services/state/watch.go
+++ b/ingress/services/state/watch.go
@@ -17,9 +17,6 @@
 	// List returns the records below a prefix and a revision. A watch that starts after that
 	// revision misses no change.
 	List(ctx context.Context, prefix string) ([]site.Record, uint64, error)
-	// Peek returns the first page of the records below a prefix, and whether it contains all of
-	// them.
-	Peek(ctx context.Context, prefix string) (records []site.Record, revision uint64, isComplete bool, err error)
 	// Watch waits for changes below a prefix after a revision, for at most wait. It returns the
 	// changes and the revision up to which they are complete.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]site.Record, uint64, error)
@@ -141,6 +138,8 @@
 type Reader struct {
 	Book  *Book
 	Store Store
+	// Domain is the failure domain of this ingress.
+	Domain string
 	// Wait and HistoryGone are passed to the Watcher.
 	Wait        time.Duration
 	HistoryGone error
@@ -165,21 +164,32 @@
 	(&Watcher{Book: r.Book, Store: r.Store, Wait: r.Wait, HistoryGone: r.HistoryGone}).Start(ctx)
 }
 
-// discoveryPause is the time between the two listings of DiscoverPeers. Ingresses that start at the
-// same time register during it.
-const discoveryPause = 300 * time.Millisecond
+const (
+	// discoveryPause is the time between the two listings of DiscoverPeers. Ingresses that start at
+	// the same time register during it.
+	discoveryPause = 300 * time.Millisecond
+	// smallDomain is the number of registered ingresses of a failure domain up to which each of them
+	// lists all records itself when it starts.
+	smallDomain = 8
+)
 
-// DiscoverPeers reads from the store which other ingresses are registered. One call returns all
-// records of a small deployment, which are then applied as a listing. In a large deployment only
-// the ingresses are listed, because the ingresses that watch the store pass on the other records.
-// Unless hasPeers returns true after that, DiscoverPeers lists the ingresses once more after
-// discoveryPause.
+// DiscoverPeers reads from the store which other ingresses are registered in the failure domain. In a
+// large one, that is all that a starting ingress reads, since the ingress that watches the store for
+// the domain passes on the rest. In a small one DiscoverPeers then lists all records, which is faster
+// and costs as many calls.
+//
+// All ingresses may start at once, so what each of them reads must not grow with the deployment: the
+// store sends it to each over the same link. Unless hasPeers returns true after the first listing,
+// DiscoverPeers lists the ingresses once more after discoveryPause.
 func (r *Reader) DiscoverPeers(ctx context.Context, hasPeers func() bool) {
-	r.retry(ctx, r.listFirstPage)
+	r.retry(ctx, r.listPeersOrAll)
 	if hasPeers() || !pauses.Wait(ctx, discoveryPause) {
 		return
 	}
-	r.retry(ctx, r.listIngresses)
+	r.retry(ctx, func(ctx context.Context) error {
+		_, err := r.listPeers(ctx)
+		return err
+	})
 }
 
 // retry runs a step until it succeeds, the records have arrived from a peer, or the context ends.
@@ -193,31 +203,32 @@
 	}
 }
 
-// listFirstPage reads the first page of all records and applies it if it is complete. Otherwise it
-// lists only the ingresses.
-func (r *Reader) listFirstPage(ctx context.Context) error {
-	records, revision, isComplete, err := r.Store.Peek(ctx, allKeys)
+// listPeersOrAll lists the ingresses of the failure domain and, if they are few, all records.
+func (r *Reader) listPeersOrAll(ctx context.Context) error {
+	count, err := r.listPeers(ctx)
+	if err != nil || count > smallDomain || r.Book.IsListed() {
+		return err
+	}
+	records, revision, err := r.Store.List(ctx, allKeys)
 	if err != nil {
 		r.Log.Warn("first-look-failed", logs.Err(err))
 		return err
 	}
-	if !isComplete {
-		return r.listIngresses(ctx)
-	}
 	r.Book.ApplyListing(records, revision)
 	r.Book.ObserveOwnAnswer(time.Now())
 	return nil
 }
 
-func (r *Reader) listIngresses(ctx context.Context) error {
-	records, _, err := r.Store.List(ctx, r.Book.IngressPrefix())
+// listPeers lists the ingresses of the failure domain and returns their number.
+func (r *Reader) listPeers(ctx context.Context) (int, error) {
+	records, _, err := r.Store.List(ctx, r.Book.IngressDomainPrefix(r.Domain))
 	if err != nil {
 		r.Log.Warn("first-look-failed", logs.Err(err))
-		return err
+		return 0, err
 	}
 	r.Book.Merge(records)
 	r.Book.ObserveOwnAnswer(time.Now())
-	return nil
+	return len(records), nil
 }
 
 // Sweeper periodically checks the availability of the store and drops expired servers and
