--- a/ingress/cmds/settings.go
+++ b/ingress/cmds/settings.go
@@ -90,7 +90,7 @@
 	fs.TextVar(&s.Address, "store.address", netip.AddrPort{}, "`ip:port` of the platform's store")
 	fs.DurationVar(&s.Timeout, "store.timeout", 1500*time.Millisecond, "longest `time` of a call to the store")
 	fs.DurationVar(&s.Wait, "store.wait", 4*time.Second, "longest `time` of a watch of the store; if an open watch stops delivering changes, they are seen after this time at the latest")
-	fs.DurationVar(&s.Lease, "store.lease", 6*time.Second, "`time` for which a failed ingress stays registered")
+	fs.DurationVar(&s.Lease, "store.lease", time.Minute, "`time` for which a failed ingress stays registered; the others notice its failure by themselves")
 }
 
 // Check returns the faults of the section.
--- a/ingress/services/mesh/feeder.go
+++ b/ingress/services/mesh/feeder.go
@@ -28,6 +28,8 @@
 	// Self is this ingress, and Regions maps each failure domain to its region.
 	Self    site.Ingress
 	Regions map[string]string
+	// LeaseTTL is the duration of this ingress's lease.
+	LeaseTTL time.Duration
 	// IsLeaving reports whether this process is stopping.
 	IsLeaving func() bool
 	Log       *zap.Logger
@@ -145,7 +147,8 @@
 		f.chooser.SetMembers(now, members)
 		f.membersSeen = at + 1
 	}
-	f.chooser.ObserveOwnAge(now, f.options.Book.OwnSilence())
+	renewalInterval := feed.RenewalInterval(f.options.Mesh.countKnown()+1, f.options.LeaseTTL)
+	f.chooser.ObserveOwnAge(now, f.options.Book.OwnSilence(), renewalInterval)
 	f.chooser.SetFollowers(f.followers)
 	if f.options.Book.IsListed() {
 		f.chooser.MarkListed()
--- a/ingress/services/mesh/fleet_test.go
+++ b/ingress/services/mesh/fleet_test.go
@@ -27,6 +27,7 @@
 const (
 	heartbeatInterval = 300 * time.Millisecond
 	silenceTimeout    = 1050 * time.Millisecond
+	leaseTTL          = 6 * time.Second
 	// callBytes is the approximate size of a small call to the store and of its answer.
 	callBytes = 400
 	// packetBytes is how many bytes a line transfers at once.
@@ -297,7 +298,7 @@
 	})
 	i.puller = &mesh.Puller{Mesh: i.mesh, Book: i.book, Log: log}
 	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
-		Mesh: i.mesh, Book: i.book, Puller: i.puller, Self: i.self, Regions: f.regions, IsLeaving: isLeaving, Log: log,
+		Mesh: i.mesh, Book: i.book, Puller: i.puller, Self: i.self, Regions: f.regions, LeaseTTL: leaseTTL, IsLeaving: isLeaving, Log: log,
 		Reader: &state.Reader{Book: i.book, Store: f.newStore(i), Domain: rate.domain, Wait: 4 * time.Second, Log: log},
 	})
 	i.puller.Feed = i.feeder
@@ -355,7 +356,7 @@
 	for _, i := range f.instances {
 		i.feeder.Start(ctx)
 		(&state.Registrar{
-			Leases: f.newStore(i), Codec: record.Codec{}, Self: i.self, TTL: 6 * time.Second, Book: i.book,
+			Leases: f.newStore(i), Codec: record.Codec{}, Self: i.self, TTL: leaseTTL, Book: i.book,
 			ProbeEvery: feed.ProbeEvery, LeaseGone: errLeaseGone, Log: f.log,
 		}).Start(ctx)
 		(&state.Sweeper{Book: i.book}).Start(ctx)
--- a/ingress/services/state/register.go
+++ b/ingress/services/state/register.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/share/decide/feed"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/pauses"
@@ -21,9 +23,6 @@
 }
 
 const (
-	// renewalsPerLease is how many renewals are due within the TTL of a lease. Two of them may
-	// fail before the lease ends.
-	renewalsPerLease = 3
 	// leaseTimeout limits each registration and each renewal. The store answers in milliseconds,
 	// or within a second if it is slow. It never answers a call that was started while it did not
 	// respond.
@@ -48,6 +47,8 @@
 
 	// lease is 0 while the ingress is not registered.
 	lease uint64
+	// renewed is set once the lease has been renewed.
+	renewed bool
 	// ended is closed when the loop has returned.
 	ended chan struct{}
 }
@@ -100,21 +101,32 @@
 	if err != nil {
 		return pauses.Wait(ctx, maxRetryPause)
 	}
+	// The renewals of ingresses that started at the same time are spread by the first of them.
+	part := 1.0
+	if !r.renewed {
+		part = rand.Float64() //nolint:gosec // not security-relevant
+	}
 	for {
-		if !pauses.Wait(ctx, min(r.ProbeEvery, r.TTL/renewalsPerLease)) {
+		if !pauses.Wait(ctx, min(r.ProbeEvery, r.interval())) {
 			return false
 		}
-		if r.Book.isWatching() || time.Since(began) >= r.TTL/renewalsPerLease {
+		if r.Book.isWatching() || time.Since(began) >= time.Duration(part*float64(r.interval())) {
 			return true
 		}
 	}
 }
 
+// interval returns the time between two renewals while this ingress does not watch the store.
+func (r *Registrar) interval() time.Duration {
+	return feed.RenewalInterval(len(r.Book.View().Ingresses), r.TTL)
+}
+
 // registerOrRenew renews the lease, or registers the ingress under a new one.
 func (r *Registrar) registerOrRenew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
 	if r.lease != 0 {
+		r.renewed = true
 		return r.Leases.Renew(ctx, r.lease)
 	}
 	lease, err := r.Leases.Grant(ctx, r.TTL)
@@ -129,6 +141,7 @@
 		return err
 	}
 	r.lease = lease
+	r.renewed = false
 	r.Log.Info("registered", zap.String("ingress", r.Self.Name), zap.Stringer("address", r.Self.Address))
 	return nil
 }
--- a/share/decide/feed/feed.go
+++ b/share/decide/feed/feed.go
@@ -24,10 +24,6 @@
 	// ingress that reads the store probes it every ProbeEvery, so at this age it has missed
 	// four answers, or the store takes a second for each.
 	maxSourceAge = 1500 * time.Millisecond
-	// maxOwnAge is how long ago the store may last have answered this ingress while it does
-	// not read the store: it renews its lease every two seconds, and sooner after a failed
-	// renewal.
-	maxOwnAge = 3500 * time.Millisecond
 	// maxPlanInterval is longer than the time between two calls of Plan.
 	maxPlanInterval = 300 * time.Millisecond
 	// openTimeout is the time from the request to follow an ingress until its first message
@@ -211,13 +207,13 @@
 	c.checks = append(rhash.Pick(key, sameRegion, len(sameRegion)), rhash.Pick(key, otherRegions, len(otherRegions))...)
 }
 
-// ObserveOwnAge processes the time since the store last answered this ingress itself. If it is
-// too long, and this ingress has a first snapshot, it is not a candidate for the reader of its
+// ObserveOwnAge processes the time since the store last answered this ingress itself, which renews its
+// lease at the given interval while it does not read the store. If the time is too long, and this ingress has a first snapshot, it is not a candidate for the reader of its
 // failure domain in the next plan, unless there is no other candidate.
-func (c *Chooser) ObserveOwnAge(now time.Time, age time.Duration) {
+func (c *Chooser) ObserveOwnAge(now time.Time, age, renewalInterval time.Duration) {
 	limit := maxSourceAge
 	if !c.reading {
-		limit = maxOwnAge // this ingress asks the store less often
+		limit += renewalInterval // this ingress asks the store less often
 	}
 	if c.listed && age > limit {
 		c.suspectedUntil[c.self.Name] = now.Add(maxPlanInterval)
--- a/share/decide/feed/fleet_test.go
+++ b/share/decide/feed/fleet_test.go
@@ -149,7 +149,7 @@
 	if !n.disconnected && f.ticks%renewTicks == 0 {
 		n.confirmed = f.now
 	}
-	n.chooser.ObserveOwnAge(f.now, f.now.Sub(n.confirmed))
+	n.chooser.ObserveOwnAge(f.now, f.now.Sub(n.confirmed), renewTicks*tick)
 	n.chooser.SetFollowers(n.followers)
 	f.follow(n)
 	f.check(n)
--- /dev/null
+++ b/share/decide/feed/renewal.go
@@ -0,0 +1,25 @@
+package feed
+
+import "time"
+
+const (
+	// renewalsPerSecond is how many lease renewals all ingresses of a deployment make together, unless
+	// their leases are too short for that.
+	renewalsPerSecond = 20
+	// minRenewalInterval is the shortest time between two renewals of an ingress that does not read the
+	// store. In a small deployment a renewal is also how such an ingress notices early that the store
+	// does not answer it.
+	minRenewalInterval = 2 * time.Second
+	// renewalsPerLease is how many renewals are due within the TTL of a lease. Two of them may fail
+	// before the lease ends.
+	renewalsPerLease = 3
+)
+
+// RenewalInterval returns the time between two lease renewals of an ingress that does not read the
+// store, in a deployment with the given number of ingresses. The store's load by renewals thus does not
+// grow with the deployment. That others do not learn of a crash from the lease is no loss: each of them
+// notices it by its own session, or when it opens one.
+func RenewalInterval(ingresses int, ttl time.Duration) time.Duration {
+	interval := time.Duration(ingresses) * time.Second / renewalsPerSecond
+	return min(max(interval, minRenewalInterval), ttl/renewalsPerLease)
+}
