feed: an ingress that has stopped reading the store does not start again by itself

What was seen: three seconds after all 356 ingresses had started again, 64 of them that had sources began to read the store for half a second, each with a watch and the renewals of a reader.

Cause: for the first three seconds an ingress stops reading at once when it no longer needs to; after them it reads on for two seconds, counted from the last need. The end of the three seconds fell into that time, so the rule that prolongs a reading began one.

TestReadingDoesNotResumeAfterTheStart fails without the change.

--- a/share/decide/feed/feed.go
+++ b/share/decide/feed/feed.go
@@ -441,7 +441,7 @@
 	if noSource || c.isSnapshotOverdue(now) || c.followers > 0 {
 		c.neededAt = now
 	}
-	if now.Sub(c.startedAt) < settleTime {
+	if now.Sub(c.startedAt) < settleTime || !c.reading {
 		return c.neededAt.Equal(now)
 	}
 	return now.Sub(c.neededAt) < readLinger
--- a/share/decide/feed/feed_test.go
+++ b/share/decide/feed/feed_test.go
@@ -215,3 +215,22 @@
 	}
 	is.True(c.Plan(after(5*time.Second)).Follow != "a") // nothing more has arrived
 }
+
+// Guards against a herd of readers three seconds after many ingresses have started together: one that read
+// the store only until its source was found must not start to read again.
+func TestReadingDoesNotResumeAfterTheStart(t *testing.T) {
+	is := is.New(t)
+	c := feed.NewChooser(newMember("self", "x1"), start)
+	is.True(c.Plan(after(1200 * time.Millisecond)).Read)
+	heavy := newMember("a", "x1")
+	heavy.Weight = 1e9
+	at := 1400 * time.Millisecond
+	c.SetMembers(after(at), []feed.Member{heavy})
+	is.Equal(c.Plan(after(at)).Follow, "a")
+	c.ObserveStreamOpened("a")
+	c.MarkListed()
+	for ; at < 5*time.Second; at += 100 * time.Millisecond {
+		c.ObserveStatus(after(at), "a", healthy())
+		is.True(!c.Plan(after(at)).Read)
+	}
+}
