register: failed renewals back off

A store that turned 125 of 356 ingresses away for 9 s was asked by them for 2,400 renewals, 2.4 a second each and more than all others made. The delay now doubles from 0.4 s to the interval of the renewals, unless the ingress has no lease or watches the store. TestFailedRenewalsBackOff counts at 100, 1,000 and 2,000.

--- a/ingress/services/state/register.go
+++ b/ingress/services/state/register.go
@@ -49,6 +49,8 @@
 	lease uint64
 	// renewed is set once the lease has been renewed.
 	renewed bool
+	// failures counts the failed registrations or renewals in a row.
+	failures int
 	// ended is closed when the loop has returned.
 	ended chan struct{}
 }
@@ -82,7 +84,9 @@
 		err := r.registerOrRenew(ctx)
 		if err == nil {
 			r.Book.ObserveOwnAnswer(time.Now())
+			r.failures = 0
 		} else {
+			r.failures++
 			r.Log.Warn("registration-lost", zap.Duration("store-age", r.Book.Age()), logs.Err(err))
 		}
 		if errors.Is(err, r.LeaseGone) {
@@ -99,7 +103,7 @@
 // are due more often from then on.
 func (r *Registrar) wait(ctx context.Context, began time.Time, err error) bool {
 	if err != nil {
-		return pauses.Wait(ctx, maxRetryPause)
+		return pauses.Wait(ctx, r.retryDelay())
 	}
 	// The renewals of ingresses that started at the same time are spread by the first of them.
 	part := 1.0
@@ -116,6 +120,15 @@
 	}
 }
 
+// retryDelay returns the delay after a failed registration or renewal. An ingress that watches the store
+// has to notice soon that it answers again, and one without a lease has to register.
+func (r *Registrar) retryDelay() time.Duration {
+	if r.lease == 0 || r.Book.isWatching() {
+		return maxRetryPause
+	}
+	return feed.RenewalRetryDelay(r.failures, r.interval())
+}
+
 // interval returns the time between two renewals while this ingress does not watch the store.
 func (r *Registrar) interval() time.Duration {
 	return feed.RenewalInterval(len(r.Book.View().Ingresses), r.TTL)
--- a/share/decide/feed/renewal.go
+++ b/share/decide/feed/renewal.go
@@ -15,6 +15,17 @@
 	renewalsPerLease = 3
 )
 
+// firstRetryDelay is the delay after a first failed renewal.
+const firstRetryDelay = 400 * time.Millisecond
+
+// RenewalRetryDelay returns the delay after a failed renewal, for the given number of failures in a row,
+// the last one included, of an ingress whose renewals are due at the given interval. Without backoff the
+// ingresses that a store turns away would ask it more often than all others together.
+func RenewalRetryDelay(failures int, interval time.Duration) time.Duration {
+	const maxDoublings = 10
+	return min(firstRetryDelay<<min(max(failures-1, 0), maxDoublings), interval)
+}
+
 // RenewalInterval returns the time between two lease renewals of an ingress that does not read the
 // store, in a deployment with the given number of ingresses. The store's load by renewals thus does not
 // grow with the deployment. That others do not learn of a crash from the lease is no loss: each of them
--- a/share/decide/feed/renewal_test.go
+++ b/share/decide/feed/renewal_test.go
@@ -26,3 +26,20 @@
 	is := is.New(t)
 	is.Equal(feed.RenewalInterval(6, 2*time.Second), 2*time.Second/3) // a short lease needs renewals more often
 }
+
+// Guards against a store that turns many ingresses away for seconds and is called more often by these than
+// by all others: at 0.4 s a renewal, 125 of 356 made 2,400 calls in 9 s.
+func TestFailedRenewalsBackOff(t *testing.T) {
+	const outage = 9 * time.Second
+	for _, ingresses := range []int{100, 1000, 2000} {
+		is := is.New(t)
+		interval := feed.RenewalInterval(ingresses, time.Minute)
+		calls := 0
+		for at := time.Duration(0); at < outage; at += feed.RenewalRetryDelay(calls, interval) {
+			calls++
+		}
+		is.True(calls <= 5)
+		is.Equal(feed.RenewalRetryDelay(100, interval), interval)
+	}
+	is.New(t).Equal(feed.RenewalRetryDelay(1, time.Minute), 400*time.Millisecond)
+}
