stages: results that were fetched are kept until their server needs the memory

Cause: inputs are released about 100 ms after a call has begun to use them, so that they take no memory.

Change: released results stay at their server for 0.7 s more, or until the next call to that server is sent, whichever is first; the planner counts their memory as free, so it decides as before. An item that fails within that time is tried again with the same inputs. If they are gone, the chain restarts as before.

--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -179,8 +179,9 @@
 	failedCalls int
 	// fetched counts the items whose servers have fetched the inputs.
 	fetched int
-	// inputsReleased is set once the inputs have been handed out for release.
-	inputsReleased bool
+	// inputsReleased is set once the inputs have been handed out for release, at inputsReleasedAt.
+	inputsReleased   bool
+	inputsReleasedAt time.Time
 }
 
 // suspectAfter is the number of failed calls after which a job no longer shares calls. Most
