register: an ingress that starts again keeps its registration

The listing that a start reads anyway names the lease of the registration that the process before it left. If that holds the same address, domain and capacity, one renewal takes it over; the incarnation, which nothing used, is no longer part of it.

TestRegistrationOfAnEarlierProcessIsResumed counts the calls.

--- a/ingress/cmds/links.go
+++ b/ingress/cmds/links.go
@@ -13,7 +13,7 @@
 	interval := i.settings.Peers.HeartbeatInterval
 	return link.Options{
 		Hello: &wire.Hello{
-			Version: wire.Version, Name: i.self.Name, Incarnation: i.self.Incarnation, Role: "ingress",
+			Version: wire.Version, Name: i.self.Name, Incarnation: i.incarnation, Role: "ingress",
 			Region: i.settings.Place.Region, Domain: i.self.Domain,
 		},
 		TLS:               i.linkTLS,
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -64,10 +64,12 @@
 	log       *zap.Logger
 	logOutput *logs.AsyncWriter
 	// linkTLS is used at both ends of the links between ingresses; nil: links without TLS.
-	linkTLS       *tls.Config
-	meters        *meters.Meters
-	memory        *memory.Budget
-	self          site.Ingress
+	linkTLS *tls.Config
+	meters  *meters.Meters
+	memory  *memory.Budget
+	self    site.Ingress
+	// incarnation differs between two starts under the same name.
+	incarnation   string
 	store         *keyval.Client
 	book          *state.Book
 	mesh          *mesh.Mesh
@@ -118,8 +120,8 @@
 	s := i.settings
 	i.self = site.Ingress{
 		Name: s.Place.Name, Address: s.Peers.Listen, Domain: s.Place.Domain, Capacity: s.Place.Cores,
-		Incarnation: link.NewIncarnation(),
 	}
+	i.incarnation = link.NewIncarnation()
 	i.stopper = stops.NewStopper(drain.Settings{
 		Grace: s.Stop.Grace - graceReserve, Linger: s.Stop.Admit, AdmitPeriod: s.Stop.Admit,
 	})
@@ -147,7 +149,7 @@
 		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Retries: s.Repeats.Settings, Limits: i.limits, Log: i.log,
 		Regions: s.Place.Regions, Region: s.Place.Region,
 		DiscardFetched: func(service string, handles []string) { i.producer.DiscardFetched(service, handles) },
-		OnCrash: func(c batch.Crash) { i.screen.RecordCrash(poison.ID(c.RequestDigest), c.Server, c.SentAt) },
+		OnCrash:        func(c batch.Crash) { i.screen.RecordCrash(poison.ID(c.RequestDigest), c.Server, c.SentAt) },
 	})
 	i.placer = assign.NewPlacer(s.Place.Regions, s.Cold.Settings, i.limits)
 	i.dispatcher = assign.NewDispatcher(i.mesh, i.book, i.placer, i.log)
@@ -254,7 +256,7 @@
 	i.feeder.Start(ctx)
 	registrar := &state.Registrar{
 		Leases: i.store, Codec: record.Codec{}, Self: i.self, TTL: s.Store.Lease, LeaseGone: keyval.ErrLeaseGone,
-		Book: i.book, ProbeEvery: feed.ProbeEvery, Log: i.log,
+		Book: i.book, ProbeEvery: feed.ProbeEvery, Looked: i.book.Looked(), Log: i.log,
 	}
 	registrar.Start(ctx)
 	(&state.Sweeper{Book: i.book}).Start(ctx)
@@ -265,7 +267,7 @@
 	(&usageReporter{ingress: i}).Start(ctx)
 	i.log.Info("started", zap.Stringer("callers", s.Callers.Listen), zap.Stringer("peers", s.Peers.Listen),
 		zap.Stringer("metrics", s.Metrics.Listen), zap.Stringer("store", s.Store.Address),
-		zap.String("incarnation", i.self.Incarnation))
+		zap.String("incarnation", i.incarnation))
 	i.waitForStop(ctx)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
--- a/ingress/services/state/register.go
+++ b/ingress/services/state/register.go
@@ -43,12 +43,16 @@
 	// ProbeEvery is the time between renewals while this ingress watches the store. An open watch
 	// alone does not reveal that the store has stopped responding.
 	ProbeEvery time.Duration
-	Log        *zap.Logger
+	// Looked is closed once the Book knows the registrations of the failure domain; nil: at once.
+	Looked <-chan struct{}
+	Log    *zap.Logger
 
 	// lease is 0 while the ingress is not registered.
 	lease uint64
 	// renewed is set once the lease has been renewed.
 	renewed bool
+	// resumed is set once an earlier registration was tried.
+	resumed bool
 	// failures counts the failed registrations or renewals in a row.
 	failures int
 	// ended is closed when the loop has returned.
@@ -79,6 +83,7 @@
 
 func (r *Registrar) loop(ctx context.Context) {
 	defer close(r.ended)
+	r.awaitLook(ctx)
 	for {
 		began := time.Now()
 		err := r.registerOrRenew(ctx)
@@ -98,6 +103,23 @@
 	}
 }
 
+// lookTimeout limits how long a starting ingress waits for the registrations of its failure domain.
+const lookTimeout = time.Second
+
+// awaitLook waits until the registrations of the failure domain are known.
+func (r *Registrar) awaitLook(ctx context.Context) {
+	if r.Looked == nil {
+		return
+	}
+	timeout := time.NewTimer(lookTimeout)
+	defer timeout.Stop()
+	select {
+	case <-r.Looked:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
 // wait waits until the next registration or renewal is due. It returns false if the context ended.
 // It checks every ProbeEvery whether this ingress has begun to watch the store, because renewals
 // are due more often from then on.
@@ -142,15 +164,19 @@
 		r.renewed = true
 		return r.Leases.Renew(ctx, r.lease)
 	}
-	lease, err := r.Leases.Grant(ctx, r.TTL)
+	value, err := r.Codec.WriteIngress(r.Self)
 	if err != nil {
 		return err
 	}
-	value, err := r.Codec.WriteIngress(r.Self)
+	key := r.Codec.IngressKey(r.Self)
+	if r.resume(ctx, key, value) {
+		return nil
+	}
+	lease, err := r.Leases.Grant(ctx, r.TTL)
 	if err != nil {
 		return err
 	}
-	if err := r.Leases.Put(ctx, r.Codec.IngressKey(r.Self), value, lease); err != nil {
+	if err := r.Leases.Put(ctx, key, value, lease); err != nil {
 		return err
 	}
 	r.lease = lease
@@ -158,3 +184,21 @@
 	r.Log.Info("registered", zap.String("ingress", r.Self.Name), zap.Stringer("address", r.Self.Address))
 	return nil
 }
+
+// resume takes over the registration that an earlier process under the same name left, if its lease has not
+// ended. It costs one renewal in place of a lease and a write, and the other ingresses see no change.
+func (r *Registrar) resume(ctx context.Context, key string, value []byte) bool {
+	lease := r.Book.findLease(key, value)
+	if lease == 0 || r.resumed {
+		return false
+	}
+	r.resumed = true
+	if err := r.Leases.Renew(ctx, lease); err != nil {
+		r.Log.Info("registration-not-resumed", logs.Err(err))
+		return false
+	}
+	r.lease = lease
+	r.renewed = false
+	r.Log.Info("registered", zap.String("ingress", r.Self.Name), zap.Stringer("address", r.Self.Address), zap.Bool("resumed", true))
+	return true
+}
--- a/ingress/services/state/register_test.go
+++ b/ingress/services/state/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -118,3 +119,41 @@
 	grants, _ = s.counts()
 	is.True(grants > 1)
 }
+
+// newLookedBook returns a book that has listed the registration that an earlier process of ingress a left.
+func newLookedBook(t *testing.T, self, left site.Ingress) *state.Book {
+	t.Helper()
+	codec := record.Codec{}
+	value, err := codec.WriteIngress(left)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &countingStore{records: []site.Record{{Key: codec.IngressKey(self), Value: value, Revision: 1, Lease: 7}}}
+	return discover(s)
+}
+
+// Guards against a lease and a write by each ingress when all of them start again: an ingress whose
+// registration is still in the store only renews it. A registration with another address is replaced.
+func TestRegistrationOfAnEarlierProcessIsResumed(t *testing.T) {
+	self := site.Ingress{Name: "a", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.2:80"), Capacity: 1}
+	moved := self
+	moved.Address = netip.MustParseAddrPort("10.0.0.3:80")
+	for _, c := range []struct {
+		left     site.Ingress
+		renewErr error
+		grants   int
+	}{{left: self, grants: 0}, {left: moved, grants: 1}, {left: self, renewErr: errGone, grants: 1}} {
+		is := is.New(t)
+		s := &stubStore{renewErr: c.renewErr}
+		book := newLookedBook(t, self, c.left)
+		registrar := &state.Registrar{
+			Leases: s, Codec: record.Codec{}, Self: self, TTL: time.Minute, LeaseGone: errGone, Book: book, ProbeEvery: time.Minute,
+			Looked: book.Looked(), Log: zap.NewNop(),
+		}
+		registrar.Start(t.Context())
+		time.Sleep(200 * time.Millisecond)
+		grants, renewals := s.counts()
+		is.Equal(grants, c.grants)
+		is.Equal(renewals, map[bool]int{true: 1, false: 0}[c.left == self])
+	}
+}
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -106,6 +106,16 @@
 	unanswered map[StoreCall]bool
 	// changed is closed and replaced when any record changes.
 	changed chan struct{}
+	// looked is closed once the first listing has been applied. leases holds, by key, the leases of the
+	// registrations in it.
+	looked chan struct{}
+	leases map[string]registration
+}
+
+// registration is what the store holds under the key of an ingress.
+type registration struct {
+	value []byte
+	lease uint64
 }
 
 // NewBook returns a book without records.
@@ -120,6 +130,8 @@
 		removedPeers: map[string]time.Time{},
 		unanswered:   map[StoreCall]bool{},
 		changed:      make(chan struct{}),
+		looked:       make(chan struct{}),
+		leases:       map[string]registration{},
 	}
 	b.lastAnswer.Store(-int64(time.Hour))
 	b.view.Store(&View{})
--- a/ingress/services/state/watch.go
+++ b/ingress/services/state/watch.go
@@ -227,6 +227,7 @@
 		return 0, err
 	}
 	r.Book.Merge(records)
+	r.Book.markLooked(records)
 	r.Book.ObserveOwnAnswer(time.Now())
 	return len(records), nil
 }
--- a/share/models/site/config.go
+++ b/share/models/site/config.go
@@ -221,6 +221,4 @@
 	// Capacity is the processor capacity of the process in cores. Work that ingresses do for
 	// each other is assigned in proportion to it.
 	Capacity float64
-	// Incarnation differs between two starts under the same name.
-	Incarnation string
 }
--- a/share/models/site/request.go
+++ b/share/models/site/request.go
@@ -192,4 +192,7 @@
 	Revision uint64
 	// Deleted records hold no value; their Revision is that of the deletion.
 	Deleted bool
+	// Lease is the lease under which the record was written, if it comes from the store itself; 0: none,
+	// or not known.
+	Lease uint64
 }
