mesh: an ingress that the store refuses at its start asks others at once, and they answer when they can

107 of 356 ingresses that started while they were cut off from the store waited 0.6 s before they asked the ones that their settings name, and then opened a session every 250 ms to be told that there was nothing yet.

--- a/ingress/services/mesh/feeder.go
+++ b/ingress/services/mesh/feeder.go
@@ -333,6 +333,30 @@
 	}
 }
 
+// snapshotWait limits how long an ingress that has no records yet lets others wait for them.
+const snapshotWait = 400 * time.Millisecond
+
+// awaitSnapshot waits until this ingress has a first snapshot, at most for snapshotWait.
+//
+// When all ingresses start at once, those that the store refuses ask the few that the settings name. If
+// these answered at once that they have nothing, each of the others would open a session again and again,
+// which delays the snapshot for all.
+func (f *Feeder) awaitSnapshot(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotWait)
+	defer cancel()
+	for {
+		changed := f.options.Book.Changed()
+		if f.options.Book.IsListed() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // hasContent reports whether the message changes the records of its receiver.
 func hasContent(records *wire.Records) bool {
 	return records.GetWhole() || len(records.GetRecords()) > 0 || len(records.GetPacked()) > 0
--- a/ingress/services/mesh/puller.go
+++ b/ingress/services/mesh/puller.go
@@ -86,10 +86,12 @@
 
 // mustPull reports whether peers must be asked because the records here may be stale. The first
 // snapshot comes from the followed ingress or from the store; peers are asked for it if this
-// ingress follows none and the store has not delivered it within initialPullDelay.
+// ingress follows none and the store has refused a listing or has not delivered it within
+// initialPullDelay.
 func (p *Puller) mustPull(now time.Time) bool {
 	if !p.Book.IsListed() {
-		return now.Sub(p.startedAt) >= initialPullDelay && !p.Feed.IsFollowing()
+		isLate := p.Book.HasLookFailed() || now.Sub(p.startedAt) >= initialPullDelay
+		return isLate && !p.Feed.IsFollowing()
 	}
 	return p.Book.IsStoreUnavailable() || p.Book.Age() >= staleAfter
 }
--- a/ingress/services/mesh/serve.go
+++ b/ingress/services/mesh/serve.go
@@ -60,6 +60,7 @@
 	case frame.GetSync() != nil:
 		w := watcher{reader: reader, cancel: func() { _ = stream.Close() }}
 		go w.run()
+		h.Feeder.awaitSnapshot(ctx)
 		records := h.Feeder.encodeSince(frame.GetSync().GetAt())
 		h.answer(stream, &wire.Frame{Body: &wire.Frame_Records{Records: records}})
 	case frame.GetFollow() != nil:
--- a/ingress/services/state/looked.go
+++ b/ingress/services/state/looked.go
@@ -10,6 +10,9 @@
 // domain.
 func (b *Book) Looked() <-chan struct{} { return b.looked }
 
+// HasLookFailed reports whether the store did not answer, or refused, the first listing of this ingress.
+func (b *Book) HasLookFailed() bool { return b.lookFailed.Load() }
+
 // markLooked keeps the leases of a first listing of registrations. Further calls do nothing.
 func (b *Book) markLooked(records []site.Record) {
 	b.lock.Lock()
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -84,6 +84,8 @@
 	// started.
 	lastOwnAnswer atomic.Int64
 	started       time.Time
+	// lookFailed is set once a first listing has failed.
+	lookFailed atomic.Bool
 
 	lock    sync.Mutex
 	records *mirror.Mirror
--- a/ingress/services/state/watch.go
+++ b/ingress/services/state/watch.go
@@ -223,6 +223,7 @@
 func (r *Reader) listPeers(ctx context.Context) (int, error) {
 	records, _, err := r.Store.List(ctx, r.Book.IngressDomainPrefix(r.Domain))
 	if err != nil {
+		r.Book.lookFailed.Store(true)
 		r.Log.Warn("first-look-failed", logs.Err(err))
 		return 0, err
 	}
