--- a/vload/services/roles/roles.go
+++ b/vload/services/roles/roles.go
@@ -62,6 +62,8 @@
 	started   map[string]time.Time
 	// spreads holds the observations by event and subject.
 	spreads map[spreadKey]*spread
+	// observations counts how often each process has made an observation.
+	observations map[observationKey]int
 	// startTimes holds how long processes took from their start to their first configuration.
 	startTimes []time.Duration
 	configured map[processKey]bool
@@ -72,13 +74,24 @@
 	started  time.Time
 }
 
-type spreadKey struct{ event, subject string }
+// spreadKey identifies what was observed. Occurrence tells apart what happens to a subject more than once:
+// it is how often the observing process has seen it before.
+type spreadKey struct {
+	event, subject string
+	occurrence     int
+}
+
+type observationKey struct {
+	process        processKey
+	event, subject string
+}
 
 // NewReport returns an empty report.
 func NewReport() *Report {
 	return &Report{
 		processes: map[processKey]*process{}, started: map[string]time.Time{}, spreads: map[spreadKey]*spread{},
-		configured: map[processKey]bool{},
+		observations: map[observationKey]int{},
+		configured:   map[processKey]bool{},
 	}
 }
 
@@ -139,7 +152,10 @@
 }
 
 func (r *Report) observe(l lines.Line, subject string) {
-	key := spreadKey{event: l.Event, subject: subject}
+	process := processKey{instance: l.Fields["instance"], started: r.started[l.Fields["instance"]]}
+	seen := observationKey{process: process, event: l.Event, subject: subject}
+	key := spreadKey{event: l.Event, subject: subject, occurrence: r.observations[seen]}
+	r.observations[seen]++
 	s := r.spreads[key]
 	if s == nil {
 		s = &spread{}
--- a/vload/services/roles/roles_test.go
+++ b/vload/services/roles/roles_test.go
@@ -38,9 +38,9 @@
 	is.True(rows["plain 1 1.0 1.0 10.0 10.0 1 1 0 4 2 0.2 0.2 0.0 0.0"])
 	is.True(rows["placer records 1.00 2.00 0.00 0.00"])
 	is.True(rows["renew/answered 5 4"])
-	is.True(rows["config-applied 5 2 0s 0s 250ms"])
-	is.True(rows["server-removed i-1 2 0s 0s 100ms"])
-	is.True(rows["start to first configuration 2 500ms 500ms 700ms"])
+	is.True(rows["config-applied 1 2 0s 0s 250ms"])
+	is.True(rows["server-removed 1 2 0s 0s 100ms"])
+	is.True(rows["start to first configuration 2 2 500ms 500ms 700ms"])
 }
 
 func TestReadFailsWithoutUsageLines(t *testing.T) {
--- a/vload/services/roles/table.go
+++ b/vload/services/roles/table.go
@@ -1,7 +1,6 @@
 package roles
 
 import (
-	"cmp"
 	"fmt"
 	"io"
 	"maps"
@@ -16,6 +15,8 @@
 	kilobyte   = 1e3
 	megabyte   = 1e6
 	percent    = 100
+	// minObservers is how many instances must have observed an event for it to have spread.
+	minObservers = 2
 	// timeResolution is what times in the tables are rounded to.
 	timeResolution = time.Millisecond
 )
@@ -112,35 +113,33 @@
 	}
 }
 
-// writeSpreads prints, for each event that several instances observed, how long after the first
-// instance the others observed it.
+// writeSpreads prints how long starts took and, for each kind of event, how long after the first instance
+// the others observed it.
 func (r *Report) writeSpreads(w io.Writer) {
-	_, _ = fmt.Fprintln(w, "\nevent\tof\tinstances\tmedian\t99 of 100\tlast")
+	_, _ = fmt.Fprintln(w, "\nevent\toccurrences\tobservations\tmedian\t99 of 100\tlast")
 	if len(r.startTimes) > 0 {
-		slices.Sort(r.startTimes)
-		writeTimes(w, "start to first configuration", "", r.startTimes)
+		writeTimes(w, "start to first configuration", len(r.startTimes), r.startTimes)
 	}
-	keys := slices.SortedFunc(maps.Keys(r.spreads), func(a, b spreadKey) int {
-		return cmp.Or(cmp.Compare(a.event, b.event), cmp.Compare(a.subject, b.subject))
-	})
-	for _, key := range keys {
-		times := r.spreads[key].times
-		if len(times) < 2 {
+	delays, occurrences := map[string][]time.Duration{}, map[string]int{}
+	for key, s := range r.spreads {
+		if len(s.times) < minObservers {
 			continue
 		}
-		first := slices.MinFunc(times, time.Time.Compare)
-		delays := []time.Duration{}
-		for _, at := range times {
-			delays = append(delays, at.Sub(first))
+		first := slices.MinFunc(s.times, time.Time.Compare)
+		occurrences[key.event]++
+		for _, at := range s.times {
+			delays[key.event] = append(delays[key.event], at.Sub(first))
 		}
-		slices.Sort(delays)
-		writeTimes(w, key.event, key.subject, delays)
+	}
+	for _, event := range slices.Sorted(maps.Keys(delays)) {
+		writeTimes(w, event, occurrences[event], delays[event])
 	}
 }
 
-func writeTimes(w io.Writer, event, subject string, sorted []time.Duration) {
-	_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%v\t%v\t%v\n", event, subject, len(sorted), quantile(sorted, median).Round(timeResolution),
-		quantile(sorted, percentile).Round(timeResolution), sorted[len(sorted)-1].Round(timeResolution))
+func writeTimes(w io.Writer, event string, occurrences int, times []time.Duration) {
+	slices.Sort(times)
+	_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%v\t%v\t%v\n", event, occurrences, len(times), quantile(times, median).Round(timeResolution),
+		quantile(times, percentile).Round(timeResolution), times[len(times)-1].Round(timeResolution))
 }
 
 func quantile(sorted []time.Duration, fraction float64) time.Duration {
