--- a/ingress/cmds/settings.go
+++ b/ingress/cmds/settings.go
@@ -43,8 +43,8 @@
 	// connections, the links to other ingresses and the records.
 	requestShare = 0.25
 	// collectedShare is the part of the memory beyond which the garbage collector runs as often as it
-	// takes to stay below.
-	collectedShare = 0.85
+	// takes to stay below. The program itself and the sockets take the rest.
+	collectedShare = 0.7
 	megabyte       = 1 << 20
 )
 
--- a/ingress/modules/memory/memory.go
+++ b/ingress/modules/memory/memory.go
@@ -11,7 +11,9 @@
 // ErrExhausted means that the memory for callers' requests is in use.
 var ErrExhausted = errors.New("memory for requests and answers exhausted")
 
-// minChunk is the smallest amount of memory, in bytes, that is taken for data of unknown length.
+// minChunk is the smallest amount of memory, in bytes, that is taken for data of unknown length. Each
+// request may hold as much outside of the budget, which the number of connections limits: a few large
+// requests must not shut out all small ones.
 const minChunk = 4 << 10
 
 // Budget is the memory for all requests of a process. It is safe for concurrent use.
@@ -48,10 +50,21 @@
 
 // Close returns the memory of the account to the budget.
 func (a *Account) Close() {
-	a.budget.used.Add(-a.held)
+	a.budget.used.Add(-countedBytes(a.held))
 	a.held = 0
 }
 
+// countedBytes returns how many of the bytes that an account holds count in the budget.
+func countedBytes(held int64) int64 { return max(held-minChunk, 0) }
+
+func (a *Account) take(n int64) bool {
+	if !a.budget.take(countedBytes(a.held+n) - countedBytes(a.held)) {
+		return false
+	}
+	a.held += n
+	return true
+}
+
 // ReadAll reads until the end of the reader and keeps the data in the account. Expected is the number
 // of bytes if it is known, or else 0 or less. If the budget is exhausted, ReadAll returns what it has
 // read so far and ErrExhausted. Other errors are those of the reader.
@@ -85,9 +98,8 @@
 		size = min(size, expected+1) // one more byte, so that the end of the data is read without growing
 	}
 	added := size - held
-	if !a.budget.take(added) {
+	if !a.take(added) {
 		return nil, ErrExhausted
 	}
-	a.held += added
 	return append(make([]byte, 0, size), data...), nil
 }
