--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -167,8 +167,7 @@
 		if c := cmp.Compare(math.Round(a.slowdown*slowdownSteps), math.Round(b.slowdown*slowdownSteps)); c != 0 {
 			return c
 		}
-		// Results that have been fetched stay at a server until its next call, so the servers take turns.
-		return cmp.Or(cmp.Compare(a.usedBytes, b.usedBytes), a.startedAt.Compare(b.startedAt))
+		return cmp.Compare(a.usedBytes, b.usedBytes)
 	})
 }
 
--- a/share/decide/batch/worker.go
+++ b/share/decide/batch/worker.go
@@ -25,8 +25,6 @@
 	server site.Server
 	// inFlight is the number of calls in flight.
 	inFlight int
-	// startedAt is when the last call was sent.
-	startedAt time.Time
 	// current is the call that the server is working on; nil if there is none.
 	current *Call
 	// roundTrip is the round-trip time to the server; 0 if not known.
@@ -69,7 +67,6 @@
 
 func (w *worker) start(call *Call, bytes int64) {
 	w.inFlight++
-	w.startedAt = call.started
 	if w.inFlight > 1 {
 		call.shared = true
 	}
