--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -148,8 +148,8 @@
 	i.batcher = stages.NewBatcher(stages.BatcherOptions{
 		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Retries: s.Repeats.Settings, Limits: i.limits, Log: i.log,
 		Regions: s.Place.Regions, Region: s.Place.Region,
-		DiscardFetched: func(service string, handles []string) { i.producer.DiscardFetched(service, handles) },
-		OnCrash:        func(c batch.Crash) { i.screen.RecordCrash(poison.ID(c.RequestDigest), c.Server, c.SentAt) },
+		Discard: func(service string, handles []string) { i.producer.Discard(service, handles) },
+		OnCrash: func(c batch.Crash) { i.screen.RecordCrash(poison.ID(c.RequestDigest), c.Server, c.SentAt) },
 	})
 	i.placer = assign.NewPlacer(s.Place.Regions, s.Cold.Settings, i.limits)
 	i.dispatcher = assign.NewDispatcher(i.mesh, i.book, i.placer, i.log)
--- a/ingress/services/stages/batcher.go
+++ b/ingress/services/stages/batcher.go
@@ -53,9 +53,8 @@
 	// Regions maps failure domains to their regions; Region is the region of this ingress.
 	Regions map[string]string
 	Region  string
-	// DiscardFetched releases the results of another queue, whose batcher may be another ingress. The
-	// servers that use them have fetched them, but their calls have not ended.
-	DiscardFetched func(queue string, handles []string)
+	// Discard releases the results of another queue, whose batcher may be another ingress.
+	Discard func(queue string, handles []string)
 	// OnCrash is called for each call that failed after it was sent while the server had only the
 	// items of one job. It may be nil.
 	OnCrash func(c batch.Crash)
@@ -86,9 +85,6 @@
 	// toRelease holds the releases that are gathered, by the address of the server that holds the
 	// results.
 	toRelease map[netip.AddrPort]*release
-	// fetched holds, by the same address, the results that are kept for a while although they have been
-	// fetched.
-	fetched map[netip.AddrPort]*release
 	// servers holds the servers that produce results by their addresses.
 	servers map[netip.AddrPort]site.Server
 	// ingresses is the highest number of registered ingresses in any view so far.
@@ -119,10 +115,7 @@
 
 // NewBatcher returns a Batcher without servers.
 func NewBatcher(options BatcherOptions) *Batcher {
-	return &Batcher{
-		options: options, queues: map[string]*jobQueue{}, budgets: map[string]*budget.Budget{}, toRelease: map[netip.AddrPort]*release{},
-		fetched: map[netip.AddrPort]*release{}, servers: map[netip.AddrPort]site.Server{},
-	}
+	return &Batcher{options: options, queues: map[string]*jobQueue{}, budgets: map[string]*budget.Budget{}, toRelease: map[netip.AddrPort]*release{}, servers: map[netip.AddrPort]site.Server{}}
 }
 
 // Start starts the goroutines of the batcher. They run until the context ends.
@@ -255,7 +248,6 @@
 		go b.runReleaseInputs(in)
 	}
 	for _, c := range a.Calls {
-		b.releaseFetched(c.Server.Address)
 		go b.runCall(queue, q, c)
 	}
 }
@@ -264,7 +256,7 @@
 func (b *Batcher) runReleaseInputs(in batch.JobInputs) {
 	b.options.Log.Info("inputs-released", zap.String("request", in.AttemptID), zap.String("service", in.Service),
 		zap.Int("handles", len(in.Handles)))
-	b.options.DiscardFetched(in.Service, in.Handles)
+	b.options.Discard(in.Service, in.Handles)
 }
 
 // runCall sends one call and reports its result to the planner.
--- a/ingress/services/stages/producer.go
+++ b/ingress/services/stages/producer.go
@@ -254,27 +254,18 @@
 // Discard releases the results of a queue through its batcher, which tracks how much memory they
 // take at their servers.
 func (p *Producer) Discard(queue string, handles []string) {
-	p.discard(&wire.Discard{Service: queue, Handles: handles})
-}
-
-// DiscardFetched is like Discard for results that have been fetched by calls that have not ended.
-func (p *Producer) DiscardFetched(queue string, handles []string) {
-	p.discard(&wire.Discard{Service: queue, Handles: handles, Fetched: true})
-}
-
-func (p *Producer) discard(d *wire.Discard) {
-	if len(d.GetHandles()) == 0 {
+	if len(handles) == 0 {
 		return
 	}
-	ranked := p.rankIngresses(d.GetService())
+	ranked := p.rankIngresses(queue)
 	if len(ranked) > 0 && ranked[0] != p.peers.Self() {
-		err := p.peers.Discard(ranked[0], d)
+		err := p.peers.Discard(ranked[0], &wire.Discard{Service: queue, Handles: handles})
 		if err == nil {
 			return
 		}
-		p.log.Info("discard-forward-failed", zap.String("service", d.GetService()), logs.Err(err))
+		p.log.Info("discard-forward-failed", zap.String("service", queue), logs.Err(err))
 	}
-	p.ServeDiscard(d)
+	p.batcher.Discard(queue, handles)
 }
 
 // ServeProduce runs a job for another ingress.
@@ -306,9 +297,5 @@
 
 // ServeDiscard releases results for another ingress.
 func (p *Producer) ServeDiscard(request *wire.Discard) {
-	if request.GetFetched() {
-		p.batcher.DiscardFetched(request.GetService(), request.GetHandles())
-		return
-	}
 	p.batcher.Discard(request.GetService(), request.GetHandles())
 }
--- a/ingress/services/stages/release.go
+++ b/ingress/services/stages/release.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
 
-	"verbenaroad.example/share/decide/batch"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/pauses"
@@ -20,48 +18,6 @@
 	b.queueRelease(queue, handles)
 }
 
-// DiscardFetched releases results that have been fetched by the servers that use them. If an item of such a
-// call fails, its inputs are needed again, and without them all stages of the request would run again.
-// Therefore the results are kept for batch.FetchedRetention, unless their server gets a call before that: the
-// planner counts their memory as free.
-func (b *Batcher) DiscardFetched(queue string, handles []string) {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	for _, h := range handles {
-		holder, err := b.options.Pools.ReadHolder(h)
-		if err != nil {
-			b.options.Log.Warn("handle-unreadable", zap.String("handle", h), logs.Err(err))
-			continue
-		}
-		addTo(b.fetched, holder, queueHandle{queue: queue, handle: h})
-	}
-	if q := b.queues[queue]; q != nil {
-		b.perform(queue, q, q.planner.MarkReleased(time.Now(), handles))
-	}
-}
-
-// addTo adds a handle to the release at its holder.
-func addTo(releases map[netip.AddrPort]*release, holder netip.AddrPort, h queueHandle) {
-	r := releases[holder]
-	if r == nil {
-		r = &release{since: time.Now()}
-		releases[holder] = r
-	}
-	r.handles = append(r.handles, h)
-}
-
-// releaseFetched queues the fetched results of a server for release. The caller holds the lock.
-func (b *Batcher) releaseFetched(holder netip.AddrPort) {
-	r := b.fetched[holder]
-	if r == nil {
-		return
-	}
-	delete(b.fetched, holder)
-	for _, h := range r.handles {
-		addTo(b.toRelease, holder, h)
-	}
-}
-
 // queueRelease adds handles to those of the next release. The caller holds the lock.
 func (b *Batcher) queueRelease(queue string, handles []string) {
 	for _, h := range handles {
@@ -70,7 +26,12 @@
 			b.options.Log.Warn("handle-unreadable", zap.String("handle", h), logs.Err(err))
 			continue
 		}
-		addTo(b.toRelease, holder, queueHandle{queue: queue, handle: h})
+		r := b.toRelease[holder]
+		if r == nil {
+			r = &release{since: time.Now()}
+			b.toRelease[holder] = r
+		}
+		r.handles = append(r.handles, queueHandle{queue: queue, handle: h})
 	}
 }
 
@@ -79,11 +40,6 @@
 	for pauses.Wait(ctx, releaseInterval) {
 		b.lock.Lock()
 		now := time.Now()
-		for address, r := range b.fetched {
-			if now.Sub(r.since) >= batch.FetchedRetention {
-				b.releaseFetched(address)
-			}
-		}
 		for address, r := range b.toRelease {
 			holder, known := b.servers[address]
 			if !known {
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -179,9 +179,8 @@
 	failedCalls int
 	// fetched counts the items whose servers have fetched the inputs.
 	fetched int
-	// inputsReleased is set once the inputs have been handed out for release, at inputsReleasedAt.
-	inputsReleased   bool
-	inputsReleasedAt time.Time
+	// inputsReleased is set once the inputs have been handed out for release.
+	inputsReleased bool
 }
 
 // suspectAfter is the number of failed calls after which a job no longer shares calls. Most
--- a/share/decide/batch/finish.go
+++ b/share/decide/batch/finish.go
@@ -141,7 +141,7 @@
 func (p *Planner) retryItem(a *Actions, now time.Time, ref itemRef, mayRetry bool) {
 	j := ref.job
 	j.retries++
-	if j.inputsReleased && now.Sub(j.inputsReleasedAt) >= FetchedRetention {
+	if j.inputsReleased {
 		p.endJob(a, now, j, Completion{JobID: j.ID, Outcome: OutcomeInputGone})
 		return
 	}
--- a/share/decide/batch/inputs.go
+++ b/share/decide/batch/inputs.go
@@ -46,23 +46,17 @@
 		c.inputsFetched = true
 		for _, ref := range c.refs {
 			ref.job.fetched++
-			ref.job.releaseInputs(a, now)
+			ref.job.releaseInputs(a)
 		}
 	}
 }
 
-// FetchedRetention is how long results that have been fetched may still be found at their server. Whoever
-// holds them keeps them for that long unless the memory is needed: about a long call of the servers that
-// fetched them, after which a failed item needs its inputs again.
-const FetchedRetention = 700 * time.Millisecond
-
 // releaseInputs releases the inputs of a job once they have been fetched for every item.
-func (j *job) releaseInputs(a *Actions, now time.Time) {
+func (j *job) releaseInputs(a *Actions) {
 	if j.inputsReleased || j.ended || j.InputService == "" || j.fetched < j.Count {
 		return
 	}
 	j.inputsReleased = true
-	j.inputsReleasedAt = now
 	a.ReleaseInputs = append(a.ReleaseInputs, JobInputs{AttemptID: j.AttemptID, Service: j.InputService, Handles: j.Inputs})
 }
 
