dials: a connection attempt that fails at once, or that the context ends, is not repeated

An attempt whose context was about to end returned its timeout at once, before the context itself had ended, and was repeated without a pause. Only an attempt that lasted its full length is now repeated.

--- a/share/modules/link/session.go
+++ b/share/modules/link/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -13,6 +12,7 @@
 	"github.com/hashicorp/yamux"
 
 	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/dials"
 	"verbenaroad.example/share/modules/wire"
 )
 
@@ -59,7 +59,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, options.HelloTimeout)
 	defer cancel()
-	conn, err := connect(ctx, address, options.ConnectAttempt)
+	conn, err := dials.Repeat(ctx, options.ConnectAttempt, func(ctx context.Context) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+	})
 	if err != nil {
 		return nil, ErrLink.Wrap(err)
 	}
@@ -84,19 +86,6 @@
 	return s, nil
 }
 
-// connect opens a connection. An attempt that gets no answer within the given time is repeated until the
-// context ends; 0: there is one attempt. An error other than a timeout ends it.
-func connect(ctx context.Context, address netip.AddrPort, attempt time.Duration) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: attempt}
-	for {
-		conn, err := dialer.DialContext(ctx, "tcp", address.String())
-		timedOut := net.Error(nil)
-		if err == nil || attempt == 0 || ctx.Err() != nil || !errors.As(err, &timedOut) || !timedOut.Timeout() {
-			return conn, err
-		}
-	}
-}
-
 func dialMux(conn *batchConn, open *streams, options Options) (*Session, error) {
 	mux, err := yamux.Client(conn, muxConfig())
 	if err != nil {
