--- a/share/decide/feed/feed.go
+++ b/share/decide/feed/feed.go
@@ -208,7 +208,8 @@
 }
 
 // ObserveOwnAge processes the time since the store last answered this ingress itself, which renews its
-// lease at the given interval while it does not read the store. If the time is too long, and this ingress has a first snapshot, it is not a candidate for the reader of its
+// lease at the given interval while it does not read the store. If the time is too long, and this
+// ingress has a first snapshot, it is not a candidate for the reader of its
 // failure domain in the next plan, unless there is no other candidate.
 func (c *Chooser) ObserveOwnAge(now time.Time, age, renewalInterval time.Duration) {
 	limit := maxSourceAge
--- a/share/decide/feed/renewal.go
+++ b/share/decide/feed/renewal.go
@@ -27,8 +27,8 @@
 }
 
 // RenewalInterval returns the time between two lease renewals of an ingress that does not read the
-// store, in a deployment with the given number of ingresses. The store's load by renewals thus does not
-// grow with the deployment. That others do not learn of a crash from the lease is no loss: each of them
+// store, in a deployment with the given number of ingresses. The interval grows with them, so that the
+// store's load does not, until it reaches its longest, a third of the lease. That others do not learn of a crash from the lease is no loss: each of them
 // notices it by its own session, or when it opens one.
 func RenewalInterval(ingresses int, ttl time.Duration) time.Duration {
 	interval := time.Duration(ingresses) * time.Second / renewalsPerSecond
