limits: log and count servers that say that they leave or ask for a pause, and sends to them

No decision uses it yet. It tells the hypotheses of the incident apart: server-leaving and server-paused show that an answer was heard, by which ingress and for how long it counts; closed-send shows each request and call that is sent nevertheless.

--- a/ingress/services/flow/stream_test.go
+++ b/ingress/services/flow/stream_test.go
@@ -47,6 +47,7 @@
 func (noMeter) CountRetry(string, string)                 {}
 func (noMeter) CountLimitedSend(string)                   {}
 func (noMeter) SetLimitedServers(int)                     {}
+func (noMeter) SetClosedServers(int, int)                 {}
 
 // newLimits returns a registry without rate limits.
 func newLimits() *limits.Registry { return limits.NewRegistry(noMeter{}, zap.NewNop()) }
--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -1,5 +1,6 @@
-// Package limits tracks the rate limits that backend servers state in their answers, and counts the
-// requests to these servers. The ingresses tell each other the limits with their heartbeats.
+// Package limits tracks what backend servers state in their answers about the requests that they take:
+// a rate limit, that they leave, or a pause. It counts the requests to servers with a rate limit. The
+// ingresses tell each other the limits with their heartbeats.
 package limits
 
 import (
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/decide/avail"
 	"verbenaroad.example/share/decide/quota"
 	"verbenaroad.example/share/models/site"
 )
@@ -21,19 +23,25 @@
 	CountLimitedSend(service string)
 	// SetLimitedServers sets the number of servers with a rate limit.
 	SetLimitedServers(n int)
+	// SetClosedServers sets the numbers of servers that leave and that are paused.
+	SetClosedServers(leaving, paused int)
 }
 
-// Registry holds the rate limits of the backend servers and counts the requests that this ingress
-// places there, or batches for them, on behalf of all ingresses. It is safe for concurrent use.
+// Registry holds what the backend servers state. It counts the requests that this ingress places at
+// servers with a rate limit, or batches for them, on behalf of all ingresses. It is safe for concurrent
+// use.
 type Registry struct {
 	meter Meter
 	log   *zap.Logger
 
 	// hasLimits is set while any server has a limit. Without one, requests are not delayed by lock.
 	hasLimits atomic.Bool
+	// hasClosed is set while any server leaves or is paused, for the same reason.
+	hasClosed atomic.Bool
 
 	lock    sync.Mutex
 	limiter *quota.Limiter
+	closed  *avail.Table
 	view    *state.View
 	// services maps the IDs of the servers in the view to their services. It is nil until it is needed:
 	// views of large deployments change often while no server has a limit.
@@ -42,23 +50,26 @@
 
 // NewRegistry returns a registry without limits.
 func NewRegistry(meter Meter, log *zap.Logger) *Registry {
-	return &Registry{meter: meter, log: log, limiter: quota.NewLimiter(), view: &state.View{}}
+	return &Registry{meter: meter, log: log, limiter: quota.NewLimiter(), closed: avail.NewTable(), view: &state.View{}}
 }
 
-// SetView forgets the limits of servers that are no longer in the view.
+// SetView forgets what servers that are no longer in the view have stated.
 func (r *Registry) SetView(v *state.View) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.view, r.services = v, nil
-	if r.limiter.IsEmpty() {
+	if r.limiter.IsEmpty() && !r.hasClosed.Load() {
 		return
 	}
 	live := map[string]bool{}
 	for id := range r.getServices() {
 		live[id] = true
 	}
-	r.limiter.Retain(time.Now(), live)
+	now := time.Now()
+	r.limiter.Retain(now, live)
 	r.countLimits()
+	r.closed.Retain(now, live)
+	r.countClosed(now)
 }
 
 // getServices returns the services of the servers in the view by server ID. The caller holds the lock.
@@ -85,6 +96,7 @@
 // ObserveSend records that a request is sent to a server. Request is the ID of the attempt, or empty
 // for a call that produces results of stages.
 func (r *Registry) ObserveSend(server site.Server, request string) {
+	r.logClosedSend(&server, request)
 	perSecond, limited := r.Find(&server)
 	if !limited {
 		return
@@ -99,6 +111,7 @@
 	if server.ID == "" || a.Status == http.StatusMisdirectedRequest {
 		return // it is not known which server has answered, or another one now has the address
 	}
+	r.observeClosure(&server, a)
 	// A refusal, or a failure without the server's signature, may come from something in front of the
 	// server that does not know its limit.
 	withdraws := !a.NotRun && (a.Signed || a.Status < http.StatusMultipleChoices)
--- a/ingress/services/limits/limits_test.go
+++ b/ingress/services/limits/limits_test.go
@@ -21,6 +21,8 @@
 
 func (*sendCounter) SetLimitedServers(int) {}
 
+func (*sendCounter) SetClosedServers(int, int) {}
+
 func newAnswer(status int, signed bool, limit site.RateLimit) site.Answer {
 	return site.Answer{Status: status, Signed: signed, RateLimit: limit}
 }
--- a/ingress/services/limits/statements.go
+++ b/ingress/services/limits/statements.go
@@ -17,8 +17,12 @@
 
 // Statements returns what the heartbeats of this ingress tell the others about the limits of servers.
 func (r *Registry) Statements() []*wire.RateLimit {
+	now := time.Now()
 	r.lock.Lock()
-	list := r.limiter.Statements(time.Now())
+	list := r.limiter.Statements(now)
+	if r.hasClosed.Load() {
+		r.countClosed(now) // pauses have ended since
+	}
 	r.lock.Unlock()
 	if len(list) > maxStatements {
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
--- a/ingress/services/meters/meters.go
+++ b/ingress/services/meters/meters.go
@@ -19,6 +19,7 @@
 	batchItems    *prometheus.CounterVec
 	limitedSends  *prometheus.CounterVec
 	limitedCount  prometheus.Gauge
+	closedCount   *prometheus.GaugeVec
 	droppedLines  *prometheus.CounterVec
 	reloads       *prometheus.CounterVec
 	configVersion prometheus.Gauge
@@ -57,6 +58,9 @@
 		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenaroad_limited_sends_total", Help: "Requests that were sent to a backend server that states a rate limit.",
 		}, []string{"service"}),
+		closedCount: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "verbenaroad_closed_servers", Help: "Backend servers that said that they leave, or asked this ingress for a pause.",
+		}, []string{"reason"}),
 		limitedCount: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "verbenaroad_limited_servers", Help: "Backend servers that state a rate limit, as far as this ingress knows.",
 		}),
@@ -76,7 +80,7 @@
 			Name: "verbenaroad_request_memory_bytes", Help: "Memory held by bodies of requests and by answers that are not read yet.",
 		}, func() float64 { return float64(requestMemory()) }),
 	}
-	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.limitedSends, m.limitedCount, m.droppedLines, m.reloads, m.configVersion, m.storeAge, m.requestMemory)
+	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.limitedSends, m.limitedCount, m.closedCount, m.droppedLines, m.reloads, m.configVersion, m.storeAge, m.requestMemory)
 	return m
 }
 
@@ -127,3 +131,10 @@
 
 // SetVersion sets the version of the configuration in force.
 func (m *Meters) SetVersion(version uint64) { m.configVersion.Set(float64(version)) }
+
+// SetClosedServers sets the numbers of backend servers that said that they leave, and that asked this
+// ingress for a pause.
+func (m *Meters) SetClosedServers(leaving, paused int) {
+	m.closedCount.WithLabelValues("leaving").Set(float64(leaving))
+	m.closedCount.WithLabelValues("paused").Set(float64(paused))
+}
--- a/share/models/site/request.go
+++ b/share/models/site/request.go
@@ -78,6 +78,11 @@
 	Load *Load
 	// RateLimit is what the backend server states about the rate of requests that it takes.
 	RateLimit RateLimit
+	// Leaving is set if the backend server states that it leaves.
+	Leaving bool
+	// RetryAfter is how long the backend server, which turned the request away, wants no further
+	// requests from this ingress; 0 if it does not state that.
+	RetryAfter time.Duration
 }
 
 // RateLimit is what an answer states about the rate of requests that its backend server takes from
