proofs: failing tests of servers that leave and of servers that ask for a pause

TestLeavingServersGetNoRequests: 3 s after an engine, a plain server and a pool server began to say that they leave, 63 to 105 requests reach each of them in 2 s; none are allowed. TestPausedServersGetNoRequests: in a pause of 3 s that it has asked for a plain server gets 118 requests from one ingress, a pool server 67 and an engine 10; 2 are allowed. The lines show that the answers were heard (server-leaving, server-paused) and that sends went on (closed-send), also by the ingress that heard: nothing reads what the servers say.

The stand-in's backend servers can turn requests away with a Retry-After.

--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -93,6 +93,10 @@
 	faults   []Fault
 	// header holds additional headers of every answer.
 	header http.Header
+	// pause is the Retry-After with which all requests are turned away; empty: none are.
+	pause string
+	// pauses holds the requests that were turned away with a Retry-After.
+	pauses []Pause
 	runs   []Run
 	// arrivals holds when requests, pool calls and releases of results arrived.
 	arrivals []time.Time
@@ -234,6 +238,9 @@
 		return
 	}
 	s.arrive(w)
+	if s.turnAway(w, r) {
+		return
+	}
 	switch r.URL.Path {
 	case "/api/stage-run":
 		s.serveRun(w, r, body)
--- a/proofs/hosted/limits_test.go
+++ b/proofs/hosted/limits_test.go
@@ -46,8 +46,13 @@
 
 // startLoad sends requests from n callers at each ingress, each of which sends one after the other.
 func (d *deployment) startLoad(n int, newRequest func() request) *load {
+	return d.startLoadAt(d.ingresses, n, newRequest)
+}
+
+// startLoadAt is startLoad for some of the ingresses.
+func (d *deployment) startLoadAt(ingresses []*ingress, n int, newRequest func() request) *load {
 	l := &load{deployment: d, newRequest: newRequest, stop: make(chan struct{}), answers: map[int]int{}}
-	for _, i := range d.ingresses {
+	for _, i := range ingresses {
 		for range n {
 			l.callers.Add(1)
 			go l.run(i)
