limits, state: a server that says that it leaves gets no new work

What callers saw: nothing yet; an engine that had said that it leaves got requests from the same ingress 4.7 and 7.0 s after the ingress had passed on the answer, while the store was away and its registration said that it is ready.

Cause: the answer's header went on to the caller and no decision knew of it. Leaving was known from the registration alone.

Now one place observes it (limits.Registry, which all requests and calls to servers pass), it holds until the server starts again, and the book of the deployment leaves such a server out of those that may be sent new work, as it does with one whose registration says so. That is the list from which every path chooses: placements of streams and of their resumes, plain requests and their retries, calls to pools, and the check of a request that was placed before its stages ran. Heartbeats tell the other ingresses, among them the one that places. reach withholds what was chosen just before, and releases of results.

--- a/ingress/cmds/links.go
+++ b/ingress/cmds/links.go
@@ -28,14 +28,20 @@
 		NewHeartbeat: func() *wire.Beat {
 			return &wire.Beat{
 				Leaving: i.stopper.IsLeaving(), Outlooks: i.batcher.Backlogs(), Reading: mesh.EncodeStoreStatus(i.book),
-				RateLimits: i.limits.Statements(),
+				RateLimits: i.limits.Statements(), LeavingServers: i.limits.LeavingServers(),
 			}
 		},
 	}
 }
 
-// mergeRateLimits records the rate limits in a heartbeat of an ingress that opened a session to this
-// one. The rest of the heartbeat is for the ingress that opened the session.
-func (i *Ingress) mergeRateLimits(session *link.Session, beat *wire.Beat, _ time.Time) {
-	i.limits.Merge(session.Peer().GetName(), beat.GetRateLimits())
+// observeAccepted records what an ingress that opened a session to this one tells in a heartbeat about
+// backend servers. The rest of the heartbeat is for the ingress that opened the session.
+func (i *Ingress) observeAccepted(session *link.Session, beat *wire.Beat, _ time.Time) {
+	i.mergeStatements(session.Peer().GetName(), beat)
+}
+
+// mergeStatements records what another ingress tells about backend servers.
+func (i *Ingress) mergeStatements(ingress string, beat *wire.Beat) {
+	i.limits.Merge(ingress, beat.GetRateLimits())
+	i.limits.MergeLeaving(ingress, beat.GetLeavingServers())
 }
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -130,13 +130,13 @@
 		OnArrival: func() { i.book.ObserveOwnAnswer(time.Now()) },
 		OnCall:    func(call keyval.Call, err error) { i.meters.CountStoreCall(string(call), err) },
 	})
-	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.setView})
-	i.limits = limits.NewRegistry(i.meters, i.log)
+	i.limits = limits.NewRegistry(limits.Options{Meter: i.meters, Log: i.log, OnLeaving: func() { i.book.Refresh() }})
+	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.setView, IsLeaving: i.limits.IsLeaving})
 	i.mesh = mesh.NewMesh(mesh.Options{
 		Self: i.self, Regions: s.Place.Regions, IsLeaving: i.stopper.IsLeaving, Link: i.newLinkOptions(), Log: i.log,
 		OnBacklog:     func(backlog *wire.Outlook) { i.producer.RecordBacklog(backlog) },
 		OnStoreStatus: func(name string, status *wire.Reading) { i.feeder.ObserveStoreStatus(name, status) },
-		OnRateLimits:  i.limits.Merge,
+		OnStatements:  i.mergeStatements,
 	})
 	i.puller = &mesh.Puller{Mesh: i.mesh, Book: i.book, Seeds: s.Peers.Seeds, Log: i.log}
 	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
@@ -198,7 +198,7 @@
 	s := i.settings
 	var err error
 	accepted := i.newLinkOptions()
-	accepted.OnHeartbeat = i.mergeRateLimits
+	accepted.OnHeartbeat = i.observeAccepted
 	i.peerServer, err = peers.NewServer(peers.Options{
 		Address: s.Peers.Listen, Link: accepted,
 		Handler: &mesh.Handler{Producer: i.producer, Placer: i.dispatcher, Screen: i.screen, Feeder: i.feeder, Log: i.log}, Log: i.log,
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -241,7 +242,7 @@
 	return place.Query{
 		Domain:    x.server.options.Domain,
 		Region:    x.server.options.Region,
-		Exclude:   x.tried,
+		Exclude:   slices.Concat(x.tried, x.listClosed()),
 		Residency: x.residency(),
 		ColdLimit: x.coldLimit(),
 		Generation: &place.Generation{
--- a/ingress/services/flow/pick.go
+++ b/ingress/services/flow/pick.go
@@ -98,8 +98,8 @@
 	s.getService(x.service).chooser.Start(time.Now(), server.ID)
 }
 
-// maxShownLimits limits how many rate limits the reason of a refusal names.
-const maxShownLimits = 3
+// maxShownServers limits how many servers of a kind the reason of a refusal names.
+const maxShownServers = 3
 
 // listLimits returns the servers that state a rate, each with its requests per second.
 func (x *exchange) listLimits(servers []site.Server) []string {
--- a/ingress/services/flow/pick_test.go
+++ b/ingress/services/flow/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -33,6 +34,8 @@
 	sentTo  []string
 	// onAdmit is called each time that a server is asked for.
 	onAdmit func()
+	// closed holds the servers to which nothing may be sent.
+	closed map[string]bool
 }
 
 func (d *orderDesk) Admit(_ context.Context, server site.Server) (bool, time.Duration) {
@@ -43,6 +46,9 @@
 }
 
 func (d *orderDesk) Send(_ context.Context, r reach.Request) (*reach.Reply, error) {
+	if d.closed[r.Server.ID] {
+		return nil, errors.Join(reach.ErrNotSent, reach.ErrClosed)
+	}
 	d.sentTo = append(d.sentTo, r.Server.ID)
 	answer := site.Answer{Status: http.StatusOK, Signed: true, AttemptID: r.UpstreamHeaders.AttemptID, Header: http.Header{}}
 	return &reach.Reply{Answer: answer, Body: io.NopCloser(strings.NewReader("ok")), Length: 2}, nil
@@ -51,7 +57,7 @@
 func (*orderDesk) Preconnect(netip.AddrPort) {}
 
 func newOrderDesk() *orderDesk {
-	return &orderDesk{limits: newLimits(), refuses: map[string]time.Duration{}, onAdmit: func() {}}
+	return &orderDesk{limits: newLimits(), refuses: map[string]time.Duration{}, onAdmit: func() {}, closed: map[string]bool{}}
 }
 
 // newOrders returns a function that serves one order.
@@ -151,3 +157,22 @@
 	is.Equal(order(context.Background()).Code, http.StatusOK)
 	is.Equal(d.sentTo, []string{"a", "a"})
 }
+
+// Guards against a request that fails because its server stopped taking requests after it was chosen,
+// and against such a server being taken for one that cannot be reached.
+func TestRequestGoesOnFromAClosedServer(t *testing.T) {
+	is := is.New(t)
+	d := newOrderDesk()
+	order := d.newOrders()
+	is.Equal(order(t.Context()).Code, http.StatusOK)
+	d.closed["a"] = true
+	is.Equal(order(t.Context()).Code, http.StatusOK)
+	is.Equal(d.sentTo, []string{"a", "b"})
+	delete(d.closed, "a")
+	is.Equal(order(t.Context()).Code, http.StatusOK)
+	is.Equal(d.sentTo, []string{"a", "b", "a"})
+	d.closed["a"], d.closed["b"] = true, true
+	answer := order(t.Context())
+	is.Equal(answer.Code, http.StatusServiceUnavailable)
+	is.True(strings.Contains(answer.Body.String(), `"not-run"`))
+}
--- a/ingress/services/flow/places.go
+++ b/ingress/services/flow/places.go
@@ -43,6 +43,18 @@
 	}
 }
 
+// listClosed returns the IDs of the servers of the service that take no requests. Those that leave are
+// not in the view, but the placer may not know of them yet.
+func (x *exchange) listClosed() []string {
+	ids := []string{}
+	for _, s := range x.server.options.Views.View().Leaving {
+		if s.Service == x.service {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
 // coldRankPrefix makes the ranking of the ingresses for a cold server independent of the rankings
 // that choose the placer and the batcher of a service.
 const coldRankPrefix = "cold/"
@@ -69,8 +81,11 @@
 	if len(v.Evacuated) > 0 {
 		detail += fmt.Sprintf("; evacuated: %s", strings.Join(v.Evacuated, ","))
 	}
+	if leaving := x.listClosed(); len(leaving) > 0 {
+		detail += fmt.Sprintf("; %d leave: %s", len(leaving), strings.Join(leaving[:min(len(leaving), maxShownServers)], ","))
+	}
 	if limits := x.listLimits(v.Servers[x.service]); len(limits) > 0 {
-		shown := limits[:min(len(limits), maxShownLimits)]
+		shown := limits[:min(len(limits), maxShownServers)]
 		detail += fmt.Sprintf("; %d with a rate limit: %s", len(limits), strings.Join(shown, ","))
 	}
 	return detail
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -148,6 +148,11 @@
 
 // handleError records an attempt without a complete answer and decides how to proceed.
 func (x *exchange) handleError(ctx context.Context, server site.Server, err error, took time.Duration) verdict {
+	if errors.Is(err, reach.ErrClosed) {
+		x.sends--
+		x.end(server, place.ResultCanceled, took, nil)
+		return verdict{retry: true, result: x.refuseNoServer()}
+	}
 	notSent := errors.Is(err, reach.ErrNotSent)
 	x.log.Warn("attempt-broken", zap.String("digest", string(x.digest)), zap.String("server", server.ID), zap.Stringer("address", server.Address),
 		zap.Bool("not-sent", notSent), zap.Duration("took", took), logs.Err(err))
--- a/ingress/services/flow/stream_test.go
+++ b/ingress/services/flow/stream_test.go
@@ -50,7 +50,9 @@
 func (noMeter) SetClosedServers(int, int)                 {}
 
 // newLimits returns a registry without rate limits.
-func newLimits() *limits.Registry { return limits.NewRegistry(noMeter{}, zap.NewNop()) }
+func newLimits() *limits.Registry {
+	return limits.NewRegistry(limits.Options{Meter: noMeter{}, Log: zap.NewNop()})
+}
 
 // stageRunner counts how often results were produced, and how many are not yet released.
 type stageRunner struct{ runs, held atomic.Int64 }
--- a/ingress/services/limits/closed.go
+++ b/ingress/services/limits/closed.go
@@ -1,11 +1,13 @@
 package limits
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
 	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/wire"
 )
 
 // observeClosure records what an answer states about whether its server takes further requests.
@@ -19,14 +21,15 @@
 	paused := r.closed.Pause(now, server, now.Add(a.RetryAfter))
 	r.countClosed(now)
 	r.lock.Unlock()
-	if leaves {
-		r.log.Info("server-leaving", zap.String("server", server.ID), zap.String("service", server.Service),
-			zap.String("request", a.AttemptID), zap.String("source", "answer"))
-	}
 	if paused {
 		r.log.Info("server-paused", zap.String("server", server.ID), zap.String("service", server.Service),
 			zap.String("request", a.AttemptID), zap.Int("status", a.Status), zap.Duration("for", a.RetryAfter))
 	}
+	if leaves {
+		r.log.Info("server-leaving", zap.String("server", server.ID), zap.String("service", server.Service),
+			zap.String("request", a.AttemptID), zap.String("source", "answer"))
+		r.onLeaving()
+	}
 }
 
 // countClosed updates the numbers of servers that leave and that are paused. The caller holds the lock.
@@ -36,17 +39,70 @@
 	r.meter.SetClosedServers(leaving, paused)
 }
 
-// logClosedSend logs a request that is sent to a server that leaves or is paused.
-func (r *Registry) logClosedSend(server *site.Server, request string) {
+// IsLeaving reports whether a server said that it leaves.
+func (r *Registry) IsLeaving(server *site.Server) bool {
 	if !r.hasClosed.Load() {
-		return
+		return false
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.closed.IsLeaving(server)
+}
+
+// MaySend reports whether a request may be sent to a server now. Request is the ID of the attempt, or
+// empty. If only the address of a server is known, the server is found by it.
+func (r *Registry) MaySend(server site.Server, request string) bool {
+	if !r.hasClosed.Load() {
+		return true
 	}
 	now := time.Now()
 	r.lock.Lock()
-	isLeaving, until := r.closed.IsLeaving(server), r.closed.PausedUntil(now, server)
+	isLeaving, until := r.closed.IsLeaving(&server), r.closed.PausedUntil(now, &server)
 	r.lock.Unlock()
-	if isLeaving || !until.IsZero() {
+	if !until.IsZero() {
 		r.log.Info("closed-send", zap.String("server", server.ID), zap.String("service", server.Service), zap.String("request", request),
-			zap.Bool("leaving", isLeaving), zap.Duration("pause-left", max(until.Sub(now), 0)))
+			zap.Duration("pause-left", until.Sub(now)))
+	}
+	if isLeaving {
+		r.log.Info("send-withheld", zap.String("server", server.ID), zap.Stringer("address", server.Address),
+			zap.String("service", server.Service), zap.String("request", request), zap.Bool("leaving", isLeaving))
+	}
+	return !isLeaving
+}
+
+// LeavingServers returns what the heartbeats of this ingress tell the others about servers that leave.
+func (r *Registry) LeavingServers() []*wire.LeavingServer {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	messages := make([]*wire.LeavingServer, 0, len(r.view.Leaving))
+	for _, s := range r.view.Leaving {
+		messages = append(messages, &wire.LeavingServer{ServerId: s.ID, Incarnation: s.Incarnation})
+	}
+	if len(messages) > maxStatements {
+		rand.Shuffle(len(messages), func(i, j int) { messages[i], messages[j] = messages[j], messages[i] })
+		messages = messages[:maxStatements]
+	}
+	return messages
+}
+
+// MergeLeaving records what a heartbeat of another ingress tells about servers that leave. Servers that
+// are not in the view are ignored.
+func (r *Registry) MergeLeaving(ingress string, messages []*wire.LeavingServer) {
+	now := time.Now()
+	changed := false
+	for _, m := range messages {
+		r.lock.Lock()
+		service, known := r.getServices()[m.GetServerId()]
+		server := site.Server{ID: m.GetServerId(), Service: service, Incarnation: m.GetIncarnation()}
+		leaves := known && r.closed.MarkLeaving(now, &server)
+		r.countClosed(now)
+		r.lock.Unlock()
+		if leaves {
+			changed = true
+			r.log.Info("server-leaving", zap.String("server", server.ID), zap.String("service", service), zap.String("source", ingress))
+		}
+	}
+	if changed {
+		r.onLeaving()
 	}
 }
--- /dev/null
+++ b/ingress/services/limits/closed_test.go
@@ -0,0 +1,64 @@
+package limits_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"verbenaroad.example/ingress/services/limits"
+	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/models/site"
+)
+
+func newLeavingView(servers ...site.Server) *state.View { return &state.View{Leaving: servers} }
+
+// Guards against an ingress that goes on using a server although another ingress was told that it leaves,
+// against news of an earlier start of the server, and against the same news each heartbeat.
+func TestLeavingServersReachAnotherIngress(t *testing.T) {
+	is := is.New(t)
+	server := site.Server{ID: "i-0", Incarnation: 7, Service: "engines"}
+	changes := 0
+	core, logged := observer.New(zap.InfoLevel)
+	newRegistry := func() *limits.Registry {
+		r := limits.NewRegistry(limits.Options{Meter: &sendCounter{}, Log: zap.New(core), OnLeaving: func() { changes++ }})
+		r.SetView(&state.View{Servers: map[string][]site.Server{"engines": {server}}})
+		return r
+	}
+	first, second := newRegistry(), newRegistry()
+	leaving := site.Answer{Status: http.StatusOK, Signed: true, Leaving: true}
+	is.True(first.MaySend(server, "a"))
+	first.ObserveAnswer(server, leaving)
+	first.ObserveAnswer(server, leaving)
+	is.Equal(changes, 1)
+	is.True(!first.MaySend(server, "a"))
+	is.Equal(len(first.LeavingServers()), 0) // until the view has changed
+	first.SetView(newLeavingView(server))
+	second.MergeLeaving("first", first.LeavingServers())
+	second.MergeLeaving("first", first.LeavingServers())
+	is.Equal(changes, 2)
+	is.True(second.IsLeaving(&server))
+	is.Equal(logged.FilterMessage("server-leaving").Len(), 2)
+
+	restarted := server
+	restarted.Incarnation = 8
+	second.SetView(&state.View{Servers: map[string][]site.Server{"engines": {restarted}}})
+	second.MergeLeaving("first", first.LeavingServers())
+	is.True(second.MaySend(restarted, "a"))
+
+	stranger := limits.NewRegistry(limits.Options{Meter: &sendCounter{}, Log: zap.NewNop()})
+	stranger.MergeLeaving("first", first.LeavingServers())
+	is.True(!stranger.IsLeaving(&server)) // it does not know the server
+}
+
+// Guards against a server that is taken for one that leaves because of the answer of another server that
+// now has its address.
+func TestMisdirectedAnswerSaysNothingOfTheServer(t *testing.T) {
+	is := is.New(t)
+	r := newRegistryWith(1)
+	server := site.Server{ID: "i-0"}
+	r.ObserveAnswer(server, site.Answer{Status: http.StatusMisdirectedRequest, NotRun: true, Leaving: true})
+	is.True(r.MaySend(server, "a"))
+}
--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -27,12 +27,21 @@
 	SetClosedServers(leaving, paused int)
 }
 
+// Options are the settings of a Registry.
+type Options struct {
+	Meter Meter
+	Log   *zap.Logger
+	// OnLeaving, if set, is called once a server has said that it leaves.
+	OnLeaving func()
+}
+
 // Registry holds what the backend servers state. It counts the requests that this ingress places at
 // servers with a rate limit, or batches for them, on behalf of all ingresses. It is safe for concurrent
 // use.
 type Registry struct {
-	meter Meter
-	log   *zap.Logger
+	meter     Meter
+	log       *zap.Logger
+	onLeaving func()
 
 	// hasLimits is set while any server has a limit. Without one, requests are not delayed by lock.
 	hasLimits atomic.Bool
@@ -48,9 +57,14 @@
 	services map[string]string
 }
 
-// NewRegistry returns a registry without limits.
-func NewRegistry(meter Meter, log *zap.Logger) *Registry {
-	return &Registry{meter: meter, log: log, limiter: quota.NewLimiter(), closed: avail.NewTable(), view: &state.View{}}
+// NewRegistry returns a registry without statements.
+func NewRegistry(o Options) *Registry {
+	if o.OnLeaving == nil {
+		o.OnLeaving = func() {}
+	}
+	return &Registry{
+		meter: o.Meter, log: o.Log, onLeaving: o.OnLeaving, limiter: quota.NewLimiter(), closed: avail.NewTable(), view: &state.View{},
+	}
 }
 
 // SetView forgets what servers that are no longer in the view have stated.
@@ -83,6 +97,9 @@
 			r.services[s.ID] = service
 		}
 	}
+	for _, s := range r.view.Leaving {
+		r.services[s.ID] = s.Service
+	}
 	return r.services
 }
 
@@ -96,7 +113,6 @@
 // ObserveSend records that a request is sent to a server. Request is the ID of the attempt, or empty
 // for a call that produces results of stages.
 func (r *Registry) ObserveSend(server site.Server, request string) {
-	r.logClosedSend(&server, request)
 	perSecond, limited := r.Find(&server)
 	if !limited {
 		return
--- a/ingress/services/limits/limits_test.go
+++ b/ingress/services/limits/limits_test.go
@@ -33,7 +33,7 @@
 	is := is.New(t)
 	core, logged := observer.New(zap.InfoLevel)
 	meter := &sendCounter{}
-	registry := limits.NewRegistry(meter, zap.New(core))
+	registry := limits.NewRegistry(limits.Options{Meter: meter, Log: zap.New(core)})
 	server := site.Server{ID: "i-1"}
 	isLimited := func() bool {
 		before := meter.count
@@ -62,7 +62,7 @@
 
 // newRegistryWith returns a registry whose view has n servers, i-0 and so on.
 func newRegistryWith(n int) *limits.Registry {
-	r := limits.NewRegistry(&sendCounter{}, zap.NewNop())
+	r := limits.NewRegistry(limits.Options{Meter: &sendCounter{}, Log: zap.NewNop()})
 	servers := []site.Server{}
 	for i := range n {
 		servers = append(servers, site.Server{ID: fmt.Sprintf("i-%d", i)})
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -55,9 +55,9 @@
 	// OnStoreStatus is called with the state of another ingress's connection to the store and of
 	// its copy of the records, as reported in its heartbeats.
 	OnStoreStatus func(name string, status *wire.Reading)
-	// OnRateLimits is called with the rate limits of backend servers that another ingress knows, as
-	// reported in its heartbeats. It may be nil.
-	OnRateLimits func(name string, limits []*wire.RateLimit)
+	// OnStatements is called with each heartbeat of another ingress for what backend servers have
+	// stated. It may be nil.
+	OnStatements func(name string, beat *wire.Beat)
 	Log          *zap.Logger
 }
 
@@ -349,8 +349,8 @@
 	if beat.GetReading() != nil {
 		m.options.OnStoreStatus(name, beat.GetReading())
 	}
-	if m.options.OnRateLimits != nil {
-		m.options.OnRateLimits(name, beat.GetRateLimits())
+	if m.options.OnStatements != nil {
+		m.options.OnStatements(name, beat)
 	}
 	m.lock.Lock()
 	defer m.lock.Unlock()
--- a/ingress/services/reach/reach.go
+++ b/ingress/services/reach/reach.go
@@ -31,6 +31,9 @@
 // ErrNotSent means that no byte of the request was sent, so it has not run and will not run.
 var ErrNotSent = errors.New("request not sent")
 
+// ErrClosed means that the request was not sent because the server takes no requests now.
+var ErrClosed = errors.New("the server takes no requests")
+
 const (
 	// connectTimeout limits how long opening a connection may take. A round trip between regions
 	// takes 25 ms, a lost SYN is retransmitted after 1 s, and a host that is down never answers.
@@ -50,8 +53,10 @@
 	ReadAnswer(status int, h http.Header) site.Answer
 }
 
-// RateObserver tracks the requests that backend servers receive and the rate limits that they state.
-type RateObserver interface {
+// Statements tracks what backend servers state about the requests that they take.
+type Statements interface {
+	// MaySend reports whether a request may be sent to a server now.
+	MaySend(server site.Server, request string) bool
 	// ObserveSend is called before a request is sent. Request is the ID of the attempt, or empty for a
 	// request that an adapter has built.
 	ObserveSend(server site.Server, request string)
@@ -81,8 +86,8 @@
 
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
-	codec Codec
-	rates RateObserver
+	codec      Codec
+	statements Statements
 	// singleUse uses each connection for one request and closes it afterwards.
 	//
 	// Guards against a non-idempotent request running twice. Backend servers may reset idle
@@ -97,15 +102,15 @@
 	dialer    *net.Dialer
 }
 
-// NewClient returns a client that encodes and decodes headers with codec and reports each request
-// that has a server, and its answer, to rates.
-func NewClient(codec Codec, rates RateObserver) *Client {
+// NewClient returns a client that encodes and decodes headers with codec. It asks statements before
+// each request, and reports the request and its answer to it.
+func NewClient(codec Codec, statements Statements) *Client {
 	keepAlive := newTransport(newDialer().DialContext)
 	keepAlive.DisableKeepAlives = false
 	keepAlive.MaxIdleConnsPerHost = maxIdlePerServer
 	keepAlive.IdleConnTimeout = idleTimeout
 	s := newSpares(newDialer())
-	return &Client{codec: codec, rates: rates, singleUse: newTransport(s.dial), keepAlive: keepAlive, spares: s, dialer: newDialer()}
+	return &Client{codec: codec, statements: statements, singleUse: newTransport(s.dial), keepAlive: keepAlive, spares: s, dialer: newDialer()}
 }
 
 func newDialer() *net.Dialer {
@@ -179,7 +184,7 @@
 // of its own.
 func (c *Client) DoIdempotent(server site.Server, r *http.Request) (*http.Response, error) {
 	response, err := c.roundTrip(c.keepAlive, server, r)
-	if err == nil || r.Context().Err() != nil || r.GetBody == nil {
+	if err == nil || r.Context().Err() != nil || r.GetBody == nil || errors.Is(err, ErrClosed) {
 		return response, err
 	}
 	retry := r.Clone(r.Context())
@@ -192,12 +197,15 @@
 
 // roundTrip sends a request that an adapter has built, and observes it and its answer.
 func (c *Client) roundTrip(transport *http.Transport, server site.Server, r *http.Request) (*http.Response, error) {
-	c.rates.ObserveSend(server, "")
+	if !c.statements.MaySend(server, "") {
+		return nil, ErrReach.Wrap(errors.Join(ErrNotSent, ErrClosed))
+	}
+	c.statements.ObserveSend(server, "")
 	response, err := transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
-	c.rates.ObserveAnswer(server, c.codec.ReadAnswer(response.StatusCode, response.Header))
+	c.statements.ObserveAnswer(server, c.codec.ReadAnswer(response.StatusCode, response.Header))
 	return response, nil
 }
 
@@ -212,7 +220,10 @@
 	if err != nil {
 		return nil, ErrReach.Wrap(errors.Join(ErrNotSent, err))
 	}
-	c.rates.ObserveSend(r.Server, r.UpstreamHeaders.AttemptID)
+	if !c.statements.MaySend(r.Server, r.UpstreamHeaders.AttemptID) {
+		return nil, ErrReach.Wrap(errors.Join(ErrNotSent, ErrClosed))
+	}
+	c.statements.ObserveSend(r.Server, r.UpstreamHeaders.AttemptID)
 	response, err := c.singleUse.RoundTrip(request) //nolint:bodyclose // the reply's reader closes it
 	if err != nil && !sent.Load() {
 		return nil, ErrReach.Wrap(errors.Join(ErrNotSent, err))
@@ -221,7 +232,7 @@
 		return nil, ErrReach.Wrap(err)
 	}
 	answer := c.codec.ReadAnswer(response.StatusCode, response.Header)
-	c.rates.ObserveAnswer(r.Server, answer)
+	c.statements.ObserveAnswer(r.Server, answer)
 	return &Reply{Answer: answer, Body: response.Body, Length: response.ContentLength}, nil
 }
 
--- a/ingress/services/reach/spares_test.go
+++ b/ingress/services/reach/spares_test.go
@@ -61,6 +61,8 @@
 // noRates ignores the rate limits of servers.
 type noRates struct{}
 
+func (noRates) MaySend(site.Server, string) bool { return true }
+
 func (noRates) ObserveSend(site.Server, string) {}
 
 func (noRates) ObserveAnswer(site.Server, site.Answer) {}
--- a/ingress/services/stages/batcher.go
+++ b/ingress/services/stages/batcher.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/services/reach"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/batch"
 	"verbenaroad.example/share/decide/budget"
@@ -285,11 +286,11 @@
 	}))
 }
 
-// isUnsent reports whether a call failed before it was sent, because no connection to its server
-// could be established.
+// isUnsent reports whether a call failed before it was sent, because its server takes no calls or no
+// connection to it could be established.
 func isUnsent(err error) bool {
 	var failed *net.OpError
-	return errors.As(err, &failed) && failed.Op == "dial"
+	return errors.Is(err, reach.ErrNotSent) || errors.As(err, &failed) && failed.Op == "dial"
 }
 
 // formatOutcomes returns the number of results of each outcome, for example "made=12,no-room=2".
--- a/ingress/services/state/apply.go
+++ b/ingress/services/state/apply.go
@@ -148,9 +148,35 @@
 	b.options.Log.Info("ingress-seen", zap.String("ingress", name), zap.Stringer("address", ingress.Address))
 }
 
+// Refresh publishes a new view after the result of IsLeaving has changed.
+func (b *Book) Refresh() {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.publish()
+}
+
+// removeLeaving removes the servers that said that they leave from those that may be sent new work, and
+// returns them.
+func (b *Book) removeLeaving(servers map[string][]site.Server) (leaving []site.Server) {
+	if b.options.IsLeaving == nil {
+		return nil
+	}
+	for service, list := range servers {
+		servers[service] = slices.DeleteFunc(list, func(s site.Server) bool {
+			if !b.options.IsLeaving(&s) {
+				return false
+			}
+			leaving = append(leaving, s)
+			return true
+		})
+	}
+	return leaving
+}
+
 // publish replaces the view and passes it to OnChange. The caller must hold the lock.
 func (b *Book) publish() {
 	v := &View{Table: b.table, Servers: b.servers.List(), Evacuated: b.servers.Evacuated(), Quarantines: b.quarantines}
+	v.Leaving = b.removeLeaving(v.Servers)
 	for _, name := range slices.Sorted(maps.Keys(b.peers)) {
 		v.Ingresses = append(v.Ingresses, b.peers[name])
 	}
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -47,6 +47,9 @@
 	Table *access.Table
 	// Servers are the backend servers that may be sent new work, by service.
 	Servers map[string][]site.Server
+	// Leaving are the backend servers that are registered as ready and said in an answer that they
+	// leave. Servers omits them.
+	Leaving []site.Server
 	// Evacuated are the failure domains whose servers get no new work. Servers omits them.
 	Evacuated []string
 	// Ingresses are the registered ingresses, including this one.
@@ -69,6 +72,9 @@
 	Log   *zap.Logger
 	// OnChange, if set, is called with each new view, under the lock of the Book.
 	OnChange func(*View)
+	// IsLeaving, if set, reports whether a backend server said that it leaves. It is called under the
+	// lock of the Book.
+	IsLeaving func(*site.Server) bool
 }
 
 // Book holds the records that this ingress knows and publishes a View of them. It also tracks when
