limits, flow, batch: a server that asks for a pause gets no requests until it ends

What callers saw: requests that were sent to servers which turn them away, and refusals where no retry was left. An engine that had asked an ingress for 3 s got three and four more requests from it in that time.

Cause: the Retry-After of a server's 503 was read nowhere. A refusal kept the placer away from an engine for 0.25 s, the planner away from a pool server for a part of a call, and the choice of a plain server not at all.

The registry of what servers state keeps the pause, for this ingress alone, until it ends or the server starts again. All that choose ask it: the query for a placement or a plain server leaves paused servers out (also at a placer elsewhere), the check of a placement made before, the planner of calls, and releases of results, which are gathered meanwhile. reach asks again at each send. Where all servers are paused the caller is refused at once, with the time at which the first pause ends, spread by a quarter; a job of a pool waits if the pause ends in time.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -146,7 +146,7 @@
 	i.puller.Feed = i.feeder
 	client := reach.NewClient(heads.Codec{}, i.limits)
 	i.batcher = stages.NewBatcher(stages.BatcherOptions{
-		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Retries: s.Repeats.Settings, Limits: i.limits, Log: i.log,
+		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Retries: s.Repeats.Settings, Limits: i.limits, Pauses: i.limits, Log: i.log,
 		Regions: s.Place.Regions, Region: s.Place.Region,
 		Discard: func(service string, handles []string) { i.producer.Discard(service, handles) },
 		OnCrash: func(c batch.Crash) { i.screen.RecordCrash(poison.ID(c.RequestDigest), c.Server, c.SentAt) },
--- a/ingress/services/flow/pick.go
+++ b/ingress/services/flow/pick.go
@@ -98,9 +98,6 @@
 	s.getService(x.service).chooser.Start(time.Now(), server.ID)
 }
 
-// maxShownServers limits how many servers of a kind the reason of a refusal names.
-const maxShownServers = 3
-
 // listLimits returns the servers that state a rate, each with its requests per second.
 func (x *exchange) listLimits(servers []site.Server) []string {
 	limits := []string{}
--- a/ingress/services/flow/pick_test.go
+++ b/ingress/services/flow/pick_test.go
@@ -176,3 +176,16 @@
 	is.Equal(answer.Code, http.StatusServiceUnavailable)
 	is.True(strings.Contains(answer.Body.String(), `"not-run"`))
 }
+
+// Guards against a plain server receiving the next request although it has asked for a pause.
+func TestPausedPlainServerIsNotChosen(t *testing.T) {
+	is := is.New(t)
+	d := newOrderDesk()
+	order := d.newOrders()
+	is.Equal(order(t.Context()).Code, http.StatusOK)
+	d.limits.ObserveAnswer(site.Server{ID: "a", Service: "desk"}, newPauseAnswer(200*time.Millisecond))
+	is.Equal(order(t.Context()).Code, http.StatusOK)
+	time.Sleep(200 * time.Millisecond)
+	is.Equal(order(t.Context()).Code, http.StatusOK)
+	is.Equal(d.sentTo, []string{"a", "b", "a"})
+}
--- a/ingress/services/flow/places.go
+++ b/ingress/services/flow/places.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
 	"verbenaroad.example/share/decide/cold"
 	"verbenaroad.example/share/models/site"
@@ -43,9 +45,14 @@
 	}
 }
 
-// listClosed returns the IDs of the servers of the service that take no requests. Those that leave are
-// not in the view, but the placer may not know of them yet.
+// listClosed returns the IDs of the servers of the service that take no requests of this ingress: those
+// that are paused, and those that leave. The latter are not in the view, but the placer may not know of
+// them yet.
 func (x *exchange) listClosed() []string {
+	return append(x.listLeaving(), x.server.options.Limits.ListPaused(time.Now(), x.service)...)
+}
+
+func (x *exchange) listLeaving() []string {
 	ids := []string{}
 	for _, s := range x.server.options.Views.View().Leaving {
 		if s.Service == x.service {
@@ -59,11 +66,43 @@
 // that choose the placer and the batcher of a service.
 const coldRankPrefix = "cold/"
 
+// pauseWait returns the time until the first server that may receive the request ends its pause. It
+// returns 0 if one of them is not paused.
+func (x *exchange) pauseWait() time.Duration {
+	first := time.Duration(0)
+	now := time.Now()
+	for _, s := range x.server.options.Views.View().Servers[x.service] {
+		if !x.residency().Allows(x.server.options.Regions[s.Domain]) {
+			continue
+		}
+		until := x.server.options.Limits.PausedUntil(now, &s)
+		if until.IsZero() {
+			return 0
+		}
+		if wait := until.Sub(now); first == 0 || wait < first {
+			first = wait
+		}
+	}
+	return first
+}
+
+// returnSpread is the share of a pause over which the returns of refused callers are spread, so that a
+// server that has just ended its pause does not receive all of them at once.
+const returnSpread = 0.25
+
+// spreadReturn returns the Retry-After for callers that are refused because of a pause.
+func spreadReturn(wait time.Duration) time.Duration {
+	return wait + time.Duration(returnSpread*rand.Float64()*float64(wait)) //nolint:gosec // a delay, no secret
+}
+
 // refuseNoServer returns the result for a request that no server may receive now.
 func (x *exchange) refuseNoServer() *codes.Result {
+	pause := x.pauseWait()
 	switch {
 	case x.limitWait > 0:
 		return codes.NewResult(codes.Overloaded, x.describeNoServer()).WithRetryAfter(max(x.limitWait, shortRetryAfter))
+	case pause > 0:
+		return codes.NewResult(codes.Overloaded, x.describeNoServer()).WithRetryAfter(max(spreadReturn(pause), shortRetryAfter))
 	case x.sends > 0:
 		return codes.NewResult(codes.Overloaded, "every server that may take it refused").WithRetryAfter(shortRetryAfter)
 	default:
@@ -81,12 +120,22 @@
 	if len(v.Evacuated) > 0 {
 		detail += fmt.Sprintf("; evacuated: %s", strings.Join(v.Evacuated, ","))
 	}
-	if leaving := x.listClosed(); len(leaving) > 0 {
-		detail += fmt.Sprintf("; %d leave: %s", len(leaving), strings.Join(leaving[:min(len(leaving), maxShownServers)], ","))
+	if leaving := x.listLeaving(); len(leaving) > 0 {
+		detail += fmt.Sprintf("; %d leave: %s", len(leaving), joinShown(leaving))
+	}
+	if paused := x.server.options.Limits.ListPaused(time.Now(), x.service); len(paused) > 0 {
+		detail += fmt.Sprintf("; %d asked for a pause: %s", len(paused), joinShown(paused))
 	}
 	if limits := x.listLimits(v.Servers[x.service]); len(limits) > 0 {
-		shown := limits[:min(len(limits), maxShownServers)]
-		detail += fmt.Sprintf("; %d with a rate limit: %s", len(limits), strings.Join(shown, ","))
+		detail += fmt.Sprintf("; %d with a rate limit: %s", len(limits), joinShown(limits))
 	}
 	return detail
 }
+
+// maxShownServers limits how many servers of a kind the reason of a refusal names.
+const maxShownServers = 3
+
+// joinShown joins the servers that the reason of a refusal names.
+func joinShown(servers []string) string {
+	return strings.Join(servers[:min(len(servers), maxShownServers)], ",")
+}
--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -37,13 +38,13 @@
 	view   *state.View
 	// viewAfterStages replaces view when results are produced; nil: the view does not change.
 	viewAfterStages *state.View
-	// limits holds the rates that servers state; nil: none. limitAfterStages is the ID of an engine
-	// that states one while results are produced.
-	limits           *limits.Registry
-	limitAfterStages string
-	placer           *assign.Placer
-	placements       int
-	sentTo           []string
+	// limits holds what servers state; nil: nothing. answerAfterStages is an answer of the engine n
+	// while results are produced; nil: none.
+	limits            *limits.Registry
+	answerAfterStages *site.Answer
+	placer            *assign.Placer
+	placements        int
+	sentTo            []string
 	// fetchFrom is the ID of the engine from which the placer lets engines fetch. fetchSources are
 	// the addresses that were sent to the engines.
 	fetchFrom    string
@@ -72,8 +73,8 @@
 		s.view = s.viewAfterStages
 		s.placer.SetView(s.view)
 	}
-	if s.limitAfterStages != "" {
-		s.limits.ObserveAnswer(site.Server{ID: s.limitAfterStages}, newLimitAnswer(1))
+	if s.answerAfterStages != nil {
+		s.limits.ObserveAnswer(site.Server{ID: "n", Service: "engines"}, *s.answerAfterStages)
 	}
 	return stages.NewResults([]string{"10.0.0.1:1/a"}, func() {}), nil
 }
@@ -190,12 +191,50 @@
 func TestRequestIsPlacedAgainIfItsEngineStatesARateLimit(t *testing.T) {
 	is := is.New(t)
 	north, south := newEngine("n", "n1", "10.0.0.8:1"), newEngine("s", "s1", "10.0.0.9:1")
-	s := &deployment{view: newView(1, newRoute(), north, south), limits: newLimits(), limitAfterStages: "n"}
+	stated := newLimitAnswer(1)
+	s := &deployment{view: newView(1, newRoute(), north, south), limits: newLimits(), answerAfterStages: &stated}
 	is.Equal(s.serve(newRoute()).Code, http.StatusOK)
 	is.Equal(s.placements, 2)
 	is.Equal(s.sentTo, []string{"s"})
 }
 
+func newPauseAnswer(pause time.Duration) site.Answer {
+	return site.Answer{Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: pause}
+}
+
+// Guards against a request being sent to an engine that asked for a pause because it was placed there
+// before, and against one that is placed there again.
+func TestRequestIsPlacedAgainIfItsEngineAsksForAPause(t *testing.T) {
+	is := is.New(t)
+	north, south := newEngine("n", "n1", "10.0.0.8:1"), newEngine("s", "s1", "10.0.0.9:1")
+	paused := newPauseAnswer(3 * time.Second)
+	s := &deployment{view: newView(1, newRoute(), north, south), limits: newLimits(), answerAfterStages: &paused}
+	is.Equal(s.serve(newRoute()).Code, http.StatusOK)
+	is.Equal(s.placements, 2)
+	is.Equal(s.sentTo, []string{"s"})
+	is.Equal(s.serve(newRoute()).Code, http.StatusOK)
+	is.Equal(s.sentTo, []string{"s", "s"})
+}
+
+// Guards against a request that waits although all engines have asked for a pause, and against a refusal
+// that tells its caller to return before the first of them takes requests, or long after.
+func TestRequestDuringAllPausesIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	north, south := newEngine("n", "n1", "10.0.0.8:1"), newEngine("s", "s1", "10.0.0.9:1")
+	s := &deployment{view: newView(1, newRoute(), north, south), limits: newLimits()}
+	for id, pause := range map[string]time.Duration{"n": 4 * time.Second, "s": time.Minute} {
+		s.limits.ObserveAnswer(site.Server{ID: id, Service: "engines"}, newPauseAnswer(pause))
+	}
+	answer := s.serve(newRoute())
+	is.Equal(answer.Code, http.StatusServiceUnavailable)
+	seconds, err := strconv.ParseFloat(answer.Header().Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(seconds > 3.5)
+	is.True(seconds <= 5)
+	is.True(strings.Contains(answer.Body.String(), "2 asked for a pause: n,s"))
+	is.Equal(len(s.sentTo), 0)
+}
+
 // Guards against a request that waits although the rate limits of all engines are used up, and
 // against a refusal that does not state when to return.
 func TestRequestBeyondAllRateLimitsIsRefusedAtOnce(t *testing.T) {
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -230,7 +230,7 @@
 func (x *exchange) handleRefusal(server site.Server, reply *reach.Reply, took time.Duration) verdict {
 	x.log.Info("attempt-refused", zap.String("server", server.ID), zap.Int("status", reply.Status), zap.Stringer("load", reply.Load))
 	x.end(server, place.ResultRefused, took, reply.Load)
-	refused := codes.NewResult(codes.Overloaded, "the servers of "+x.service+" are full").WithRetryAfter(x.overloadRetryAfter())
+	refused := codes.NewResult(codes.Overloaded, "the servers of "+x.service+" are full").WithRetryAfter(max(x.overloadRetryAfter(), spreadReturn(x.pauseWait())))
 	if reply.Status == http.StatusConflict {
 		// A result of the stages is no longer available, so no other engine could fetch it either.
 		return verdict{result: codes.NewResult(codes.Overloaded, "a result of the stages has gone").WithRetryAfter(shortRetryAfter)}
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -40,10 +40,14 @@
 	Place(ctx context.Context, service string, q place.Query) (r *assign.Reservation, retryAfter time.Duration)
 }
 
-// RateLimits holds the rates that servers state.
+// RateLimits holds what servers state about the requests that they take.
 type RateLimits interface {
 	// Find returns the requests per second that a server takes from all ingresses together.
 	Find(server *site.Server) (perSecond float64, limited bool)
+	// PausedUntil returns the end of the pause that a server asked this ingress for; zero if there is
+	// none now. ListPaused returns the IDs of the paused servers of a service.
+	PausedUntil(now time.Time, server *site.Server) time.Time
+	ListPaused(now time.Time, service string) []string
 }
 
 // Admitter admits requests to plain servers that state a rate.
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -74,12 +74,16 @@
 // isReservationUsable reports whether the request may still be sent to the reserved engine. While
 // the results were produced, the engine may have begun to leave, its failure domain may have been
 // evacuated, or a new configuration may exclude its region. It may also have become cold or have
-// stated a rate limit, in which case the requests placed there before were not counted against it.
+// stated a rate limit, in which case the requests placed there before were not counted against it, or
+// have asked for a pause.
 func (x *exchange) isReservationUsable() bool {
 	server, found := assign.FindServer(x.server.options.Views.View(), x.service, x.reservation.Server().ID)
 	if !found || !x.residency().Allows(x.server.options.Regions[server.Domain]) {
 		return false
 	}
+	if !x.server.options.Limits.PausedUntil(time.Now(), &server).IsZero() {
+		return false
+	}
 	_, limited := x.server.options.Limits.Find(&server)
 	return (!server.IsCold(time.Now()) || x.reservation.WasCold) && (!limited || x.reservation.WasLimited)
 }
--- a/ingress/services/limits/closed.go
+++ b/ingress/services/limits/closed.go
@@ -59,15 +59,33 @@
 	r.lock.Lock()
 	isLeaving, until := r.closed.IsLeaving(&server), r.closed.PausedUntil(now, &server)
 	r.lock.Unlock()
-	if !until.IsZero() {
-		r.log.Info("closed-send", zap.String("server", server.ID), zap.String("service", server.Service), zap.String("request", request),
-			zap.Duration("pause-left", until.Sub(now)))
+	if !isLeaving && until.IsZero() {
+		return true
+	}
+	r.log.Info("send-withheld", zap.String("server", server.ID), zap.Stringer("address", server.Address), zap.String("service", server.Service),
+		zap.String("request", request), zap.Bool("leaving", isLeaving), zap.Duration("pause-left", max(until.Sub(now), 0)))
+	return false
+}
+
+// PausedUntil returns the end of the pause that a server asked this ingress for; zero if there is none
+// now. If only the address of a server is known, the server is found by it.
+func (r *Registry) PausedUntil(now time.Time, server *site.Server) time.Time {
+	if !r.hasClosed.Load() {
+		return time.Time{}
 	}
-	if isLeaving {
-		r.log.Info("send-withheld", zap.String("server", server.ID), zap.Stringer("address", server.Address),
-			zap.String("service", server.Service), zap.String("request", request), zap.Bool("leaving", isLeaving))
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.closed.PausedUntil(now, server)
+}
+
+// ListPaused returns the IDs of the servers of a service that asked this ingress for a pause.
+func (r *Registry) ListPaused(now time.Time, service string) []string {
+	if !r.hasClosed.Load() {
+		return nil
 	}
-	return !isLeaving
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.closed.ListPaused(now, service)
 }
 
 // LeavingServers returns what the heartbeats of this ingress tell the others about servers that leave.
--- a/ingress/services/stages/batcher.go
+++ b/ingress/services/stages/batcher.go
@@ -49,8 +49,10 @@
 	Meter Meter
 	// Retries limits how many calls are retried.
 	Retries budget.Settings
-	// Limits limits the calls to servers that state a rate.
+	// Limits limits the calls to servers that state a rate. Pauses holds the pauses that servers asked
+	// this ingress for.
 	Limits batch.Limiter
+	Pauses batch.Pauses
 	// Regions maps failure domains to their regions; Region is the region of this ingress.
 	Regions map[string]string
 	Region  string
@@ -182,6 +184,7 @@
 		return retryBudget.TakeRetries(now, n, b.ingresses)
 	})
 	planner.SetLimiter(b.options.Limits)
+	planner.SetPauses(b.options.Pauses)
 	return &jobQueue{planner: planner, retryBudget: retryBudget, waiters: map[uint64]chan batch.Completion{}}
 }
 
--- a/ingress/services/stages/producer_test.go
+++ b/ingress/services/stages/producer_test.go
@@ -14,6 +14,7 @@
 	"verbenaroad.example/ingress/services/stages"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/access"
+	"verbenaroad.example/share/decide/avail"
 	"verbenaroad.example/share/decide/budget"
 	"verbenaroad.example/share/decide/quota"
 	"verbenaroad.example/share/models/site"
@@ -63,8 +64,8 @@
 	is := is.New(t)
 	log := zap.NewNop()
 	batcher := stages.NewBatcher(stages.BatcherOptions{
-		Limits: quota.NewLimiter(),
-		Pools:  instantPool{}, Meter: noMeter{}, Log: log, Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second},
+		Limits: quota.NewLimiter(), Pauses: avail.NewTable(),
+		Pools: instantPool{}, Meter: noMeter{}, Log: log, Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -117,7 +118,7 @@
 func TestStageRunsInTheDomainOfLargeInputs(t *testing.T) {
 	is := is.New(t)
 	log := zap.NewNop()
-	batcher := stages.NewBatcher(stages.BatcherOptions{Pools: instantPool{}, Meter: noMeter{}, Limits: quota.NewLimiter(), Log: log})
+	batcher := stages.NewBatcher(stages.BatcherOptions{Pools: instantPool{}, Meter: noMeter{}, Limits: quota.NewLimiter(), Pauses: avail.NewTable(), Log: log})
 	peers := &batcherPeer{domains: map[string]string{}}
 	producer := stages.NewProducer(peers, batcher, log)
 	spec := &site.Pool{Slots: 1, MaxBatch: 40, ResultMemoryBytes: 1 << 20, ResultTTL: 4 * time.Second}
@@ -141,7 +142,7 @@
 // would refuse the requests of the next second.
 func TestDroppedJobReportsNoBacklog(t *testing.T) {
 	is := is.New(t)
-	batcher := stages.NewBatcher(stages.BatcherOptions{Pools: instantPool{}, Meter: noMeter{}, Limits: quota.NewLimiter(), Log: zap.NewNop()})
+	batcher := stages.NewBatcher(stages.BatcherOptions{Pools: instantPool{}, Meter: noMeter{}, Limits: quota.NewLimiter(), Pauses: avail.NewTable(), Log: zap.NewNop()})
 	producer := stages.NewProducer(&stoppingPeer{}, batcher, zap.NewNop())
 	answer := producer.ServeProduce(t.Context(), &wire.Produce{Service: "unknown", Count: 1})
 	is.Equal(answer.GetOutcome(), "no-server")
--- a/ingress/services/stages/queues_test.go
+++ b/ingress/services/stages/queues_test.go
@@ -14,6 +14,7 @@
 	"verbenaroad.example/ingress/services/stages"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/access"
+	"verbenaroad.example/share/decide/avail"
 	"verbenaroad.example/share/decide/batch"
 	"verbenaroad.example/share/decide/budget"
 	"verbenaroad.example/share/decide/quota"
@@ -79,7 +80,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			log := zap.NewNop()
-			batcher := stages.NewBatcher(stages.BatcherOptions{Pools: instantPool{}, Meter: noMeter{}, Limits: quota.NewLimiter(), Log: log, Regions: twoRegions})
+			batcher := stages.NewBatcher(stages.BatcherOptions{Pools: instantPool{}, Meter: noMeter{}, Limits: quota.NewLimiter(), Pauses: avail.NewTable(), Log: log, Regions: twoRegions})
 			peers := &regionalPeer{ranked: map[string]bool{}, jobs: map[string]int{}}
 			producer := stages.NewProducer(peers, batcher, log)
 			producer.SetView(newPoolView(c.domains...))
@@ -116,8 +117,8 @@
 	t.Helper()
 	servers := &failingPool{}
 	batcher := stages.NewBatcher(stages.BatcherOptions{
-		Limits: quota.NewLimiter(),
-		Pools:  servers, Meter: noMeter{}, Log: zap.NewNop(), Regions: twoRegions,
+		Limits: quota.NewLimiter(), Pauses: avail.NewTable(),
+		Pools: servers, Meter: noMeter{}, Log: zap.NewNop(), Regions: twoRegions,
 		Retries: budget.Settings{Slack: 3, Window: time.Minute},
 	})
 	batcher.Start(t.Context())
@@ -171,7 +172,7 @@
 func TestPendingResultsAreCountedByRegion(t *testing.T) {
 	is := is.New(t)
 	log := zap.NewNop()
-	batcher := stages.NewBatcher(stages.BatcherOptions{Pools: instantPool{}, Meter: noMeter{}, Limits: quota.NewLimiter(), Log: log, Regions: twoRegions, Region: "north"})
+	batcher := stages.NewBatcher(stages.BatcherOptions{Pools: instantPool{}, Meter: noMeter{}, Limits: quota.NewLimiter(), Pauses: avail.NewTable(), Log: log, Regions: twoRegions, Region: "north"})
 	peers := &blockingPeer{started: make(chan struct{}), release: make(chan struct{})}
 	peers.ranked, peers.jobs = map[string]bool{}, map[string]int{}
 	producer := stages.NewProducer(peers, batcher, log)
--- a/ingress/services/stages/release.go
+++ b/ingress/services/stages/release.go
@@ -56,8 +56,11 @@
 }
 
 // mayRelease reports whether a release may be sent now. Releases to a server with a rate limit are
-// gathered for longer.
+// gathered for longer, and those to a server that is paused until the pause ends.
 func (b *Batcher) mayRelease(now time.Time, holder site.Server, r *release) bool {
+	if !b.options.Pauses.PausedUntil(now, &holder).IsZero() {
+		return false
+	}
 	perSecond, limited := b.options.Limits.Find(&holder)
 	return !limited || now.Sub(r.since) >= limitedReleaseInterval(perSecond)
 }
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"verbenaroad.example/share/decide/avail"
 	"verbenaroad.example/share/decide/delay"
 	"verbenaroad.example/share/decide/quota"
 	"verbenaroad.example/share/models/site"
@@ -153,6 +154,7 @@
 	// regions maps failure domains to their regions.
 	regions map[string]string
 	limiter Limiter
+	pauses  Pauses
 	workers map[string]*worker
 	queue   []*job
 	jobs    map[uint64]*job
@@ -200,6 +202,7 @@
 		retry:    retry,
 		regions:  regions,
 		limiter:  quota.NewLimiter(),
+		pauses:   avail.NewTable(),
 		workers:  map[string]*worker{},
 		jobs:     map[uint64]*job{},
 		calls:    map[uint64]*Call{},
@@ -238,8 +241,8 @@
 // caller learns when to retry while there is still time for that.
 func (p *Planner) Add(now time.Time, j Job) Actions {
 	a := Actions{}
-	if !p.hasServer(j) {
-		p.complete(&a, now, Completion{JobID: j.ID, Outcome: OutcomeNoServer, RetryAfter: noServerRetryAfter})
+	if !p.hasServer(now, j) {
+		p.complete(&a, now, Completion{JobID: j.ID, Outcome: OutcomeNoServer, RetryAfter: p.noServerWait(now, j)})
 		return a
 	}
 	if p.isOnTime(now, j) {
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -52,8 +52,8 @@
 		switch {
 		case !now.Add(p.pool.CallTime).Before(j.Expires):
 			p.endJob(a, now, j, Completion{JobID: j.ID, Outcome: OutcomeExpired})
-		case len(p.ready) > 0 && !p.hasServer(j.Job):
-			p.endJob(a, now, j, Completion{JobID: j.ID, Outcome: OutcomeNoServer, RetryAfter: noServerRetryAfter})
+		case len(p.ready) > 0 && !p.hasServer(now, j.Job):
+			p.endJob(a, now, j, Completion{JobID: j.ID, Outcome: OutcomeNoServer, RetryAfter: p.noServerWait(now, j.Job)})
 		}
 	}
 	for _, w := range p.workers {
@@ -132,13 +132,13 @@
 
 // chooseWorker returns the fastest idle server, or else the fastest that is about to be idle. It
 // returns nil if there is none, or if it is better to wait for a faster server that is busy. Servers
-// whose rate limit does not allow a call are left out.
+// that are paused, or whose rate limit does not allow a call, are left out.
 func (p *Planner) chooseWorker(now time.Time, skipped map[*worker]bool) *worker {
 	idle, soonIdle := []*worker{}, []*worker{}
 	fastest := math.Inf(1)
 	healthy := 0
 	for _, w := range p.ready {
-		if now.Before(w.backoffUntil) || !p.limiter.Allows(now, &w.server) {
+		if now.Before(w.backoffUntil) || p.isPaused(now, w) || !p.limiter.Allows(now, &w.server) {
 			continue
 		}
 		healthy++
@@ -180,7 +180,7 @@
 func (p *Planner) probeWorker(now time.Time, skipped map[*worker]bool) *worker {
 	var best *worker
 	for _, w := range p.ready {
-		if w.inFlight > 0 || skipped[w] || !p.limiter.Allows(now, &w.server) {
+		if w.inFlight > 0 || skipped[w] || p.isPaused(now, w) || !p.limiter.Allows(now, &w.server) {
 			continue
 		}
 		if best == nil || w.backoffUntil.Before(best.backoffUntil) {
@@ -237,21 +237,27 @@
 		return true
 	}
 	for _, w := range p.ready {
-		if w.server.Domain == j.Domain && !now.Before(w.backoffUntil) && !w.idleAt().After(ends) && !p.limiter.NextAt(now, &w.server).After(ends) {
+		if w.server.Domain == j.Domain && !now.Before(w.backoffUntil) && p.isIdleBy(now, w, ends) {
 			return false
 		}
 	}
 	return true
 }
 
+// isIdleBy reports whether a server takes a call by the given time: it is idle, its pause is over, and its
+// rate limit allows one.
+func (p *Planner) isIdleBy(now time.Time, w *worker, at time.Time) bool {
+	return !w.idleAt().After(at) && !p.pauses.PausedUntil(now, &w.server).After(at) && !p.limiter.NextAt(now, &w.server).After(at)
+}
+
 // allows reports whether the results of a job may be produced at a server.
 func (p *Planner) allows(j Job, w *worker) bool {
 	return j.Residency.Allows(p.regions[w.server.Domain])
 }
 
 // hasServer reports whether there is a server that may produce the results of a job.
-func (p *Planner) hasServer(j Job) bool {
-	return slices.ContainsFunc(p.ready, func(w *worker) bool { return p.allows(j, w) })
+func (p *Planner) hasServer(now time.Time, j Job) bool {
+	return slices.ContainsFunc(p.ready, func(w *worker) bool { return p.takesWork(now, j, w) })
 }
 
 // hasServerIn reports whether there is a server in the failure domain.
@@ -271,12 +277,12 @@
 	return b.LateWait(j.Rank)
 }
 
-// rate returns how many items per second the servers that are not in backoff process in full calls. A
-// server with a rate limit processes no more calls than that.
+// rate returns how many items per second the servers that are neither in backoff nor paused process in
+// full calls. A server with a rate limit processes no more calls than that.
 func (p *Planner) rate(now time.Time) float64 {
 	rate := 0.0
 	for _, w := range p.ready {
-		if now.Before(w.backoffUntil) {
+		if now.Before(w.backoffUntil) || p.isPaused(now, w) {
 			continue
 		}
 		rate += float64(p.pool.MaxBatch) * p.callRate(w)
