quota, flow: a change of a stated rate ends what was scheduled at the rate before

A server that takes nothing is asked each 4 s. Requests and ingresses that are refused meanwhile are scheduled one after another, up to 9 s ahead. When the server then took more, also after it had stated no limit for a while, new ones went on behind these, and each ingress left it alone until its old turn.

--- a/ingress/services/flow/pick.go
+++ b/ingress/services/flow/pick.go
@@ -32,7 +32,9 @@
 // allow a request.
 type deferral struct {
 	server site.Server
-	until  time.Time
+	// perSecond is the rate limit. The deferral ends when the server states another one.
+	perSecond float64
+	until     time.Time
 }
 
 // choose returns the best server of a plain service that is not deferred.
@@ -53,7 +55,8 @@
 	x.limitWait = 0
 	ids := []string{}
 	for id, d := range p.deferred {
-		if _, limited := x.server.options.Limits.Find(&d.server); !limited || !now.Before(d.until) {
+		perSecond, limited := x.server.options.Limits.Find(&d.server)
+		if !limited || perSecond != d.perSecond || !now.Before(d.until) {
 			delete(p.deferred, id)
 			continue
 		}
@@ -71,7 +74,8 @@
 // isGranted reports whether a request may be sent to a server now. A server whose rate limit does not
 // allow it is deferred.
 func (x *exchange) isGranted(ctx context.Context, server site.Server) bool {
-	if _, limited := x.server.options.Limits.Find(&server); !limited {
+	perSecond, limited := x.server.options.Limits.Find(&server)
+	if !limited {
 		return true
 	}
 	granted, retryAfter := x.server.options.Admitter.Admit(ctx, server)
@@ -84,7 +88,9 @@
 	s := x.server
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.getService(x.service).deferred[server.ID] = deferral{server: server, until: time.Now().Add(max(retryAfter, minDeferral))}
+	s.getService(x.service).deferred[server.ID] = deferral{
+		server: server, perSecond: perSecond, until: time.Now().Add(max(retryAfter, minDeferral)),
+	}
 	return false
 }
 
--- a/ingress/services/flow/pick_test.go
+++ b/ingress/services/flow/pick_test.go
@@ -139,6 +139,22 @@
 	is.Equal(d.asked, []string{"a"})
 }
 
+// Guards against a server that is left alone after it has raised its limit.
+func TestDeferralEndsWithAHigherLimit(t *testing.T) {
+	is := is.New(t)
+	d := newOrderDesk()
+	order := d.newOrders()
+	is.Equal(order(t.Context()).Code, http.StatusOK)
+	d.limits.ObserveAnswer(site.Server{ID: "a"}, newLimitAnswer(0))
+	d.refuses["a"] = time.Minute
+	is.Equal(order(t.Context()).Code, http.StatusOK)
+	is.Equal(d.sentTo, []string{"a", "b"})
+	delete(d.refuses, "a")
+	d.limits.ObserveAnswer(site.Server{ID: "a"}, newLimitAnswer(2))
+	is.Equal(order(t.Context()).Code, http.StatusOK)
+	is.Equal(d.sentTo, []string{"a", "b", "a"})
+}
+
 // Guards against a caller that leaves while the ingress asks for a server, and because of whom that
 // server is deferred for all others.
 func TestCallerThatLeavesDefersNoServer(t *testing.T) {
--- a/proofs/hosted/limits_test.go
+++ b/proofs/hosted/limits_test.go
@@ -254,3 +254,22 @@
 		})
 	}
 }
+
+// Guards against a server that states a higher rate than before and gets few requests for seconds.
+func TestRateStatedAfterALowerOneIsUsed(t *testing.T) {
+	d := newDeployment(t, 3)
+	server := d.plainServers[0]
+	d.plainServers[1].Register("draining")
+	l := d.startLoad(3, func() request { return newRequest("/order/1") })
+	server.SetHeader(limitHeader, "0")
+	time.Sleep(1500 * time.Millisecond)
+	server.SetHeader(limitHeader, "")
+	time.Sleep(1000 * time.Millisecond)
+	server.SetHeader(limitHeader, statedText)
+	time.Sleep(limitSettleTime)
+	since := time.Now()
+	time.Sleep(limitWindow + time.Second)
+	checkStatedRate(t, server, since)
+	checkRateIsUsed(t, server, since)
+	l.end()
+}
--- a/share/decide/quota/limiter.go
+++ b/share/decide/quota/limiter.go
@@ -54,6 +54,31 @@
 	return &Limiter{Table: NewTable(), accounts: map[string]*account{}}
 }
 
+// Observe is Table.Observe. A change ends what was scheduled at the rate before.
+func (l *Limiter) Observe(now time.Time, server *site.Server, stated site.RateLimit) (changed bool) {
+	changed = l.Table.Observe(now, server, stated)
+	if changed {
+		l.endSchedule(server.ID)
+	}
+	return changed
+}
+
+// Merge is Table.Merge. A change ends what was scheduled at the rate before.
+func (l *Limiter) Merge(now time.Time, s Statement) (changed bool) {
+	changed = l.Table.Merge(now, s)
+	if changed {
+		l.endSchedule(s.ServerID)
+	}
+	return changed
+}
+
+// endSchedule lets the requests to a server be scheduled from now on.
+func (l *Limiter) endSchedule(serverID string) {
+	if a := l.accounts[serverID]; a != nil {
+		a.scheduledUntil, a.retryAt = time.Time{}, nil
+	}
+}
+
 // Allows reports whether a request to the server may be reserved now.
 func (l *Limiter) Allows(now time.Time, server *site.Server) bool {
 	rate, limited := l.rate(server)
--- a/share/decide/quota/limiter_test.go
+++ b/share/decide/quota/limiter_test.go
@@ -213,3 +213,20 @@
 	now = now.Add(500 * time.Millisecond)
 	is.True(limiter.Allows(now, server))
 }
+
+// Guards against a server that takes requests again and gets few for seconds, because those that were
+// refused at an earlier, lower rate are still scheduled at that one.
+func TestRaisedRateIsUsedAtOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	server := &site.Server{ID: "i-1"}
+	l := quota.NewLimiter()
+	l.Observe(now, server, limitOf(0))
+	for _, ingress := range []string{"a", "b", "c"} {
+		l.ScheduleRetry(now, server, ingress)
+	}
+	now = now.Add(100 * time.Millisecond)
+	l.Observe(now, server, limitOf(2))
+	is.True(l.ScheduleRetry(now, server, "a") <= time.Second)
+	is.True(l.ScheduleRetry(now, server, "b") <= 2*time.Second)
+}
