--- a/proofs/hosted/closed_test.go
+++ b/proofs/hosted/closed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -67,11 +68,14 @@
 }
 
 // checkPauses checks that a server receives no more than is allowed in each pause that it has asked for
-// while n ingresses send requests.
-func checkPauses(t *testing.T, server *hosted.Server, n int) {
+// since the given time, while n ingresses send requests.
+func checkPauses(t *testing.T, server *hosted.Server, n int, since time.Time) {
 	t.Helper()
 	most := 0
 	for _, p := range server.Pauses() {
+		if p.At.Before(since) {
+			continue
+		}
 		arrivals := 0
 		for _, at := range listArrivals(server, p.At.Add(pauseGrace)) {
 			if at.Before(p.At.Add(p.For)) {
@@ -103,14 +107,45 @@
 	for _, s := range d.firstServers() {
 		checkUnused(t, s, since)
 	}
+	answers := l.end()
+	is.True(answers[http.StatusOK] > 0)
+	is.Equal(len(answers), 1) // all requests are served
 	for _, s := range d.firstServers() {
 		s.SetHeader(leavingHeader, "")
 		s.Crash()
 		is.NoErr(s.Restart())
 	}
-	waitForUse(t, d.firstServers(), time.Now())
+	restarted := time.Now()
+	l = d.startLoad(4, newMixedRequests())
+	waitForUse(t, d.firstServers(), restarted)
+	l.end()
+}
+
+// Guards against requests that wait, or are sent, although every server of their service leaves, and
+// against refusals that do not state when to return or whose requests run.
+func TestRequestsAreRefusedAtOnceWhenAllServersLeave(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 3)
+	servers := slices.Concat(d.plainServers, d.engines)
+	said := time.Now()
+	for _, s := range servers {
+		s.SetHeader(leavingHeader, "1")
+	}
+	first := d.startLoad(2, newMixedRequests())
+	waitForUse(t, servers, said)
+	time.Sleep(drainTime + requestTime)
+	first.end()
+	since := time.Now()
+	l := d.startLoad(2, newMixedRequests())
+	time.Sleep(time.Second)
 	answers := l.end()
-	is.True(answers[http.StatusOK] > 0)
+	for _, s := range servers {
+		checkUnused(t, s, since)
+	}
+	is.True(answers[http.StatusServiceUnavailable] > 0)
+	is.Equal(len(answers), 1)
+	is.Equal(l.unusable, 0)
+	is.True(l.slowest < time.Second)
 }
 
 // Guards against requests and calls to pools that are sent on to a server that has turned one away and
@@ -120,16 +155,17 @@
 	d := newDeployment(t, 3)
 	l := d.startLoadAt(d.ingresses[:1], 8, newMixedRequests())
 	waitForUse(t, d.firstServers(), time.Now())
+	paused := time.Now()
 	for _, s := range d.firstServers() {
 		s.SetPause(pauseText)
 	}
-	waitForUse(t, d.firstServers(), time.Now())
+	waitForUse(t, d.firstServers(), paused)
 	time.Sleep(pauseTime + time.Second)
 	for _, s := range d.firstServers() {
-		checkPauses(t, s, 1)
+		checkPauses(t, s, 1, paused)
 		s.SetPause("")
 	}
-	waitForUse(t, d.firstServers(), time.Now().Add(pauseGrace))
+	waitForUse(t, d.firstServers(), time.Now())
 	answers := l.end()
 	is.True(answers[http.StatusOK] > 0)
 	is.Equal(len(answers), 1) // all requests are served
--- a/proofs/hosted/soak_check_test.go
+++ b/proofs/hosted/soak_check_test.go
@@ -78,7 +78,7 @@
 }
 
 // checkRecovery ends the remaining faults and waits until everything is served again. It then checks
-// the rates that servers state, stops the callers, checks the quarantine, and waits until no result is
+// the rates that servers state, and that they leave or ask for pauses, stops the callers, checks the quarantine, and waits until no result is
 // held and no request is running.
 func (s *soak) checkRecovery() {
 	for _, r := range s.relays {
@@ -110,6 +110,7 @@
 		}
 	}
 	s.checkRates()
+	s.checkClosures()
 	close(s.stop)
 	s.callers.Wait()
 	s.checkQuarantine()
--- a/proofs/hosted/soak_faults_test.go
+++ b/proofs/hosted/soak_faults_test.go
@@ -36,7 +36,7 @@
 	inFault map[int]bool
 	// version is the newest configuration version that changeConfig has written.
 	version int
-	// crashed holds the IDs of the servers that crashServer has stopped and not yet restarted.
+	// crashed holds the IDs of the servers that a fault restarts.
 	crashed map[string]bool
 	// draining holds the time since which a server drains, by its ID.
 	draining map[string]time.Time
@@ -95,7 +95,7 @@
 		go s.runCaller(n)
 	}
 	faults := []func(){
-		s.freezeIngress, s.killIngress, s.restartIngress, s.failStore, s.changeConfig, s.crashServer, s.setServerFaults, s.drainServer, s.disruptLink, s.disruptLink, s.limitServer,
+		s.freezeIngress, s.killIngress, s.restartIngress, s.failStore, s.changeConfig, s.crashServer, s.setServerFaults, s.drainServer, s.disruptLink, s.disruptLink, s.limitServer, s.leaveServer, s.pauseServer,
 	}
 	deadline := time.Now().Add(duration)
 	running := sync.WaitGroup{}
@@ -208,11 +208,7 @@
 func (s *soak) crashServer() {
 	servers := s.allServers()
 	server := servers[s.randomInt(len(servers))]
-	s.lock.Lock()
-	isDown := s.crashed[server.ID]
-	s.crashed[server.ID] = true
-	s.lock.Unlock()
-	if isDown {
+	if !s.acquireServer(server.ID) {
 		return
 	}
 	defer s.markUp(server.ID)
