--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -51,7 +51,9 @@
 	lock    sync.Mutex
 	limiter *quota.Limiter
 	closed  *avail.Table
-	view    *state.View
+	// unread holds the names of the headers that were reported as not read, at most maxUnread.
+	unread map[string]bool
+	view   *state.View
 	// services maps the IDs of the servers in the view to their services. It is nil until it is needed:
 	// views of large deployments change often while no server has a limit.
 	services map[string]string
@@ -63,7 +65,8 @@
 		o.OnLeaving = func() {}
 	}
 	return &Registry{
-		meter: o.Meter, log: o.Log, onLeaving: o.OnLeaving, limiter: quota.NewLimiter(), closed: avail.NewTable(), view: &state.View{},
+		meter: o.Meter, log: o.Log, onLeaving: o.OnLeaving, limiter: quota.NewLimiter(), closed: avail.NewTable(), unread: map[string]bool{},
+		view: &state.View{},
 	}
 }
 
@@ -72,7 +75,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.view, r.services = v, nil
-	if r.limiter.IsEmpty() && !r.hasClosed.Load() {
+	if r.limiter.IsEmpty() && r.closed.IsEmpty() {
 		return
 	}
 	live := map[string]bool{}
@@ -127,6 +130,7 @@
 	if server.ID == "" || a.Status == http.StatusMisdirectedRequest {
 		return // it is not known which server has answered, or another one now has the address
 	}
+	r.reportUnread(&server, a)
 	r.observeClosure(&server, a)
 	// A refusal, or a failure without the server's signature, may come from something in front of the
 	// server that does not know its limit.
--- a/ingress/services/limits/limits_test.go
+++ b/ingress/services/limits/limits_test.go
@@ -108,3 +108,15 @@
 	}
 	is.Equal(known, 500)
 }
+
+// Guards against a line for each answer with a header that is not read, and against lines without bound.
+func TestUnreadHeadersAreReportedOnce(t *testing.T) {
+	is := is.New(t)
+	core, logged := observer.New(zap.InfoLevel)
+	r := limits.NewRegistry(limits.Options{Meter: &sendCounter{}, Log: zap.New(core)})
+	for i := range 1000 {
+		name := fmt.Sprintf("Server-Mood-%d", i%100)
+		r.ObserveAnswer(site.Server{ID: "i-1"}, site.Answer{Status: http.StatusOK, Header: http.Header{name: {"poor"}}, Unread: []string{name}})
+	}
+	is.Equal(logged.FilterMessage("answer-header-unread").Len(), 32)
+}
--- a/share/decide/avail/avail.go
+++ b/share/decide/avail/avail.go
@@ -132,6 +132,9 @@
 	return leaving, paused
 }
 
+// IsEmpty reports whether there are no entries.
+func (t *Table) IsEmpty() bool { return len(t.entries) == 0 }
+
 // Retain drops the entries that say nothing any more, and those of servers that have not been in the view
 // for retainTime. Live holds the IDs of those that are.
 func (t *Table) Retain(now time.Time, live map[string]bool) {
--- a/share/models/site/request.go
+++ b/share/models/site/request.go
@@ -83,6 +83,8 @@
 	// RetryAfter is how long the backend server, which turned the request away, wants no further
 	// requests from this ingress; 0 if it does not state that.
 	RetryAfter time.Duration
+	// Unread holds the names of the headers that are not read, other than those of HTTP itself.
+	Unread []string
 }
 
 // RateLimit is what an answer states about the rate of requests that its backend server takes from
