--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -42,8 +42,9 @@
 	Retries budget.Settings
 	Cold    cold.Settings
 	Peers   Peers
-	// Limits holds the rates that servers state. Admitter admits requests to such servers.
-	Limits   RateLimits
+	// Limits holds what servers state about the requests that they take. Admitter admits requests to
+	// servers that state a rate.
+	Limits   Statements
 	Admitter Admitter
 }
 
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -40,8 +40,8 @@
 	Place(ctx context.Context, service string, q place.Query) (r *assign.Reservation, retryAfter time.Duration)
 }
 
-// RateLimits holds what servers state about the requests that they take.
-type RateLimits interface {
+// Statements holds what servers state about the requests that they take.
+type Statements interface {
 	// Find returns the requests per second that a server takes from all ingresses together.
 	Find(server *site.Server) (perSecond float64, limited bool)
 	// PausedUntil returns the end of the pause that a server asked this ingress for; zero if there is
--- a/ingress/services/limits/closed.go
+++ b/ingress/services/limits/closed.go
@@ -103,21 +103,20 @@
 	return messages
 }
 
-// MergeLeaving records what a heartbeat of another ingress tells about servers that leave. Servers that
-// are not in the view are ignored.
+// MergeLeaving records what a heartbeat of another ingress tells about servers that leave. Starts of
+// servers that are not in the view are ignored.
 func (r *Registry) MergeLeaving(ingress string, messages []*wire.LeavingServer) {
 	now := time.Now()
 	changed := false
 	for _, m := range messages {
 		r.lock.Lock()
-		service, known := r.getServices()[m.GetServerId()]
-		server := site.Server{ID: m.GetServerId(), Service: service, Incarnation: m.GetIncarnation()}
-		leaves := known && r.closed.MarkLeaving(now, &server)
+		server, known := r.getServers()[m.GetServerId()]
+		leaves := known && server.Incarnation == m.GetIncarnation() && r.closed.MarkLeaving(now, &server)
 		r.countClosed(now)
 		r.lock.Unlock()
 		if leaves {
 			changed = true
-			r.log.Info("server-leaving", zap.String("server", server.ID), zap.String("service", service), zap.String("source", ingress))
+			r.log.Info("server-leaving", zap.String("server", server.ID), zap.String("service", server.Service), zap.String("source", ingress))
 		}
 	}
 	if changed {
--- a/ingress/services/limits/closed_test.go
+++ b/ingress/services/limits/closed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"testing"
 
 	"github.com/matryer/is"
@@ -19,7 +20,7 @@
 // against news of an earlier start of the server, and against the same news each heartbeat.
 func TestLeavingServersReachAnotherIngress(t *testing.T) {
 	is := is.New(t)
-	server := site.Server{ID: "i-0", Incarnation: 7, Service: "engines"}
+	server := site.Server{ID: "i-0", Incarnation: 7, Service: "engines", Address: netip.MustParseAddrPort("10.0.0.1:80")}
 	changes := 0
 	core, logged := observer.New(zap.InfoLevel)
 	newRegistry := func() *limits.Registry {
@@ -40,6 +41,7 @@
 	second.MergeLeaving("first", first.LeavingServers())
 	is.Equal(changes, 2)
 	is.True(second.IsLeaving(&server))
+	is.True(!second.MaySend(site.Server{Address: server.Address}, "")) // a release of results
 	is.Equal(logged.FilterMessage("server-leaving").Len(), 2)
 
 	restarted := server
--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -54,9 +54,9 @@
 	// unread holds the names of the headers that were reported as not read, at most maxUnread.
 	unread map[string]bool
 	view   *state.View
-	// services maps the IDs of the servers in the view to their services. It is nil until it is needed:
-	// views of large deployments change often while no server has a limit.
-	services map[string]string
+	// servers holds the servers in the view by ID. It is nil until it is needed: views of large
+	// deployments change often while no server states anything.
+	servers map[string]site.Server
 }
 
 // NewRegistry returns a registry without statements.
@@ -74,12 +74,12 @@
 func (r *Registry) SetView(v *state.View) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.view, r.services = v, nil
+	r.view, r.servers = v, nil
 	if r.limiter.IsEmpty() && r.closed.IsEmpty() {
 		return
 	}
 	live := map[string]bool{}
-	for id := range r.getServices() {
+	for id := range r.getServers() {
 		live[id] = true
 	}
 	now := time.Now()
@@ -89,21 +89,22 @@
 	r.countClosed(now)
 }
 
-// getServices returns the services of the servers in the view by server ID. The caller holds the lock.
-func (r *Registry) getServices() map[string]string {
-	if r.services != nil {
-		return r.services
+// getServers returns the servers in the view by ID, with those that leave. The caller holds the lock.
+func (r *Registry) getServers() map[string]site.Server {
+	if r.servers != nil {
+		return r.servers
 	}
-	r.services = map[string]string{}
+	r.servers = map[string]site.Server{}
 	for service, servers := range r.view.Servers {
 		for _, s := range servers {
-			r.services[s.ID] = service
+			s.Service = service
+			r.servers[s.ID] = s
 		}
 	}
 	for _, s := range r.view.Leaving {
-		r.services[s.ID] = s.Service
+		r.servers[s.ID] = s
 	}
-	return r.services
+	return r.servers
 }
 
 // countLimits updates the number of servers with a limit. The caller holds the lock.
--- a/ingress/services/limits/statements.go
+++ b/ingress/services/limits/statements.go
@@ -62,14 +62,14 @@
 			ServerID: m.GetServerId(), Incarnation: m.GetIncarnation(), Limited: m.GetLimited(), PerSecond: m.GetPerSecond(), Version: m.GetVersion(),
 		}
 		r.lock.Lock()
-		service, known := r.getServices()[s.ServerID]
+		server, known := r.getServers()[s.ServerID]
 		changed := known && r.limiter.Merge(now, s)
 		if changed {
 			r.countLimits()
 		}
 		r.lock.Unlock()
 		if changed {
-			r.log.Info("server-limit", zap.String("server", s.ServerID), zap.String("service", service),
+			r.log.Info("server-limit", zap.String("server", s.ServerID), zap.String("service", server.Service),
 				zap.Stringer("per-second", rateLimitOf(s)), zap.String("source", ingress))
 		}
 	}
--- a/share/decide/place/limits.go
+++ b/share/decide/place/limits.go
@@ -42,8 +42,8 @@
 	return !q.IsFallback && c.arrivals.Count(now) < *e.coldLimit
 }
 
-// ListAllowed returns the engines that the request may use once they have capacity: those that it was
-// not sent to before and that are in an allowed region.
+// ListAllowed returns the engines that the request may use once they have capacity: those that are not
+// excluded and that are in an allowed region.
 func (e *Engines) ListAllowed(q Query) []*site.Server {
 	allowed := []*site.Server{}
 	for _, c := range e.accepting {
--- a/share/decide/place/place.go
+++ b/share/decide/place/place.go
@@ -62,7 +62,8 @@
 	// Domain and Region are those of the ingress that received the request from its caller.
 	Domain string
 	Region string
-	// Exclude holds the IDs of servers that the request was already sent to.
+	// Exclude holds the IDs of servers that the request was already sent to, or that take no requests
+	// of its ingress.
 	Exclude []string
 	// Generation is the size of a request to an engine. Chooser ignores it.
 	Generation *Generation
