--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -42,9 +42,11 @@
 	// while results are produced; nil: none.
 	limits            *limits.Registry
 	answerAfterStages *site.Answer
-	placer            *assign.Placer
-	placements        int
-	sentTo            []string
+	// placerView is the view of the placer; nil: that of the ingress.
+	placerView *state.View
+	placer     *assign.Placer
+	placements int
+	sentTo     []string
 	// fetchFrom is the ID of the engine from which the placer lets engines fetch. fetchSources are
 	// the addresses that were sent to the engines.
 	fetchFrom    string
@@ -119,6 +121,9 @@
 	}
 	s.placer = assign.NewPlacer(regions, cold.Settings{Overage: 1.5, Slack: 5}, s.limits)
 	s.placer.SetView(s.view)
+	if s.placerView != nil {
+		s.placer.SetView(s.placerView)
+	}
 	server := flow.NewServer(flow.Options{
 		Views: s, Sender: s, StageRunner: s, EnginePlacer: s, Screen: &s.screen, Meter: noMeter{}, Log: zap.NewNop(),
 		Domain: "n1", Region: "north", Regions: regions, Cold: cold.Settings{Overage: 1.5, Slack: 5},
@@ -216,6 +221,20 @@
 	is.Equal(s.sentTo, []string{"s", "s"})
 }
 
+// Guards against a request being placed at an engine that leaves because the placer does not know that
+// yet.
+func TestPlacerIsToldWhichEnginesLeave(t *testing.T) {
+	is := is.New(t)
+	north, south := newEngine("n", "n1", "10.0.0.8:1"), newEngine("s", "s1", "10.0.0.9:1")
+	north.Service = "engines"
+	view := newView(1, newRoute(), south)
+	view.Leaving = []site.Server{north}
+	s := &deployment{view: view, placerView: newView(1, newRoute(), north, south)}
+	is.Equal(s.serve(newRoute()).Code, http.StatusOK)
+	is.Equal(s.placements, 1)
+	is.Equal(s.sentTo, []string{"s"})
+}
+
 // Guards against a request that waits although all engines have asked for a pause, and against a refusal
 // that tells its caller to return before the first of them takes requests, or long after.
 func TestRequestDuringAllPausesIsRefusedAtOnce(t *testing.T) {
