--- a/ingress/services/limits/closed_test.go
+++ b/ingress/services/limits/closed_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -64,3 +65,19 @@
 	r.ObserveAnswer(server, site.Answer{Status: http.StatusMisdirectedRequest, NotRun: true, Leaving: true})
 	is.True(r.MaySend(server, "a"))
 }
+
+// Guards against a request, a call or a release that is sent to a server during its pause, and against a
+// pause that another ingress was asked for.
+func TestNothingIsSentDuringAPause(t *testing.T) {
+	is := is.New(t)
+	server := site.Server{ID: "i-0", Service: "engines", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	first, second := newRegistryWith(1), newRegistryWith(1)
+	first.ObserveAnswer(server, site.Answer{Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 200 * time.Millisecond})
+	is.True(!first.MaySend(server, "a"))
+	is.True(!first.MaySend(site.Server{Address: server.Address}, ""))
+	is.Equal(first.ListPaused(time.Now(), "engines"), []string{"i-0"})
+	second.MergeLeaving("first", first.LeavingServers())
+	is.True(second.MaySend(server, "a"))
+	time.Sleep(200 * time.Millisecond)
+	is.True(first.MaySend(server, "a"))
+}
