--- a/ingress/services/reach/reach.go
+++ b/ingress/services/reach/reach.go
@@ -55,7 +55,8 @@
 
 // Statements tracks what backend servers state about the requests that they take.
 type Statements interface {
-	// MaySend reports whether a request may be sent to a server now.
+	// MaySend reports whether a request may be sent to a server now. It is asked before each send, with
+	// the same arguments as ObserveSend.
 	MaySend(server site.Server, request string) bool
 	// ObserveSend is called before a request is sent. Request is the ID of the attempt, or empty for a
 	// request that an adapter has built.
