place: a server without history is assumed as fast as the fastest of its service

Its latency was assumed to be 50 ms, while the other server of the service answered in 21 ms, so it was chosen only when the other had three or more requests at once. With four callers whose turns had fallen into step that never happened. The same assumption sent all requests to a new server of a slow service until it had answered the first.

--- a/share/decide/place/place.go
+++ b/share/decide/place/place.go
@@ -28,7 +28,7 @@
 	maxBackoff     = 4 * time.Second
 	// maxLoadAge is how long a server's own load report is used.
 	maxLoadAge = 300 * time.Millisecond
-	// defaultLatency is the assumed latency of a server that has not answered yet.
+	// defaultLatency is the assumed latency of the servers of a service none of which has answered yet.
 	defaultLatency = 50 * time.Millisecond
 	// crossRegionLatency and crossDomainLatency are added to the estimated latency for the
 	// network round trip.
@@ -158,12 +158,28 @@
 	if len(candidates) == 0 {
 		return site.Server{}, false
 	}
+	assumed := c.lowestLatency()
 	best := slices.MinFunc(candidates, func(a, b *server) int {
-		return cmp.Compare(c.estimateLatency(now, q, a), c.estimateLatency(now, q, b))
+		return cmp.Compare(c.estimateLatency(now, q, a, assumed), c.estimateLatency(now, q, b, assumed))
 	})
 	return best.Server, true
 }
 
+// lowestLatency returns the lowest smoothed latency of the servers that accept new work. It is assumed
+// for those that have not answered yet, so that each of them is tried.
+func (c *Chooser) lowestLatency() time.Duration {
+	lowest := time.Duration(0)
+	for _, s := range c.accepting {
+		if s.latency > 0 && (lowest == 0 || s.latency < lowest) {
+			lowest = s.latency
+		}
+	}
+	if lowest == 0 {
+		return defaultLatency
+	}
+	return lowest
+}
+
 // isEligible reports whether the request may be sent to a server.
 func (c *Chooser) isEligible(now time.Time, q Query, s *server) bool {
 	if slices.Contains(q.Exclude, s.ID) || !q.Residency.Allows(c.regions[s.Domain]) {
@@ -192,11 +208,12 @@
 	return inBackoff
 }
 
-// estimateLatency estimates the time until a server answers a request.
-func (c *Chooser) estimateLatency(now time.Time, q Query, s *server) time.Duration {
+// estimateLatency estimates the time until a server answers a request. Assumed is the latency of a server
+// that has not answered yet.
+func (c *Chooser) estimateLatency(now time.Time, q Query, s *server, assumed time.Duration) time.Duration {
 	latency := s.latency
 	if latency == 0 {
-		latency = defaultLatency
+		latency = assumed
 	}
 	outstanding := s.inFlight
 	if now.Sub(s.loadAt) < maxLoadAge {
--- a/share/decide/place/place_test.go
+++ b/share/decide/place/place_test.go
@@ -173,3 +173,26 @@
 	now = now.Add(1500 * time.Millisecond)
 	is.Equal(pick(t, c, now), "s0") // nothing was learned from its slow answers but the pace
 }
+
+// Guards against a server without history that gets no requests for as long as the others of its service
+// answer sooner than a fixed time, and against one that gets all requests because they answer later.
+func TestServerWithoutHistoryIsAssumedAsFastAsTheOthers(t *testing.T) {
+	for _, latency := range []time.Duration{5 * time.Millisecond, 20 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(latency.String(), func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(0, 0)
+			c := newChooser("a1", "a1", "a1")
+			for _, id := range []string{"s0", "s1"} {
+				c.Start(now, id)
+				c.End(now, id, place.ResultServed, latency, nil)
+			}
+			counts := map[string]int{}
+			for range 6 {
+				id := pick(t, c, now)
+				c.Start(now, id)
+				counts[id]++
+			}
+			is.Equal(counts, map[string]int{"s0": 2, "s1": 2, "s2": 2})
+		})
+	}
+}
