avail: a pause is remembered until its end

Entries of servers that had been out of the view for an hour were dropped, also while a longer pause ran; releases of results were then sent to the server in its pause. The test failed before.

--- a/share/decide/avail/avail.go
+++ b/share/decide/avail/avail.go
@@ -135,14 +135,14 @@
 // IsEmpty reports whether there are no entries.
 func (t *Table) IsEmpty() bool { return len(t.entries) == 0 }
 
-// Retain drops the entries that say nothing any more, and those of servers that have not been in the view
-// for retainTime. Live holds the IDs of those that are.
+// Retain drops the entries that say nothing any more, and those of leaving servers that have not been in
+// the view for retainTime. Live holds the IDs of those that are. A pause is kept until its end.
 func (t *Table) Retain(now time.Time, live map[string]bool) {
 	for id, e := range t.entries {
 		if live[id] {
 			e.seenAt = now
 		}
-		if !e.leaving && !e.isPaused(now) || now.Sub(e.seenAt) >= retainTime {
+		if !e.isPaused(now) && (!e.leaving || now.Sub(e.seenAt) >= retainTime) {
 			delete(t.entries, id)
 		}
 	}
--- a/share/decide/avail/avail_test.go
+++ b/share/decide/avail/avail_test.go
@@ -82,3 +82,17 @@
 	is.Equal(table.PausedUntil(start, known), start.Add(time.Second))
 	is.True(!table.IsLeaving(&site.Server{Address: netip.MustParseAddrPort("10.0.0.1:81")}))
 }
+
+// Guards against a server that gets requests in its pause because it has been out of the view for longer
+// than servers are remembered.
+func TestPauseOutlastsTheTimeOutOfTheView(t *testing.T) {
+	is := is.New(t)
+	table := avail.NewTable()
+	server := newServer("a", 1)
+	end := start.Add(3 * time.Hour)
+	table.Pause(start, server, end)
+	table.Retain(end.Add(-time.Second), map[string]bool{})
+	is.Equal(table.PausedUntil(end.Add(-time.Second), server), end)
+	table.Retain(end, map[string]bool{})
+	is.True(table.IsEmpty())
+}
