avail: of several servers with one address the one seen last is found

A request to a server of which only the address is known was withheld, or sent, by what any of the servers had said that ever had the address. The test failed before.

--- a/share/decide/avail/avail.go
+++ b/share/decide/avail/avail.go
@@ -89,7 +89,8 @@
 	return time.Time{}
 }
 
-// find returns the entry of a server, or nil. A server without ID is found by its address.
+// find returns the entry of a server, or nil. A server without ID is found by its address: the one that
+// was seen last, if several have had it.
 func (t *Table) find(server *site.Server) *entry {
 	if server.ID != "" {
 		if e := t.entries[server.ID]; e != nil && e.incarnation == server.Incarnation {
@@ -97,12 +98,13 @@
 		}
 		return nil
 	}
+	var latest *entry
 	for _, e := range t.entries {
-		if e.address == server.Address {
-			return e
+		if e.address == server.Address && (latest == nil || e.seenAt.After(latest.seenAt)) {
+			latest = e
 		}
 	}
-	return nil
+	return latest
 }
 
 // ListPaused returns the IDs of the paused servers of a service, sorted.
--- a/share/decide/avail/avail_test.go
+++ b/share/decide/avail/avail_test.go
@@ -96,3 +96,17 @@
 	table.Retain(end, map[string]bool{})
 	is.True(table.IsEmpty())
 }
+
+// Guards against a request to a server of which only the address is known that is withheld, or sent,
+// because of what another server said that had the address earlier.
+func TestServerIsFoundByTheAddressOfTheLatest(t *testing.T) {
+	for range 20 { // the order of a map varies
+		is := is.New(t)
+		table := avail.NewTable()
+		byAddress := &site.Server{Address: newServer("a", 1).Address}
+		table.MarkLeaving(start, newServer("a", 1))
+		table.Pause(start.Add(time.Minute), newServer("b", 1), start.Add(2*time.Minute))
+		is.True(!table.IsLeaving(byAddress))
+		is.Equal(table.PausedUntil(start.Add(time.Minute), byAddress), start.Add(2*time.Minute))
+	}
+}
