flow: engines do not fetch from an engine that asked for a pause

The source of a fetch is chosen with the place. If it asked for a pause afterwards, the engine was still told to fetch from it. The test failed before.

--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -270,6 +270,18 @@
 	is.Equal(len(s.sentTo), 0)
 }
 
+// Guards against an engine being instructed to fetch from an engine that has asked for a pause since the
+// placement.
+func TestEngineDoesNotFetchFromAPausedEngine(t *testing.T) {
+	is := is.New(t)
+	north, south := newEngine("n", "n1", "10.0.0.8:1"), newEngine("s", "s1", "10.0.0.9:1")
+	s := &deployment{view: newView(1, newRoute(), north, south), limits: newLimits(), fetchFrom: "s"}
+	s.limits.ObserveAnswer(site.Server{ID: "s", Service: "engines"}, newPauseAnswer(3*time.Second))
+	is.Equal(s.serve(newRoute()).Code, http.StatusOK)
+	is.Equal(s.sentTo, []string{"n"})
+	is.Equal(s.fetchSources, []netip.AddrPort{{}})
+}
+
 // Guards against an engine being instructed to fetch from an engine that has left, or from one
 // outside the regions in which the request's data may be held.
 func TestEngineFetchesOnlyFromAvailableEnginesInAllowedRegions(t *testing.T) {
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -50,14 +50,14 @@
 }
 
 // fetchFrom returns the engine from which the chosen one fetches the prompt parts that it lacks. If
-// that engine has left since the placement, or the request's data must not be in its region, the
-// address is not valid and the chosen engine prefills the prompt itself.
+// that engine has left or asked for a pause since the placement, or the request's data must not be in
+// its region, the address is not valid and the chosen engine prefills the prompt itself.
 func (x *exchange) fetchFrom() netip.AddrPort {
 	if x.reservation.FetchFrom == "" {
 		return netip.AddrPort{}
 	}
 	source, found := assign.FindServer(x.server.options.Views.View(), x.service, x.reservation.FetchFrom)
-	if !found || !x.residency().Allows(x.server.options.Regions[source.Domain]) {
+	if !found || !x.residency().Allows(x.server.options.Regions[source.Domain]) || x.isPaused(&source) {
 		return netip.AddrPort{}
 	}
 	return source.Address
@@ -81,13 +81,18 @@
 	if !found || !x.residency().Allows(x.server.options.Regions[server.Domain]) {
 		return false
 	}
-	if !x.server.options.Limits.PausedUntil(time.Now(), &server).IsZero() {
+	if x.isPaused(&server) {
 		return false
 	}
 	_, limited := x.server.options.Limits.Find(&server)
 	return (!server.IsCold(time.Now()) || x.reservation.WasCold) && (!limited || x.reservation.WasLimited)
 }
 
+// isPaused reports whether a server has asked this ingress for a pause.
+func (x *exchange) isPaused(server *site.Server) bool {
+	return !x.server.options.Limits.PausedUntil(time.Now(), server).IsZero()
+}
+
 // resolveCancellation distinguishes whether the caller disconnected or the deadline passed: an
 // abandoned operation returns codes.Canceled in both cases.
 func (x *exchange) resolveCancellation(ctx context.Context, result *codes.Result) *codes.Result {
