--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -51,6 +52,8 @@
 	// the addresses that were sent to the engines.
 	fetchFrom    string
 	fetchSources []netip.AddrPort
+	// preconnected are the addresses to which a connection was opened in advance.
+	preconnected []netip.AddrPort
 }
 
 func (s *deployment) Place(_ context.Context, service string, q place.Query) (*assign.Reservation, time.Duration) {
@@ -68,7 +71,13 @@
 	return s.view
 }
 
-func (s *deployment) ProduceChain(context.Context, stages.Chain) (*stages.Results, *codes.Result) {
+func (s *deployment) ProduceChain(_ context.Context, chain stages.Chain) (*stages.Results, *codes.Result) {
+	s.changeAfterStages()
+	chain.OnLastStage()
+	return stages.NewResults([]string{"10.0.0.1:1/a"}, func() {}), nil
+}
+
+func (s *deployment) changeAfterStages() {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if s.viewAfterStages != nil {
@@ -78,10 +87,11 @@
 	if s.answerAfterStages != nil {
 		s.limits.ObserveAnswer(site.Server{ID: "n", Service: "engines"}, *s.answerAfterStages)
 	}
-	return stages.NewResults([]string{"10.0.0.1:1/a"}, func() {}), nil
 }
 
-func (*deployment) Preconnect(netip.AddrPort) {}
+func (s *deployment) Preconnect(address netip.AddrPort) {
+	s.preconnected = append(s.preconnected, address)
+}
 
 func (s *deployment) Send(_ context.Context, r reach.Request) (*reach.Reply, error) {
 	s.lock.Lock()
@@ -282,6 +292,28 @@
 	is.Equal(s.fetchSources, []netip.AddrPort{{}})
 }
 
+// Guards against a connection being opened in advance to an engine that takes no requests any more.
+func TestNoConnectionIsOpenedToAnEngineThatTakesNoRequests(t *testing.T) {
+	north, south := newEngine("n", "n1", "10.0.0.8:1"), newEngine("s", "s1", "10.0.0.9:1")
+	paused := newPauseAnswer(3 * time.Second)
+	for name, c := range map[string]struct {
+		next   *state.View
+		answer *site.Answer
+		want   []netip.AddrPort
+	}{
+		"as before":         {nil, nil, []netip.AddrPort{north.Address}},
+		"it asked to pause": {nil, &paused, nil},
+		"it left":           {newView(1, newRoute(), south), nil, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &deployment{view: newView(1, newRoute(), north, south), viewAfterStages: c.next, limits: newLimits(), answerAfterStages: c.answer}
+			is.Equal(s.serve(newRoute()).Code, http.StatusOK)
+			is.Equal(slices.DeleteFunc(s.preconnected, func(a netip.AddrPort) bool { return a != north.Address }), c.want)
+		})
+	}
+}
+
 // Guards against an engine being instructed to fetch from an engine that has left, or from one
 // outside the regions in which the request's data may be held.
 func TestEngineFetchesOnlyFromAvailableEnginesInAllowedRegions(t *testing.T) {
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -125,6 +125,13 @@
 	lastID string
 }
 
+// preconnect opens a connection in advance to the reserved engine, unless it takes no requests any more.
+func (r *relay) preconnect() {
+	if r.isReservationUsable() {
+		r.server.options.Sender.Preconnect(r.reservation.Server().Address)
+	}
+}
+
 // produceResults runs the stages of the request unless their results exist already.
 func (r *relay) produceResults(ctx context.Context) *codes.Result {
 	if len(r.route.Stages) == 0 || r.results != nil {
@@ -142,7 +149,7 @@
 		Domain:        r.reservation.Server().Domain,
 		Residency:     r.residency(),
 		Refuse:        r.refuseQuarantined,
-		OnLastStage:   func() { r.server.options.Sender.Preconnect(r.reservation.Server().Address) },
+		OnLastStage:   r.preconnect,
 		Log:           r.log,
 	})
 	if failed != nil {
