--- a/ingress/services/reach/closed_test.go
+++ b/ingress/services/reach/closed_test.go
@@ -41,11 +41,11 @@
 			return err
 		},
 		"call": func() error {
-			_, err := c.Do(server, newPost())
+			_, _, err := c.Do(server, newPost())
 			return err
 		},
 		"idempotent call": func() error {
-			_, err := c.DoIdempotent(server, newPost())
+			_, _, err := c.DoIdempotent(server, newPost())
 			return err
 		},
 	} {
--- a/ingress/services/reach/reach.go
+++ b/ingress/services/reach/reach.go
@@ -175,39 +175,41 @@
 	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// Do sends a request that an adapter has built for a server, on a connection of its own.
-func (c *Client) Do(server site.Server, r *http.Request) (*http.Response, error) {
+// Do sends a request that an adapter has built for a server, on a connection of its own. The caller closes
+// the body.
+func (c *Client) Do(server site.Server, r *http.Request) (site.Answer, io.ReadCloser, error) {
 	return c.roundTrip(c.singleUse, server, r)
 }
 
 // DoIdempotent sends an idempotent request that an adapter has built for a server, on a reused
 // connection if there is one. If that fails before the context ends, it retries once on a connection
-// of its own.
-func (c *Client) DoIdempotent(server site.Server, r *http.Request) (*http.Response, error) {
-	response, err := c.roundTrip(c.keepAlive, server, r)
+// of its own. The caller closes the body.
+func (c *Client) DoIdempotent(server site.Server, r *http.Request) (site.Answer, io.ReadCloser, error) {
+	answer, body, err := c.roundTrip(c.keepAlive, server, r)
 	if err == nil || r.Context().Err() != nil || r.GetBody == nil || errors.Is(err, ErrClosed) {
-		return response, err
+		return answer, body, err
 	}
 	retry := r.Clone(r.Context())
 	retry.Body, err = r.GetBody()
 	if err != nil {
-		return nil, err
+		return site.Answer{}, nil, err
 	}
 	return c.roundTrip(c.singleUse, server, retry)
 }
 
 // roundTrip sends a request that an adapter has built, and observes it and its answer.
-func (c *Client) roundTrip(transport *http.Transport, server site.Server, r *http.Request) (*http.Response, error) {
+func (c *Client) roundTrip(transport *http.Transport, server site.Server, r *http.Request) (site.Answer, io.ReadCloser, error) {
 	if !c.statements.MaySend(server, "") {
-		return nil, ErrReach.Wrap(errors.Join(ErrNotSent, ErrClosed))
+		return site.Answer{}, nil, ErrReach.Wrap(errors.Join(ErrNotSent, ErrClosed))
 	}
 	c.statements.ObserveSend(server, "")
-	response, err := transport.RoundTrip(r)
+	response, err := transport.RoundTrip(r) //nolint:bodyclose // the caller closes it
 	if err != nil {
-		return nil, err
+		return site.Answer{}, nil, err
 	}
-	c.statements.ObserveAnswer(server, c.codec.ReadAnswer(response.StatusCode, response.Header))
-	return response, nil
+	answer := c.codec.ReadAnswer(response.StatusCode, response.Header)
+	c.statements.ObserveAnswer(server, answer)
+	return answer, response.Body, nil
 }
 
 // Send makes one attempt. When the context ends, the connection is closed, which makes most backend
--- a/ingress/services/reach/spares_test.go
+++ b/ingress/services/reach/spares_test.go
@@ -74,12 +74,12 @@
 	if err != nil {
 		return err
 	}
-	response, err := c.Do(site.Server{}, r)
+	_, body, err := c.Do(site.Server{}, r)
 	if err != nil {
 		return err
 	}
-	_, err = io.ReadAll(response.Body)
-	return errors.Join(err, response.Body.Close())
+	_, err = io.ReadAll(body)
+	return errors.Join(err, body.Close())
 }
 
 // Guards against a request opening a new connection although a spare one was opened in advance, and
