peers: a connection that could not be accepted does not end the listener

Any error of Accept ended the loop, so an ingress that once had no file descriptor left took no further link until it started again. Only a closed listener ends it now; other errors are logged and followed by a pause that doubles.

--- a/share/services/peers/server.go
+++ b/share/services/peers/server.go
@@ -3,15 +3,18 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
 	"verbenaroad.example/share/modules/link"
 	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/pauses"
 )
 
 // ErrPeers is the class of errors of this package.
@@ -46,7 +49,12 @@
 	if err != nil {
 		return nil, ErrPeers.Wrap(err)
 	}
-	return &Server{options: options, listener: listener, sessions: map[string]*link.Session{}}, nil
+	return NewServerOn(listener, options), nil
+}
+
+// NewServerOn returns a Server that accepts sessions on a listener. options.Address is not used.
+func NewServerOn(listener net.Listener, options Options) *Server {
+	return &Server{options: options, listener: listener, sessions: map[string]*link.Session{}}
 }
 
 // Address returns the address on which the server listens.
@@ -100,14 +108,31 @@
 	return read, written
 }
 
+const (
+	// minAcceptPause is the pause after a connection could not be accepted, such as when no file
+	// descriptor is left. It doubles with each further failure in a row, up to maxAcceptPause.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
 // loop accepts connections until the listener is closed.
 func (s *Server) loop(ctx context.Context) {
+	pause := minAcceptPause
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		if err == nil {
+			pause = minAcceptPause
+			go s.run(ctx, conn)
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		s.options.Log.Warn("session-not-accepted", zap.Duration("pause", pause), logs.Err(err))
+		if !pauses.Wait(ctx, pause) {
 			return
 		}
-		go s.run(ctx, conn)
+		pause = min(2*pause, maxAcceptPause)
 	}
 }
 
