state: dropped history is not listed again and again without a pause

A store that drops its history before each watch was listed and watched in turn without any pause. The first listing after an answered watch still follows at once; the pause before further ones doubles.

--- a/ingress/services/state/watch.go
+++ b/ingress/services/state/watch.go
@@ -67,41 +67,77 @@
 
 func (w *Watcher) loop(ctx context.Context) {
 	// A complete copy received from other ingresses replaces the listing.
-	listed := w.Book.IsListed()
-	answered := false
-	pause := minRetryPause
-	wait := probeWait
+	r := watchRun{listed: w.Book.IsListed(), wait: probeWait, retryPause: minRetryPause}
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := w.listOrWatch(ctx, &listed, wait)
-		if err == nil {
+		isWatch := r.listed
+		err := w.listOrWatch(ctx, &r.listed, r.wait)
+		switch {
+		case err == nil:
 			w.Book.ObserveWatchAnswer()
-			answered = true
-			pause = minRetryPause
-			wait = w.Wait
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, w.HistoryGone) {
-			listed = false // only a new listing contains the missed changes
-			continue
-		}
-		since := unavailableSince(began, err)
-		if last := w.Book.lastAnswerAt(); !answered && last.Before(since) {
-			since = last // the store did not answer the ingress followed before, either
-		}
-		w.Book.ObserveWatchFailure(since, err)
-		w.Store.Close()
-		wait = probeWait
-		if !pauses.Wait(ctx, pause) {
+			r.recordAnswer(isWatch, w.Wait)
+		case ctx.Err() != nil:
 			return
+		case errors.Is(err, w.HistoryGone):
+			pauses.Wait(ctx, r.recordDrop())
+		default:
+			w.observeFailure(began, r.answered, err)
+			pauses.Wait(ctx, r.recordFailure())
 		}
-		pause = min(2*pause, maxRetryPause)
 	}
 }
 
+// observeFailure records a call that failed and drops the connections to the store. Answered is set once
+// the store has answered this Watcher.
+func (w *Watcher) observeFailure(began time.Time, answered bool, err error) {
+	since := unavailableSince(began, err)
+	if last := w.Book.lastAnswerAt(); !answered && last.Before(since) {
+		since = last // the store did not answer the ingress followed before, either
+	}
+	w.Book.ObserveWatchFailure(since, err)
+	w.Store.Close()
+}
+
+// watchRun is the state of a Watcher between its calls.
+type watchRun struct {
+	// listed is set once all records up to the next watch are known.
+	listed bool
+	// answered is set once the store has answered.
+	answered bool
+	// wait limits the next watch.
+	wait time.Duration
+	// retryPause is the pause after the next failed call, and relistPause that before the listing after
+	// the next dropped history.
+	retryPause, relistPause time.Duration
+}
+
+// recordAnswer records an answer of the store, to a watch or to a listing. Wait limits the next watch.
+func (r *watchRun) recordAnswer(isWatch bool, wait time.Duration) {
+	r.answered = true
+	r.wait = wait
+	r.retryPause = minRetryPause
+	if isWatch {
+		r.relistPause = 0
+	}
+}
+
+// recordDrop records that the store no longer holds the changes to watch, so that only a new listing
+// contains them. It returns the pause before that listing: none after a watch that was answered.
+func (r *watchRun) recordDrop() time.Duration {
+	pause := r.relistPause
+	r.listed = false
+	r.relistPause = min(max(2*pause, minRetryPause), maxRetryPause)
+	return pause
+}
+
+// recordFailure records a call that failed, and returns the pause before the next one.
+func (r *watchRun) recordFailure() time.Duration {
+	pause := r.retryPause
+	r.wait = probeWait
+	r.retryPause = min(2*pause, maxRetryPause)
+	return pause
+}
+
 // unavailableSince returns since when the store may have been unavailable, given a call that
 // failed. A call that timed out shows nothing about the time since it began, so the store may have
 // been unavailable since then. Any other error shows the state of the store now.
