--- a/ingress/services/reach/reach.go
+++ b/ingress/services/reach/reach.go
@@ -203,7 +203,7 @@
 		return site.Answer{}, nil, ErrReach.Wrap(errors.Join(ErrNotSent, ErrClosed))
 	}
 	c.statements.ObserveSend(server, "")
-	response, err := transport.RoundTrip(r) //nolint:bodyclose // the caller closes it
+	response, err := transport.RoundTrip(r)
 	if err != nil {
 		return site.Answer{}, nil, err
 	}
