--- a/ingress/services/mesh/feeder.go
+++ b/ingress/services/mesh/feeder.go
@@ -138,7 +138,7 @@
 
 // updateChooser passes the current state to the chooser. The caller holds the lock.
 func (f *Feeder) updateChooser(now time.Time) {
-	if changes := f.options.Mesh.countChanges(); f.peersDiscovered && changes+1 != f.membersSeen {
+	if changes := f.options.Mesh.countChanges(); f.knowsPeers() && changes+1 != f.membersSeen {
 		reachable, at := f.options.Mesh.listReachable()
 		members := make([]feed.Member, 0, len(reachable))
 		for _, i := range reachable {
@@ -158,6 +158,15 @@
 	}
 }
 
+// knowsPeers reports whether the other ingresses are known, or at least one of them while the rest may be
+// about to register. The caller holds the lock.
+func (f *Feeder) knowsPeers() bool {
+	if f.peersDiscovered {
+		return true
+	}
+	return f.options.Mesh.countKnown() > 0 && (f.options.Book.HasLooked() || f.options.Book.IsListed())
+}
+
 // subscribe follows an ingress in place of the previous one; an empty name: none. The caller holds
 // the lock.
 func (f *Feeder) subscribe(ctx context.Context, name string) {
--- /dev/null
+++ b/ingress/services/mesh/firststart_test.go
@@ -0,0 +1,55 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const (
+	// startSpread is the time over which the instances of a deployment start.
+	startSpread = 500 * time.Millisecond
+	// readerDivisor determines how many of the instances may read all records from the store: a quarter.
+	readerDivisor = 4
+	// slowCallTime is how long a call takes while all instances share the store's link.
+	slowCallTime = 150 * time.Millisecond
+)
+
+// startFirst starts instances in two failure domains, none of which was registered before, and waits until
+// all have the records.
+func startFirst(t *testing.T, perDomain int) *fleet {
+	t.Helper()
+	rates := []linkRate{}
+	for range perDomain {
+		rates = append(rates, linkRate{domain: "d0"}, linkRate{domain: "d1"})
+	}
+	f := newFleet(t, map[string]string{"d0": "r0", "d1": "r1"}, rates)
+	f.records.callTime = slowCallTime
+	f.records.put("op/config", []byte(`{"Version":1}`))
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	random := rand.New(rand.NewPCG(1, uint64(perDomain))) //nolint:gosec // the same starts in each run
+	for _, i := range f.instances {
+		start := time.Duration(random.Int64N(int64(startSpread)))
+		time.AfterFunc(start, func() { f.startInstance(ctx, i) })
+	}
+	f.eventually("has the configuration", func(i *instance) bool { return i.book.View().Table != nil })
+	return f
+}
+
+// Guards against a store that is read by most instances when all of them start for the first time, because
+// none is registered yet when the others look, so that each takes its failure domain for a small one.
+func TestFirstStartIsReadFromTheStoreByAFew(t *testing.T) {
+	for _, perDomain := range []int{60, 150} {
+		t.Run(fmt.Sprint(perDomain), func(t *testing.T) {
+			f := startFirst(t, perDomain)
+			lists, watchers := f.records.countReads()
+			t.Logf("%d listings of all records, %d instances watched", lists, watchers)
+			if most := len(f.instances) / readerDivisor; lists > most || watchers > most {
+				t.Errorf("%d listings of all records and %d instances that watched; allowed are %d", lists, watchers, most)
+			}
+		})
+	}
+}
--- a/ingress/services/mesh/fleet_test.go
+++ b/ingress/services/mesh/fleet_test.go
@@ -141,6 +141,8 @@
 // store is the platform's store, reached by one instance over its own link.
 type store struct {
 	*sharedRecords
+	// name is the name of the instance.
+	name string
 	down *line
 	book *state.Book
 }
@@ -154,10 +156,15 @@
 	changed  *sync.Cond
 	revision uint64
 	all      map[string]site.Record
+	// callTime is the time that each call but a watch takes in addition to its transfer.
+	callTime time.Duration
+	// lists is the number of listings of all records, and watchers holds the instances that have watched.
+	lists    int
+	watchers map[string]bool
 }
 
 func newSharedRecords() *sharedRecords {
-	r := &sharedRecords{all: map[string]site.Record{}}
+	r := &sharedRecords{all: map[string]site.Record{}, watchers: map[string]bool{}}
 	r.changed = sync.NewCond(&r.lock)
 	return r
 }
@@ -199,12 +206,32 @@
 }
 
 func (s store) List(ctx context.Context, prefix string) ([]site.Record, uint64, error) {
+	s.countList(prefix)
+	time.Sleep(s.callTime)
 	found, at := s.since(0)
 	found = slices.DeleteFunc(found, func(r site.Record) bool { return !strings.HasPrefix(r.Key, prefix) })
 	return found, at, s.receive(ctx, found)
 }
 
+func (r *sharedRecords) countList(prefix string) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if prefix == "" {
+		r.lists++
+	}
+}
+
+// countReads returns the number of listings of all records and that of the instances that have watched.
+func (r *sharedRecords) countReads() (lists, watchers int) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.lists, len(r.watchers)
+}
+
 func (s store) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]site.Record, uint64, error) {
+	s.lock.Lock()
+	s.watchers[s.name] = true
+	s.lock.Unlock()
 	for ends := time.Now().Add(wait); ; {
 		found, at := s.since(after)
 		if len(found) > 0 || time.Now().After(ends) {
@@ -221,10 +248,12 @@
 func (store) Close() {}
 
 func (s store) Grant(ctx context.Context, _ time.Duration) (uint64, error) {
+	time.Sleep(s.callTime)
 	return 1, s.down.transfer(ctx, callBytes)
 }
 
 func (s store) Put(ctx context.Context, key string, value []byte, _ uint64) error {
+	time.Sleep(s.callTime)
 	s.put(key, value)
 	return s.down.transfer(ctx, callBytes)
 }
@@ -299,7 +328,7 @@
 	i.puller = &mesh.Puller{Mesh: i.mesh, Book: i.book, Log: log}
 	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
 		Mesh: i.mesh, Book: i.book, Puller: i.puller, Self: i.self, Regions: f.regions, LeaseTTL: leaseTTL, IsLeaving: isLeaving, Log: log,
-		Reader: &state.Reader{Book: i.book, Store: f.newStore(i), Domain: rate.domain, Wait: 4 * time.Second, Log: log},
+		Reader: &state.Reader{Book: i.book, Store: f.newStore(i), Name: name, Domain: rate.domain, Wait: 4 * time.Second, Log: log},
 	})
 	i.puller.Feed = i.feeder
 	var err error
@@ -316,7 +345,7 @@
 }
 
 func (f *fleet) newStore(i *instance) store {
-	return store{sharedRecords: f.records, down: i.down, book: i.book}
+	return store{sharedRecords: f.records, name: i.self.Name, down: i.down, book: i.book}
 }
 
 // connect creates the proxies of the instances on slow links.
@@ -354,15 +383,7 @@
 	ctx, cancel := context.WithCancel(f.t.Context())
 	f.t.Cleanup(cancel)
 	for _, i := range f.instances {
-		i.feeder.Start(ctx)
-		(&state.Registrar{
-			Leases: f.newStore(i), Codec: record.Codec{}, Self: i.self, TTL: leaseTTL, Book: i.book,
-			ProbeEvery: feed.ProbeEvery, LeaseGone: errLeaseGone, Log: f.log,
-		}).Start(ctx)
-		(&state.Sweeper{Book: i.book}).Start(ctx)
-		i.mesh.Start(ctx)
-		i.puller.Start(ctx)
-		i.server.Start(ctx)
+		f.startInstance(ctx, i)
 	}
 	f.eventually("all know each other", func(i *instance) bool { return len(i.book.View().Ingresses) == len(f.instances) })
 	for _, i := range f.instances {
@@ -374,6 +395,19 @@
 	}
 }
 
+// startInstance starts one instance.
+func (f *fleet) startInstance(ctx context.Context, i *instance) {
+	i.feeder.Start(ctx)
+	(&state.Registrar{
+		Leases: f.newStore(i), Codec: record.Codec{}, Self: i.self, TTL: leaseTTL, Book: i.book,
+		ProbeEvery: feed.ProbeEvery, LeaseGone: errLeaseGone, Looked: i.book.Looked(), Log: f.log,
+	}).Start(ctx)
+	(&state.Sweeper{Book: i.book}).Start(ctx)
+	i.mesh.Start(ctx)
+	i.puller.Start(ctx)
+	i.server.Start(ctx)
+}
+
 // eventually waits until a condition holds at all instances.
 func (f *fleet) eventually(what string, check func(i *instance) bool) {
 	f.t.Helper()
--- a/ingress/services/state/discovery_test.go
+++ b/ingress/services/state/discovery_test.go
@@ -89,8 +89,21 @@
 	}
 }
 
-// Guards against a slower start of small deployments: an ingress with few others in its failure domain
-// has all records after two calls, without waiting for another ingress.
+// Guards against a slower return of small deployments: an ingress that was registered before, with few
+// others in its failure domain, has all records after two calls, without waiting for another ingress or
+// for its registration.
+func TestReturnToASmallDeploymentIsCompleteAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newDeployment(t, 6, 1)
+	book := newBook()
+	reader := state.Reader{Book: book, Store: s, Name: "n3", Domain: "d0", Log: zap.NewNop()}
+	reader.DiscoverPeers(context.Background(), func() bool { return len(book.View().Ingresses) > 1 })
+	is.True(book.IsListed())
+	is.Equal(s.calls, 2)
+}
+
+// Guards against a start that needs another ingress although its failure domain has few: it has all records
+// after three calls.
 func TestFirstLookOfSmallDeploymentIsComplete(t *testing.T) {
 	for _, n := range []int{1, 6, 28} {
 		is := is.New(t)
--- a/ingress/services/state/looked.go
+++ b/ingress/services/state/looked.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"time"
 
 	"verbenaroad.example/share/models/site"
 )
@@ -10,17 +12,51 @@
 // domain.
 func (b *Book) Looked() <-chan struct{} { return b.looked }
 
+// markRegistered records that this ingress is registered. Further calls do nothing.
+func (b *Book) markRegistered() {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	select {
+	case <-b.registered:
+	default:
+		close(b.registered)
+	}
+}
+
+// awaitRegistered waits until this ingress is registered, at most for limit. It returns false if the context
+// ends first.
+func (b *Book) awaitRegistered(ctx context.Context, limit time.Duration) bool {
+	timeout := time.NewTimer(limit)
+	defer timeout.Stop()
+	select {
+	case <-b.registered:
+		return true
+	case <-timeout.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // HasLookFailed reports whether the store did not answer, or refused, the first listing of this ingress.
 func (b *Book) HasLookFailed() bool { return b.lookFailed.Load() }
 
+// HasLooked reports whether the ingress has listed the registrations of its failure domain.
+func (b *Book) HasLooked() bool {
+	select {
+	case <-b.looked:
+		return true
+	default:
+		return false
+	}
+}
+
 // markLooked keeps the leases of a first listing of registrations. Further calls do nothing.
 func (b *Book) markLooked(records []site.Record) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	select {
-	case <-b.looked:
+	if b.HasLooked() {
 		return
-	default:
 	}
 	for _, r := range records {
 		b.leases[r.Key] = registration{value: r.Value, lease: r.Lease}
--- a/ingress/services/state/register.go
+++ b/ingress/services/state/register.go
@@ -181,6 +181,7 @@
 	}
 	r.lease = lease
 	r.renewed = false
+	r.Book.markRegistered()
 	r.Log.Info("registered", zap.String("ingress", r.Self.Name), zap.Stringer("address", r.Self.Address))
 	return nil
 }
@@ -199,6 +200,7 @@
 	}
 	r.lease = lease
 	r.renewed = false
+	r.Book.markRegistered()
 	r.Log.Info("registered", zap.String("ingress", r.Self.Name), zap.Stringer("address", r.Self.Address), zap.Bool("resumed", true))
 	return true
 }
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -117,7 +117,9 @@
 	// looked is closed once the first listing has been applied. leases holds, by key, the leases of the
 	// registrations in it.
 	looked chan struct{}
-	leases map[string]registration
+	// registered is closed once this ingress is registered.
+	registered chan struct{}
+	leases     map[string]registration
 }
 
 // registration is what the store holds under the key of an ingress.
@@ -139,6 +141,7 @@
 		unanswered:   map[StoreCall]bool{},
 		changed:      make(chan struct{}),
 		looked:       make(chan struct{}),
+		registered:   make(chan struct{}),
 		leases:       map[string]registration{},
 	}
 	b.lastAnswer.Store(-int64(time.Hour))
--- a/ingress/services/state/watch.go
+++ b/ingress/services/state/watch.go
@@ -5,10 +5,7 @@
 	"errors"
 	"time"
 
-	"go.uber.org/zap"
-
 	"verbenaroad.example/share/models/site"
-	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/pauses"
 )
 
@@ -170,105 +167,6 @@
 	return nil
 }
 
-// Reader starts and stops the watch of the store, and discovers the other ingresses at the start.
-type Reader struct {
-	Book  *Book
-	Store Store
-	// Domain is the failure domain of this ingress.
-	Domain string
-	// Wait and HistoryGone are passed to the Watcher.
-	Wait        time.Duration
-	HistoryGone error
-	Log         *zap.Logger
-
-	// cancel ends the watch. It is nil while there is none.
-	cancel context.CancelFunc
-}
-
-// SetWatching starts or stops the watch. It is not safe for concurrent use.
-func (r *Reader) SetWatching(ctx context.Context, watching bool) {
-	if watching == (r.cancel != nil) {
-		return
-	}
-	r.Book.SetDirect(watching)
-	if !watching {
-		r.cancel()
-		r.cancel = nil
-		return
-	}
-	ctx, r.cancel = context.WithCancel(ctx)
-	(&Watcher{Book: r.Book, Store: r.Store, Wait: r.Wait, HistoryGone: r.HistoryGone}).Start(ctx)
-}
-
-const (
-	// discoveryPause is the time between the two listings of DiscoverPeers. Ingresses that start at
-	// the same time register during it.
-	discoveryPause = 300 * time.Millisecond
-	// smallDomain is the number of registered ingresses of a failure domain up to which each of them
-	// lists all records itself when it starts.
-	smallDomain = 8
-)
-
-// DiscoverPeers reads from the store which other ingresses are registered in the failure domain. In a
-// large one, that is all that a starting ingress reads, since the ingress that watches the store for
-// the domain passes on the rest. In a small one DiscoverPeers then lists all records, which is faster
-// and costs as many calls.
-//
-// All ingresses may start at once, so what each of them reads must not grow with the deployment: the
-// store sends it to each over the same link. Unless hasPeers returns true after the first listing,
-// DiscoverPeers lists the ingresses once more after discoveryPause.
-func (r *Reader) DiscoverPeers(ctx context.Context, hasPeers func() bool) {
-	r.retry(ctx, r.listPeersOrAll)
-	if hasPeers() || !pauses.Wait(ctx, discoveryPause) {
-		return
-	}
-	r.retry(ctx, func(ctx context.Context) error {
-		_, err := r.listPeers(ctx)
-		return err
-	})
-}
-
-// retry runs a step until it succeeds, the records have arrived from a peer, or the context ends.
-func (r *Reader) retry(ctx context.Context, step func(context.Context) error) {
-	pause := minRetryPause
-	for step(ctx) != nil && !r.Book.IsListed() {
-		if !pauses.Wait(ctx, pause) {
-			return
-		}
-		pause = min(2*pause, maxRetryPause)
-	}
-}
-
-// listPeersOrAll lists the ingresses of the failure domain and, if they are few, all records.
-func (r *Reader) listPeersOrAll(ctx context.Context) error {
-	count, err := r.listPeers(ctx)
-	if err != nil || count > smallDomain || r.Book.IsListed() {
-		return err
-	}
-	records, revision, err := r.Store.List(ctx, allKeys)
-	if err != nil {
-		r.Log.Warn("first-look-failed", logs.Err(err))
-		return err
-	}
-	r.Book.ApplyListing(records, revision)
-	r.Book.ObserveOwnAnswer(time.Now())
-	return nil
-}
-
-// listPeers lists the ingresses of the failure domain and returns their number.
-func (r *Reader) listPeers(ctx context.Context) (int, error) {
-	records, _, err := r.Store.List(ctx, r.Book.IngressDomainPrefix(r.Domain))
-	if err != nil {
-		r.Book.lookFailed.Store(true)
-		r.Log.Warn("first-look-failed", logs.Err(err))
-		return 0, err
-	}
-	r.Book.Merge(records)
-	r.Book.markLooked(records)
-	r.Book.ObserveOwnAnswer(time.Now())
-	return len(records), nil
-}
-
 // Sweeper periodically checks the availability of the store and drops expired servers and
 // ingresses.
 type Sweeper struct {
--- a/share/decide/feed/feed.go
+++ b/share/decide/feed/feed.go
@@ -116,7 +116,7 @@
 	// suspectedUntil holds by name the ingresses that are not chosen until a time.
 	suspectedUntil map[string]time.Time
 	// noSourceSince is the time since which this ingress has had no healthy source; zero while
-	// it has one.
+	// it has one. It is not before the store's last answer while the other ingresses are not known.
 	noSourceSince time.Time
 	// neededAt is when this ingress last needed to read the store directly. reading is Read of
 	// the last plan.
@@ -219,6 +219,9 @@
 	if c.listed && age > limit {
 		c.suspectedUntil[c.self.Name] = now.Add(maxPlanInterval)
 	}
+	if answeredAt := now.Add(-age); !c.knowsMembers && answeredAt.After(c.noSourceSince) {
+		c.noSourceSince = answeredAt // the store is still being asked for the other ingresses
+	}
 }
 
 // ObserveStatus processes the status that another ingress reports.
--- a/share/decide/feed/feed_test.go
+++ b/share/decide/feed/feed_test.go
@@ -51,6 +51,17 @@
 	is.Equal(c.Plan(after(1200*time.Millisecond)).Read, true)
 }
 
+// Guards against a herd of readers at a first start: the store answers slowly, so an ingress learns of the
+// others later than one that gets no answer begins to read.
+func TestStartDoesNotReadWhileTheStoreAnswers(t *testing.T) {
+	is := is.New(t)
+	c := feed.NewChooser(newMember("self", "x1"), start)
+	c.ObserveOwnAge(after(500*time.Millisecond), 0, time.Minute)
+	c.ObserveOwnAge(after(1200*time.Millisecond), 700*time.Millisecond, time.Minute)
+	is.Equal(c.Plan(after(1050*time.Millisecond)).Read, false)
+	is.Equal(c.Plan(after(1700*time.Millisecond)).Read, true) // it has stopped answering
+}
+
 func TestFollowerDoesNotRead(t *testing.T) {
 	is := is.New(t)
 	c := newFollower()
