sched: an ingress reports when its goroutines run late

A process that the machine does not run, or that is busy itself, is late with heartbeats, timeouts and answers, and no line said so. Readiness does not heed it: no trace shows that callers would gain.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -25,6 +25,7 @@
 	"verbenaroad.example/ingress/services/mesh"
 	"verbenaroad.example/ingress/services/meters"
 	"verbenaroad.example/ingress/services/reach"
+	"verbenaroad.example/ingress/services/sched"
 	"verbenaroad.example/ingress/services/screen"
 	"verbenaroad.example/ingress/services/stages"
 	"verbenaroad.example/ingress/services/state"
@@ -265,6 +266,7 @@
 	i.batcher.Start(ctx)
 	i.peerServer.Start(ctx)
 	(&usageReporter{ingress: i}).Start(ctx)
+	(&sched.Watcher{ProcessorTime: processorTime, Meter: i.meters, Log: i.log}).Start(ctx)
 	i.log.Info("started", zap.Stringer("callers", s.Callers.Listen), zap.Stringer("peers", s.Peers.Listen),
 		zap.Stringer("metrics", s.Metrics.Listen), zap.Stringer("store", s.Store.Address),
 		zap.String("incarnation", i.incarnation))
--- a/ingress/services/meters/meters.go
+++ b/ingress/services/meters/meters.go
@@ -22,6 +22,7 @@
 	closedCount   *prometheus.GaugeVec
 	droppedLines  *prometheus.CounterVec
 	reloads       *prometheus.CounterVec
+	lateChecks    prometheus.Histogram
 	configVersion prometheus.Gauge
 	storeAge      prometheus.GaugeFunc
 	requestMemory prometheus.GaugeFunc
@@ -70,6 +71,10 @@
 		reloads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenaroad_reloads_total", Help: "Settings files that were read again.",
 		}, []string{"outcome"}),
+		lateChecks: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "verbenaroad_late_check_seconds", Help: "Delay of periodic checks that ran late, which all goroutines of the process share.",
+			Buckets: latencyBuckets(),
+		}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "verbenaroad_config_version", Help: "Version of the configuration in force.",
 		}),
@@ -80,7 +85,7 @@
 			Name: "verbenaroad_request_memory_bytes", Help: "Memory held by bodies of requests and by answers that are not read yet.",
 		}, func() float64 { return float64(requestMemory()) }),
 	}
-	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.limitedSends, m.limitedCount, m.closedCount, m.droppedLines, m.reloads, m.configVersion, m.storeAge, m.requestMemory)
+	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.limitedSends, m.limitedCount, m.closedCount, m.droppedLines, m.reloads, m.lateChecks, m.configVersion, m.storeAge, m.requestMemory)
 	return m
 }
 
@@ -129,6 +134,9 @@
 	m.reloads.WithLabelValues(outcome).Inc()
 }
 
+// CountLateCheck counts a check that ran late by delay.
+func (m *Meters) CountLateCheck(delay time.Duration) { m.lateChecks.Observe(delay.Seconds()) }
+
 // SetVersion sets the version of the configuration in force.
 func (m *Meters) SetVersion(version uint64) { m.configVersion.Set(float64(version)) }
 
--- a/proofs/hosted/change_test.go
+++ b/proofs/hosted/change_test.go
@@ -197,6 +197,19 @@
 	is.Equal(d.Violations(), []string{})
 }
 
+// Guards against an ingress that the machine does not run for a while, and that answers late without saying
+// why.
+func TestFrozenIngressReportsThatItsLoopsWereLate(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	before := len(d.ingresses[0].output.lines("event=loops-late"))
+	d.ingresses[0].signal(syscall.SIGSTOP)
+	time.Sleep(time.Second)
+	d.ingresses[0].signal(syscall.SIGCONT)
+	eventually(t, "a line says so", func() bool { return len(d.ingresses[0].output.lines("event=loops-late")) > before })
+	is.Equal(len(d.ingresses[0].output.lines("event=loops-late")), before+1)
+}
+
 // All ingresses are killed at once. After their restart they must read their state from the store
 // and serve again within five seconds.
 func TestAllIngressesAreKilled(t *testing.T) {
