--- a/share/modules/link/bench_test.go
+++ b/share/modules/link/bench_test.go
@@ -33,7 +33,7 @@
 // ends run in this process.
 func BenchmarkCall(b *testing.B) {
 	s := dialPeer(b)
-	body := make([]byte, 300)
+	body := make([]byte, callBytes)
 	start := processorTime()
 	b.SetParallelism(8)
 	b.RunParallel(func(pb *testing.PB) {
@@ -57,7 +57,7 @@
 // BenchmarkPooledCall measures the same calls on streams that are reused.
 func BenchmarkPooledCall(b *testing.B) {
 	s := dialPeer(b)
-	body := make([]byte, 300)
+	body := make([]byte, callBytes)
 	start := processorTime()
 	b.SetParallelism(8)
 	b.RunParallel(func(pb *testing.PB) {
