--- a/proofs/hosted/main_test.go
+++ b/proofs/hosted/main_test.go
@@ -12,6 +12,10 @@
 // unset, the tests build the program first.
 const envProgram = "VERBENA_INGRESS"
 
+// envOtherProgram is the environment variable with the path of another version of the ingress program, which
+// every second ingress runs. Versions run side by side during an update.
+const envOtherProgram = "VERBENA_OTHER_INGRESS"
+
 func TestMain(m *testing.M) {
 	code, err := runTests(m)
 	if err != nil {
--- a/proofs/hosted/process_test.go
+++ b/proofs/hosted/process_test.go
@@ -108,6 +108,14 @@
 	}
 }
 
+// program returns the path of the program that the ingress runs.
+func (i *ingress) program() string {
+	if other := os.Getenv(envOtherProgram); other != "" && strings.HasSuffix(i.name, "1") {
+		return other
+	}
+	return os.Getenv(envProgram)
+}
+
 func (i *ingress) hasExited() bool {
 	select {
 	case <-i.exited:
@@ -166,7 +174,7 @@
 
 func (i *ingress) start() {
 	i.t.Helper()
-	i.command = exec.Command(os.Getenv(envProgram), "--config", i.configFile)
+	i.command = exec.Command(i.program(), "--config", i.configFile)
 	i.command.Stdout, i.command.Stderr = i.output, i.output
 	if err := i.command.Start(); err != nil {
 		i.t.Fatal(err)
