--- a/ingress/services/meters/meters.go
+++ b/ingress/services/meters/meters.go
@@ -51,10 +51,10 @@
 			Name: "verbenaroad_repeats_total", Help: "Requests that were sent to a further backend server.",
 		}, []string{"service", "reason"}),
 		batches: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "verbenaroad_batch_seconds", Help: "Time of a call that makes results of stages.", Buckets: latencyBuckets(),
+			Name: "verbenaroad_batch_seconds", Help: "Time of a call that produces results of stages.", Buckets: latencyBuckets(),
 		}, []string{"service", "outcome"}),
 		batchItems: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "verbenaroad_batch_items_total", Help: "Items in calls that make results of stages.",
+			Name: "verbenaroad_batch_items_total", Help: "Items in calls that produce results of stages.",
 		}, []string{"service", "outcome"}),
 		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenaroad_limited_sends_total", Help: "Requests that were sent to a backend server that states a rate limit.",
--- a/share/modules/wire/frame.go
+++ b/share/modules/wire/frame.go
@@ -17,14 +17,14 @@
 // Version is the protocol version that Hello carries.
 const Version = 1
 
-// MaxFrameBytes bounds one frame; a larger one ends the stream.
+// MaxFrameBytes limits the size of one frame; a larger one ends the stream.
 const MaxFrameBytes = 8 << 20
 
 // ErrFrame is the class of errors of reading and writing frames.
 var ErrFrame = errs.Class("frame") //nolint:gochecknoglobals // an error class is a constant in all but syntax
 
-// FrameObserver is implemented by streams that count the frames that pass them. It is told the name of
-// the frame's body and the encoded size of the frame in bytes.
+// FrameObserver is implemented by streams that count their frames. ObserveFrame receives the name of the
+// frame's body and the encoded size of the frame in bytes.
 type FrameObserver interface {
 	ObserveFrame(sent bool, body string, bytes int)
 }
