follow, gossip: a configuration is fetched from a peer in parts that are kept

The product's own interface asked a peer for all missing chunks at once and within 2 s, the time of one read, and threw away what had arrived if the peer failed or the time was over.

--- a/share/decide/gossip/events.go
+++ b/share/decide/gossip/events.go
@@ -40,6 +40,9 @@
 // FetchDone carries the complete configuration of a head; its chunks have been checked by hash.
 type FetchDone struct{ Loaded *config.Loaded }
 
+// FetchProgress means that a part of the configuration has arrived from a peer.
+type FetchProgress struct{ Peer string }
+
 // FetchFailed means that a fetch returned no usable configuration.
 type FetchFailed struct{}
 
@@ -60,6 +63,7 @@
 func (ReadFailed) isEvent()       {}
 func (PeerReport) isEvent()       {}
 func (FetchDone) isEvent()        {}
+func (FetchProgress) isEvent()    {}
 func (FetchFailed) isEvent()      {}
 func (PeerDisconnected) isEvent() {}
 func (InstancesListed) isEvent()  {}
--- a/share/decide/gossip/fetch.go
+++ b/share/decide/gossip/fetch.go
@@ -13,7 +13,7 @@
 		return nil
 	}
 	s.fetching = true
-	s.fetchStartedAt = now
+	s.fetchProgressAt = now
 	s.fetchPeer = peer
 	if peer == "" {
 		return []Action{FetchFromStore{}}
@@ -55,6 +55,14 @@
 	return append([]Action{Publish(e)}, s.fetch(now)...)
 }
 
+// handleFetchProgress prolongs the fetch in flight. Parts of a fetch that has already timed out are kept by
+// the caller, but do not prolong the one that followed it.
+func (s *State) handleFetchProgress(e FetchProgress, now time.Time) {
+	if s.fetching && e.Peer == s.fetchPeer {
+		s.fetchProgressAt = now
+	}
+}
+
 func (s *State) handleFetchFailed(now time.Time) []Action {
 	if !s.fetching {
 		return nil // the late failure of a fetch that has already timed out
--- a/share/decide/gossip/gossip.go
+++ b/share/decide/gossip/gossip.go
@@ -35,9 +35,10 @@
 	// failedPeers holds the peers from which a fetch failed. It is cleared by an adoption and by a
 	// failed fetch from the store.
 	failedPeers map[string]bool
-	// fetchPeer is the peer of the fetch in flight; empty: the store.
-	fetchPeer      string
-	fetchStartedAt time.Time
+	// fetchPeer is the peer of the fetch in flight; empty: the store. fetchProgressAt is when it
+	// started, or when the last part of it arrived.
+	fetchPeer       string
+	fetchProgressAt time.Time
 	// nextStoreFetch is the earliest time for another fetch from the store after one failed.
 	nextStoreFetch time.Time
 	adoptedAt      time.Time
@@ -98,6 +99,9 @@
 		return s.handlePeerReport(e, now)
 	case FetchDone:
 		return s.handleFetchDone(e, now)
+	case FetchProgress:
+		s.handleFetchProgress(e, now)
+		return nil
 	case FetchFailed:
 		return s.handleFetchFailed(now)
 	case PeerDisconnected:
--- a/share/decide/gossip/gossip_test.go
+++ b/share/decide/gossip/gossip_test.go
@@ -375,3 +375,37 @@
 		}
 	}
 }
+
+// Guards against a large configuration that never arrives over a slow link because its fetch times out as a
+// whole, and against a fetch that never times out because parts of an earlier one still arrive.
+func TestFetchLastsAsLongAsPartsArrive(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	s := newServing(now, 0)
+	report := func(peer string) []gossip.Action { return s.Handle(gossip.PeerReport{Peer: peer, Revision: 2}, now) }
+	is.Equal(report("a"), []gossip.Action{gossip.FetchFromPeer{Peer: "a", Revision: 2}})
+	report("b")
+	timeout := gossip.DefaultSettings().ReadTimeout
+	for range 10 {
+		now = now.Add(timeout - tick)
+		is.Equal(countFetches(s.Handle(gossip.Tick{}, now)), 0)
+		s.Handle(gossip.FetchProgress{Peer: "a"}, now)
+	}
+	now = now.Add(timeout + tick)
+	is.Equal(countFetches(s.Handle(gossip.Tick{}, now)), 1) // it has timed out, and b is asked
+	now = now.Add(timeout - tick)
+	s.Handle(gossip.FetchProgress{Peer: "a"}, now)
+	now = now.Add(2 * tick)
+	is.Equal(countFetches(s.Handle(gossip.Tick{}, now)), 1) // so has the fetch from b
+}
+
+func countFetches(actions []gossip.Action) int {
+	count := 0
+	for _, action := range actions {
+		switch action.(type) {
+		case gossip.FetchFromPeer, gossip.FetchFromStore:
+			count++
+		}
+	}
+	return count
+}
--- a/share/decide/gossip/poll.go
+++ b/share/decide/gossip/poll.go
@@ -36,7 +36,7 @@
 		s.nextPoll = now
 	}
 	s.lastTick = now
-	if s.fetching && now.Sub(s.fetchStartedAt) > s.fetchTimeout() {
+	if s.fetching && now.Sub(s.fetchProgressAt) > s.fetchTimeout() {
 		s.failFetch(now)
 	}
 	if s.polling && now.Sub(s.polledAt) > s.settings.ReadTimeout {
--- a/share/decide/gossip/settings.go
+++ b/share/decide/gossip/settings.go
@@ -25,8 +25,8 @@
 	// FreezeThreshold is the gap between two ticks above which the process counts as having been
 	// frozen. It spans several tick periods.
 	FreezeThreshold time.Duration
-	// ReadTimeout is the time after which a read, or a fetch from a peer, counts as failed if the
-	// caller has not reported its result.
+	// ReadTimeout is the time after which a read counts as failed if the caller has not reported its
+	// result, and a fetch from a peer if the caller has reported neither its result nor a part of it.
 	ReadTimeout time.Duration
 	// StoreFetchTimeout is the same for a fetch from the store. A starting process fetches all
 	// chunks there, one by one.
--- a/share/services/follow/fetch.go
+++ b/share/services/follow/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,10 +63,8 @@
 	f.reportFetched(loaded, err, true)
 }
 
-// runFetchPeer fetches the configuration from a peer, within the settings' ReadTimeout.
+// runFetchPeer fetches the configuration from a peer.
 func (f *Follower) runFetchPeer(ctx context.Context, peer string) {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Settings.ReadTimeout)
-	defer cancel()
 	loaded, err := f.fetchFromPeer(ctx, peer)
 	f.reportFetched(loaded, err, false)
 }
@@ -94,47 +93,58 @@
 // loaded.
 func (f *Follower) fetchFromPeer(ctx context.Context, peer string) (*config.Loaded, error) {
 	old := f.GetLoaded()
-	answer, err := f.options.Peers.FetchChunks(ctx, peer, &wire.Fetch{})
+	answer, err := f.fetchChunks(ctx, peer, &wire.Fetch{})
 	if err != nil {
 		return nil, err
 	}
 	if len(answer.GetChunks()) == 0 {
 		return nil, ErrFollow.New("peer %s has no configuration", peer)
 	}
-	f.meter.fetchedBytes.Add(chunkBytes(answer))
 	first := answer.GetChunks()[0]
 	version := config.Version{Revision: answer.GetRevision(), ManifestHash: config.Hash(first.GetHash())}
 	manifest, err := config.DecodeManifest(version.ManifestHash, first.GetData())
 	if err != nil {
 		return nil, err
 	}
-	chunks, err := f.fetchMissing(ctx, peer, old.Missing(manifest))
-	if err != nil {
+	if err := f.fetchMissing(ctx, peer, f.received.retain(old.Missing(manifest))); err != nil {
 		return nil, err
 	}
 	startedAt := time.Now()
-	loaded, err := config.Load(old, version, manifest, chunks)
+	loaded, err := config.Load(old, version, manifest, f.received.list())
 	f.meter.adoptingNanos.Add(int64(time.Since(startedAt)))
+	if err == nil {
+		f.received.clear()
+	}
 	return loaded, err
 }
 
-// fetchMissing requests the given chunks from a peer.
-func (f *Follower) fetchMissing(ctx context.Context, peer string, missing []config.Hash) ([]config.Chunk, error) {
-	if len(missing) == 0 {
-		return nil, nil
-	}
-	fetch := &wire.Fetch{}
-	for _, hash := range missing {
-		fetch.Hashes = append(fetch.Hashes, string(hash))
+// fetchMissing requests the given chunks from a peer, some of them at a time.
+func (f *Follower) fetchMissing(ctx context.Context, peer string, missing []config.Hash) error {
+	for batch := range slices.Chunk(missing, chunksPerFetch) {
+		fetch := &wire.Fetch{}
+		for _, hash := range batch {
+			fetch.Hashes = append(fetch.Hashes, string(hash))
+		}
+		answer, err := f.fetchChunks(ctx, peer, fetch)
+		if err != nil {
+			return err
+		}
+		if err := f.received.add(batch, answer); err != nil {
+			return err
+		}
+		f.Send(gossip.FetchProgress{Peer: peer})
 	}
+	return nil
+}
+
+// fetchChunks sends one request to a peer, and waits for the answer within the settings' ReadTimeout.
+func (f *Follower) fetchChunks(ctx context.Context, peer string, fetch *wire.Fetch) (*wire.Chunks, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Settings.ReadTimeout)
+	defer cancel()
 	answer, err := f.options.Peers.FetchChunks(ctx, peer, fetch)
 	if err != nil {
 		return nil, err
 	}
 	f.meter.fetchedBytes.Add(chunkBytes(answer))
-	chunks := make([]config.Chunk, 0, len(answer.GetChunks()))
-	for _, chunk := range answer.GetChunks() {
-		chunks = append(chunks, config.Chunk{Hash: config.Hash(chunk.GetHash()), Data: chunk.GetData()})
-	}
-	return chunks, nil
+	return answer, nil
 }
--- a/share/services/follow/follow.go
+++ b/share/services/follow/follow.go
@@ -104,7 +104,9 @@
 	counts  Counts
 	// stopWatch ends the last watch that was started; nil before the first. Only loop uses it.
 	stopWatch context.CancelFunc
-	meter     meter
+	// received holds the chunks of the configuration that is being fetched from peers.
+	received chunkCache
+	meter    meter
 }
 
 // NewFollower returns a Follower that has no configuration.
