--- a/proofs/hosted/limits_test.go
+++ b/proofs/hosted/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -24,6 +25,8 @@
 	limitWindow  = 4 * time.Second
 	limitOverage = 1.5
 	limitSlack   = 5
+	// maxShownUnserved is how many of the requests that were not served are shown.
+	maxShownUnserved = 8
 	// limitSettleTime is how long after the first statement the limit must be in force.
 	limitSettleTime = 4 * time.Second
 )
@@ -42,6 +45,8 @@
 	// when to return, or whose request has run.
 	slowest  time.Duration
 	unusable int
+	// unserved describes the first requests that were not served.
+	unserved []string
 }
 
 // startLoad sends requests from n callers at each ingress, each of which sends one after the other.
@@ -86,6 +91,10 @@
 		status = 0
 	}
 	l.answers[status]++
+	if status != http.StatusOK && len(l.unserved) < maxShownUnserved {
+		l.unserved = append(l.unserved, fmt.Sprintf("%s %s at %v after %v: status %d, error %v, %.300s",
+			q.id, q.target, time.Now().Format(time.RFC3339Nano), a.took, status, a.err, a.body))
+	}
 	if status != http.StatusServiceUnavailable {
 		return
 	}
@@ -95,10 +104,14 @@
 	}
 }
 
-// end stops the callers and returns the answers by status.
+// end stops the callers and returns the answers by status. It logs the first requests that were not served.
 func (l *load) end() map[int]int {
+	l.deployment.t.Helper()
 	close(l.stop)
 	l.callers.Wait()
+	for _, u := range l.unserved {
+		l.deployment.t.Logf("not served: %s", u)
+	}
 	return l.answers
 }
 
