known red: a plain server that was slow or failed is not tried again while the others have room

The chooser's latency and failure rate of a server change by its own answers only, so one that was slow for a moment is left out until the others are full.

--- a/share/decide/place/place_test.go
+++ b/share/decide/place/place_test.go
@@ -196,3 +196,31 @@
 		})
 	}
 }
+
+// Guards against a server that is never tried again, because it was slow or failed for a while, as long as
+// the others of its service have room: its latency and its failure rate change by its own answers only.
+func TestServerThatWasSlowOrFailedIsTriedAgain(t *testing.T) {
+	for name, result := range map[string]place.Result{"slow": place.ResultServed, "failed": place.ResultFailed} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(0, 0)
+			c := newChooser("a1", "a1")
+			serve := func(id string, result place.Result, took time.Duration) {
+				c.Start(now, id)
+				now = now.Add(took)
+				c.End(now, id, result, took, nil)
+			}
+			serve("s1", place.ResultServed, 20*time.Millisecond)
+			for range 5 {
+				serve("s0", result, time.Second)
+			}
+			tried := false
+			for end := now.Add(time.Minute); now.Before(end) && !tried; {
+				id := pick(t, c, now)
+				tried = id == "s0"
+				serve(id, place.ResultServed, 20*time.Millisecond)
+			}
+			is.True(tried)
+		})
+	}
+}
