--- a/share/decide/place/engines_test.go
+++ b/share/decide/place/engines_test.go
@@ -271,3 +271,34 @@
 	third, _ := e.Place(now.Add(3*time.Second), q)
 	is.Equal(third.Server.ID, first.Server.ID)
 }
+
+// Guards against an engine that is never tried again, because it failed for a while, as long as the others
+// have room: its failure rate changes by its own answers only.
+func TestEngineThatFailedIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	e := newEngines(3)
+	session := 0
+	serve := func(result place.Result, exclude ...string) string {
+		session++
+		q := newReviewQuery(session)
+		q.Exclude = exclude
+		placed, found := e.Place(now, q)
+		is.True(found)
+		e.MarkSent(now, placed.ID)
+		if result == place.ResultServed {
+			e.MarkAnswering(now.Add(300*time.Millisecond), placed.ID, 0)
+		}
+		now = now.Add(time.Second)
+		e.End(now, placed.ID, result)
+		return placed.Server.ID
+	}
+	for range 8 {
+		serve(place.ResultFailed, "s1", "s2")
+	}
+	tried := false
+	for end := now.Add(time.Minute); now.Before(end) && !tried; {
+		tried = serve(place.ResultServed) == "s0"
+	}
+	is.True(tried)
+}
