--- a/share/decide/feed/feed.go
+++ b/share/decide/feed/feed.go
@@ -210,7 +210,8 @@
 // ObserveOwnAge processes the time since the store last answered this ingress itself, which renews its
 // lease at the given interval while it does not read the store. If the time is too long, and this
 // ingress has a first snapshot, it is not a candidate for the reader of its
-// failure domain in the next plan, unless there is no other candidate.
+// failure domain in the next plan, unless there is no other candidate. Until the other ingresses are
+// known, the time without a source counts from that answer.
 func (c *Chooser) ObserveOwnAge(now time.Time, age, renewalInterval time.Duration) {
 	limit := maxSourceAge
 	if !c.reading {
@@ -220,7 +221,7 @@
 		c.suspectedUntil[c.self.Name] = now.Add(maxPlanInterval)
 	}
 	if answeredAt := now.Add(-age); !c.knowsMembers && answeredAt.After(c.noSourceSince) {
-		c.noSourceSince = answeredAt // the store is still being asked for the other ingresses
+		c.noSourceSince = answeredAt
 	}
 }
 
