--- a/ingress/services/mesh/fleet_test.go
+++ b/ingress/services/mesh/fleet_test.go
@@ -156,7 +156,7 @@
 	changed  *sync.Cond
 	revision uint64
 	all      map[string]site.Record
-	// callTime is the time that each call but a watch takes in addition to its transfer.
+	// callTime is the time that a listing, a grant and a write take in addition to their transfer.
 	callTime time.Duration
 	// lists is the number of listings of all records, and watchers holds the instances that have watched.
 	lists    int
