--- a/share/services/follow/chunks.go
+++ b/share/services/follow/chunks.go
@@ -15,7 +15,7 @@
 // started from the beginning.
 type chunkCache struct {
 	lock sync.Mutex
-	// held is empty while nothing is being fetched. All chunks match their hashes.
+	// held is nil before the first fetch and after one that completed. All chunks match their hashes.
 	held map[config.Hash]config.Chunk
 }
 
@@ -41,6 +41,9 @@
 func (c *chunkCache) add(requested []config.Hash, answer *wire.Chunks) error {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	if c.held == nil {
+		c.held = map[config.Hash]config.Chunk{} // another fetch has completed meanwhile
+	}
 	for _, received := range answer.GetChunks() {
 		chunk := config.Chunk{Hash: config.Hash(received.GetHash()), Data: received.GetData()}
 		if err := chunk.Hash.Check(chunk.Data); err != nil {
--- a/share/services/follow/fetch_test.go
+++ b/share/services/follow/fetch_test.go
@@ -41,6 +41,8 @@
 	loaded *config.Loaded
 	// bytesPerSecond is the rate of a link.
 	bytesPerSecond int
+	// late is how much later each answer arrives, even if nobody waits for it any more.
+	late time.Duration
 
 	lock sync.Mutex
 	// left holds by peer how many chunks it sends before it fails; a peer without an entry does not fail.
@@ -70,6 +72,7 @@
 		answer.Chunks = []*wire.Chunk{{Hash: string(p.loaded.Version.ManifestHash), Data: p.loaded.Manifest.Encode()}}
 		return answer, nil
 	}
+	time.Sleep(p.late)
 	size := 0
 	for _, hash := range fetch.GetHashes() {
 		chunk, found := p.loaded.GetChunk(config.Hash(hash))
@@ -82,7 +85,9 @@
 	select {
 	case <-time.After(time.Second * time.Duration(size) / time.Duration(p.bytesPerSecond)):
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		if p.late == 0 {
+			return nil, ctx.Err()
+		}
 	}
 	return answer, p.countSent(peer, len(answer.GetChunks()))
 }
@@ -160,3 +165,15 @@
 	is.Equal(waitForRevision(f, 20*time.Second), uint64(7))
 	is.Equal(p.sent["agent-1"]+p.sent["agent-2"], count) // none was sent twice
 }
+
+// Guards against a crash when a fetch that has timed out goes on, and another one completes meanwhile.
+func TestFetchesThatOverlap(t *testing.T) {
+	is := is.New(t)
+	const readTimeout = 50 * time.Millisecond
+	p := newSlowPeers(t, 400)
+	p.bytesPerSecond = 1 << 30
+	p.late = 3 * readTimeout / 2
+	f := p.start(t, readTimeout, "agent-1", "agent-2", "agent-3")
+	is.Equal(waitForRevision(f, 20*time.Second), uint64(7))
+	time.Sleep(20 * p.late) // the other fetches end
+}
