--- a/ingress/services/state/reader.go
+++ b/ingress/services/state/reader.go
@@ -64,7 +64,7 @@
 // registered before, or if no other has registered until discoveryPause after this one did. DiscoverPeers
 // also looks a second time if hasPeers returns false.
 func (r *Reader) DiscoverPeers(ctx context.Context, hasPeers func() bool) {
-	first := []string(nil)
+	var first []string
 	r.retry(ctx, func(ctx context.Context) (err error) {
 		first, err = r.look(ctx)
 		return err
--- a/proofs/hosted/stall_test.go
+++ b/proofs/hosted/stall_test.go
@@ -8,8 +8,7 @@
 const (
 	// stallInterval is the time between two checks whether this process is run.
 	stallInterval = 20 * time.Millisecond
-	// minStall is the delay of such a check from which on the machine counts as stalled. The shortest
-	// timeout of a route is four times as long.
+	// minStall is the delay of such a check from which on the machine counts as stalled.
 	minStall = 500 * time.Millisecond
 )
 
--- a/share/decide/avail/avail.go
+++ b/share/decide/avail/avail.go
@@ -11,7 +11,7 @@
 )
 
 // retainTime is how long a server that is not in the view is remembered. It may come back: its failure
-// domain was evacuated, or its registration lapsed while the store was away.
+// domain was evacuated, or its registration expired while the store was away.
 const retainTime = time.Hour
 
 // Table holds what backend servers said in their answers. It is not safe for concurrent use.
--- a/share/services/follow/chunks.go
+++ b/share/services/follow/chunks.go
@@ -7,8 +7,7 @@
 	"verbenaroad.example/share/modules/wire"
 )
 
-// chunksPerFetch is the number of chunks that one fetch from a peer requests. At the target a chunk is 20 KB
-// in size, so that they arrive within the time of one read on a link of 2 Mbit/s.
+// chunksPerFetch is the number of chunks that one request to a peer asks for.
 const chunksPerFetch = 16
 
 // chunkCache keeps the chunks of a configuration that is being fetched, so that a fetch that failed is not
