limits: closed servers are counted when something has changed

Each server named in each heartbeat, and each answer of a server that leaves, had all closed servers counted anew: 64 times 64 for each heartbeat of each peer while 64 servers leave. TestKnownClosuresAreNotCountedAgain failed before.

--- a/ingress/services/limits/closed.go
+++ b/ingress/services/limits/closed.go
@@ -19,7 +19,9 @@
 	r.lock.Lock()
 	leaves := a.Leaving && r.closed.MarkLeaving(now, server)
 	paused := r.closed.Pause(now, server, now.Add(a.RetryAfter))
-	r.countClosed(now)
+	if leaves || paused {
+		r.countClosed(now)
+	}
 	r.lock.Unlock()
 	if paused {
 		r.log.Info("server-paused", zap.String("server", server.ID), zap.String("service", server.Service),
@@ -112,7 +114,9 @@
 		r.lock.Lock()
 		server, known := r.getServers()[m.GetServerId()]
 		leaves := known && server.Incarnation == m.GetIncarnation() && r.closed.MarkLeaving(now, &server)
-		r.countClosed(now)
+		if leaves {
+			r.countClosed(now)
+		}
 		r.lock.Unlock()
 		if leaves {
 			changed = true
--- a/ingress/services/limits/closed_test.go
+++ b/ingress/services/limits/closed_test.go
@@ -13,6 +13,7 @@
 	"verbenaroad.example/ingress/services/limits"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/wire"
 )
 
 func newLeavingView(servers ...site.Server) *state.View { return &state.View{Leaving: servers} }
@@ -81,3 +82,21 @@
 	time.Sleep(200 * time.Millisecond)
 	is.True(first.MaySend(server, "a"))
 }
+
+// Guards against an ingress with many peers that is busy counting while servers leave, since each heartbeat
+// and each answer of such a server repeats what is known.
+func TestKnownClosuresAreNotCountedAgain(t *testing.T) {
+	is := is.New(t)
+	server := site.Server{ID: "i-0", Incarnation: 7, Service: "engines", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	meter := &sendCounter{}
+	r := limits.NewRegistry(limits.Options{Meter: meter, Log: zap.NewNop()})
+	r.SetView(newLeavingView(server))
+	told := []*wire.LeavingServer{{ServerId: server.ID, Incarnation: server.Incarnation}}
+	r.MergeLeaving("a", told)
+	counted := meter.closedCounts
+	for range 100 {
+		r.MergeLeaving("a", told)
+		r.ObserveAnswer(server, site.Answer{Status: http.StatusOK, Signed: true, Leaving: true})
+	}
+	is.Equal(meter.closedCounts, counted)
+}
--- a/ingress/services/limits/limits_test.go
+++ b/ingress/services/limits/limits_test.go
@@ -15,13 +15,17 @@
 )
 
 // sendCounter counts the requests to servers with a rate limit.
-type sendCounter struct{ count int }
+type sendCounter struct {
+	count int
+	// closedCounts is how often the closed servers were counted.
+	closedCounts int
+}
 
 func (c *sendCounter) CountLimitedSend(string) { c.count++ }
 
 func (*sendCounter) SetLimitedServers(int) {}
 
-func (*sendCounter) SetClosedServers(int, int) {}
+func (c *sendCounter) SetClosedServers(int, int) { c.closedCounts++ }
 
 func newAnswer(status int, signed bool, limit site.RateLimit) site.Answer {
 	return site.Answer{Status: status, Signed: signed, RateLimit: limit}
