--- a/ingress/cmds/links.go
+++ b/ingress/cmds/links.go
@@ -34,13 +34,13 @@
 	}
 }
 
-// observeAccepted records what an ingress that opened a session to this one tells in a heartbeat about
+// observeAccepted records what an ingress that opened a session to this one reports in a heartbeat about
 // backend servers. The rest of the heartbeat is for the ingress that opened the session.
 func (i *Ingress) observeAccepted(session *link.Session, beat *wire.Beat, _ time.Time) {
 	i.mergeStatements(session.Peer().GetName(), beat)
 }
 
-// mergeStatements records what another ingress tells about backend servers.
+// mergeStatements records what another ingress reports about backend servers.
 func (i *Ingress) mergeStatements(ingress string, beat *wire.Beat) {
 	i.limits.Merge(ingress, beat.GetRateLimits())
 	i.limits.MergeLeaving(ingress, beat.GetLeavingServers())
--- a/ingress/services/limits/closed.go
+++ b/ingress/services/limits/closed.go
@@ -90,7 +90,7 @@
 	return r.closed.ListPaused(now, service)
 }
 
-// LeavingServers returns what the heartbeats of this ingress tell the others about servers that leave.
+// LeavingServers returns what the heartbeats of this ingress report about servers that leave.
 func (r *Registry) LeavingServers() []*wire.LeavingServer {
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -105,7 +105,7 @@
 	return messages
 }
 
-// MergeLeaving records what a heartbeat of another ingress tells about servers that leave. Starts of
+// MergeLeaving records what a heartbeat of another ingress reports about servers that leave. Starts of
 // servers that are not in the view are ignored.
 func (r *Registry) MergeLeaving(ingress string, messages []*wire.LeavingServer) {
 	now := time.Now()
--- a/ingress/services/limits/closed_test.go
+++ b/ingress/services/limits/closed_test.go
@@ -18,7 +18,7 @@
 
 func newLeavingView(servers ...site.Server) *state.View { return &state.View{Leaving: servers} }
 
-// Guards against an ingress that goes on using a server although another ingress was told that it leaves,
+// Guards against an ingress that goes on using a server although another ingress knows that it leaves,
 // against news of an earlier start of the server, and against the same news each heartbeat.
 func TestLeavingServersReachAnotherIngress(t *testing.T) {
 	is := is.New(t)
@@ -91,11 +91,11 @@
 	meter := &sendCounter{}
 	r := limits.NewRegistry(limits.Options{Meter: meter, Log: zap.NewNop()})
 	r.SetView(newLeavingView(server))
-	told := []*wire.LeavingServer{{ServerId: server.ID, Incarnation: server.Incarnation}}
-	r.MergeLeaving("a", told)
+	reported := []*wire.LeavingServer{{ServerId: server.ID, Incarnation: server.Incarnation}}
+	r.MergeLeaving("a", reported)
 	counted := meter.closedCounts
 	for range 100 {
-		r.MergeLeaving("a", told)
+		r.MergeLeaving("a", reported)
 		r.ObserveAnswer(server, site.Answer{Status: http.StatusOK, Signed: true, Leaving: true})
 	}
 	is.Equal(meter.closedCounts, counted)
--- a/share/decide/feed/feed_test.go
+++ b/share/decide/feed/feed_test.go
@@ -51,7 +51,7 @@
 	is.Equal(c.Plan(after(1200*time.Millisecond)).Read, true)
 }
 
-// Guards against a herd of readers at a first start: the store answers slowly, so an ingress learns of the
+// Guards against many readers of the store at a first start: the store answers slowly, so an ingress learns of the
 // others later than one that gets no answer begins to read.
 func TestStartDoesNotReadWhileTheStoreAnswers(t *testing.T) {
 	is := is.New(t)
