flow, state: log lines name the software version of servers and the resumed attempt

server-seen, placed and stream-begun name the version, stream-begun the event after which it goes on, and resume-requested which stream a caller takes up. Before, the lines could not tell a stream that was joined within one answer from one that its caller joined, nor which versions it holds. No decision changes.

--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -65,7 +65,8 @@
 	r.releaseResults() // the engine has fetched the results of the stages
 	r.reservation.MarkAnswering(reply.Load)
 	took := time.Since(r.Arrived)
-	r.log.Info("stream-begun", zap.String("server", server.ID), zap.Duration("took", took))
+	r.log.Info("stream-begun", zap.String("server", server.ID), zap.String("version", server.Version),
+		zap.String("after-event", r.lastID), zap.Duration("took", took))
 	r.server.options.Meter.CountFirstEvent(r.route.Name, took)
 }
 
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -23,6 +23,9 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	defer x.cancelReservation()
+	if x.LastEventID != "" {
+		x.log.Info("resume-requested", zap.String("resumes", x.Resumes), zap.String("last-event", x.LastEventID))
+	}
 	// The engine is chosen first, so that the results are produced in its failure domain.
 	if !x.reserveEngine(ctx) {
 		return x.resolveCancellation(ctx, x.refuseNoServer())
@@ -44,7 +47,7 @@
 	if x.reservation == nil {
 		return false
 	}
-	x.log.Info("placed", zap.String("server", x.reservation.Server().ID), zap.String("by", x.reservation.PlacedBy),
+	x.log.Info("placed", zap.String("server", x.reservation.Server().ID), zap.String("version", x.reservation.Server().Version), zap.String("by", x.reservation.PlacedBy),
 		zap.Duration("predicted-wait", x.reservation.Wait), zap.String("fetch-from", x.reservation.FetchFrom))
 	return true
 }
--- a/ingress/services/state/apply.go
+++ b/ingress/services/state/apply.go
@@ -124,6 +124,7 @@
 	b.servers.Put(server)
 	b.options.Log.Info("server-seen", zap.String("server", id), zap.String("service", server.Service),
 		zap.Stringer("address", server.Address), zap.String("state", string(server.State)), zap.Duration("cold-for", server.ColdRemaining),
+		zap.String("version", server.Version), zap.Int64("incarnation", server.Incarnation),
 		zap.Uint64("revision", r.Revision), zap.String("source", source))
 }
 
--- a/share/models/site/request.go
+++ b/share/models/site/request.go
@@ -29,8 +29,10 @@
 	ItemCounts []int
 	// ItemKey is the input of stages that take no results of other stages.
 	ItemKey string
-	// LastEventID is set if the caller resumes a stream.
+	// LastEventID is set if the caller resumes a stream. Resumes is then the ID of the attempt that
+	// brought the first event of the stream; empty: not stated.
 	LastEventID string
+	Resumes     string
 }
 
 // PromptPart is a run of prompt tokens that is cached as a unit.
