proofs: streams that hold events of two software versions, known red

The stand-ins state their version in each event and may restart with another one; callers take streams up with Last-Event-Id and Resumes at other ingresses.

--- a/fakes/services/hosted/answers.go
+++ b/fakes/services/hosted/answers.go
@@ -49,7 +49,7 @@
 }
 
 // stream sends the events after Last-Event-Id; the data of each event is the attempt ID of the
-// request.
+// request and the software version of the server.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
 	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	if err != nil {
@@ -68,13 +68,16 @@
 	sign(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
+	s.lock.Lock()
+	version := s.softwareVersion()
+	s.lock.Unlock()
 	for i := after + 1; i <= s.Events; i++ {
 		select {
 		case <-time.After(s.EventInterval):
 		case <-r.Context().Done():
 			return
 		}
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, r.Header.Get("X-Verbenaroad-Attempt-Id"))
+		event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", i, r.Header.Get("X-Verbenaroad-Attempt-Id"), version)
 		if fault == CutStream && i == after+3 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			_ = control.Flush()
--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -77,7 +77,7 @@
 	// Advertised is the address to register in the store if a proxy stands in front of the server;
 	// the zero value registers the address that the server listens on.
 	Advertised netip.AddrPort
-	// Version is the software version that the server registers; empty: v1.
+	// Version is the software version that the server registers; empty: v1. SetVersion changes it.
 	Version string
 
 	store  *Store
@@ -144,17 +144,29 @@
 	address := s.registeredAddress()
 	s.lock.Lock()
 	restarts := s.restarts
+	version := s.softwareVersion()
 	s.lock.Unlock()
-	version := s.Version
-	if version == "" {
-		version = "v1"
-	}
 	s.store.Put("servers/"+s.ID, map[string]any{
 		"Service": s.Service, "Address": address.String(), "Zone": s.Zone, "Version": version,
 		"Slots": registeredSlots, "State": state, "ColdRemainingMs": s.ColdRemaining.Milliseconds(), "Sequence": 1, "born": 1 + restarts,
 	})
 }
 
+// SetVersion sets the software version that the server has from its next restart on. It must be down.
+func (s *Server) SetVersion(version string) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.Version = version
+}
+
+// softwareVersion returns the version that the server registers. The caller holds the lock.
+func (s *Server) softwareVersion() string {
+	if s.Version == "" {
+		return "v1"
+	}
+	return s.Version
+}
+
 // Crash closes the listener and all connections and leaves the registration in the store. Restart
 // undoes it.
 func (s *Server) Crash() { s.server.close() }
--- /dev/null
+++ b/proofs/hosted/versions_test.go
@@ -0,0 +1,308 @@
+package hosted_test
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/fakes/services/hosted"
+)
+
+const (
+	// otherVersion is the software version of half of the engines of these tests; the others have
+	// firstVersion.
+	firstVersion = "v1"
+	otherVersion = "v2"
+	// resumeTries is how often a caller takes up a stream that broke off.
+	resumeTries = 4
+	// unresumedRetry is the time between two of these tries.
+	unresumedRetry = 300 * time.Millisecond
+	// requiredShare is the least share of the streams taken up elsewhere that must go on, of the share of
+	// new streams that begin.
+	requiredShare = 0.5
+)
+
+// addOtherVersion adds an engine of otherVersion in each zone.
+func (d *deployment) addOtherVersion() {
+	d.t.Helper()
+	for _, zone := range []string{"a1", "b1"} {
+		model := d.engines[0]
+		d.engines = append(d.engines, d.add(&hosted.Server{
+			Service: "models", Zone: zone, Events: model.Events, EventInterval: model.EventInterval, Version: otherVersion,
+		}))
+	}
+	for _, i := range d.ingresses {
+		eventually(d.t, i.name+" has seen the other version", func() bool {
+			return len(i.output.lines("event=server-seen", "version="+otherVersion)) >= 2
+		})
+	}
+}
+
+// resumedStream is a stream of one caller, which takes it up when it breaks off.
+type resumedStream struct {
+	// first is the attempt that brought the first event; empty before.
+	first string
+	// versions are those of the events, in order and without repetition.
+	versions []string
+	lastID   string
+	events   int
+	complete bool
+	// refused counts the tries that were refused as not run, slowest is the longest of them.
+	refused int
+	slowest time.Duration
+	// unnamed is set if the caller does not state which attempt brought the first event.
+	unnamed bool
+}
+
+// receive sends the next attempt of the stream and records its events.
+func (s *resumedStream) receive(i *ingress) {
+	q := newReview()
+	if s.lastID != "" {
+		q.header["Last-Event-Id"] = s.lastID
+		if !s.unnamed {
+			q.header["Resumes"] = s.first
+		}
+	}
+	a := i.send(context.Background(), q)
+	if a.status == http.StatusServiceUnavailable {
+		s.refused++
+		s.slowest = max(s.slowest, a.took)
+	}
+	if a.status != http.StatusOK {
+		return
+	}
+	for line := range strings.SplitSeq(a.body, "\n") {
+		if id, found := strings.CutPrefix(line, "id: "); found {
+			s.lastID = id
+		}
+		if data, found := strings.CutPrefix(line, "data: "); found && strings.Contains(data, " ") {
+			s.recordEvent(q.id, strings.Fields(data)[1])
+		}
+	}
+	s.complete = a.err == nil
+}
+
+func (s *resumedStream) recordEvent(attempt, version string) {
+	s.events++
+	if s.first == "" {
+		s.first = attempt
+	}
+	if !slices.Contains(s.versions, version) {
+		s.versions = append(s.versions, version)
+	}
+}
+
+// run receives the stream at the first ingress, and after a break takes it up at the others by turns.
+func (s *resumedStream) run(done *sync.WaitGroup, first *ingress, others []*ingress) {
+	defer done.Done()
+	s.receive(first)
+	for n := 0; !s.complete && n < resumeTries; n++ {
+		time.Sleep(unresumedRetry)
+		s.receive(others[n%len(others)])
+	}
+}
+
+// startStreams starts streams at the first ingress that are taken up at the others.
+func startStreams(n int, unnamed bool, first *ingress, others []*ingress) ([]*resumedStream, *sync.WaitGroup) {
+	streams := []*resumedStream{}
+	done := &sync.WaitGroup{}
+	for range n {
+		s := &resumedStream{unnamed: unnamed}
+		streams = append(streams, s)
+		done.Add(1)
+		go s.run(done, first, others)
+	}
+	return streams, done
+}
+
+// checkVersions checks that no stream holds events of two versions. It returns how many streams were
+// complete.
+func checkVersions(t *testing.T, streams []*resumedStream) (complete int) {
+	t.Helper()
+	joined := 0
+	for _, s := range streams {
+		if len(s.versions) > 1 {
+			joined++
+		}
+		if s.complete {
+			complete++
+		}
+	}
+	t.Logf("%d of %d streams are complete", complete, len(streams))
+	if joined > 0 {
+		t.Errorf("%d of %d streams hold events of two software versions", joined, len(streams))
+	}
+	return complete
+}
+
+// checkShare checks that enough of the streams were complete. All new streams begin in these tests.
+func checkShare(t *testing.T, complete int, streams []*resumedStream) {
+	t.Helper()
+	if float64(complete) < requiredShare*float64(len(streams)) {
+		t.Errorf("only %d of %d streams went on", complete, len(streams))
+	}
+}
+
+// slowStreams lets each engine take a second for a stream.
+func (d *deployment) slowStreams() {
+	for _, e := range d.engines {
+		e.Events, e.EventInterval = 20, 50*time.Millisecond
+	}
+}
+
+const (
+	// testedStreams is how many streams a test breaks off.
+	testedStreams = 24
+	// midStream is how long after their start all of these streams are under way.
+	midStream = 600 * time.Millisecond
+)
+
+// Guards against a stream that breaks off and goes on, within the same answer, at an engine of another
+// software version.
+func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	d.addOtherVersion()
+	for range 6 {
+		for _, e := range d.engines {
+			if e.Zone == "a1" {
+				e.SetFaults(hosted.CutStream)
+			}
+		}
+		s := &resumedStream{}
+		s.receive(d.ingresses[0])
+		is.Equal(checkVersions(t, []*resumedStream{s}), 1)
+	}
+}
+
+// Guards against a stream that its caller takes up at another ingress, after the one that began it was
+// killed, and that goes on at another software version or not at all.
+func TestStreamTakenUpElsewhereGoesOnAtItsVersion(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.addOtherVersion()
+	d.slowStreams()
+	streams, done := startStreams(testedStreams, false, d.ingresses[0], d.ingresses[1:])
+	time.Sleep(midStream)
+	d.ingresses[0].kill()
+	done.Wait()
+	checkShare(t, checkVersions(t, streams), streams)
+}
+
+// Guards against a stream that went on once and is taken up again at a third ingress: its caller names the
+// attempt that brought the first event, which two killed ingresses knew.
+func TestStreamTakenUpTwiceGoesOnAtItsVersion(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.addOtherVersion()
+	d.slowStreams()
+	streams, done := startStreams(testedStreams, false, d.ingresses[0], []*ingress{d.ingresses[1], d.ingresses[2]})
+	time.Sleep(midStream)
+	d.ingresses[0].kill()
+	time.Sleep(unresumedRetry + midStream/2)
+	d.ingresses[1].kill()
+	done.Wait()
+	checkShare(t, checkVersions(t, streams), streams)
+}
+
+// Guards against a stream that began while its service had one software version, and goes on at the
+// version that was added meanwhile.
+func TestStreamFromBeforeAnUpdateGoesOnAtItsVersion(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.slowStreams()
+	for _, e := range d.engines {
+		e.EventInterval = 150 * time.Millisecond
+	}
+	streams, done := startStreams(testedStreams, false, d.ingresses[0], d.ingresses[1:])
+	time.Sleep(midStream)
+	d.addOtherVersion()
+	time.Sleep(midStream)
+	d.ingresses[0].kill()
+	done.Wait()
+	checkShare(t, checkVersions(t, streams), streams)
+}
+
+// Guards against streams that go on at another software version after every ingress was killed.
+func TestStreamsKeepTheirVersionAfterTheLossOfAllIngresses(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.addOtherVersion()
+	d.slowStreams()
+	streams, done := startStreams(testedStreams, false, d.ingresses[0], d.ingresses[1:])
+	time.Sleep(midStream)
+	for _, i := range d.ingresses {
+		i.kill()
+	}
+	for _, i := range d.ingresses {
+		i.start()
+	}
+	done.Wait()
+	checkVersions(t, streams)
+}
+
+// Guards against a refusal of streams whose version can be known: their service has had only one.
+func TestStreamsGoOnAfterTheLossOfAllIngressesWithOneVersion(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.slowStreams()
+	streams, done := startStreams(testedStreams, true, d.ingresses[0], d.ingresses[1:])
+	time.Sleep(midStream)
+	for _, i := range d.ingresses {
+		i.kill()
+	}
+	for _, i := range d.ingresses {
+		i.start()
+	}
+	done.Wait()
+	checkShare(t, checkVersions(t, streams), streams)
+}
+
+// Guards against a stream that goes on at the engine that it began at, which has restarted under its ID
+// with another software version.
+func TestStreamDoesNotGoOnAtAnEngineThatWasUpdated(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.slowStreams()
+	streams, done := startStreams(testedStreams, false, d.ingresses[0], d.ingresses[1:])
+	time.Sleep(midStream)
+	updated := d.engines[0]
+	updated.Crash()
+	updated.SetVersion(otherVersion)
+	if err := updated.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	d.ingresses[0].kill()
+	done.Wait()
+	checkShare(t, checkVersions(t, streams), streams)
+}
+
+// Guards against a stream that waits, or that is run, although it cannot go on: no engine of its version is
+// left, or its version is not known.
+func TestStreamThatCannotGoOnIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	d.addOtherVersion()
+	s := &resumedStream{}
+	for len(s.versions) == 0 || s.versions[0] != firstVersion {
+		s = &resumedStream{}
+		s.receive(d.ingresses[0])
+		is.True(s.complete)
+	}
+	s.lastID = "2"
+	for _, e := range d.engines[:2] {
+		e.Register("draining")
+	}
+	for _, i := range d.ingresses {
+		eventually(t, i.name+" sees the drain", func() bool { return len(i.output.lines("event=server-seen", "state=draining")) >= 2 })
+	}
+	unknown := &resumedStream{first: "ffffffffffff0000", lastID: "2"}
+	for _, taken := range []*resumedStream{s, unknown} {
+		q := newReview()
+		q.header["Last-Event-Id"], q.header["Resumes"] = taken.lastID, taken.first
+		a := d.ingresses[1].send(context.Background(), q)
+		is.Equal(a.status, http.StatusServiceUnavailable)
+		is.Equal(len(d.Runs(q.id)), 0)
+		is.True(a.took < time.Second)
+	}
+}
