place, flow: a stream that breaks off goes on at the software version that began it

Callers saw streams whose first events come from one version of an engine service and the others from another one. No decision knew the version: after a break the nearest engine with room was taken.

The constraints on the servers of a request (allowed regions, and now the software that began its stream) are one type with one question, asked by the placement of engines and plain servers, by a placer elsewhere, by the reservation before it is used and after its results were produced, and by the engine that prompt parts are fetched from. An answer of a placer that does not know the constraint is checked. What one version has cached is not fetched by another, and an engine that registers other software under its ID starts without history.

--- a/ingress/services/assign/dispatcher.go
+++ b/ingress/services/assign/dispatcher.go
@@ -141,7 +141,7 @@
 func (d *Dispatcher) placeAtPeer(ctx context.Context, name, service string, q place.Query) (*Reservation, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, assignTimeout)
 	defer cancel()
-	request := &wire.Assign{Service: service, Domain: q.Domain, Region: q.Region, Exclude: q.Exclude, Residency: encode.Residency(q.Residency)}
+	request := &wire.Assign{Service: service, Domain: q.Domain, Region: q.Region, Exclude: q.Exclude, Residency: encode.Residency(q.Constraints.Residency), Software: encode.Software(q.Constraints.Software)}
 	if g := q.Generation; g != nil {
 		request.PromptTokens = uint32(g.PromptTokens)       //nolint:gosec // read as a small number
 		request.MaxOutputTokens = uint32(g.MaxOutputTokens) //nolint:gosec // read as a small number
@@ -164,7 +164,8 @@
 		return nil, time.Duration(answer.GetRetryAfterNanos()), nil
 	}
 	server, found := FindServer(d.views.View(), service, answer.GetServerId())
-	if !found {
+	// A placer of an earlier program version does not know all constraints.
+	if !found || !q.Constraints.Allow(&server, d.placer.regions[server.Domain]) {
 		assignment.Close()
 		q.IsFallback = true
 		reservation, retryAfter := d.placer.Place(service, q)
@@ -244,6 +245,6 @@
 	}
 	return place.Query{
 		Domain: a.GetDomain(), Region: a.GetRegion(), Exclude: a.GetExclude(), Generation: g,
-		Residency: encode.ReadResidency(a.GetResidency()),
+		Constraints: site.Constraints{Residency: encode.ReadResidency(a.GetResidency()), Software: encode.ReadSoftware(a.GetSoftware())},
 	}
 }
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -136,6 +136,8 @@
 	log   *zap.Logger
 	// deadline is when the request must have its final answer.
 	deadline time.Time
+	// software has begun the stream, which may go on only there; nil before the answer has begun.
+	software *site.Software
 	// reservation is the reserved place at an engine; nil for plain services.
 	reservation *assign.Reservation
 	// limitWait is how long the caller is to wait if no server takes the request because of rate
@@ -241,11 +243,11 @@
 
 func (x *exchange) newQuery() place.Query {
 	return place.Query{
-		Domain:    x.server.options.Domain,
-		Region:    x.server.options.Region,
-		Exclude:   slices.Concat(x.tried, x.listClosed()),
-		Residency: x.residency(),
-		ColdLimit: x.coldLimit(),
+		Domain:      x.server.options.Domain,
+		Region:      x.server.options.Region,
+		Exclude:     slices.Concat(x.tried, x.listClosed()),
+		Constraints: x.constraints(),
+		ColdLimit:   x.coldLimit(),
 		Generation: &place.Generation{
 			Parts:           x.Parts,
 			PromptTokens:    x.PromptTokens,
--- a/ingress/services/flow/pick.go
+++ b/ingress/services/flow/pick.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		ids = append(ids, id)
-		if slices.Contains(x.tried, id) || !x.residency().Allows(x.server.options.Regions[d.server.Domain]) {
+		if slices.Contains(x.tried, id) || !x.isAllowed(&d.server) {
 			continue
 		}
 		if wait := d.until.Sub(now); x.limitWait == 0 || wait < x.limitWait {
--- a/ingress/services/flow/places.go
+++ b/ingress/services/flow/places.go
@@ -21,6 +21,16 @@
 	return table.FindResidency(x.Decision)
 }
 
+// constraints returns which servers may receive the request now.
+func (x *exchange) constraints() site.Constraints {
+	return site.Constraints{Residency: x.residency(), Software: x.software}
+}
+
+// isAllowed reports whether a server may receive the request, whatever its load.
+func (x *exchange) isAllowed(server *site.Server) bool {
+	return x.constraints().Allow(server, x.server.options.Regions[server.Domain])
+}
+
 // coldLimit returns this ingress's share of the rate limit of a cold server, as a function of the
 // server. The limit is divided among the ingresses without communication. If there are more of them
 // than the limit, those with the highest scores for the server may send it one request per second
@@ -72,7 +82,7 @@
 	first := time.Duration(0)
 	now := time.Now()
 	for _, s := range x.server.options.Views.View().Servers[x.service] {
-		if !x.residency().Allows(x.server.options.Regions[s.Domain]) {
+		if !x.isAllowed(&s) {
 			continue
 		}
 		until := x.server.options.Limits.PausedUntil(now, &s)
@@ -117,6 +127,9 @@
 	if r := x.residency(); r.Restricted {
 		detail += fmt.Sprintf("; allowed regions: %s", strings.Join(r.Regions, ","))
 	}
+	if x.software != nil {
+		detail += fmt.Sprintf("; the stream began at version %s of %s", x.software.Version, x.software.Service)
+	}
 	if len(v.Evacuated) > 0 {
 		detail += fmt.Sprintf("; evacuated: %s", strings.Join(v.Evacuated, ","))
 	}
--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -48,6 +48,14 @@
 	placer     *assign.Placer
 	placements int
 	sentTo     []string
+	// breaksAt is the ID of an engine that breaks off each stream after two events, avoid that of one
+	// that is excluded from the first placement.
+	breaksAt string
+	avoid    string
+	// viewAfterSecondStages replaces view when results are produced for the second time; nil: the view
+	// does not change. productions counts how often results were produced.
+	viewAfterSecondStages *state.View
+	productions           int
 	// fetchFrom is the ID of the engine from which the placer lets engines fetch. fetchSources are
 	// the addresses that were sent to the engines.
 	fetchFrom    string
@@ -58,6 +66,9 @@
 
 func (s *deployment) Place(_ context.Context, service string, q place.Query) (*assign.Reservation, time.Duration) {
 	s.placements++
+	if s.placements == 1 && s.avoid != "" {
+		q.Exclude = append(q.Exclude, s.avoid)
+	}
 	reservation, retryAfter := s.placer.Place(service, q)
 	if reservation != nil {
 		reservation.FetchFrom = s.fetchFrom
@@ -80,6 +91,11 @@
 func (s *deployment) changeAfterStages() {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.productions++
+	if s.productions == 2 && s.viewAfterSecondStages != nil {
+		s.view = s.viewAfterSecondStages
+		s.placer.SetView(s.view)
+	}
 	if s.viewAfterStages != nil {
 		s.view = s.viewAfterStages
 		s.placer.SetView(s.view)
@@ -99,7 +115,11 @@
 	s.sentTo = append(s.sentTo, r.Server.ID)
 	s.fetchSources = append(s.fetchSources, r.UpstreamHeaders.FetchFrom)
 	answer := site.Answer{Status: http.StatusOK, Signed: true, AttemptID: r.UpstreamHeaders.AttemptID, Header: http.Header{}}
-	return &reach.Reply{Answer: answer, Body: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n")), Length: -1}, nil
+	events := "id: 1\ndata: x\n\n"
+	if r.Server.ID == s.breaksAt {
+		events += "id: 2\ndata: x\n\nid: 3\nda"
+	}
+	return &reach.Reply{Answer: answer, Body: io.NopCloser(strings.NewReader(events)), Length: -1}, nil
 }
 
 var regions = map[string]string{"n1": "north", "s1": "south"} //nolint:gochecknoglobals // a constant in all but syntax
@@ -149,6 +169,15 @@
 	return answer
 }
 
+// isCut serves a request and reports whether its answer was cut off.
+func (s *deployment) isCut(route site.Route) (cut bool) {
+	defer func() {
+		cut = recover() != nil
+	}()
+	s.serve(route)
+	return false
+}
+
 // Guards against a request being sent to an evacuated failure domain because it was placed there
 // before the evacuation.
 func TestRequestIsPlacedAgainIfItsDomainIsEvacuated(t *testing.T) {
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -53,14 +53,15 @@
 }
 
 // fetchFrom returns the engine from which the chosen one fetches the prompt parts that it lacks. If
-// that engine has left or asked for a pause since the placement, or the request's data must not be in
-// its region, the address is not valid and the chosen engine prefills the prompt itself.
-func (x *exchange) fetchFrom() netip.AddrPort {
+// that engine has left or asked for a pause since the placement, or the request may not be sent there, or
+// it runs other software than the chosen one, the address is not valid and the chosen engine prefills the
+// prompt itself.
+func (x *exchange) fetchFrom(server *site.Server) netip.AddrPort {
 	if x.reservation.FetchFrom == "" {
 		return netip.AddrPort{}
 	}
 	source, found := assign.FindServer(x.server.options.Views.View(), x.service, x.reservation.FetchFrom)
-	if !found || !x.residency().Allows(x.server.options.Regions[source.Domain]) || x.isPaused(&source) {
+	if !found || !x.isAllowed(&source) || x.isPaused(&source) || source.Software() != server.Software() {
 		return netip.AddrPort{}
 	}
 	return source.Address
@@ -76,12 +77,12 @@
 
 // isReservationUsable reports whether the request may still be sent to the reserved engine. While
 // the results were produced, the engine may have begun to leave, its failure domain may have been
-// evacuated, or a new configuration may exclude its region. It may also have become cold or have
-// stated a rate limit, in which case the requests placed there before were not counted against it, or
-// have asked for a pause.
+// evacuated, or a new configuration may exclude its region. It may have started again under its ID with
+// other software. It may also have become cold or have stated a rate limit, in which case the requests
+// placed there before were not counted against it, or have asked for a pause.
 func (x *exchange) isReservationUsable() bool {
 	server, found := assign.FindServer(x.server.options.Views.View(), x.service, x.reservation.Server().ID)
-	if !found || !x.residency().Allows(x.server.options.Regions[server.Domain]) {
+	if !found || !x.isAllowed(&server) {
 		return false
 	}
 	if x.isPaused(&server) {
@@ -91,6 +92,14 @@
 	return (!server.IsCold(time.Now()) || x.reservation.WasCold) && (!limited || x.reservation.WasLimited)
 }
 
+// reservedServer returns the reserved engine as it is registered now.
+func (x *exchange) reservedServer() site.Server {
+	if server, found := assign.FindServer(x.server.options.Views.View(), x.service, x.reservation.Server().ID); found {
+		return server
+	}
+	return x.reservation.Server()
+}
+
 // isPaused reports whether a server has asked this ingress for a pause.
 func (x *exchange) isPaused(server *site.Server) bool {
 	return !x.server.options.Limits.PausedUntil(time.Now(), server).IsZero()
@@ -195,14 +204,7 @@
 func (r *relay) run(ctx context.Context) *codes.Result {
 	r.lastID = r.LastEventID
 	for {
-		if len(r.tried) > 0 || !r.isReservationUsable() {
-			if !r.reserveEngine(ctx) {
-				return r.endStream(r.refuseNoServer())
-			}
-		}
-		// A stream that continues at another engine needs the results there as well, and they
-		// were released after the first engine had fetched them.
-		if result := r.produceResults(ctx); result != nil {
+		if result := r.prepare(ctx); result != nil {
 			return r.endStream(result)
 		}
 		// The request may have been quarantined while the results were produced, because it
@@ -211,13 +213,36 @@
 			return r.endStream(quarantined)
 		}
 		r.reservation.MarkSent()
-		v := r.try(ctx, r.reservation.Server())
+		v := r.try(ctx, r.reservedServer())
 		if !v.retry || r.remaining() <= 0 {
 			return r.endStream(v.result)
 		}
 	}
 }
 
+// prepare reserves an engine for the next attempt and has the results produced that it needs. The request
+// was placed before its first attempt; while results are produced, the reserved engine may become
+// unusable.
+func (r *relay) prepare(ctx context.Context) *codes.Result {
+	isPlaced := len(r.tried) == 0
+	for {
+		if !isPlaced || !r.isReservationUsable() {
+			if !r.reserveEngine(ctx) {
+				return r.refuseNoServer()
+			}
+		}
+		isPlaced = true
+		if len(r.route.Stages) == 0 || r.results != nil {
+			return nil
+		}
+		// A stream that continues at another engine needs the results there as well, and they
+		// were released after the first engine had fetched them.
+		if result := r.produceResults(ctx); result != nil {
+			return result
+		}
+	}
+}
+
 // endStream returns the result with which the request ends. If the answer has begun, it can no
 // longer be replaced by an error; endStream then closes the connection, so that the caller sees
 // that the stream is incomplete.
@@ -243,7 +268,7 @@
 	}
 	attempt := r.newAttempt(server, handles)
 	attempt.UpstreamHeaders.LastEventID = r.lastID
-	attempt.UpstreamHeaders.FetchFrom = r.fetchFrom()
+	attempt.UpstreamHeaders.FetchFrom = r.fetchFrom(&server)
 	stopRelease := r.scheduleRelease()
 	defer stopRelease()
 	began := time.Now()
--- a/share/decide/place/engines.go
+++ b/share/decide/place/engines.go
@@ -176,7 +176,7 @@
 	for _, s := range servers {
 		live[s.ID] = true
 		known := e.engines[s.ID]
-		if known == nil || known.Incarnation != s.Incarnation || known.Address != s.Address {
+		if known == nil || !isSameProcess(&known.Server, &s) {
 			known = &engine{parts: map[string]cachedPart{}, slowdown: 1}
 			e.engines[s.ID] = known
 		}
--- a/share/decide/place/fetch.go
+++ b/share/decide/place/fetch.go
@@ -31,7 +31,7 @@
 	}
 	list := []source{}
 	for _, c := range e.accepting {
-		if slices.Contains(q.Exclude, c.ID) || !q.Residency.Allows(e.regions[c.Domain]) || now.Before(c.backoffUntil) {
+		if slices.Contains(q.Exclude, c.ID) || !q.Constraints.Allow(&c.Server, e.regions[c.Domain]) || now.Before(c.backoffUntil) {
 			continue
 		}
 		if cached := c.prefilledTokens(now, q.Generation); cached >= minFetchTokens {
@@ -81,6 +81,7 @@
 
 // planPrefill determines how an engine processes a prompt. A part counts as cached only if all
 // parts before it are cached, and as fetched only if all parts before it are cached or fetched.
+// Nothing is fetched from an engine of another software version.
 func (e *Engines) planPrefill(now time.Time, g *Generation, c *engine, sources []source) prefillPlan {
 	if g == nil {
 		return prefillPlan{}
@@ -94,7 +95,7 @@
 	}
 	plan := prefillPlan{}
 	for _, s := range sources {
-		if s.engine != c && s.tokens-cached >= minFetchTokens {
+		if s.engine != c && s.engine.Software() == c.Software() && s.tokens-cached >= minFetchTokens {
 			plan.fetched = s.tokens - cached
 			plan.source = s.engine
 			break
--- a/share/decide/place/fetch_test.go
+++ b/share/decide/place/fetch_test.go
@@ -124,7 +124,7 @@
 	unrestricted, _ := e.Place(now, excluding(newReviewQuery(1), "s1"))
 	e.End(now, unrestricted.ID, place.ResultCanceled)
 	q := newReviewQuery(1)
-	q.Residency = site.NewResidency([]string{"a"})
+	q.Constraints.Residency = site.NewResidency([]string{"a"})
 	restricted, found := e.Place(now, q)
 	is.True(found)
 	is.Equal(restricted.FetchFrom, "")
--- a/share/decide/place/limits.go
+++ b/share/decide/place/limits.go
@@ -43,7 +43,7 @@
 }
 
 // ListAllowed returns the engines that the request may use once they have capacity: those that are not
-// excluded and that are in an allowed region.
+// excluded and that its constraints allow.
 func (e *Engines) ListAllowed(q Query) []*site.Server {
 	allowed := []*site.Server{}
 	for _, c := range e.accepting {
@@ -55,5 +55,5 @@
 }
 
 func (e *Engines) allows(q Query, c *engine) bool {
-	return !slices.Contains(q.Exclude, c.ID) && q.Residency.Allows(e.regions[c.Domain])
+	return !slices.Contains(q.Exclude, c.ID) && q.Constraints.Allow(&c.Server, e.regions[c.Domain])
 }
--- a/share/decide/place/place.go
+++ b/share/decide/place/place.go
@@ -67,8 +67,8 @@
 	Exclude []string
 	// Generation is the size of a request to an engine. Chooser ignores it.
 	Generation *Generation
-	// Residency restricts the regions of the server.
-	Residency site.Residency
+	// Constraints restrict the servers that may receive the request.
+	Constraints site.Constraints
 	// IsFallback is set if this ingress places the request itself because it got no usable
 	// choice from the placer. Such a request is not placed at an engine that is cold or states a
 	// rate limit: the placer places requests there too, and no ingress counts the requests of both.
@@ -133,7 +133,7 @@
 	for _, s := range servers {
 		live[s.ID] = true
 		known := c.servers[s.ID]
-		if known == nil || known.Incarnation != s.Incarnation || known.Address != s.Address {
+		if known == nil || !isSameProcess(&known.Server, &s) {
 			known = &server{}
 			c.servers[s.ID] = known
 		}
@@ -148,6 +148,12 @@
 	slices.SortFunc(c.accepting, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 }
 
+// isSameProcess reports whether two registrations under one ID are of the same process, so that what was
+// observed of the one holds for the other.
+func isSameProcess(a, b *site.Server) bool {
+	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.Software() == b.Software()
+}
+
 // Count returns the number of servers that accept new work.
 func (c *Chooser) Count() int { return len(c.accepting) }
 
@@ -182,7 +188,7 @@
 
 // isEligible reports whether the request may be sent to a server.
 func (c *Chooser) isEligible(now time.Time, q Query, s *server) bool {
-	if slices.Contains(q.Exclude, s.ID) || !q.Residency.Allows(c.regions[s.Domain]) {
+	if slices.Contains(q.Exclude, s.ID) || !q.Constraints.Allow(&s.Server, c.regions[s.Domain]) {
 		return false
 	}
 	return q.ColdLimit == nil || !s.IsCold(now) || s.arrivals.Count(now) < q.ColdLimit(&s.Server)
--- a/share/models/site/config.go
+++ b/share/models/site/config.go
@@ -197,6 +197,9 @@
 	ColdUntil time.Time
 }
 
+// Software returns the software that the server runs.
+func (s *Server) Software() Software { return Software{Service: s.Service, Version: s.Version} }
+
 // IsCold reports whether the server is still warming up and takes only a few requests per second.
 func (s *Server) IsCold(now time.Time) bool { return now.Before(s.ColdUntil) }
 
