origin, recall: a stream that its caller takes up goes on at the software version that began it

Resumes was read nowhere, and what an ingress knew of a stream died with it.

recall keeps facts about requests at the ingress that writes them and at three others, by rendezvous hashing over the failure domains, for a minute; any ingress finds them with at most 12 questions. It is soft state, limited in time, number, size and messages. origin records there which software began each resumable stream, and asks only if the service had several versions within a minute; a service with several is marked in the store, so that an ingress that starts after the loss of all does not take the version that it sees for the only one. A stream of unknown origin is refused at once as not run (origin-unknown).

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -24,7 +24,9 @@
 	"verbenaroad.example/ingress/services/limits"
 	"verbenaroad.example/ingress/services/mesh"
 	"verbenaroad.example/ingress/services/meters"
+	"verbenaroad.example/ingress/services/origin"
 	"verbenaroad.example/ingress/services/reach"
+	"verbenaroad.example/ingress/services/recall"
 	"verbenaroad.example/ingress/services/sched"
 	"verbenaroad.example/ingress/services/screen"
 	"verbenaroad.example/ingress/services/stages"
@@ -82,6 +84,8 @@
 	dispatcher    *assign.Dispatcher
 	limits        *limits.Registry
 	screen        *screen.Screen
+	recall        *recall.Registry
+	origins       *origin.Registry
 	flow          *flow.Server
 	stopper       *stops.Stopper
 	callerServer  *CallerServer
@@ -158,9 +162,11 @@
 		Peers: i.mesh, Store: i.store, Codec: record.Codec{}, Prober: client, Limit: poison.DefaultLimit,
 		Trials: poison.DefaultTrialSchedule(), Log: i.log,
 	})
+	i.recall = recall.NewRegistry(recall.Options{Peers: i.mesh, Views: i.book, Log: i.log})
+	i.origins = origin.NewRegistry(origin.Options{Memos: i.recall, Peers: i.mesh, Store: i.store, Codec: record.Codec{}, Log: i.log})
 	i.producer = stages.NewProducer(i.mesh, i.batcher, i.log)
 	i.flow = flow.NewServer(flow.Options{
-		Views: i.book, Sender: client, StageRunner: i.producer, EnginePlacer: i.dispatcher, Screen: i.screen, Meter: i.meters, Log: i.log,
+		Views: i.book, Sender: client, StageRunner: i.producer, EnginePlacer: i.dispatcher, Screen: i.screen, Origins: i.origins, Meter: i.meters, Log: i.log,
 		Domain: s.Place.Domain, Region: s.Place.Region, Regions: s.Place.Regions, Retries: s.Repeats.Settings,
 		Cold: s.Cold.Settings, Peers: i.mesh, Limits: i.limits, Admitter: i.dispatcher,
 	})
@@ -175,6 +181,7 @@
 	i.batcher.SetView(v)
 	i.mesh.SetView(v)
 	i.screen.SetView(v)
+	i.origins.SetView(v)
 	i.meters.SetVersion(v.Version())
 }
 
@@ -202,7 +209,7 @@
 	accepted.OnHeartbeat = i.observeAccepted
 	i.peerServer, err = peers.NewServer(peers.Options{
 		Address: s.Peers.Listen, Link: accepted,
-		Handler: &mesh.Handler{Producer: i.producer, Placer: i.dispatcher, Screen: i.screen, Feeder: i.feeder, Log: i.log}, Log: i.log,
+		Handler: &mesh.Handler{Producer: i.producer, Placer: i.dispatcher, Screen: i.screen, Memos: i.recall, Feeder: i.feeder, Log: i.log}, Log: i.log,
 	})
 	if err != nil {
 		return err
@@ -265,6 +272,8 @@
 	i.puller.Start(ctx)
 	i.batcher.Start(ctx)
 	i.peerServer.Start(ctx)
+	i.recall.Start(ctx)
+	i.origins.Start(ctx)
 	(&usageReporter{ingress: i}).Start(ctx)
 	(&sched.Watcher{ProcessorTime: processorTime, Meter: i.meters, Log: i.log}).Start(ctx)
 	i.log.Info("started", zap.Stringer("callers", s.Callers.Listen), zap.Stringer("peers", s.Peers.Listen),
--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -26,10 +26,7 @@
 // forward relays the answer to the caller. Events are only written complete.
 func (r *relay) forward(server site.Server, reply *reach.Reply) error {
 	if !r.headSent {
-		if r.software == nil {
-			software := server.Software()
-			r.software = &software
-		}
+		r.recordBegun(&server)
 		copyHeader(r.writer.Header(), reply.Header)
 		r.writer.WriteHeader(reply.Status)
 		r.headSent = true
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -32,6 +32,7 @@
 	StageRunner  StageRunner
 	EnginePlacer EnginePlacer
 	Screen       Screen
+	Origins      Origins
 	Meter        Meter
 	Log          *zap.Logger
 	// Domain and Region locate this ingress. Regions maps failure domains to their regions.
--- /dev/null
+++ b/ingress/services/flow/origin.go
@@ -0,0 +1,76 @@
+package flow
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenaroad.example/ingress/services/origin"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/codes"
+)
+
+// originRetryAfter is the Retry-After if an ingress that did not answer may know the origin of a stream.
+const originRetryAfter = 500 * time.Millisecond
+
+// findOrigin finds the software that began the stream that the caller takes up. It returns the result with
+// which the request ends if the stream cannot go on.
+func (x *exchange) findOrigin(ctx context.Context) *codes.Result {
+	began := time.Now()
+	o := x.server.options.Origins.Find(ctx, x.Resumes, x.listServices())
+	x.log.Info("resume-requested", zap.String("resumes", x.Resumes), zap.String("last-event", x.LastEventID),
+		zap.String("began-at", o.Software.Version), zap.String("known-by", string(o.Source)), zap.String("held-by", o.HeldBy),
+		zap.Bool("may-be-held", o.MayBeHeld), zap.Duration("took", time.Since(began)))
+	if o.Source == origin.SourceNone {
+		result := codes.NewResult(codes.OriginUnknown, "no ingress that answered knows the origin of the stream")
+		if o.MayBeHeld {
+			return result.WithRetryAfter(originRetryAfter)
+		}
+		return result
+	}
+	if !slices.Contains(x.listServices(), o.Software.Service) {
+		return codes.NewResult(codes.NoBackend, "the stream began at service "+o.Software.Service+", which its route no longer uses")
+	}
+	x.service = o.Software.Service
+	x.software = &o.Software
+	return nil
+}
+
+// listServices returns the services of the request's route, the chosen one first.
+func (x *exchange) listServices() []string {
+	services := []string{x.service}
+	for _, b := range x.route.Backends {
+		if b.Weight > 0 && !slices.Contains(services, b.Service) {
+			services = append(services, b.Service)
+		}
+	}
+	return services
+}
+
+// firstAttempt returns the attempt that brought the first event of the stream.
+func (x *exchange) firstAttempt() string {
+	if x.LastEventID != "" && x.Resumes != "" {
+		return x.Resumes
+	}
+	return x.AttemptID
+}
+
+// recordBegun records that a server begins the answer. The stream may go on only at its software.
+func (x *exchange) recordBegun(server *site.Server) {
+	if x.software == nil {
+		software := server.Software()
+		x.software = &software
+	}
+	if x.route.Resumable {
+		x.server.options.Origins.RecordBegun(x.firstAttempt(), *x.software)
+	}
+}
+
+// recordComplete records that the stream is complete, so that nobody takes it up.
+func (x *exchange) recordComplete() {
+	if x.route.Resumable {
+		x.server.options.Origins.RecordComplete(x.firstAttempt())
+	}
+}
--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -34,9 +34,13 @@
 // deployment simulates a deployment of two regions whose view may change while the results of the
 // stages are produced.
 type deployment struct {
-	screen fakeScreen
-	lock   sync.Mutex
-	view   *state.View
+	screen  fakeScreen
+	origins fakeOrigins
+	// resumes and lastEventID are what the caller states of the stream that it takes up; empty: none.
+	resumes     string
+	lastEventID string
+	lock        sync.Mutex
+	view        *state.View
 	// viewAfterStages replaces view when results are produced; nil: the view does not change.
 	viewAfterStages *state.View
 	// limits holds what servers state; nil: nothing. answerAfterStages is an answer of the engine n
@@ -155,7 +159,7 @@
 		s.placer.SetView(s.placerView)
 	}
 	server := flow.NewServer(flow.Options{
-		Views: s, Sender: s, StageRunner: s, EnginePlacer: s, Screen: &s.screen, Meter: noMeter{}, Log: zap.NewNop(),
+		Views: s, Sender: s, StageRunner: s, EnginePlacer: s, Screen: &s.screen, Origins: &s.origins, Meter: noMeter{}, Log: zap.NewNop(),
 		Domain: "n1", Region: "north", Regions: regions, Cold: cold.Settings{Overage: 1.5, Slack: 5},
 		Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second}, Limits: s.limits,
 	})
@@ -163,7 +167,7 @@
 	answer := httptest.NewRecorder()
 	server.Serve(context.Background(), answer, &flow.Request{
 		Memory:  memory.NewBudget(4 << 20).NewAccount(),
-		Request: site.Request{AttemptID: "a", CallerTimeout: 5 * time.Second, ItemCounts: []int{2}},
+		Request: site.Request{AttemptID: "a", CallerTimeout: 5 * time.Second, ItemCounts: []int{2}, Resumes: s.resumes, LastEventID: s.lastEventID},
 		Method:  http.MethodPost, Target: "/", Arrived: time.Now(), Header: http.Header{}, Decision: decision, View: s.view,
 	})
 	return answer
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenaroad.example/ingress/services/assign"
+	"verbenaroad.example/ingress/services/origin"
 	"verbenaroad.example/ingress/services/reach"
 	"verbenaroad.example/ingress/services/stages"
 	"verbenaroad.example/ingress/services/state"
@@ -40,6 +41,13 @@
 	Place(ctx context.Context, service string, q place.Query) (r *assign.Reservation, retryAfter time.Duration)
 }
 
+// Origins knows which software began each stream. An attempt is the one that brings the first event.
+type Origins interface {
+	RecordBegun(attempt string, software site.Software)
+	RecordComplete(attempt string)
+	Find(ctx context.Context, attempt string, services []string) origin.Origin
+}
+
 // Statements holds what servers state about the requests that they take.
 type Statements interface {
 	// Find returns the requests per second that a server takes from all ingresses together.
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -24,7 +24,9 @@
 	defer cancel()
 	defer x.cancelReservation()
 	if x.LastEventID != "" {
-		x.log.Info("resume-requested", zap.String("resumes", x.Resumes), zap.String("last-event", x.LastEventID))
+		if result := x.findOrigin(ctx); result != nil {
+			return x.resolveCancellation(ctx, result)
+		}
 	}
 	// The engine is chosen first, so that the results are produced in its failure domain.
 	if !x.reserveEngine(ctx) {
@@ -296,6 +298,7 @@
 		return r.handleBreak(ctx, server, err, took)
 	}
 	r.end(server, place.ResultServed, took, reply.Load)
+	r.recordComplete()
 	r.server.options.Screen.RecordServed(r.digest)
 	return verdict{}
 }
--- a/ingress/services/flow/stream_test.go
+++ b/ingress/services/flow/stream_test.go
@@ -110,7 +110,7 @@
 	results := &stageRunner{}
 	engines := &slowEngines{stageRunner: results}
 	server := flow.NewServer(flow.Options{
-		Views: fixedView{view}, Sender: engines, StageRunner: results, EnginePlacer: enginePlacer{placer}, Screen: &fakeScreen{}, Meter: noMeter{}, Log: zap.NewNop(),
+		Views: fixedView{view}, Sender: engines, StageRunner: results, EnginePlacer: enginePlacer{placer}, Screen: &fakeScreen{}, Origins: &fakeOrigins{}, Meter: noMeter{}, Log: zap.NewNop(),
 		Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second}, Limits: noLimits,
 	})
 	answer := httptest.NewRecorder()
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -284,6 +284,24 @@
 	return link.ReportServed(session, s)
 }
 
+// SendMemos makes another ingress keep facts about requests. There is no answer.
+func (m *Mesh) SendMemos(ctx context.Context, name string, memos *wire.Memos) error {
+	session, err := m.getSession(ctx, name)
+	if err != nil {
+		return err
+	}
+	return link.SendMemos(session, memos)
+}
+
+// Recall asks another ingress for a fact about a request.
+func (m *Mesh) Recall(ctx context.Context, name string, r *wire.Recall) (*wire.Recalled, error) {
+	session, err := m.getSession(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	return link.Recall(ctx, session, r)
+}
+
 // Sync asks another ingress for the records that this one lacks.
 func (m *Mesh) Sync(ctx context.Context, name string, s *wire.Sync, onArrival func()) (*wire.Records, error) {
 	session, err := m.getSession(ctx, name)
--- a/ingress/services/mesh/serve.go
+++ b/ingress/services/mesh/serve.go
@@ -28,11 +28,18 @@
 	ServeServed(s *wire.Served)
 }
 
+// Memos keeps facts about requests for other ingresses.
+type Memos interface {
+	ServeMemos(m *wire.Memos)
+	ServeRecall(r *wire.Recall) *wire.Recalled
+}
+
 // Handler serves the sessions that other ingresses open.
 type Handler struct {
 	Producer Producer
 	Placer   Placer
 	Screen   Screen
+	Memos    Memos
 	Feeder   *Feeder
 	Log      *zap.Logger
 }
@@ -82,6 +89,10 @@
 		h.answer(stream, &wire.Frame{Body: &wire.Frame_CrashNoted{CrashNoted: h.Screen.ServeCrash(frame.GetCrash())}})
 	case frame.GetServed() != nil:
 		h.Screen.ServeServed(frame.GetServed())
+	case frame.GetMemos() != nil:
+		h.Memos.ServeMemos(frame.GetMemos())
+	case frame.GetRecall() != nil:
+		h.answer(stream, &wire.Frame{Body: &wire.Frame_Recalled{Recalled: h.Memos.ServeRecall(frame.GetRecall())}})
 	case frame.GetAssign() != nil:
 		h.Placer.ServeAssign(stream, reader, frame.GetAssign())
 	default:
--- /dev/null
+++ b/ingress/services/origin/origin.go
@@ -0,0 +1,178 @@
+// Package origin knows which software began each stream that may be taken up. While the servers of a
+// service have had one version only, that is the one. Otherwise the ingress that began the stream has
+// written a memo, which outlives it.
+package origin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"verbenaroad.example/ingress/services/recall"
+	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/decide/builds"
+	"verbenaroad.example/share/decide/memo"
+	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/wire"
+)
+
+// Memos holds facts about requests that outlive this ingress.
+type Memos interface {
+	Put(m memo.Memo)
+	Drop(key string)
+	Find(ctx context.Context, key string) recall.Finding
+}
+
+// Peers ranks the ingresses.
+type Peers interface {
+	// Rank returns the names of the ingresses that can be reached, ordered by their score for a key.
+	Rank(key string) []string
+	// Self returns the name of this ingress.
+	Self() string
+}
+
+// Store writes records.
+type Store interface {
+	Put(ctx context.Context, key string, value []byte, lease uint64) error
+	Remove(ctx context.Context, key string) error
+}
+
+// Codec encodes the marks of services that had several versions lately.
+type Codec interface {
+	MixedKey(service string) string
+	WriteMixed(versions []string) ([]byte, error)
+}
+
+// Options are the settings of a Registry.
+type Options struct {
+	Memos Memos
+	Peers Peers
+	Store Store
+	Codec Codec
+	Log   *zap.Logger
+}
+
+// Registry records and finds the origins of streams. It is safe for concurrent use.
+type Registry struct {
+	options Options
+
+	lock    sync.Mutex
+	history *builds.History
+	view    *state.View
+}
+
+// NewRegistry returns a registry that has not observed any service.
+func NewRegistry(options Options) *Registry {
+	return &Registry{options: options, history: builds.NewHistory(), view: &state.View{}}
+}
+
+const (
+	// memoPrefix precedes the attempt that brought the first event of a stream in the key of its memo.
+	memoPrefix = "stream/"
+	// memoLife is how long the origin of a stream is kept: longer than a stream may last until its
+	// caller takes it up again.
+	memoLife = builds.Retention
+)
+
+// SetView observes the software versions in a new view.
+func (o *Registry) SetView(v *state.View) {
+	if !v.IsComplete {
+		return // servers of another version may be missing
+	}
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.view = v
+	o.history.Observe(time.Now(), v.Versions, v.Mixed)
+}
+
+func decodeSoftware(m memo.Memo) (site.Software, error) {
+	message := &wire.Software{}
+	if err := proto.Unmarshal(m.Value, message); err != nil {
+		return site.Software{}, memo.ErrMemo.Wrap(err)
+	}
+	return site.Software{Service: message.GetService(), Version: message.GetVersion()}, nil
+}
+
+// RecordBegun records the software that begins a stream. Attempt is the attempt that brings its first
+// event.
+func (o *Registry) RecordBegun(attempt string, software site.Software) {
+	value, err := proto.Marshal(&wire.Software{Service: software.Service, Version: software.Version})
+	if err != nil {
+		o.options.Log.Error("origin-not-kept", zap.String("request", attempt), logs.Err(err))
+		return
+	}
+	o.options.Memos.Put(memo.Memo{Key: memoPrefix + attempt, Value: value, ExpiresAt: time.Now().Add(memoLife)})
+}
+
+// RecordComplete records that a stream is complete, so that nobody takes it up.
+func (o *Registry) RecordComplete(attempt string) { o.options.Memos.Drop(memoPrefix + attempt) }
+
+// Source is how the origin of a stream is known.
+type Source string
+
+// The sources.
+const (
+	// SourceNone means that the origin is not known.
+	SourceNone Source = ""
+	// SourceMemo means that the ingress that began the stream recorded it.
+	SourceMemo Source = "memo"
+	// SourceOnly means that the servers of the service have had one version only.
+	SourceOnly Source = "only-version"
+)
+
+// Origin is what is known of the software that began a stream.
+type Origin struct {
+	Software site.Software
+	Source   Source
+	// HeldBy is the ingress that held the memo.
+	HeldBy string
+	// MayBeHeld is set if an ingress that did not answer may know the origin.
+	MayBeHeld bool
+}
+
+// Find returns the software that began a stream. Attempt is the attempt that brought its first event;
+// empty: the caller did not state it. Services are those of the stream's route; if the stream may go on at
+// any of them, the first one is chosen.
+func (o *Registry) Find(ctx context.Context, attempt string, services []string) Origin {
+	only, isComplete := o.findOnlyVersion(services)
+	if only != nil && (attempt == "" || len(services) == 1) {
+		return Origin{Software: *only, Source: SourceOnly}
+	}
+	if attempt == "" {
+		return Origin{MayBeHeld: !isComplete}
+	}
+	finding := o.options.Memos.Find(ctx, memoPrefix+attempt)
+	if finding.Found {
+		software, err := decodeSoftware(finding.Memo)
+		if err == nil {
+			return Origin{Software: software, Source: SourceMemo, HeldBy: finding.HeldBy}
+		}
+		o.options.Log.Warn("origin-unreadable", zap.String("resumes", attempt), zap.String("ingress", finding.HeldBy), logs.Err(err))
+	}
+	if only != nil {
+		return Origin{Software: *only, Source: SourceOnly}
+	}
+	return Origin{MayBeHeld: !isComplete || !finding.Conclusive}
+}
+
+// findOnlyVersion returns the software of the first service if each of the services has had one version
+// only, or nil. isComplete is false if registrations may be missing.
+func (o *Registry) findOnlyVersion(services []string) (only *site.Software, isComplete bool) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	now := time.Now()
+	for i, service := range services {
+		version, known := o.history.Sole(now, service)
+		if !known {
+			return nil, o.view.IsComplete
+		}
+		if i == 0 {
+			only = &site.Software{Service: service, Version: version}
+		}
+	}
+	return only, o.view.IsComplete
+}
--- a/ingress/services/state/apply.go
+++ b/ingress/services/state/apply.go
@@ -28,9 +28,27 @@
 		b.applyEvacuation(r, source)
 	case strings.HasPrefix(r.Key, c.QuarantinePrefix()):
 		b.applyQuarantine(r, source)
+	case strings.HasPrefix(r.Key, c.MixedPrefix()):
+		b.applyMixed(r, source)
 	}
 }
 
+// applyMixed adds or removes the mark of a service that had several software versions lately.
+func (b *Book) applyMixed(r site.Record, source string) {
+	service := b.options.Codec.MixedService(r.Key)
+	updated := maps.Clone(b.mixed)
+	if updated == nil {
+		updated = map[string]bool{}
+	}
+	delete(updated, service)
+	if !r.Deleted {
+		updated[service] = true
+	}
+	b.mixed = updated
+	b.options.Log.Info("versions-marked", zap.String("service", service), zap.Bool("several", !r.Deleted),
+		zap.Uint64("revision", r.Revision), zap.String("source", source))
+}
+
 // applyQuarantine adds or removes the quarantine of a request that crashes servers. An unreadable
 // record removes it.
 func (b *Book) applyQuarantine(r site.Record, source string) {
@@ -176,7 +194,10 @@
 
 // publish replaces the view and passes it to OnChange. The caller must hold the lock.
 func (b *Book) publish() {
-	v := &View{Table: b.table, Servers: b.servers.List(), Evacuated: b.servers.Evacuated(), Quarantines: b.quarantines}
+	v := &View{
+		Table: b.table, Servers: b.servers.List(), Evacuated: b.servers.Evacuated(), Quarantines: b.quarantines, Versions: b.servers.Versions(), Mixed: b.mixed,
+		IsComplete: b.isComplete(),
+	}
 	v.Leaving = b.removeLeaving(v.Servers)
 	for _, name := range slices.Sorted(maps.Keys(b.peers)) {
 		v.Ingresses = append(v.Ingresses, b.peers[name])
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -38,6 +38,8 @@
 	QuarantinePrefix() string
 	QuarantineID(key string) string
 	ReadQuarantine(value []byte) (site.Quarantine, error)
+	MixedPrefix() string
+	MixedService(key string) string
 	ReadIngress(key string, value []byte) (site.Ingress, error)
 }
 
@@ -54,6 +56,13 @@
 	Evacuated []string
 	// Ingresses are the registered ingresses, including this one.
 	Ingresses []site.Ingress
+	// IsComplete is set if no registration that the store holds is missing in Servers and Versions, as of
+	// some revision.
+	IsComplete bool
+	// Versions are the software versions of all registered servers by service, including those that get
+	// no new work. Mixed holds the services that are marked in the store as having had several lately.
+	Versions map[string][]string
+	Mixed    map[string]bool
 	// Quarantines holds the quarantines of requests that crash servers.
 	Quarantines map[poison.ID]site.Quarantine
 }
@@ -105,6 +114,8 @@
 	removedPeers map[string]time.Time
 	// quarantines is replaced and never modified, because views share it.
 	quarantines map[poison.ID]site.Quarantine
+	// mixed is replaced and never modified, because views share it.
+	mixed map[string]bool
 	// direct is set while this ingress watches the store itself. directSince is when direct was
 	// last set or cleared.
 	direct      bool
@@ -151,7 +162,8 @@
 
 func isWanted(c Codec, key string) bool {
 	return c.IsConfig(key) || strings.HasPrefix(key, c.ServerPrefix()) || strings.HasPrefix(key, c.IngressPrefix()) ||
-		strings.HasPrefix(key, c.EvacuationPrefix()) || strings.HasPrefix(key, c.QuarantinePrefix())
+		strings.HasPrefix(key, c.EvacuationPrefix()) || strings.HasPrefix(key, c.QuarantinePrefix()) ||
+		strings.HasPrefix(key, c.MixedPrefix())
 }
 
 // IngressDomainPrefix is the key prefix of the registrations of a failure domain's ingresses.
@@ -304,6 +316,7 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	b.records.Advance(e.NewestRevision, e.CompleteRevision)
+	b.applyChanged(nil, "peer") // the records may have become complete
 }
 
 // Changed returns a channel that is closed when any record changes next.
@@ -425,10 +438,13 @@
 // places. Peers detect by themselves that an ingress that has really stopped cannot be reached.
 const peerRetention = 10 * time.Second
 
-// applyChanged updates the state derived from the records that changed and publishes a new view.
-// The caller must hold the lock.
+// isComplete reports whether the records are complete as of some revision. The caller must hold the lock.
+func (b *Book) isComplete() bool { return b.records.CompleteRevision() > 0 }
+
+// applyChanged updates the state derived from the records that changed, and publishes a new view if any
+// did or if the records have become complete. The caller must hold the lock.
 func (b *Book) applyChanged(changed []site.Record, source string) {
-	if len(changed) == 0 {
+	if len(changed) == 0 && b.view.Load().IsComplete == b.isComplete() {
 		return
 	}
 	for _, r := range changed {
--- a/share/decide/alive/alive.go
+++ b/share/decide/alive/alive.go
@@ -150,6 +150,21 @@
 // Evacuated returns the failure domains that get no new work, sorted.
 func (s *Set) Evacuated() []string { return slices.Sorted(maps.Keys(s.evacuated)) }
 
+// Versions returns the software versions of all servers by service, sorted, whether or not these may be
+// sent new work.
+func (s *Set) Versions() map[string][]string {
+	versions := map[string][]string{}
+	for _, e := range s.servers {
+		if list := versions[e.server.Service]; !slices.Contains(list, e.server.Version) {
+			versions[e.server.Service] = append(list, e.server.Version)
+		}
+	}
+	for _, list := range versions {
+		slices.Sort(list)
+	}
+	return versions
+}
+
 // List returns the servers that may be sent new work, by service.
 func (s *Set) List() map[string][]site.Server {
 	list := map[string][]site.Server{}
--- /dev/null
+++ b/share/decide/memo/holders.go
@@ -0,0 +1,31 @@
+package memo
+
+// Holder is an ingress that may hold memos of others.
+type Holder struct {
+	Name   string
+	Domain string
+}
+
+// OrderHolders orders the holders of a memo, given in the order of their score for its key: the first of
+// each failure domain, then the second of each, and so on. A memo is sent to the first few, so that the
+// loss of a domain leaves a copy, and looked up in the same order. The loss of a holder moves none of the
+// others towards the end.
+func OrderHolders(ranked []Holder) []string {
+	places := make([]int, len(ranked))
+	perDomain := map[string]int{}
+	rounds := 0
+	for i, h := range ranked {
+		places[i] = perDomain[h.Domain]
+		perDomain[h.Domain]++
+		rounds = max(rounds, perDomain[h.Domain])
+	}
+	ordered := make([]string, 0, len(ranked))
+	for round := range rounds {
+		for i, h := range ranked {
+			if places[i] == round {
+				ordered = append(ordered, h.Name)
+			}
+		}
+	}
+	return ordered
+}
--- a/share/modules/codes/codes.go
+++ b/share/modules/codes/codes.go
@@ -52,6 +52,7 @@
 	StaleConfig        Code = 2011
 	Preempted          Code = 2012
 	Quarantined        Code = 2013
+	OriginUnknown      Code = 2014
 
 	DeadlineExceeded Code = 3001
 	BackendFailed    Code = 3002
@@ -110,6 +111,7 @@
 		{StaleConfig, "stale-config", http.StatusServiceUnavailable, OutcomeNotRun, "cut off for longer than stale-after allows"},
 		{Preempted, "preempted", http.StatusServiceUnavailable, OutcomeNotRun, "gave way to higher priority"},
 		{Quarantined, "quarantined", http.StatusServiceUnavailable, OutcomeNotRun, "the request crashes the servers that run it; sending it again changes nothing until their software is replaced"},
+		{OriginUnknown, "origin-unknown", http.StatusServiceUnavailable, OutcomeNotRun, "the stream cannot go on: which software version began it is not known, and what another one writes does not fit"},
 		{DeadlineExceeded, "deadline-exceeded", http.StatusGatewayTimeout, OutcomeUnknown, "the deadline passed; the outcome field says whether it ran"},
 		{BackendFailed, "backend-failed", http.StatusBadGateway, OutcomeRan, "the backend server answered with an error"},
 		{BackendLost, "backend-lost", http.StatusBadGateway, OutcomeUnknown, "the connection was lost after the request was sent"},
--- a/share/modules/link/exchange.go
+++ b/share/modules/link/exchange.go
@@ -139,6 +139,23 @@
 	return send(s, &wire.Frame{Body: &wire.Frame_Served{Served: served}})
 }
 
+// SendMemos makes a peer keep facts about requests. It does not wait for an answer.
+func SendMemos(s *Session, memos *wire.Memos) error {
+	return send(s, &wire.Frame{Body: &wire.Frame_Memos{Memos: memos}})
+}
+
+// Recall asks a peer for a fact about a request.
+func Recall(ctx context.Context, s *Session, recall *wire.Recall) (*wire.Recalled, error) {
+	frame, err := exchange(ctx, s, &wire.Frame{Body: &wire.Frame_Recall{Recall: recall}})
+	if err != nil {
+		return nil, err
+	}
+	if frame.GetRecalled() == nil {
+		return nil, ErrLink.New("the answer to a recall is not a recalled frame")
+	}
+	return frame.GetRecalled(), nil
+}
+
 // Assignment is a request's assignment to an engine by a peer. Its stream stays open while the
 // engine has the request.
 type Assignment struct {
