recall: memos are held in four shards, which limits the links that an ingress opens

With holders by the key of each memo every ingress would open a link to every other one: 176,000 at 420 ingresses, each with heartbeats. Found by reading the design against the target size. Now an ingress sends to 12 others at most.

--- a/ingress/services/recall/recall.go
+++ b/ingress/services/recall/recall.go
@@ -1,6 +1,6 @@
 // Package recall keeps facts about requests so that they outlive the ingress that learnt them. A memo is
-// held by the ingress that writes it and by a few others, chosen by rendezvous hashing over its key and
-// spread over the failure domains; any ingress can look it up there. This is soft state: it is limited in
+// held by the ingress that writes it and by a few others, chosen by rendezvous hashing and spread over the
+// failure domains; any ingress can look it up there. This is soft state: it is limited in
 // time, number and size, it is sent without an acknowledgement, and it may be lost.
 package recall
 
@@ -22,7 +22,7 @@
 	copies = 3
 	// maxMemos limits the memos that this ingress holds, maxPending those that wait to be sent to one
 	// other ingress.
-	maxMemos   = 16384
+	maxMemos   = 32768
 	maxPending = 4096
 	// flushInterval is the shortest time between two messages to the same ingress. A memo that is
 	// written just before its ingress is lost is lost with it.
@@ -121,7 +121,7 @@
 		domains[i.Name] = i.Domain
 	}
 	ranked := []memo.Holder{}
-	for _, name := range r.options.Peers.Rank(key) {
+	for _, name := range r.options.Peers.Rank(memo.ShardKey(key)) {
 		if name != r.options.Peers.Self() {
 			ranked = append(ranked, memo.Holder{Name: name, Domain: domains[name]})
 		}
