proofs: the soak has engines of two versions, updates them, and takes streams up at other ingresses

Four callers receive streams and take them up with Last-Event-Id and Resumes at a random ingress when they break off; no stream may hold events of two versions, lack one or have one twice. The added engines drain before the checks of rates and pauses, which need each of two engines to be used.

--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -152,7 +152,7 @@
 	})
 }
 
-// SetVersion sets the software version that the server has from its next restart on. It must be down.
+// SetVersion sets the software version of the server, which must be down.
 func (s *Server) SetVersion(version string) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/proofs/hosted/soak_check_test.go
+++ b/proofs/hosted/soak_check_test.go
@@ -109,6 +109,7 @@
 			s.t.Errorf("%s: a request with a removed key was answered with status %d", i.name, a.status)
 		}
 	}
+	s.drainOtherEngines()
 	s.checkRates()
 	s.checkClosures()
 	close(s.stop)
@@ -160,6 +161,7 @@
 		}
 		s.checkCall(c)
 	}
+	s.checkStreams()
 	for _, violation := range s.Violations() {
 		s.t.Error(violation)
 	}
--- a/proofs/hosted/soak_faults_test.go
+++ b/proofs/hosted/soak_faults_test.go
@@ -38,10 +38,15 @@
 	version int
 	// crashed holds the IDs of the servers that a fault restarts.
 	crashed map[string]bool
+	// streams are those of the callers of runStreamCaller.
+	streams []*resumedStream
 	// draining holds the time since which a server drains, by its ID.
 	draining map[string]time.Time
 }
 
+// soakEventInterval lets streams last so long that many of them are under way when a fault begins.
+const soakEventInterval = 80 * time.Millisecond
+
 // newSoak starts three ingresses, and backend servers that register with the address of a relay in
 // front of them.
 func newSoak(t *testing.T, seed uint64) *soak {
@@ -56,6 +61,10 @@
 		crashed:    map[string]bool{},
 		draining:   map[string]time.Time{},
 	}
+	for _, engine := range s.engines {
+		engine.EventInterval = soakEventInterval
+	}
+	s.addOtherVersion()
 	for _, servers := range [][]*hosted.Server{s.plainServers, s.engines, s.poolServers} {
 		for _, server := range servers {
 			r, err := relay.NewRelay(server.Address())
@@ -94,8 +103,12 @@
 		s.callers.Add(1)
 		go s.runCaller(n)
 	}
+	for n := range 4 {
+		s.callers.Add(1)
+		go s.runStreamCaller(n)
+	}
 	faults := []func(){
-		s.freezeIngress, s.killIngress, s.restartIngress, s.failStore, s.changeConfig, s.crashServer, s.setServerFaults, s.drainServer, s.disruptLink, s.disruptLink, s.limitServer, s.leaveServer, s.pauseServer,
+		s.freezeIngress, s.killIngress, s.restartIngress, s.failStore, s.changeConfig, s.crashServer, s.setServerFaults, s.drainServer, s.disruptLink, s.disruptLink, s.limitServer, s.leaveServer, s.pauseServer, s.updateEngine,
 	}
 	deadline := time.Now().Add(duration)
 	running := sync.WaitGroup{}
--- a/proofs/hosted/versions_test.go
+++ b/proofs/hosted/versions_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -50,9 +51,11 @@
 	first string
 	// versions are those of the events, in order and without repetition.
 	versions []string
-	lastID   string
-	events   int
+	// ids are those of the events, in the order of their arrival.
+	ids      []string
 	complete bool
+	// tries counts the attempts.
+	tries int
 	// refused counts the tries that were refused as not run, slowest is the longest of them.
 	refused int
 	slowest time.Duration
@@ -62,9 +65,10 @@
 
 // receive sends the next attempt of the stream and records its events.
 func (s *resumedStream) receive(i *ingress) {
+	s.tries++
 	q := newReview()
-	if s.lastID != "" {
-		q.header["Last-Event-Id"] = s.lastID
+	if len(s.ids) > 0 {
+		q.header["Last-Event-Id"] = s.ids[len(s.ids)-1]
 		if !s.unnamed {
 			q.header["Resumes"] = s.first
 		}
@@ -77,22 +81,19 @@
 	if a.status != http.StatusOK {
 		return
 	}
-	for line := range strings.SplitSeq(a.body, "\n") {
-		if id, found := strings.CutPrefix(line, "id: "); found {
-			s.lastID = id
-		}
-		if data, found := strings.CutPrefix(line, "data: "); found && strings.Contains(data, " ") {
-			s.recordEvent(q.id, strings.Fields(data)[1])
-		}
+	events := strings.Split(a.body, "\n\n")
+	for _, event := range events[:len(events)-1] { // the last one is empty or incomplete
+		id, data, _ := strings.Cut(strings.TrimPrefix(event, "id: "), "\ndata: ")
+		s.recordEvent(q.id, id, data[strings.LastIndex(data, " ")+1:])
 	}
 	s.complete = a.err == nil
 }
 
-func (s *resumedStream) recordEvent(attempt, version string) {
-	s.events++
+func (s *resumedStream) recordEvent(attempt, id, version string) {
 	if s.first == "" {
 		s.first = attempt
 	}
+	s.ids = append(s.ids, id)
 	if !slices.Contains(s.versions, version) {
 		s.versions = append(s.versions, version)
 	}
@@ -121,8 +122,8 @@
 	return streams, done
 }
 
-// checkVersions checks that no stream holds events of two versions. It returns how many streams were
-// complete.
+// checkVersions checks that no stream holds events of two versions, lacks one or has one twice. It returns how
+// many streams were complete.
 func checkVersions(t *testing.T, streams []*resumedStream) (complete int) {
 	t.Helper()
 	joined := 0
@@ -133,6 +134,12 @@
 		if s.complete {
 			complete++
 		}
+		for i, id := range s.ids {
+			if id != strconv.Itoa(i+1) {
+				t.Errorf("a stream has the events %v", s.ids)
+				break
+			}
+		}
 	}
 	t.Logf("%d of %d streams are complete", complete, len(streams))
 	if joined > 0 {
@@ -289,17 +296,17 @@
 		s.receive(d.ingresses[0])
 		is.True(s.complete)
 	}
-	s.lastID = "2"
+	s.ids = s.ids[:2]
 	for _, e := range d.engines[:2] {
 		e.Register("draining")
 	}
 	for _, i := range d.ingresses {
 		eventually(t, i.name+" sees the drain", func() bool { return len(i.output.lines("event=server-seen", "state=draining")) >= 2 })
 	}
-	unknown := &resumedStream{first: "ffffffffffff0000", lastID: "2"}
+	unknown := &resumedStream{first: "ffffffffffff0000", ids: s.ids}
 	for _, taken := range []*resumedStream{s, unknown} {
 		q := newReview()
-		q.header["Last-Event-Id"], q.header["Resumes"] = taken.lastID, taken.first
+		q.header["Last-Event-Id"], q.header["Resumes"] = taken.ids[1], taken.first
 		a := d.ingresses[1].send(context.Background(), q)
 		is.Equal(a.status, http.StatusServiceUnavailable)
 		is.Equal(len(d.Runs(q.id)), 0)
