rhash: a weighted ranking computes each score once

Each comparison of the sort computed two scores: 0.90 to 0.99 ms for 420 members, beside other work on the machine, on the way of each request that another ingress places. Now 0.14 to 0.15 ms with the same order. Found by the benchmark of a memo's holders (recall.BenchmarkPut), which ranks the ingresses for each stream: 2.5 ms before, 0.35 ms now.

--- a/share/modules/rhash/rhash.go
+++ b/share/modules/rhash/rhash.go
@@ -59,9 +59,12 @@
 // PickWeighted returns all names in descending order of their weighted scores for the key. As with
 // Pick, when a member joins, leaves or changes its weight, only keys move that it gets or had.
 func PickWeighted(key string, members []Weighted) []string {
-	ranking := slices.Clone(members)
+	ranking := make([]Weighted, 0, len(members))
+	for _, m := range members {
+		ranking = append(ranking, Weighted{Name: m.Name, Weight: weightedScore(key, m)})
+	}
 	slices.SortFunc(ranking, func(a, b Weighted) int {
-		return cmp.Or(cmp.Compare(weightedScore(key, b), weightedScore(key, a)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Name, b.Name))
 	})
 	names := make([]string, 0, len(ranking))
 	for _, m := range ranking {
