known red: an engine that restarts with another version, unheard, takes streams of its earlier one

Neither the store nor another ingress that hears it can be reached by the ingress that takes the streams up, and an engine's answers do not state its version. Found while looking for the same cause elsewhere.

--- a/proofs/hosted/versions_test.go
+++ b/proofs/hosted/versions_test.go
@@ -313,3 +313,27 @@
 		is.True(a.took < time.Second)
 	}
 }
+
+// Guards against a stream that goes on at an engine which has restarted under its ID with another version,
+// while the ingress that takes it up hears nothing of the store or of other ingresses that do.
+func TestStreamDoesNotGoOnAtAnEngineThatWasUpdatedUnheard(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.slowStreams()
+	for n := range d.ingresses {
+		d.Store.SetFault(n, hosted.StoreSilent)
+	}
+	streams, done := startStreams(testedStreams, false, d.ingresses[0], d.ingresses[1:])
+	time.Sleep(midStream)
+	updated := d.engines[0]
+	updated.Crash()
+	updated.SetVersion(otherVersion)
+	if err := updated.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	d.ingresses[0].kill()
+	done.Wait()
+	for n := range d.ingresses {
+		d.Store.SetFault(n, hosted.NoStoreFault)
+	}
+	checkShare(t, checkVersions(t, streams), streams)
+}
