origin, builds: the origin of a stream is kept as long as the stream may be taken up

It was kept for a minute from the first event on, whatever the time limit of the route: a longer stream that broke off then could not go on. Now until half a minute after the time limit of the stream, and a version counts for as long after its last server has gone.

--- a/ingress/services/flow/origin.go
+++ b/ingress/services/flow/origin.go
@@ -64,7 +64,7 @@
 		x.software = &software
 	}
 	if x.route.Resumable {
-		x.server.options.Origins.RecordBegun(x.firstAttempt(), *x.software)
+		x.server.options.Origins.RecordBegun(x.firstAttempt(), *x.software, x.deadline)
 	}
 }
 
--- a/ingress/services/flow/origin_test.go
+++ b/ingress/services/flow/origin_test.go
@@ -21,7 +21,7 @@
 	complete []string
 }
 
-func (o *fakeOrigins) RecordBegun(attempt string, software site.Software) {
+func (o *fakeOrigins) RecordBegun(attempt string, software site.Software, _ time.Time) {
 	if o.begun == nil {
 		o.begun = map[string]site.Software{}
 	}
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -43,7 +43,7 @@
 
 // Origins knows which software began each stream. An attempt is the one that brings the first event.
 type Origins interface {
-	RecordBegun(attempt string, software site.Software)
+	RecordBegun(attempt string, software site.Software, deadline time.Time)
 	RecordComplete(attempt string)
 	Find(ctx context.Context, attempt string, services []string) origin.Origin
 }
--- a/ingress/services/origin/origin.go
+++ b/ingress/services/origin/origin.go
@@ -73,9 +73,8 @@
 const (
 	// memoPrefix precedes the attempt that brought the first event of a stream in the key of its memo.
 	memoPrefix = "stream/"
-	// memoLife is how long the origin of a stream is kept: longer than a stream may last until its
-	// caller takes it up again.
-	memoLife = builds.Retention
+	// returnTime is how long after the time limit of a stream its caller may still take it up.
+	returnTime = 30 * time.Second
 )
 
 // SetView observes the software versions in a new view.
@@ -86,6 +85,9 @@
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	o.view = v
+	if v.Table != nil {
+		o.history.SetRetention(v.Table.LongestStream() + returnTime)
+	}
 	o.history.Observe(time.Now(), v.Versions, v.Mixed)
 }
 
@@ -98,14 +100,14 @@
 }
 
 // RecordBegun records the software that begins a stream. Attempt is the attempt that brings its first
-// event.
-func (o *Registry) RecordBegun(attempt string, software site.Software) {
+// event, deadline the time limit of the stream.
+func (o *Registry) RecordBegun(attempt string, software site.Software, deadline time.Time) {
 	value, err := proto.Marshal(&wire.Software{Service: software.Service, Version: software.Version})
 	if err != nil {
 		o.options.Log.Error("origin-not-kept", zap.String("request", attempt), logs.Err(err))
 		return
 	}
-	o.options.Memos.Put(memo.Memo{Key: memoPrefix + attempt, Value: value, ExpiresAt: time.Now().Add(memoLife)})
+	o.options.Memos.Put(memo.Memo{Key: memoPrefix + attempt, Value: value, ExpiresAt: deadline.Add(returnTime)})
 }
 
 // RecordComplete records that a stream is complete, so that nobody takes it up.
--- a/ingress/services/origin/origin_test.go
+++ b/ingress/services/origin/origin_test.go
@@ -95,7 +95,7 @@
 			w.isSilent = c.isSilent
 			r := newRegistry(w)
 			r.SetView(c.view)
-			r.RecordBegun("recorded", v1)
+			r.RecordBegun("recorded", v1, time.Now().Add(time.Minute))
 			is.Equal(r.Find(context.Background(), c.attempt, c.services), c.want)
 		})
 	}
@@ -108,7 +108,7 @@
 	w := newWorld()
 	r := newRegistry(w)
 	r.SetView(newView("v1"))
-	r.RecordBegun("a", site.Software{Service: "engines", Version: "v1"})
+	r.RecordBegun("a", site.Software{Service: "engines", Version: "v1"}, time.Now().Add(time.Minute))
 	r.Find(context.Background(), "a", engines)
 	is.Equal(w.lookups, 0)
 	is.Equal(len(w.memos), 1)
--- a/share/decide/access/access.go
+++ b/share/decide/access/access.go
@@ -5,6 +5,7 @@
 import (
 	"sort"
 	"strings"
+	"time"
 
 	"verbenaroad.example/share/models/site"
 )
@@ -32,6 +33,8 @@
 	// teamsByKey maps each key to its team.
 	teamsByKey  map[string]*site.Team
 	teamsByName map[string]*site.Team
+	// longestStream is the longest timeout of the routes whose streams may be resumed.
+	longestStream time.Duration
 }
 
 // NewTable indexes a configuration, which must not change afterwards.
@@ -49,6 +52,9 @@
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
 		t.routesByName[r.Name] = r
+		if r.Resumable {
+			t.longestStream = max(t.longestStream, r.Timeout)
+		}
 	}
 	for _, routes := range t.routesByHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
@@ -68,6 +74,9 @@
 // Config returns the indexed configuration.
 func (t *Table) Config() *site.Config { return t.config }
 
+// LongestStream returns the longest timeout of the routes whose streams may be resumed.
+func (t *Table) LongestStream() time.Duration { return t.longestStream }
+
 // FindService returns the service of that name, or nil.
 func (t *Table) FindService(name string) *site.Service { return t.servicesByName[name] }
 
--- a/share/decide/builds/history.go
+++ b/share/decide/builds/history.go
@@ -8,14 +8,15 @@
 	"time"
 )
 
-// Retention is how long a version counts after its last server has gone: longer than a stream may last
-// until its caller takes it up again.
-const Retention = time.Minute
+// MinRetention is the least time for which a version counts after its last server has gone.
+const MinRetention = time.Minute
 
 // History holds the versions of the services as one ingress has observed them. It is not safe for
 // concurrent use.
 type History struct {
 	services map[string]*service
+	// retention is longer than a stream may last until its caller takes it up again.
+	retention time.Duration
 }
 
 type service struct {
@@ -31,7 +32,12 @@
 }
 
 // NewHistory returns an empty history.
-func NewHistory() *History { return &History{services: map[string]*service{}} }
+func NewHistory() *History {
+	return &History{services: map[string]*service{}, retention: MinRetention}
+}
+
+// SetRetention sets how long a version counts after its last server has gone, MinRetention at least.
+func (h *History) SetRetention(d time.Duration) { h.retention = max(d, MinRetention) }
 
 // Observe records the versions of all registered servers by service, and the services that are marked
 // in the store.
@@ -50,32 +56,32 @@
 			s.lastSeen[version] = now
 		}
 		s.marked = marked[name]
-		maps.DeleteFunc(s.lastSeen, func(_ string, at time.Time) bool { return now.Sub(at) > Retention })
+		maps.DeleteFunc(s.lastSeen, func(_ string, at time.Time) bool { return now.Sub(at) > h.retention })
 		if len(s.lastSeen) == 0 {
 			delete(h.services, name)
 		}
 	}
 }
 
-// Sole returns the only version that the servers of a service have had within Retention, or false if
+// Sole returns the only version that the servers of a service have had within the retention, or false if
 // there were several, or none, or if it is not known.
 func (h *History) Sole(now time.Time, name string) (version string, known bool) {
 	s := h.services[name]
-	if s == nil || s.marked && now.Sub(s.observedSince) <= Retention {
+	if s == nil || s.marked && now.Sub(s.observedSince) <= h.retention {
 		return "", false
 	}
-	recent := s.listRecent(now)
+	recent := s.listRecent(now, h.retention)
 	if len(recent) != 1 {
 		return "", false
 	}
 	return recent[0], true
 }
 
-// listRecent returns the versions that were registered within Retention.
-func (s *service) listRecent(now time.Time) []string {
+// listRecent returns the versions that were registered within the retention.
+func (s *service) listRecent(now time.Time, retention time.Duration) []string {
 	recent := slices.Clone(s.present)
 	for version, at := range s.lastSeen {
-		if now.Sub(at) <= Retention && !slices.Contains(recent, version) {
+		if now.Sub(at) <= retention && !slices.Contains(recent, version) {
 			recent = append(recent, version)
 		}
 	}
@@ -87,7 +93,7 @@
 	return h.list(func(_ string, s *service) bool { return len(s.present) > 1 && !s.marked })
 }
 
-// ListOutdated returns the marked services that have had a single version for as long as Retention,
+// ListOutdated returns the marked services that have had a single version for as long as the retention,
 // sorted.
 func (h *History) ListOutdated(now time.Time) []string {
 	return h.list(func(name string, s *service) bool {
--- a/share/decide/builds/history_test.go
+++ b/share/decide/builds/history_test.go
@@ -79,7 +79,7 @@
 				for _, p := range present {
 					isPresent = isPresent || p == v
 				}
-				if known && v != only && (isPresent || asked.Sub(seen) <= builds.Retention) {
+				if known && v != only && (isPresent || asked.Sub(seen) <= builds.MinRetention) {
 					t.Fatalf("%s is reported as the only version, %s was registered %v ago", only, v, asked.Sub(seen))
 				}
 			}
@@ -87,3 +87,16 @@
 		}
 	})
 }
+
+// Guards against a version that is forgotten while streams that began there may still be taken up.
+func TestVersionCountsAsLongAsStreamsMayLast(t *testing.T) {
+	is := is.New(t)
+	h := builds.NewHistory()
+	h.SetRetention(3 * time.Minute)
+	h.Observe(at(0), versions("v1", "v2"), nil)
+	h.Observe(at(10), versions("v2"), nil)
+	_, known := h.Sole(at(189), "engines")
+	is.True(!known)
+	_, known = h.Sole(at(191), "engines")
+	is.True(known)
+}
