origin: an ingress without news does not take the version that it knows for the only one

An ingress that reached neither the store nor another ingress took a stream up at the one version that it knew, although another one might have been added, and might have begun the stream. The memo is looked up first wherever the caller states its attempt; without one the only version counts if another ingress has answered, or if the news of the store are less than 3 s old.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -163,7 +163,7 @@
 		Trials: poison.DefaultTrialSchedule(), Log: i.log,
 	})
 	i.recall = recall.NewRegistry(recall.Options{Peers: i.mesh, Views: i.book, Log: i.log})
-	i.origins = origin.NewRegistry(origin.Options{Memos: i.recall, Peers: i.mesh, Store: i.store, Codec: record.Codec{}, Log: i.log})
+	i.origins = origin.NewRegistry(origin.Options{Memos: i.recall, News: i.book, Peers: i.mesh, Store: i.store, Codec: record.Codec{}, Log: i.log})
 	i.producer = stages.NewProducer(i.mesh, i.batcher, i.log)
 	i.flow = flow.NewServer(flow.Options{
 		Views: i.book, Sender: client, StageRunner: i.producer, EnginePlacer: i.dispatcher, Screen: i.screen, Origins: i.origins, Meter: i.meters, Log: i.log,
--- a/ingress/services/origin/origin.go
+++ b/ingress/services/origin/origin.go
@@ -1,6 +1,6 @@
-// Package origin knows which software began each stream that may be taken up. While the servers of a
-// service have had one version only, that is the one. Otherwise the ingress that began the stream has
-// written a memo, which outlives it.
+// Package origin knows which software began each stream that may be taken up: the ingress that began it has
+// written a memo, which outlives it. Without a memo it is known while the servers of the service have had
+// one version only.
 package origin
 
 import (
@@ -47,9 +47,15 @@
 	WriteMixed(versions []string) ([]byte, error)
 }
 
+// News reports how old the view of the deployment is.
+type News interface {
+	Age() time.Duration
+}
+
 // Options are the settings of a Registry.
 type Options struct {
 	Memos Memos
+	News  News
 	Peers Peers
 	Store Store
 	Codec Codec
@@ -73,6 +79,9 @@
 const (
 	// memoPrefix precedes the attempt that brought the first event of a stream in the key of its memo.
 	memoPrefix = "stream/"
+	// maxNewsAge is how old the news of the store may be at an ingress that reaches no other one, if it is
+	// to know that no further version has been added.
+	maxNewsAge = 3 * time.Second
 	// returnTime is how long after the time limit of a stream its caller may still take it up.
 	returnTime = 30 * time.Second
 )
@@ -140,14 +149,11 @@
 // empty: the caller did not state it. Services are those of the stream's route; if the stream may go on at
 // any of them, the first one is chosen.
 func (o *Registry) Find(ctx context.Context, attempt string, services []string) Origin {
-	only, isComplete := o.findOnlyVersion(services)
-	if only != nil && (attempt == "" || len(services) == 1) {
-		return Origin{Software: *only, Source: SourceOnly}
-	}
-	if attempt == "" {
-		return Origin{MayBeHeld: !isComplete}
+	// Without an attempt no memo can be looked up, and nothing can contradict the only version.
+	finding := recall.Finding{Conclusive: true}
+	if attempt != "" {
+		finding = o.options.Memos.Find(ctx, memoPrefix+attempt)
 	}
-	finding := o.options.Memos.Find(ctx, memoPrefix+attempt)
 	if finding.Found {
 		software, err := decodeSoftware(finding.Memo)
 		if err == nil {
@@ -155,7 +161,8 @@
 		}
 		o.options.Log.Warn("origin-unreadable", zap.String("resumes", attempt), zap.String("ingress", finding.HeldBy), logs.Err(err))
 	}
-	if only != nil {
+	only, isComplete := o.findOnlyVersion(services)
+	if only != nil && (finding.Answered || finding.Conclusive || o.options.News.Age() <= maxNewsAge) {
 		return Origin{Software: *only, Source: SourceOnly}
 	}
 	return Origin{MayBeHeld: !isComplete || !finding.Conclusive}
--- a/ingress/services/origin/origin_test.go
+++ b/ingress/services/origin/origin_test.go
@@ -23,8 +23,10 @@
 	memos map[string]memo.Memo
 	// isSilent is set if an ingress that may hold a memo does not answer.
 	isSilent bool
-	lookups  int
-	records  map[string][]byte
+	// age is the age of the news of the store.
+	age     time.Duration
+	lookups int
+	records map[string][]byte
 }
 
 func newWorld() *world { return &world{memos: map[string]memo.Memo{}, records: map[string][]byte{}} }
@@ -37,7 +39,7 @@
 func (w *world) Find(_ context.Context, key string) recall.Finding {
 	w.lookups++
 	m, found := w.memos[key]
-	return recall.Finding{Memo: m, Found: found, HeldBy: "ingress-1", Conclusive: !w.isSilent}
+	return recall.Finding{Memo: m, Found: found, HeldBy: "ingress-1", Answered: !w.isSilent, Conclusive: !w.isSilent}
 }
 
 // store writes the marks.
@@ -57,8 +59,10 @@
 	return nil
 }
 
+func (w *world) Age() time.Duration { return w.age }
+
 func newRegistry(w *world) *origin.Registry {
-	return origin.NewRegistry(origin.Options{Memos: w, Peers: w, Store: store{w}, Codec: record.Codec{}, Log: zap.NewNop()})
+	return origin.NewRegistry(origin.Options{Memos: w, News: w, Peers: w, Store: store{w}, Codec: record.Codec{}, Log: zap.NewNop()})
 }
 
 func newView(versions ...string) *state.View {
@@ -70,7 +74,7 @@
 // Guards against a stream whose origin is guessed, that is not found although it was recorded, or that is
 // refused although its service has had one version only.
 func TestOriginOfAStream(t *testing.T) {
-	v1 := site.Software{Service: "engines", Version: "v1"}
+	v1, v2 := site.Software{Service: "engines", Version: "v1"}, site.Software{Service: "engines", Version: "v2"}
 	for name, c := range map[string]struct {
 		view     *state.View
 		attempt  string
@@ -79,7 +83,9 @@
 		want     origin.Origin
 	}{
 		"one version":                            {newView("v1"), "", engines, false, origin.Origin{Software: v1, Source: origin.SourceOnly}},
-		"one version, recorded":                  {newView("v1"), "recorded", engines, false, origin.Origin{Software: v1, Source: origin.SourceOnly}},
+		"one version, recorded":                  {newView("v1"), "recorded", engines, false, origin.Origin{Software: v1, Source: origin.SourceMemo, HeldBy: "ingress-1"}},
+		"one version, not recorded":              {newView("v2"), "other", engines, false, origin.Origin{Software: v2, Source: origin.SourceOnly}},
+		"another version is not known yet":       {newView("v2"), "recorded", engines, false, origin.Origin{Software: v1, Source: origin.SourceMemo, HeldBy: "ingress-1"}},
 		"two versions, recorded":                 {newView("v1", "v2"), "recorded", engines, false, origin.Origin{Software: v1, Source: origin.SourceMemo, HeldBy: "ingress-1"}},
 		"two versions, not stated":               {newView("v1", "v2"), "", engines, false, origin.Origin{}},
 		"two versions, not recorded":             {newView("v1", "v2"), "other", engines, false, origin.Origin{}},
@@ -101,15 +107,38 @@
 	}
 }
 
-// Guards against a lookup at other ingresses for each stream of a service that has one version, and against
-// records of streams that nobody takes up.
-func TestOneVersionNeedsNoLookup(t *testing.T) {
+// Guards against an ingress that reaches neither the store nor another ingress and takes the version that
+// it knows for the only one, although another one may have been added since.
+func TestOldNewsDoNotTellTheOnlyVersion(t *testing.T) {
+	only := origin.Origin{Software: site.Software{Service: "engines", Version: "v1"}, Source: origin.SourceOnly}
+	for name, c := range map[string]struct {
+		age      time.Duration
+		isSilent bool
+		want     origin.Origin
+	}{
+		"new, no other ingress answers": {time.Second, true, only},
+		"old, another ingress answers":  {time.Minute, false, only},
+		"old, no other ingress answers": {time.Minute, true, origin.Origin{MayBeHeld: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld()
+			w.age, w.isSilent = c.age, c.isSilent
+			r := newRegistry(w)
+			r.SetView(newView("v1"))
+			is.Equal(r.Find(context.Background(), "other", engines), c.want)
+		})
+	}
+}
+
+// Guards against a lookup that has nothing to look up, and against records of streams that nobody takes up.
+func TestRecordsEndWithTheirStream(t *testing.T) {
 	is := is.New(t)
 	w := newWorld()
 	r := newRegistry(w)
 	r.SetView(newView("v1"))
 	r.RecordBegun("a", site.Software{Service: "engines", Version: "v1"}, time.Now().Add(time.Minute))
-	r.Find(context.Background(), "a", engines)
+	is.Equal(r.Find(context.Background(), "", engines).Source, origin.SourceOnly)
 	is.Equal(w.lookups, 0)
 	is.Equal(len(w.memos), 1)
 	r.RecordComplete("a")
--- a/ingress/services/recall/find.go
+++ b/ingress/services/recall/find.go
@@ -26,7 +26,8 @@
 	Found bool
 	// HeldBy is the ingress that held the memo.
 	HeldBy string
-	// Conclusive is set if all ingresses that may hold the memo have answered.
+	// Answered is set if another ingress has answered, Conclusive if all that may hold the memo have.
+	Answered   bool
 	Conclusive bool
 }
 
@@ -37,7 +38,7 @@
 	}
 	holders := r.listHolders(key)
 	// An ingress that cannot be reached may hold the memo.
-	conclusive := len(holders)+1 >= len(r.options.Views.View().Ingresses)
+	result := Finding{Conclusive: len(holders)+1 >= len(r.options.Views.View().Ingresses)}
 	for _, count := range []int{firstRound, secondRound} {
 		asked := holders[:min(len(holders), count)]
 		holders = holders[len(asked):]
@@ -45,9 +46,10 @@
 		if f.Found {
 			return f
 		}
-		conclusive = conclusive && f.Conclusive
+		result.Answered = result.Answered || f.Answered
+		result.Conclusive = result.Conclusive && f.Conclusive
 	}
-	return Finding{Conclusive: conclusive}
+	return result
 }
 
 // answer is what one ingress says.
@@ -66,19 +68,20 @@
 	for _, name := range names {
 		go r.runAsk(ctx, name, key, answers)
 	}
-	conclusive := true
+	result := Finding{Conclusive: true}
 	for range names {
 		a := <-answers
 		if a.err != nil {
 			r.options.Log.Info("recall-failed", zap.String("ingress", a.name), logs.Err(a.err))
-			conclusive = false
+			result.Conclusive = false
 			continue
 		}
+		result.Answered = true
 		if m := a.recalled.GetMemo(); m != nil {
-			return Finding{Memo: decode(time.Now(), m), Found: true, HeldBy: a.name, Conclusive: true}
+			return Finding{Memo: decode(time.Now(), m), Found: true, HeldBy: a.name, Answered: true, Conclusive: true}
 		}
 	}
-	return Finding{Conclusive: conclusive}
+	return result
 }
 
 func (r *Registry) runAsk(ctx context.Context, name, key string, answers chan<- answer) {
