--- a/proofs/hosted/versions_test.go
+++ b/proofs/hosted/versions_test.go
@@ -56,9 +56,6 @@
 	complete bool
 	// tries counts the attempts.
 	tries int
-	// refused counts the tries that were refused as not run, slowest is the longest of them.
-	refused int
-	slowest time.Duration
 	// unnamed is set if the caller does not state which attempt brought the first event.
 	unnamed bool
 }
@@ -74,10 +71,6 @@
 		}
 	}
 	a := i.send(context.Background(), q)
-	if a.status == http.StatusServiceUnavailable {
-		s.refused++
-		s.slowest = max(s.slowest, a.took)
-	}
 	if a.status != http.StatusOK {
 		return
 	}
