flow, stages, budget: log lines tell what was granted of the retry budget

A denied retry was logged without what was counted, and a granted one not at all, so the sum over all ingresses could not be had from the logs. Now each decision states the requests, the retries and the limit, and each retry when it is sent.

--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -150,6 +150,8 @@
 	runs int
 	// sends counts all attempts, including those that were refused or could not be sent.
 	sends int
+	// retryGrantedAt is when a retry was granted that has not been sent yet; zero if there is none.
+	retryGrantedAt time.Time
 }
 
 // defaultCallerTimeout applies if the caller does not state how long it waits.
@@ -274,12 +276,25 @@
 	s := x.server
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if !s.getService(x.service).retries.TakeRetries(time.Now(), 1, s.ingresses) {
-		x.log.Info("repeat-denied", zap.String("reason", reason), zap.Int("ingresses", s.ingresses))
-		return false
+	d := s.getService(x.service).retries.TakeRetries(time.Now(), 1, s.ingresses)
+	event := "repeat-denied"
+	if d.Granted {
+		event = "repeat-granted"
+		x.retryGrantedAt = time.Now()
+		s.options.Meter.CountRetry(x.service, reason)
 	}
-	s.options.Meter.CountRetry(x.service, reason)
-	return true
+	x.log.Info(event, zap.String("reason", reason), zap.Int("requests", d.Requests), zap.Int("repeats", d.Retries),
+		zap.Float64("limit", d.Limit), zap.Int("ingresses", s.ingresses))
+	return d.Granted
+}
+
+// recordSend logs that a granted retry is sent now, if this is one.
+func (x *exchange) recordSend(server *site.Server) {
+	if x.retryGrantedAt.IsZero() {
+		return
+	}
+	x.log.Info("repeat-sent", zap.String("server", server.ID), zap.Duration("granted-ago", time.Since(x.retryGrantedAt)))
+	x.retryGrantedAt = time.Time{}
 }
 
 func (x *exchange) countRequest() {
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -74,6 +74,7 @@
 	x.sends++
 	sendCtx, cancel := context.WithTimeout(ctx, x.attemptTimeout()+answerGrace)
 	defer cancel()
+	x.recordSend(&server)
 	began := time.Now()
 	reply, err := x.server.options.Sender.Send(sendCtx, x.newAttempt(server, nil))
 	var buffered []byte
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -273,6 +273,7 @@
 	attempt.UpstreamHeaders.FetchFrom = r.fetchFrom(&server)
 	stopRelease := r.scheduleRelease()
 	defer stopRelease()
+	r.recordSend(&server)
 	began := time.Now()
 	reply, err := r.server.options.Sender.Send(ctx, attempt)
 	if err != nil {
--- a/ingress/services/stages/batcher.go
+++ b/ingress/services/stages/batcher.go
@@ -172,13 +172,26 @@
 		b.budgets[s.Name] = retryBudget
 	}
 	planner := batch.NewPlanner(*s.Pool, b.options.Regions, func(now time.Time, n int) bool {
-		return retryBudget.TakeRetries(now, n, b.ingresses)
+		return b.takeRetries(now, s.Name, retryBudget, n)
 	})
 	planner.SetLimiter(b.options.Limits)
 	planner.SetPauses(b.options.Pauses)
 	return &jobQueue{planner: planner, retryBudget: retryBudget, waiters: map[uint64]chan batch.Completion{}}
 }
 
+// takeRetries takes n retries of calls from the budget of a service. It returns false if the budget is
+// exhausted. The caller holds the lock.
+func (b *Batcher) takeRetries(now time.Time, service string, retryBudget *budget.Budget, n int) bool {
+	d := retryBudget.TakeRetries(now, n, b.ingresses)
+	event := "repeat-denied"
+	if d.Granted {
+		event = "repeat-granted"
+	}
+	b.options.Log.Info(event, zap.String("service", service), zap.String("reason", "call"), zap.Int("requests", d.Requests),
+		zap.Int("repeats", d.Retries), zap.Float64("limit", d.Limit), zap.Int("ingresses", b.ingresses))
+	return d.Granted
+}
+
 // Produce adds a job to a queue and waits for its end. If the context ends first, the job is
 // canceled.
 func (b *Batcher) Produce(ctx context.Context, queue string, j batch.Job) batch.Completion {
--- a/share/decide/budget/budget.go
+++ b/share/decide/budget/budget.go
@@ -45,20 +45,31 @@
 	b.requests = append(b.requests, now)
 }
 
-// TakeRetries counts n retries and returns true, or counts none and returns false if they
-// exceed this ingress's part of the limit. The argument ingresses is the highest number of
-// ingresses that may use the budget at the same time.
-func (b *Budget) TakeRetries(now time.Time, n, ingresses int) bool {
+// Decision states whether retries were granted, and what this depended on.
+type Decision struct {
+	Granted bool
+	// Requests and Retries are the numbers counted within the last window before the decision.
+	Requests int
+	Retries  int
+	// Limit is the highest number of retries that was allowed within the window.
+	Limit float64
+}
+
+// TakeRetries counts n retries and grants them, or counts none if they exceed this ingress's part
+// of the limit. The argument ingresses is the highest number of ingresses that may use the budget
+// at the same time.
+func (b *Budget) TakeRetries(now time.Time, n, ingresses int) Decision {
 	b.expire(now)
 	part := b.settings.Slack / float64(max(ingresses, 1))
-	limit := usableShare * (b.settings.Ratio*float64(len(b.requests)) + part)
-	if float64(len(b.retries)+n) > limit {
-		return false
+	d := Decision{Requests: len(b.requests), Retries: len(b.retries), Limit: usableShare * (b.settings.Ratio*float64(len(b.requests)) + part)}
+	if float64(len(b.retries)+n) > d.Limit {
+		return d
 	}
 	for range n {
 		b.retries = append(b.retries, now)
 	}
-	return true
+	d.Granted = true
+	return d
 }
 
 func (b *Budget) expire(now time.Time) {
--- a/share/decide/budget/budget_test.go
+++ b/share/decide/budget/budget_test.go
@@ -29,7 +29,7 @@
 			b := budgets[rapid.IntRange(0, ingresses-1).Draw(t, "ingress")]
 			b.CountRequest(now)
 			requests = append(requests, now)
-			if b.TakeRetries(now, 1, ingresses) {
+			if b.TakeRetries(now, 1, ingresses).Granted {
 				retries = append(retries, now)
 			}
 		}
@@ -57,11 +57,11 @@
 	is := is.New(t)
 	b := budget.NewBudget(settings)
 	now := time.Unix(0, 0)
-	is.True(b.TakeRetries(now, 1, 6))
+	is.True(b.TakeRetries(now, 1, 6).Granted)
 	taken := 1
-	for b.TakeRetries(now, 1, 6) {
+	for b.TakeRetries(now, 1, 6).Granted {
 		taken++
 	}
 	is.Equal(taken, 6) // 0.7 of 58/6
-	is.True(b.TakeRetries(now.Add(settings.Window+time.Millisecond), 1, 6))
+	is.True(b.TakeRetries(now.Add(settings.Window+time.Millisecond), 1, 6).Granted)
 }
