--- a/fakes/services/hosted/arrivals.go
+++ b/fakes/services/hosted/arrivals.go
@@ -69,11 +69,34 @@
 	return slices.Clone(s.arrivals)
 }
 
+// Attempt is the arrival of a plain request or a stream, which the server may have refused.
+type Attempt struct {
+	ID string
+	At time.Time
+}
+
+// Attempts returns the arrivals of plain requests and streams, in their order.
+func (s *Server) Attempts() []Attempt {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return slices.Clone(s.attempts)
+}
+
+// SetRefusing makes the server refuse all further plain requests and streams as not run, or ends that.
+func (s *Server) SetRefusing(refusing bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.refusing = refusing
+}
+
 // arrive records a request, and sets the additional headers of its answer.
-func (s *Server) arrive(w http.ResponseWriter) {
+func (s *Server) arrive(w http.ResponseWriter, r *http.Request) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.arrivals = append(s.arrivals, time.Now())
+	if id := r.Header.Get("X-Verbenaroad-Attempt-Id"); id != "" {
+		s.attempts = append(s.attempts, Attempt{ID: id, At: time.Now()})
+	}
 	for name, values := range s.header {
 		w.Header()[name] = values
 	}
--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -100,6 +100,10 @@
 	runs   []Run
 	// arrivals holds when requests, pool calls and releases of results arrived.
 	arrivals []time.Time
+	// attempts holds the arrivals of plain requests and streams.
+	attempts []Attempt
+	// refusing is set while SetRefusing applies.
+	refusing bool
 	running  int
 	// busy is set while a pool call runs; waiting is the number of pool calls that wait for it.
 	busy    bool
@@ -232,6 +236,9 @@
 func (s *Server) takeFault() Fault {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	if s.refusing {
+		return RefuseNotRun
+	}
 	if len(s.faults) == 0 {
 		return NoFault
 	}
@@ -249,7 +256,7 @@
 	if err != nil {
 		return
 	}
-	s.arrive(w)
+	s.arrive(w, r)
 	if s.turnAway(w, r) {
 		return
 	}
--- /dev/null
+++ b/proofs/hosted/budget_test.go
@@ -0,0 +1,184 @@
+package hosted_test
+
+import (
+	"cmp"
+	"context"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/fakes/services/hosted"
+)
+
+const (
+	// retryRatio, retrySlack and retryWindow are the retry budget of the deployments of this file.
+	retryRatio  = 0.2
+	retrySlack  = 60
+	retryWindow = 4 * time.Second
+	// retryCallers is the number of callers at each ingress.
+	retryCallers = 4
+	// returnPause is how long a caller waits after an attempt.
+	returnPause = 300 * time.Millisecond
+)
+
+// retryLoad sends orders through all ingresses, also while these are down, and records when.
+type retryLoad struct {
+	stop    chan struct{}
+	callers sync.WaitGroup
+
+	lock sync.Mutex
+	sent []time.Time
+}
+
+// newRetryDeployment returns a deployment whose plain servers refuse all orders, so that the ingresses
+// repeat them at other servers.
+func newRetryDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := newDeployment(t, 3)
+	d.plainServers = append(d.plainServers, d.add(&hosted.Server{Service: "orders", Zone: "a1", WorkTime: 20 * time.Millisecond}))
+	for _, i := range d.ingresses {
+		i.setRetryBudget()
+	}
+	for _, s := range d.plainServers {
+		s.SetRefusing(true)
+	}
+	return d
+}
+
+// setRetryBudget restarts an ingress with the retry budget of this file.
+func (i *ingress) setRetryBudget() {
+	i.t.Helper()
+	text, err := os.ReadFile(i.configFile)
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	changed := strings.Replace(string(text), "slack = 60\n", "slack = 60\nwindow = \"4s\"\n", 1)
+	if err := os.WriteFile(i.configFile, []byte(changed), 0o600); err != nil {
+		i.t.Fatal(err)
+	}
+	i.kill()
+	i.start()
+	eventually(i.t, i.name+" is ready", i.isReady)
+}
+
+func (d *deployment) startRetryLoad() *retryLoad {
+	l := &retryLoad{stop: make(chan struct{})}
+	for _, i := range d.ingresses {
+		for range retryCallers {
+			l.callers.Add(1)
+			go l.run(i)
+		}
+	}
+	return l
+}
+
+func (l *retryLoad) run(i *ingress) {
+	defer l.callers.Done()
+	for {
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(returnPause):
+		}
+		l.lock.Lock()
+		l.sent = append(l.sent, time.Now())
+		l.lock.Unlock()
+		i.send(context.Background(), newRequest("/order/1"))
+	}
+}
+
+// end stops the callers and returns when they sent requests.
+func (l *retryLoad) end() []time.Time {
+	close(l.stop)
+	l.callers.Wait()
+	return l.sent
+}
+
+// listRepeats returns when attempts arrived at plain servers that had arrived at one before, in order.
+func (d *deployment) listRepeats() []time.Time {
+	all := []hosted.Attempt{}
+	for _, s := range d.plainServers {
+		all = append(all, s.Attempts()...)
+	}
+	slices.SortFunc(all, func(a, b hosted.Attempt) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
+	seen := map[string]bool{}
+	repeats := []time.Time{}
+	for _, a := range all {
+		if seen[a.ID] {
+			repeats = append(repeats, a.At)
+		}
+		seen[a.ID] = true
+	}
+	return repeats
+}
+
+// checkRetryBudget checks the repeats in each window that begins with one. The requests are those of the
+// window, of the one before it or of the one half a window before it, whichever are most.
+func checkRetryBudget(t *testing.T, sent, repeats []time.Time) {
+	t.Helper()
+	most := 0
+	for _, from := range repeats {
+		requests := 0
+		for _, before := range []time.Duration{0, retryWindow / 2, retryWindow} {
+			requests = max(requests, countFrom(sent, from.Add(-before)))
+		}
+		count := countFrom(repeats, from)
+		most = max(most, count)
+		if allowed := retryRatio*float64(requests) + retrySlack; float64(count) > allowed {
+			t.Errorf("%d repeats within %v, allowed are %.0f for %d requests", count, retryWindow, allowed, requests)
+			return
+		}
+	}
+	t.Logf("%d repeats, at most %d within %v", len(repeats), most, retryWindow)
+}
+
+// countFrom returns how many of the times are in the retry window that begins at a time.
+func countFrom(times []time.Time, from time.Time) int {
+	count := 0
+	for _, at := range times {
+		if !at.Before(from) && at.Before(from.Add(retryWindow)) {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against more retries than the budget of all ingresses allows because each start of an ingress
+// may use a whole part of it.
+func TestRetriesStayWithinBudgetAcrossRestarts(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		restarted int
+		storeAway bool
+	}{{"all", 3, false}, {"one", 1, false}, {"all without the store", 3, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newRetryDeployment(t)
+			time.Sleep(retryWindow) // the ingresses have been started long enough
+			load := d.startRetryLoad()
+			time.Sleep(time.Second)
+			if c.storeAway {
+				d.Store.SetFault(2, hosted.StoreSilent)
+			}
+			for range 3 {
+				for _, i := range d.ingresses[3-c.restarted:] {
+					i.kill()
+				}
+				for _, i := range d.ingresses[3-c.restarted:] {
+					i.start()
+				}
+				time.Sleep(retryWindow / 4)
+			}
+			time.Sleep(retryWindow / 2)
+			sent, repeats := load.end(), d.listRepeats()
+			is.True(len(repeats) > 0) // the servers refused orders that were then repeated
+			checkRetryBudget(t, sent, repeats)
+		})
+	}
+}
--- a/share/decide/budget/budget_test.go
+++ b/share/decide/budget/budget_test.go
@@ -43,6 +43,54 @@
 	})
 }
 
+// Guards against more retries than the limit because an ingress forgets with each restart what it has
+// spent. Any number of them restart, one by one or all at once.
+func TestRestartedIngressesTogetherStayWithinBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ingresses := rapid.IntRange(1, 6).Draw(t, "ingresses")
+		budgets := make([]*budget.Budget, ingresses)
+		now := time.Unix(0, 0)
+		for i := range budgets {
+			budgets[i] = budget.NewBudget(settings)
+		}
+		gap := rapid.IntRange(1, 60).Draw(t, "gap")
+		restarts := rapid.IntRange(20, 600).Draw(t, "steps between restarts")
+		requests, retries := []time.Time{}, []time.Time{}
+		for step := range 1500 {
+			now = now.Add(time.Duration(rapid.IntRange(0, gap).Draw(t, "ms")) * time.Millisecond)
+			if step%restarts == restarts-1 {
+				first := rapid.IntRange(0, ingresses-1).Draw(t, "first restarted")
+				for i := range budgets[first:] {
+					budgets[first+i] = budget.NewBudget(settings)
+				}
+			}
+			b := budgets[rapid.IntRange(0, ingresses-1).Draw(t, "ingress")]
+			b.CountRequest(now)
+			requests = append(requests, now)
+			for range 2 {
+				if b.TakeRetries(now, 1, ingresses).Granted {
+					retries = append(retries, now)
+				}
+			}
+		}
+		checkBound(t, requests, retries)
+	})
+}
+
+// checkBound checks the retries in each window. The requests are those of the window, of the one before it
+// or of the one half a window before it, whichever are most.
+func checkBound(t *rapid.T, requests, retries []time.Time) {
+	for _, end := range retries {
+		n, m := countIn(retries, end.Add(-settings.Window), end), 0
+		for _, before := range []time.Duration{0, settings.Window / 2, settings.Window} {
+			m = max(m, countIn(requests, end.Add(-settings.Window-before), end.Add(-before)))
+		}
+		if float64(n) > settings.Ratio*float64(m)+settings.Slack {
+			t.Fatalf("%d retries for %d requests", n, m)
+		}
+	}
+}
+
 func countIn(times []time.Time, from, to time.Time) int {
 	n := 0
 	for _, t := range times {
