--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -21,6 +21,7 @@
 	"verbenaroad.example/ingress/routers/public"
 	"verbenaroad.example/ingress/services/assign"
 	"verbenaroad.example/ingress/services/flow"
+	"verbenaroad.example/ingress/services/ledger"
 	"verbenaroad.example/ingress/services/limits"
 	"verbenaroad.example/ingress/services/mesh"
 	"verbenaroad.example/ingress/services/meters"
@@ -83,6 +84,7 @@
 	placer        *assign.Placer
 	dispatcher    *assign.Dispatcher
 	limits        *limits.Registry
+	ledger        *ledger.Ledger
 	screen        *screen.Screen
 	recall        *recall.Registry
 	origins       *origin.Registry
@@ -149,9 +151,10 @@
 		Reader: &state.Reader{Book: i.book, Store: i.store, Name: i.self.Name, Domain: s.Place.Domain, Wait: s.Store.Wait, HistoryGone: keyval.ErrHistoryGone, Log: i.log},
 	})
 	i.puller.Feed = i.feeder
+	i.ledger = ledger.NewLedger(s.Repeats.Settings)
 	client := reach.NewClient(heads.Codec{}, i.limits)
 	i.batcher = stages.NewBatcher(stages.BatcherOptions{
-		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Retries: s.Repeats.Settings, Limits: i.limits, Pauses: i.limits, Log: i.log,
+		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Retries: i.ledger, Limits: i.limits, Pauses: i.limits, Log: i.log,
 		Regions: s.Place.Regions, Region: s.Place.Region,
 		Discard: func(service string, handles []string) { i.producer.Discard(service, handles) },
 		OnCrash: func(c batch.Crash) { i.screen.RecordCrash(poison.ID(c.RequestDigest), c.Server, c.SentAt) },
@@ -167,7 +170,7 @@
 	i.producer = stages.NewProducer(i.mesh, i.batcher, i.log)
 	i.flow = flow.NewServer(flow.Options{
 		Views: i.book, Sender: client, StageRunner: i.producer, EnginePlacer: i.dispatcher, Screen: i.screen, Origins: i.origins, Meter: i.meters, Log: i.log,
-		Domain: s.Place.Domain, Region: s.Place.Region, Regions: s.Place.Regions, Retries: s.Repeats.Settings,
+		Domain: s.Place.Domain, Region: s.Place.Region, Regions: s.Place.Regions, Retries: i.ledger,
 		Cold: s.Cold.Settings, Peers: i.mesh, Limits: i.limits, Admitter: i.dispatcher,
 	})
 }
@@ -175,6 +178,7 @@
 // setView passes a new view of the deployment to the services.
 func (i *Ingress) setView(v *state.View) {
 	i.limits.SetView(v)
+	i.ledger.SetView(v)
 	i.flow.SetView(v)
 	i.placer.SetView(v)
 	i.producer.SetView(v)
@@ -320,8 +324,7 @@
 		return
 	}
 	i.logOutput.SetLevel(s.Log.Level)
-	i.flow.SetRetries(s.Repeats.Settings)
-	i.batcher.SetRetries(s.Repeats.Settings)
+	i.ledger.SetSettings(s.Repeats.Settings)
 	i.meters.CountReload("applied")
 	i.log.Info("reload", zap.String("outcome", "applied"), zap.String("log-level", s.Log.Level),
 		zap.Float64("repeats-ratio", s.Repeats.Ratio), zap.Float64("repeats-slack", s.Repeats.Slack))
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -15,9 +15,9 @@
 
 	"verbenaroad.example/ingress/modules/memory"
 	"verbenaroad.example/ingress/services/assign"
+	"verbenaroad.example/ingress/services/ledger"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/access"
-	"verbenaroad.example/share/decide/budget"
 	"verbenaroad.example/share/decide/cold"
 	"verbenaroad.example/share/decide/place"
 	"verbenaroad.example/share/decide/poison"
@@ -39,8 +39,8 @@
 	Domain  string
 	Region  string
 	Regions map[string]string
-	// Retries is the retry budget. Cold limits the requests to a cold server.
-	Retries budget.Settings
+	// Retries limits the retries. Cold limits the requests to a cold server.
+	Retries Retries
 	Cold    cold.Settings
 	Peers   Peers
 	// Limits holds what servers state about the requests that they take. Admitter admits requests to
@@ -56,14 +56,11 @@
 	lock sync.Mutex
 	// services is keyed by the name of the service.
 	services map[string]*serviceState
-	// ingresses is the highest number of ingresses in any view so far.
-	ingresses int
 }
 
 // serviceState is what this ingress tracks about one service.
 type serviceState struct {
 	chooser *place.Chooser
-	retries *budget.Budget
 	// deferred holds, by ID, the servers whose rate limit did not allow a request.
 	deferred map[string]deferral
 }
@@ -73,21 +70,10 @@
 	return &Server{options: options, services: map[string]*serviceState{}}
 }
 
-// SetRetries replaces the settings of the retry budgets.
-func (s *Server) SetRetries(settings budget.Settings) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.options.Retries = settings
-	for _, p := range s.services {
-		p.retries.SetSettings(settings)
-	}
-}
-
-// SetView updates the backend servers and the number of ingresses from a new view.
+// SetView updates the backend servers from a new view.
 func (s *Server) SetView(v *state.View) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.ingresses = max(s.ingresses, len(v.Ingresses))
 	for name := range v.Servers {
 		s.getService(name)
 	}
@@ -100,9 +86,7 @@
 func (s *Server) getService(service string) *serviceState {
 	p := s.services[service]
 	if p == nil {
-		p = &serviceState{
-			chooser: place.NewChooser(s.options.Regions), retries: budget.NewBudget(s.options.Retries), deferred: map[string]deferral{},
-		}
+		p = &serviceState{chooser: place.NewChooser(s.options.Regions), deferred: map[string]deferral{}}
 		s.services[service] = p
 	}
 	return p
@@ -273,18 +257,12 @@
 // mayRetry takes one retry from this ingress's part of the service's retry budget. It returns false
 // if the budget is exhausted.
 func (x *exchange) mayRetry(reason string) bool {
-	s := x.server
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	d := s.getService(x.service).retries.TakeRetries(time.Now(), 1, s.ingresses)
-	event := "repeat-denied"
+	d := x.server.options.Retries.TakeRetry(x.service)
+	ledger.LogDecision(x.log, reason, d)
 	if d.Granted {
-		event = "repeat-granted"
 		x.retryGrantedAt = time.Now()
-		s.options.Meter.CountRetry(x.service, reason)
+		x.server.options.Meter.CountRetry(x.service, reason)
 	}
-	x.log.Info(event, zap.String("reason", reason), zap.Int("requests", d.Requests), zap.Int("repeats", d.Retries),
-		zap.Float64("limit", d.Limit), zap.Int("ingresses", s.ingresses))
 	return d.Granted
 }
 
@@ -297,12 +275,7 @@
 	x.retryGrantedAt = time.Time{}
 }
 
-func (x *exchange) countRequest() {
-	s := x.server
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.getService(x.service).retries.CountRequest(time.Now())
-}
+func (x *exchange) countRequest() { x.server.options.Retries.CountRequest(x.service) }
 
 // end records the result of an attempt at its server.
 func (x *exchange) end(server site.Server, result place.Result, took time.Duration, load *site.Load) {
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -10,6 +10,7 @@
 	"verbenaroad.example/ingress/services/reach"
 	"verbenaroad.example/ingress/services/stages"
 	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/decide/budget"
 	"verbenaroad.example/share/decide/place"
 	"verbenaroad.example/share/decide/poison"
 	"verbenaroad.example/share/models/site"
@@ -86,6 +87,14 @@
 	RecordServed(id poison.ID)
 }
 
+// Retries limits the retries of requests, by service.
+type Retries interface {
+	// CountRequest counts a new request, as opposed to a retry.
+	CountRequest(service string)
+	// TakeRetry takes one retry from the budget, unless it is exhausted.
+	TakeRetry(service string) budget.Decision
+}
+
 // Meter records metrics of requests.
 type Meter interface {
 	CountAnswer(route, outcome string, took time.Duration)
--- a/ingress/services/flow/stream_test.go
+++ b/ingress/services/flow/stream_test.go
@@ -17,6 +17,7 @@
 	"verbenaroad.example/ingress/modules/memory"
 	"verbenaroad.example/ingress/services/assign"
 	"verbenaroad.example/ingress/services/flow"
+	"verbenaroad.example/ingress/services/ledger"
 	"verbenaroad.example/ingress/services/limits"
 	"verbenaroad.example/ingress/services/reach"
 	"verbenaroad.example/ingress/services/stages"
@@ -111,7 +112,7 @@
 	engines := &slowEngines{stageRunner: results}
 	server := flow.NewServer(flow.Options{
 		Views: fixedView{view}, Sender: engines, StageRunner: results, EnginePlacer: enginePlacer{placer}, Screen: &fakeScreen{}, Origins: &fakeOrigins{}, Meter: noMeter{}, Log: zap.NewNop(),
-		Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second}, Limits: noLimits,
+		Retries: ledger.NewLedger(budget.Settings{Ratio: 1, Slack: 10, Window: time.Second}), Limits: noLimits,
 	})
 	answer := httptest.NewRecorder()
 	server.Serve(context.Background(), answer, &flow.Request{
--- a/ingress/services/stages/batcher.go
+++ b/ingress/services/stages/batcher.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/services/ledger"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/batch"
 	"verbenaroad.example/share/decide/budget"
@@ -29,6 +30,14 @@
 	ReadHolder(handle string) (netip.AddrPort, error)
 }
 
+// Retries limits the retries of calls, by service.
+type Retries interface {
+	// CountRequest counts a new job, as opposed to a retry.
+	CountRequest(service string)
+	// TakeRetry takes one retry from the budget, unless it is exhausted.
+	TakeRetry(service string) budget.Decision
+}
+
 // Meter records metrics of calls.
 type Meter interface {
 	CountBatch(queue, outcome string, items int, took time.Duration)
@@ -39,7 +48,7 @@
 	Pools Pools
 	Meter Meter
 	// Retries limits how many calls are retried.
-	Retries budget.Settings
+	Retries Retries
 	// Limits limits the calls to servers that state a rate. Pauses holds the pauses that servers asked
 	// this ingress for.
 	Limits batch.Limiter
@@ -73,16 +82,13 @@
 	options BatcherOptions
 
 	lock sync.Mutex
-	// queues is keyed by queue name, budgets by service.
-	queues  map[string]*jobQueue
-	budgets map[string]*budget.Budget
+	// queues is keyed by queue name.
+	queues map[string]*jobQueue
 	// toRelease holds the releases that are gathered, by the address of the server that holds the
 	// results.
 	toRelease map[netip.AddrPort]*release
 	// servers holds the servers that produce results by their addresses.
-	servers map[netip.AddrPort]site.Server
-	// ingresses is the highest number of registered ingresses in any view so far.
-	ingresses int
+	servers   map[netip.AddrPort]site.Server
 	lastJobID uint64
 }
 
@@ -101,15 +107,15 @@
 
 // jobQueue is one queue of a service, with the callers that wait for its jobs.
 type jobQueue struct {
-	planner     *batch.Planner
-	retryBudget *budget.Budget
+	service string
+	planner *batch.Planner
 	// waiters maps job IDs to the channels of the callers that wait.
 	waiters map[uint64]chan batch.Completion
 }
 
 // NewBatcher returns a Batcher without servers.
 func NewBatcher(options BatcherOptions) *Batcher {
-	return &Batcher{options: options, queues: map[string]*jobQueue{}, budgets: map[string]*budget.Budget{}, toRelease: map[netip.AddrPort]*release{}, servers: map[netip.AddrPort]site.Server{}}
+	return &Batcher{options: options, queues: map[string]*jobQueue{}, toRelease: map[netip.AddrPort]*release{}, servers: map[netip.AddrPort]site.Server{}}
 }
 
 // Start starts the goroutines of the batcher. They run until the context ends.
@@ -118,16 +124,6 @@
 	go b.loopRelease(ctx)
 }
 
-// SetRetries replaces the limit of retries.
-func (b *Batcher) SetRetries(settings budget.Settings) {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	b.options.Retries = settings
-	for _, retryBudget := range b.budgets {
-		retryBudget.SetSettings(settings)
-	}
-}
-
 // SetView replaces the servers of all queues with those of a new view. A view without a
 // configuration is ignored.
 func (b *Batcher) SetView(v *state.View) {
@@ -136,7 +132,6 @@
 	}
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.ingresses = max(b.ingresses, len(v.Ingresses))
 	b.servers = map[netip.AddrPort]site.Server{}
 	for _, s := range v.Table.Config().Services {
 		if s.Pool == nil {
@@ -166,29 +161,17 @@
 
 // newQueue returns a queue of a service. All queues of a service share its retry budget.
 func (b *Batcher) newQueue(s site.Service) *jobQueue {
-	retryBudget := b.budgets[s.Name]
-	if retryBudget == nil {
-		retryBudget = budget.NewBudget(b.options.Retries)
-		b.budgets[s.Name] = retryBudget
-	}
-	planner := batch.NewPlanner(*s.Pool, b.options.Regions, func(now time.Time, n int) bool {
-		return b.takeRetries(now, s.Name, retryBudget, n)
-	})
+	planner := batch.NewPlanner(*s.Pool, b.options.Regions, func() bool { return b.mayRetry(s.Name) })
 	planner.SetLimiter(b.options.Limits)
 	planner.SetPauses(b.options.Pauses)
-	return &jobQueue{planner: planner, retryBudget: retryBudget, waiters: map[uint64]chan batch.Completion{}}
+	return &jobQueue{service: s.Name, planner: planner, waiters: map[uint64]chan batch.Completion{}}
 }
 
-// takeRetries takes n retries of calls from the budget of a service. It returns false if the budget is
-// exhausted. The caller holds the lock.
-func (b *Batcher) takeRetries(now time.Time, service string, retryBudget *budget.Budget, n int) bool {
-	d := retryBudget.TakeRetries(now, n, b.ingresses)
-	event := "repeat-denied"
-	if d.Granted {
-		event = "repeat-granted"
-	}
-	b.options.Log.Info(event, zap.String("service", service), zap.String("reason", "call"), zap.Int("requests", d.Requests),
-		zap.Int("repeats", d.Retries), zap.Float64("limit", d.Limit), zap.Int("ingresses", b.ingresses))
+// mayRetry takes the retry of a call from the budget of a service. It returns false if the budget is
+// exhausted.
+func (b *Batcher) mayRetry(service string) bool {
+	d := b.options.Retries.TakeRetry(service)
+	ledger.LogDecision(b.options.Log.With(zap.String("service", service)), "call", d)
 	return d.Granted
 }
 
@@ -205,7 +188,7 @@
 	j.ID = b.lastJobID
 	done := make(chan batch.Completion, 1)
 	q.waiters[j.ID] = done
-	q.retryBudget.CountRequest(time.Now())
+	b.options.Retries.CountRequest(q.service)
 	b.perform(queue, q, q.planner.Add(time.Now(), j))
 	b.lock.Unlock()
 	select {
--- a/ingress/services/stages/producer_test.go
+++ b/ingress/services/stages/producer_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/services/ledger"
 	"verbenaroad.example/ingress/services/stages"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/access"
@@ -65,7 +66,7 @@
 	log := zap.NewNop()
 	batcher := stages.NewBatcher(stages.BatcherOptions{
 		Limits: quota.NewLimiter(), Pauses: avail.NewTable(),
-		Pools: instantPool{}, Meter: noMeter{}, Log: log, Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second},
+		Pools: instantPool{}, Meter: noMeter{}, Log: log, Retries: ledger.NewLedger(budget.Settings{Ratio: 1, Slack: 10, Window: time.Second}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -144,8 +144,8 @@
 	SentAt        time.Time
 }
 
-// RetryFunc reports whether n calls may be retried, and charges them to the retry budget.
-type RetryFunc func(now time.Time, n int) bool
+// RetryFunc reports whether a call may be retried, and charges it to the retry budget.
+type RetryFunc func() bool
 
 // Planner holds the queue of one service. It is not safe for concurrent use.
 type Planner struct {
--- a/share/decide/batch/batch_test.go
+++ b/share/decide/batch/batch_test.go
@@ -26,7 +26,7 @@
 	return servers
 }
 
-func alwaysRetry(time.Time, int) bool { return true }
+func alwaysRetry() bool { return true }
 
 func newPlanner(now time.Time, domains ...string) *batch.Planner {
 	p := batch.NewPlanner(newPool(), nil, alwaysRetry)
@@ -126,7 +126,7 @@
 func TestExhaustedRetryBudgetEndsTheJob(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	p := batch.NewPlanner(newPool(), nil, func(time.Time, int) bool { return false })
+	p := batch.NewPlanner(newPool(), nil, func() bool { return false })
 	p.SetServers(now, newServers("a"))
 	first := addGathered(p, now, newJob(now, 1, 2)).Calls[0]
 	a := p.FinishCall(now, first.ID, batch.CallResult{Failed: true})
--- a/share/decide/batch/finish.go
+++ b/share/decide/batch/finish.go
@@ -40,7 +40,7 @@
 	}
 	mayRetry := true
 	if failed || isRefused(results) {
-		mayRetry = p.retry(now, 1)
+		mayRetry = p.retry()
 	}
 	for i, ref := range call.refs {
 		result := site.ItemResult{Outcome: site.ItemUnknown}
--- a/share/decide/budget/budget.go
+++ b/share/decide/budget/budget.go
@@ -53,6 +53,8 @@
 	Retries  int
 	// Limit is the highest number of retries that was allowed within the window.
 	Limit float64
+	// Ingresses is the number of ingresses that share the slack.
+	Ingresses int
 }
 
 // TakeRetries counts n retries and grants them, or counts none if they exceed this ingress's part
@@ -60,8 +62,12 @@
 // at the same time.
 func (b *Budget) TakeRetries(now time.Time, n, ingresses int) Decision {
 	b.expire(now)
-	part := b.settings.Slack / float64(max(ingresses, 1))
-	d := Decision{Requests: len(b.requests), Retries: len(b.retries), Limit: usableShare * (b.settings.Ratio*float64(len(b.requests)) + part)}
+	ingresses = max(ingresses, 1)
+	part := b.settings.Slack / float64(ingresses)
+	d := Decision{
+		Requests: len(b.requests), Retries: len(b.retries), Ingresses: ingresses,
+		Limit: usableShare * (b.settings.Ratio*float64(len(b.requests)) + part),
+	}
 	if float64(len(b.retries)+n) > d.Limit {
 		return d
 	}
