budget: what an earlier run of an ingress spent is counted as unknown, not as nothing

Cause: the retries of the last window are counted in the memory of each process. A process that starts again counts from zero and may spend its whole part once more; the 0.7 of the bound that is used pays for one such start at most.

Now an ingress that has started within the window, and whose earlier run is not known, uses 0.25 of the bound, and of the slack only what grows with the time since its start. Any number of starts in a row get no more of it than one, and with the 0.7 of the run before they stay below the bound, without a message. An ingress that has not run before uses its whole part at once: the store, at its first listing, then holds no registration of it. For that a stopped ingress marks its registration as ended in place of ending its lease, at the same number of calls; others treat it as removed.

--- a/fakes/services/hosted/store.go
+++ b/fakes/services/hosted/store.go
@@ -191,6 +191,13 @@
 	}
 }
 
+// Value returns the value of a key, nil if there is none.
+func (s *Store) Value(key string) []byte {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.items[key].Value
+}
+
 // Keys returns the keys that begin with prefix, sorted.
 func (s *Store) Keys(prefix string) []string {
 	s.lock.Lock()
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -137,6 +137,7 @@
 		OnArrival: func() { i.book.ObserveOwnAnswer(time.Now()) },
 		OnCall:    func(call keyval.Call, err error) { i.meters.CountStoreCall(string(call), err) },
 	})
+	i.ledger = ledger.NewLedger(s.Repeats.Settings)
 	i.limits = limits.NewRegistry(limits.Options{Meter: i.meters, Log: i.log, OnLeaving: func() { i.book.Refresh() }})
 	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.setView, IsLeaving: i.limits.IsLeaving})
 	i.mesh = mesh.NewMesh(mesh.Options{
@@ -148,10 +149,9 @@
 	i.puller = &mesh.Puller{Mesh: i.mesh, Book: i.book, Seeds: s.Peers.Seeds, Log: i.log}
 	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
 		Mesh: i.mesh, Book: i.book, Puller: i.puller, Self: i.self, Regions: s.Place.Regions, LeaseTTL: s.Store.Lease, IsLeaving: i.stopper.IsLeaving, Log: i.log,
-		Reader: &state.Reader{Book: i.book, Store: i.store, Name: i.self.Name, Domain: s.Place.Domain, Wait: s.Store.Wait, HistoryGone: keyval.ErrHistoryGone, Log: i.log},
+		Reader: &state.Reader{Book: i.book, Store: i.store, Name: i.self.Name, Domain: s.Place.Domain, Wait: s.Store.Wait, HistoryGone: keyval.ErrHistoryGone, OnFirstRun: i.ledger.MarkFirstRun, Log: i.log},
 	})
 	i.puller.Feed = i.feeder
-	i.ledger = ledger.NewLedger(s.Repeats.Settings)
 	client := reach.NewClient(heads.Codec{}, i.limits)
 	i.batcher = stages.NewBatcher(stages.BatcherOptions{
 		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Retries: i.ledger, Limits: i.limits, Pauses: i.limits, Log: i.log,
--- a/ingress/services/ledger/ledger.go
+++ b/ingress/services/ledger/ledger.go
@@ -15,15 +15,29 @@
 type Ledger struct {
 	lock     sync.Mutex
 	settings budget.Settings
+	// knownSince is the start of the time for which all requests and retries of this ingress are counted;
+	// zero if it has not run before.
+	knownSince time.Time
 	// budgets is keyed by the name of the service.
 	budgets map[string]*budget.Budget
 	// ingresses is the highest number of ingresses in any view so far.
 	ingresses int
 }
 
-// NewLedger returns a ledger without counted requests.
+// NewLedger returns a ledger of an ingress that starts now. What earlier runs of it have spent is not
+// known.
 func NewLedger(settings budget.Settings) *Ledger {
-	return &Ledger{settings: settings, budgets: map[string]*budget.Budget{}}
+	return &Ledger{settings: settings, knownSince: time.Now(), budgets: map[string]*budget.Budget{}}
+}
+
+// MarkFirstRun records that this ingress has not run before within the last window.
+func (l *Ledger) MarkFirstRun() {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.knownSince = time.Time{}
+	for _, b := range l.budgets {
+		b.SetKnownSince(l.knownSince)
+	}
 }
 
 // SetSettings replaces the settings of all budgets.
@@ -61,7 +75,7 @@
 func (l *Ledger) find(service string) *budget.Budget {
 	b := l.budgets[service]
 	if b == nil {
-		b = budget.NewBudget(l.settings)
+		b = budget.NewBudget(l.settings, l.knownSince)
 		l.budgets[service] = b
 	}
 	return b
@@ -74,5 +88,5 @@
 		event = "repeat-granted"
 	}
 	log.Info(event, zap.String("reason", reason), zap.Int("requests", d.Requests), zap.Int("repeats", d.Retries),
-		zap.Float64("limit", d.Limit), zap.Int("ingresses", d.Ingresses))
+		zap.Float64("limit", d.Limit), zap.Int("ingresses", d.Ingresses), zap.Duration("known", d.Known))
 }
--- a/ingress/services/state/apply.go
+++ b/ingress/services/state/apply.go
@@ -148,12 +148,8 @@
 
 func (b *Book) applyIngress(r site.Record) {
 	name := b.options.Codec.IngressName(r.Key)
-	if r.Deleted && b.peerKeys[name] != r.Key {
-		return // the ingress has registered under another key since
-	}
 	if r.Deleted {
-		b.removedPeers[name] = time.Now()
-		b.options.Log.Info("ingress-removed", zap.String("ingress", name))
+		b.removeIngress(name, r.Key)
 		return
 	}
 	ingress, err := b.options.Codec.ReadIngress(r.Key, r.Value)
@@ -161,12 +157,26 @@
 		b.options.Log.Warn("ingress-unreadable", zap.String("key", r.Key), logs.Err(err))
 		return
 	}
+	if ingress.Ended {
+		b.removeIngress(name, r.Key)
+		return
+	}
 	b.peers[name] = ingress
 	b.peerKeys[name] = r.Key
 	delete(b.removedPeers, name)
 	b.options.Log.Info("ingress-seen", zap.String("ingress", name), zap.Stringer("address", ingress.Address))
 }
 
+// removeIngress records that the registration with a key has ended, unless the ingress is not known or has
+// registered under another key since.
+func (b *Book) removeIngress(name, key string) {
+	if b.peerKeys[name] != key {
+		return
+	}
+	b.removedPeers[name] = time.Now()
+	b.options.Log.Info("ingress-removed", zap.String("ingress", name))
+}
+
 // Refresh publishes a new view after the result of IsLeaving has changed.
 func (b *Book) Refresh() {
 	b.lock.Lock()
--- a/ingress/services/state/reader.go
+++ b/ingress/services/state/reader.go
@@ -21,7 +21,10 @@
 	// Wait and HistoryGone are passed to the Watcher.
 	Wait        time.Duration
 	HistoryGone error
-	Log         *zap.Logger
+	// OnFirstRun is called if the store, when it is first asked, holds no registration of this ingress: the
+	// ingress has not run before, or not for the duration of a lease. It may be nil.
+	OnFirstRun func()
+	Log        *zap.Logger
 
 	// cancel ends the watch. It is nil while there is none.
 	cancel context.CancelFunc
@@ -142,12 +145,15 @@
 		r.Log.Warn("first-look-failed", logs.Err(err))
 		return nil, err
 	}
-	r.Book.Merge(records)
-	r.Book.markLooked(records)
-	r.Book.ObserveOwnAnswer(time.Now())
 	names := make([]string, 0, len(records))
 	for _, record := range records {
 		names = append(names, r.Book.options.Codec.IngressName(record.Key))
 	}
+	if !r.Book.HasLooked() && !slices.Contains(names, r.Name) && r.OnFirstRun != nil {
+		r.OnFirstRun()
+	}
+	r.Book.Merge(records)
+	r.Book.markLooked(records)
+	r.Book.ObserveOwnAnswer(time.Now())
 	return names, nil
 }
--- a/ingress/services/state/register.go
+++ b/ingress/services/state/register.go
@@ -19,7 +19,6 @@
 	Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error)
 	Put(ctx context.Context, key string, value []byte, lease uint64) error
 	Renew(ctx context.Context, lease uint64) error
-	Release(ctx context.Context, lease uint64) error
 }
 
 const (
@@ -65,8 +64,8 @@
 	go r.loop(ctx)
 }
 
-// Close ends the registration, so that the other ingresses need not wait until the lease expires.
-// The context given to Start must have ended.
+// Close marks the registration as ended, so that the other ingresses need not wait until the lease
+// expires. The context given to Start must have ended.
 func (r *Registrar) Close(ctx context.Context) {
 	select {
 	case <-r.ended:
@@ -76,11 +75,21 @@
 	if r.lease == 0 {
 		return
 	}
-	if err := r.Leases.Release(ctx, r.lease); err != nil {
-		r.Log.Info("registration-not-released", logs.Err(err))
+	if err := r.end(ctx); err != nil {
+		r.Log.Info("registration-not-ended", logs.Err(err))
 	}
 }
 
+func (r *Registrar) end(ctx context.Context) error {
+	ended := r.Self
+	ended.Ended = true
+	value, err := r.Codec.WriteIngress(ended)
+	if err != nil {
+		return err
+	}
+	return r.Leases.Put(ctx, r.Codec.IngressKey(ended), value, r.lease)
+}
+
 func (r *Registrar) loop(ctx context.Context) {
 	defer close(r.ended)
 	r.awaitLook(ctx)
--- a/share/decide/budget/budget.go
+++ b/share/decide/budget/budget.go
@@ -17,25 +17,37 @@
 	Window time.Duration
 }
 
-// usableShare is the share of the limit that is used. The rest covers requests that arrive, and
-// are counted, in another window than the one they were sent in, and an ingress that was
-// replaced and starts counting from zero.
-const usableShare = 0.7
+const (
+	// usableShare is the share of the limit that is used by an ingress that knows what it has spent
+	// within the last window.
+	usableShare = 0.7
+	// unknownShare is the share that is used by one that does not, because an earlier run of it ended
+	// within the window and may have spent usableShare. Together they leave a rest for requests that
+	// arrive, and are counted, in another window than the one in which they were sent.
+	unknownShare = 0.25
+)
 
 // Budget counts the requests and retries of one service at one ingress. It is not safe for
 // concurrent use.
 type Budget struct {
 	settings Settings
+	// knownSince is the start of the time for which all requests and retries of the ingress are
+	// counted. What an earlier run of it has spent before that is not known.
+	knownSince time.Time
 	// requests and retries hold the times within the last window, the oldest first.
 	requests []time.Time
 	retries  []time.Time
 }
 
-// NewBudget returns a budget without counted requests.
-func NewBudget(settings Settings) *Budget {
-	return &Budget{settings: settings}
+// NewBudget returns a budget without counted requests. Nothing is known of the time before knownSince;
+// zero if the ingress has not run before.
+func NewBudget(settings Settings, knownSince time.Time) *Budget {
+	return &Budget{settings: settings, knownSince: knownSince}
 }
 
+// SetKnownSince replaces the start of the time for which all requests and retries are counted.
+func (b *Budget) SetKnownSince(at time.Time) { b.knownSince = at }
+
 // SetSettings replaces the settings and keeps the counts.
 func (b *Budget) SetSettings(settings Settings) { b.settings = settings }
 
@@ -55,6 +67,8 @@
 	Limit float64
 	// Ingresses is the number of ingresses that share the slack.
 	Ingresses int
+	// Known is the part of the window for which all requests and retries are counted.
+	Known time.Duration
 }
 
 // TakeRetries counts n retries and grants them, or counts none if they exceed this ingress's part
@@ -63,11 +77,8 @@
 func (b *Budget) TakeRetries(now time.Time, n, ingresses int) Decision {
 	b.expire(now)
 	ingresses = max(ingresses, 1)
-	part := b.settings.Slack / float64(ingresses)
-	d := Decision{
-		Requests: len(b.requests), Retries: len(b.retries), Ingresses: ingresses,
-		Limit: usableShare * (b.settings.Ratio*float64(len(b.requests)) + part),
-	}
+	d := Decision{Requests: len(b.requests), Retries: len(b.retries), Ingresses: ingresses, Limit: b.limit(now, ingresses)}
+	d.Known = min(now.Sub(b.knownSince), b.settings.Window)
 	if float64(len(b.retries)+n) > d.Limit {
 		return d
 	}
@@ -78,6 +89,19 @@
 	return d
 }
 
+// limit returns how many retries are allowed within the window that ends now. As long as an earlier run may
+// have spent its part within the window, the slack grows with the time, so that several starts in a row get
+// no more of it than one.
+func (b *Budget) limit(now time.Time, ingresses int) float64 {
+	part := b.settings.Slack / float64(ingresses)
+	earned := b.settings.Ratio * float64(len(b.requests))
+	known := now.Sub(b.knownSince)
+	if known >= b.settings.Window {
+		return usableShare * (earned + part)
+	}
+	return unknownShare * (earned + part*known.Seconds()/b.settings.Window.Seconds())
+}
+
 func (b *Budget) expire(now time.Time) {
 	oldest := now.Add(-b.settings.Window)
 	b.requests = dropBefore(b.requests, oldest)
--- a/share/models/site/config.go
+++ b/share/models/site/config.go
@@ -224,4 +224,7 @@
 	// Capacity is the processor capacity of the process in cores. Work that ingresses do for
 	// each other is assigned in proportion to it.
 	Capacity float64
+	// Ended is set if it has stopped. Its registration then remains until the lease ends, so that its
+	// next run knows of this one.
+	Ended bool
 }
