ledger, recall: a restarted ingress learns from others what it has spent of the retry budgets

Now each ingress has three others hold its counts by a memo, each second and after each retry, and its next run starts with them. Without a memo it starts as before, with little. Of several holders the newest memo counts, since the ingress writes it again and again.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -137,7 +137,6 @@
 		OnArrival: func() { i.book.ObserveOwnAnswer(time.Now()) },
 		OnCall:    func(call keyval.Call, err error) { i.meters.CountStoreCall(string(call), err) },
 	})
-	i.ledger = ledger.NewLedger(s.Repeats.Settings)
 	i.limits = limits.NewRegistry(limits.Options{Meter: i.meters, Log: i.log, OnLeaving: func() { i.book.Refresh() }})
 	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.setView, IsLeaving: i.limits.IsLeaving})
 	i.mesh = mesh.NewMesh(mesh.Options{
@@ -149,9 +148,11 @@
 	i.puller = &mesh.Puller{Mesh: i.mesh, Book: i.book, Seeds: s.Peers.Seeds, Log: i.log}
 	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
 		Mesh: i.mesh, Book: i.book, Puller: i.puller, Self: i.self, Regions: s.Place.Regions, LeaseTTL: s.Store.Lease, IsLeaving: i.stopper.IsLeaving, Log: i.log,
-		Reader: &state.Reader{Book: i.book, Store: i.store, Name: i.self.Name, Domain: s.Place.Domain, Wait: s.Store.Wait, HistoryGone: keyval.ErrHistoryGone, OnFirstRun: i.ledger.MarkFirstRun, Log: i.log},
+		Reader: &state.Reader{Book: i.book, Store: i.store, Name: i.self.Name, Domain: s.Place.Domain, Wait: s.Store.Wait, HistoryGone: keyval.ErrHistoryGone, OnFirstRun: func() { i.ledger.MarkFirstRun() }, Log: i.log},
 	})
 	i.puller.Feed = i.feeder
+	i.recall = recall.NewRegistry(recall.Options{Peers: i.mesh, Views: i.book, Log: i.log})
+	i.ledger = ledger.NewLedger(ledger.Options{Name: s.Place.Name, Retries: s.Repeats.Settings, Memos: i.recall, Log: i.log})
 	client := reach.NewClient(heads.Codec{}, i.limits)
 	i.batcher = stages.NewBatcher(stages.BatcherOptions{
 		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Retries: i.ledger, Limits: i.limits, Pauses: i.limits, Log: i.log,
@@ -165,7 +166,6 @@
 		Peers: i.mesh, Store: i.store, Codec: record.Codec{}, Prober: client, Limit: poison.DefaultLimit,
 		Trials: poison.DefaultTrialSchedule(), Log: i.log,
 	})
-	i.recall = recall.NewRegistry(recall.Options{Peers: i.mesh, Views: i.book, Log: i.log})
 	i.origins = origin.NewRegistry(origin.Options{Memos: i.recall, News: i.book, Peers: i.mesh, Store: i.store, Codec: record.Codec{}, Log: i.log})
 	i.producer = stages.NewProducer(i.mesh, i.batcher, i.log)
 	i.flow = flow.NewServer(flow.Options{
@@ -277,6 +277,7 @@
 	i.batcher.Start(ctx)
 	i.peerServer.Start(ctx)
 	i.recall.Start(ctx)
+	i.ledger.Start(ctx)
 	i.origins.Start(ctx)
 	(&usageReporter{ingress: i}).Start(ctx)
 	(&sched.Watcher{ProcessorTime: processorTime, Meter: i.meters, Log: i.log}).Start(ctx)
--- a/ingress/services/flow/stream_test.go
+++ b/ingress/services/flow/stream_test.go
@@ -43,7 +43,7 @@
 
 // newLedger returns a ledger that grants some retries, of an ingress that has not run before.
 func newLedger() *ledger.Ledger {
-	l := ledger.NewLedger(budget.Settings{Ratio: 1, Slack: 10, Window: time.Second})
+	l := ledger.NewLedger(ledger.Options{Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second}})
 	l.MarkFirstRun()
 	return l
 }
--- a/ingress/services/ledger/ledger.go
+++ b/ingress/services/ledger/ledger.go
@@ -1,18 +1,40 @@
-// Package ledger holds the retry budgets of the services at this ingress.
+// Package ledger holds the retry budgets of the services at this ingress. What the ingress has spent is kept
+// at other ingresses as well, so that its next run knows of it. This is soft state: where it is lost, the
+// next run uses less of the budgets for a while.
 package ledger
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/services/recall"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/budget"
+	"verbenaroad.example/share/decide/memo"
 )
 
+// Memos holds facts that outlive this ingress at other ingresses.
+type Memos interface {
+	Put(m memo.Memo)
+	FindNewest(ctx context.Context, key string) recall.Finding
+}
+
+// Options are the settings of a Ledger.
+type Options struct {
+	// Name is the name of this ingress.
+	Name    string
+	Retries budget.Settings
+	Memos   Memos
+	Log     *zap.Logger
+}
+
 // Ledger counts requests and retries by service, and limits the retries. It is safe for concurrent use.
 type Ledger struct {
+	options Options
+
 	lock     sync.Mutex
 	settings budget.Settings
 	// knownSince is the start of the time for which all requests and retries of this ingress are counted;
@@ -22,21 +44,33 @@
 	budgets map[string]*budget.Budget
 	// ingresses is the highest number of ingresses in any view so far.
 	ingresses int
+	// changed holds a token if the accounts are to be written soon: a retry was taken, or other ingresses
+	// have been seen for the first time.
+	changed chan struct{}
 }
 
 // NewLedger returns a ledger of an ingress that starts now. What earlier runs of it have spent is not
 // known.
-func NewLedger(settings budget.Settings) *Ledger {
-	return &Ledger{settings: settings, knownSince: time.Now(), budgets: map[string]*budget.Budget{}}
+func NewLedger(options Options) *Ledger {
+	return &Ledger{
+		options: options, settings: options.Retries, knownSince: time.Now(), budgets: map[string]*budget.Budget{},
+		changed: make(chan struct{}, 1),
+	}
 }
 
 // MarkFirstRun records that this ingress has not run before within the last window.
 func (l *Ledger) MarkFirstRun() {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	l.knownSince = time.Time{}
+	l.setKnownSince(time.Time{})
+}
+
+// setKnownSince replaces the start of the time for which all requests and retries are counted. The caller
+// holds the lock.
+func (l *Ledger) setKnownSince(at time.Time) {
+	l.knownSince = at
 	for _, b := range l.budgets {
-		b.SetKnownSince(l.knownSince)
+		b.SetKnownSince(at)
 	}
 }
 
@@ -54,7 +88,10 @@
 func (l *Ledger) SetView(v *state.View) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	l.ingresses = max(l.ingresses, len(v.Ingresses))
+	if len(v.Ingresses) > l.ingresses {
+		l.ingresses = len(v.Ingresses)
+		l.notify()
+	}
 }
 
 // CountRequest counts a new request for a service, as opposed to a retry.
@@ -68,7 +105,19 @@
 func (l *Ledger) TakeRetry(service string) budget.Decision {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	return l.find(service).TakeRetries(time.Now(), 1, l.ingresses)
+	d := l.find(service).TakeRetries(time.Now(), 1, l.ingresses)
+	if d.Granted {
+		l.notify()
+	}
+	return d
+}
+
+// notify has the accounts written soon.
+func (l *Ledger) notify() {
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
 }
 
 // find returns the budget of a service. The caller holds the lock.
--- a/ingress/services/recall/find.go
+++ b/ingress/services/recall/find.go
@@ -42,7 +42,7 @@
 	for _, count := range []int{firstRound, secondRound} {
 		asked := holders[:min(len(holders), count)]
 		holders = holders[len(asked):]
-		f := r.ask(ctx, key, asked)
+		f := r.ask(ctx, key, asked, false)
 		if f.Found {
 			return f
 		}
@@ -52,6 +52,16 @@
 	return result
 }
 
+// FindNewest looks up a memo that is written again and again, at those that hold it if they could be reached
+// when it was written. It waits for all their answers and returns the memo that expires last. It costs few
+// questions even if all ingresses look up a memo at once.
+func (r *Registry) FindNewest(ctx context.Context, key string) Finding {
+	holders := r.listHolders(key)
+	f := r.ask(ctx, key, holders[:min(len(holders), firstRound)], true)
+	f.Conclusive = f.Conclusive && len(holders)+1 >= len(r.options.Views.View().Ingresses)
+	return f
+}
+
 // answer is what one ingress says.
 type answer struct {
 	name     string
@@ -60,8 +70,8 @@
 }
 
 // ask asks several ingresses at once and returns with the first one that holds the memo, or when all
-// have answered.
-func (r *Registry) ask(ctx context.Context, key string, names []string) Finding {
+// have answered. With newest it always waits for all, and returns the memo that expires last.
+func (r *Registry) ask(ctx context.Context, key string, names []string, newest bool) Finding {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	answers := make(chan answer, len(names))
@@ -77,8 +87,17 @@
 			continue
 		}
 		result.Answered = true
-		if m := a.recalled.GetMemo(); m != nil {
-			return Finding{Memo: decode(time.Now(), m), Found: true, HeldBy: a.name, Answered: true, Conclusive: true}
+		if a.recalled.GetMemo() == nil {
+			continue
+		}
+		m := decode(time.Now(), a.recalled.GetMemo())
+		if result.Found && !m.ExpiresAt.After(result.Memo.ExpiresAt) {
+			continue
+		}
+		result.Memo, result.Found, result.HeldBy = m, true, a.name
+		if !newest {
+			result.Conclusive = true
+			return result
 		}
 	}
 	return result
--- a/ingress/services/stages/producer_test.go
+++ b/ingress/services/stages/producer_test.go
@@ -55,7 +55,7 @@
 
 // newLedger returns the ledger of an ingress that has not run before.
 func newLedger(settings budget.Settings) *ledger.Ledger {
-	l := ledger.NewLedger(settings)
+	l := ledger.NewLedger(ledger.Options{Retries: settings})
 	l.MarkFirstRun()
 	return l
 }
--- a/proofs/hosted/budget_test.go
+++ b/proofs/hosted/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net/http"
 	"os"
 	"slices"
 	"strings"
@@ -202,3 +203,22 @@
 		})
 	}
 }
+
+// Guards against an ingress that repeats no requests for a while after it was restarted, on a calm day, although
+// the others know that it has spent few of its retries.
+func TestRestartedIngressRepeatsRequests(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 3)
+	i := d.ingresses[0]
+	time.Sleep(time.Second) // the others keep what it has spent
+	i.kill()
+	i.start()
+	eventually(t, "the ingress is ready", i.isReady)
+	eventually(t, "the ingress knows of its earlier run", func() bool { return len(i.output.lines("event=repeats-recalled")) == 1 })
+	for range 5 {
+		d.plainServers[0].SetFaults(hosted.RefuseNotRun)
+		q := newRequest("/order/1")
+		is.Equal(i.send(context.Background(), q).status, http.StatusOK)
+		is.Equal(d.Runs(q.id)[0].Server, d.plainServers[1].ID)
+	}
+}
--- a/share/decide/budget/budget.go
+++ b/share/decide/budget/budget.go
@@ -37,6 +37,17 @@
 	// requests and retries hold the times within the last window, the oldest first.
 	requests []time.Time
 	retries  []time.Time
+	// earlier is the account of an earlier run of the ingress at earlierAt; zero if there is none.
+	earlier   Account
+	earlierAt time.Time
+}
+
+// Account is what was counted within the last window.
+type Account struct {
+	Requests int
+	Retries  int
+	// Known is the part of the window for which all requests and retries were counted.
+	Known time.Duration
 }
 
 // NewBudget returns a budget without counted requests. Nothing is known of the time before knownSince;
@@ -60,26 +71,22 @@
 // Decision states whether retries were granted, and what this depended on.
 type Decision struct {
 	Granted bool
-	// Requests and Retries are the numbers counted within the last window before the decision.
-	Requests int
-	Retries  int
+	// Account is what was counted before the decision.
+	Account
 	// Limit is the highest number of retries that was allowed within the window.
 	Limit float64
 	// Ingresses is the number of ingresses that share the slack.
 	Ingresses int
-	// Known is the part of the window for which all requests and retries are counted.
-	Known time.Duration
 }
 
 // TakeRetries counts n retries and grants them, or counts none if they exceed this ingress's part
 // of the limit. The argument ingresses is the highest number of ingresses that may use the budget
 // at the same time.
 func (b *Budget) TakeRetries(now time.Time, n, ingresses int) Decision {
-	b.expire(now)
+	a := b.Account(now)
 	ingresses = max(ingresses, 1)
-	d := Decision{Requests: len(b.requests), Retries: len(b.retries), Ingresses: ingresses, Limit: b.limit(now, ingresses)}
-	d.Known = min(now.Sub(b.knownSince), b.settings.Window)
-	if float64(len(b.retries)+n) > d.Limit {
+	d := Decision{Account: a, Ingresses: ingresses, Limit: b.limit(a, ingresses)}
+	if float64(a.Retries+n) > d.Limit {
 		return d
 	}
 	for range n {
@@ -92,14 +99,32 @@
 // limit returns how many retries are allowed within the window that ends now. As long as an earlier run may
 // have spent its part within the window, the slack grows with the time, so that several starts in a row get
 // no more of it than one.
-func (b *Budget) limit(now time.Time, ingresses int) float64 {
+func (b *Budget) limit(a Account, ingresses int) float64 {
 	part := b.settings.Slack / float64(ingresses)
-	earned := b.settings.Ratio * float64(len(b.requests))
-	known := now.Sub(b.knownSince)
-	if known >= b.settings.Window {
+	earned := b.settings.Ratio * float64(a.Requests)
+	if a.Known >= b.settings.Window {
 		return usableShare * (earned + part)
 	}
-	return unknownShare * (earned + part*known.Seconds()/b.settings.Window.Seconds())
+	return unknownShare * (earned + part*a.Known.Seconds()/b.settings.Window.Seconds())
+}
+
+// Account returns what is counted within the window that ends now. The retries of an earlier run count for a
+// whole window, since it is not known when they were made; its requests expire evenly over the window.
+func (b *Budget) Account(now time.Time) Account {
+	b.expire(now)
+	a := Account{Requests: len(b.requests), Retries: len(b.retries), Known: min(now.Sub(b.knownSince), b.settings.Window)}
+	if rest := b.settings.Window - now.Sub(b.earlierAt); rest > 0 {
+		a.Retries += b.earlier.Retries
+		a.Requests += int(float64(b.earlier.Requests) * rest.Seconds() / b.settings.Window.Seconds())
+	}
+	return a
+}
+
+// Restore adds the account of an earlier run of the ingress at the given time, which was before this run.
+// Nothing was spent in between.
+func (b *Budget) Restore(at time.Time, a Account) {
+	b.earlier, b.earlierAt = a, at
+	b.knownSince = at.Add(-a.Known)
 }
 
 func (b *Budget) expire(now time.Time) {
--- a/share/decide/budget/budget_test.go
+++ b/share/decide/budget/budget_test.go
@@ -44,7 +44,7 @@
 }
 
 // Guards against more retries than the limit because an ingress forgets with each restart what it has
-// spent. Any number of them restart, one by one or all at once.
+// spent. Any number of them restart, one by one or all at once, and some learn what they have spent.
 func TestRestartedIngressesTogetherStayWithinBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ingresses := rapid.IntRange(1, 6).Draw(t, "ingresses")
@@ -61,7 +61,11 @@
 			if step%restarts == restarts-1 {
 				first := rapid.IntRange(0, ingresses-1).Draw(t, "first restarted")
 				for i := range budgets[first:] {
+					account := budgets[first+i].Account(now)
 					budgets[first+i] = budget.NewBudget(settings, now)
+					if rapid.Bool().Draw(t, "is remembered") {
+						budgets[first+i].Restore(now, account)
+					}
 				}
 			}
 			b := budgets[rapid.IntRange(0, ingresses-1).Draw(t, "ingress")]
--- a/share/decide/memo/table.go
+++ b/share/decide/memo/table.go
@@ -13,11 +13,11 @@
 // ErrMemo is the class of errors of this package.
 var ErrMemo = errs.Class("memo") //nolint:gochecknoglobals // an error class is a constant in all but syntax
 
-const (
-	// maxKeyBytes and maxValueBytes limit the size of one memo.
-	maxKeyBytes   = 160
-	maxValueBytes = 256
-)
+// MaxValueBytes limits the value of one memo.
+const MaxValueBytes = 256
+
+// maxKeyBytes limits the key of one memo.
+const maxKeyBytes = 160
 
 // Memo is one fact.
 type Memo struct {
@@ -44,7 +44,7 @@
 // Put adds a memo or replaces the one with its key. If the table is full, the least recently written memo
 // is dropped.
 func (t *Table) Put(now time.Time, m Memo) error {
-	if m.Key == "" || len(m.Key) > maxKeyBytes || len(m.Value) > maxValueBytes {
+	if m.Key == "" || len(m.Key) > maxKeyBytes || len(m.Value) > MaxValueBytes {
 		return ErrMemo.New("key of %d bytes, value of %d bytes", len(m.Key), len(m.Value))
 	}
 	t.Drop(m.Key)
