budget, flow: a retry counts until a window after it was sent

What callers could see: more retries in a window than the budget allows. A retry was counted when it was granted, but it arrives after its placement and, for streams, after its results were produced again: seconds later under load. Retries granted in two windows could arrive in one.

Now a granted retry counts from the grant until a window after its send, and is given back if it is not sent, for instance since no engine is left. TestRetriesCountWhenTheyAreSent fails if it counts from the grant only: 40 retries are granted where one is left. Calls to pools are counted as before: their items join other calls.

--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -157,6 +157,7 @@
 // Serve serves one request and writes its final answer.
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, q *Request) {
 	x := s.newExchange(q)
+	defer x.returnRetry()
 	x.trial = s.options.Screen.IsQuarantined(x.digest) && s.options.Screen.TakeTrial(ctx, x.digest)
 	result := x.refuseQuarantined()
 	switch {
@@ -266,15 +267,24 @@
 	return d.Granted
 }
 
-// recordSend logs that a granted retry is sent now, if this is one.
+// recordSend counts a granted retry that is sent now, if this is one.
 func (x *exchange) recordSend(server *site.Server) {
 	if x.retryGrantedAt.IsZero() {
 		return
 	}
 	x.log.Info("repeat-sent", zap.String("server", server.ID), zap.Duration("granted-ago", time.Since(x.retryGrantedAt)))
+	x.server.options.Retries.RecordSent(x.service)
 	x.retryGrantedAt = time.Time{}
 }
 
+// returnRetry gives back a retry that was granted and not sent.
+func (x *exchange) returnRetry() {
+	if !x.retryGrantedAt.IsZero() {
+		x.server.options.Retries.ReturnRetry(x.service)
+		x.retryGrantedAt = time.Time{}
+	}
+}
+
 func (x *exchange) countRequest() { x.server.options.Retries.CountRequest(x.service) }
 
 // end records the result of an attempt at its server.
--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -24,6 +24,7 @@
 	"verbenaroad.example/ingress/services/stages"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/access"
+	"verbenaroad.example/share/decide/budget"
 	"verbenaroad.example/share/decide/cold"
 	"verbenaroad.example/share/decide/place"
 	"verbenaroad.example/share/models/site"
@@ -63,10 +64,25 @@
 	// the addresses that were sent to the engines.
 	fetchFrom    string
 	fetchSources []netip.AddrPort
+	// retries counts the retries.
+	retries countedRetries
 	// preconnected are the addresses to which a connection was opened in advance.
 	preconnected []netip.AddrPort
 }
 
+// countedRetries grants every retry and counts what becomes of them.
+type countedRetries struct{ taken, sent, returned int }
+
+func (*countedRetries) CountRequest(string) {}
+
+func (r *countedRetries) TakeRetry(string) budget.Decision {
+	r.taken++
+	return budget.Decision{Granted: true}
+}
+
+func (r *countedRetries) RecordSent(string)  { r.sent++ }
+func (r *countedRetries) ReturnRetry(string) { r.returned++ }
+
 func (s *deployment) Place(_ context.Context, service string, q place.Query) (*assign.Reservation, time.Duration) {
 	s.placements++
 	if s.placements == 1 && s.avoid != "" {
@@ -160,7 +176,7 @@
 	server := flow.NewServer(flow.Options{
 		Views: s, Sender: s, StageRunner: s, EnginePlacer: s, Screen: &s.screen, Origins: &s.origins, Meter: noMeter{}, Log: zap.NewNop(),
 		Domain: "n1", Region: "north", Regions: regions, Cold: cold.Settings{Overage: 1.5, Slack: 5},
-		Retries: newLedger(), Limits: s.limits,
+		Retries: &s.retries, Limits: s.limits,
 	})
 	decision := access.Decision{Verdict: access.Granted, Route: &route, Residency: site.NewResidency(route.AllowedRegions)}
 	answer := httptest.NewRecorder()
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -91,8 +91,12 @@
 type Retries interface {
 	// CountRequest counts a new request, as opposed to a retry.
 	CountRequest(service string)
-	// TakeRetry takes one retry from the budget, unless it is exhausted.
+	// TakeRetry takes one retry from the budget, unless it is exhausted. If it is granted, RecordSent
+	// or ReturnRetry follows.
 	TakeRetry(service string) budget.Decision
+	// RecordSent records that a granted retry is sent now, ReturnRetry that it will not be sent.
+	RecordSent(service string)
+	ReturnRetry(service string)
 }
 
 // Meter records metrics of requests.
--- a/ingress/services/flow/software_test.go
+++ b/ingress/services/flow/software_test.go
@@ -40,6 +40,8 @@
 			s.avoid = "o" // the stream begins at n
 			is.Equal(s.isCut(route), c.isCut)
 			is.Equal(s.sentTo, c.want)
+			// A retry counts from when it is sent, and not at all if no engine is left for it.
+			is.Equal(s.retries, map[bool]countedRetries{false: {taken: 1, sent: 1}, true: {taken: 1, returned: 1}}[c.isCut])
 		})
 	}
 }
--- a/ingress/services/ledger/ledger.go
+++ b/ingress/services/ledger/ledger.go
@@ -101,17 +101,32 @@
 	l.find(service).CountRequest(time.Now())
 }
 
-// TakeRetry takes one retry from the budget of a service, unless it is exhausted.
+// TakeRetry takes one retry from the budget of a service, unless it is exhausted. If it is granted,
+// RecordSent or ReturnRetry must follow.
 func (l *Ledger) TakeRetry(service string) budget.Decision {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	d := l.find(service).TakeRetries(time.Now(), 1, l.ingresses)
+	d := l.find(service).TakeRetry(time.Now(), l.ingresses)
 	if d.Granted {
 		l.notify()
 	}
 	return d
 }
 
+// RecordSent records that a granted retry is sent now.
+func (l *Ledger) RecordSent(service string) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.find(service).RecordSent(time.Now())
+}
+
+// ReturnRetry records that a granted retry will not be sent.
+func (l *Ledger) ReturnRetry(service string) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.find(service).ReturnRetry()
+}
+
 // notify has the accounts written soon.
 func (l *Ledger) notify() {
 	select {
--- a/ingress/services/ledger/ledger_test.go
+++ b/ingress/services/ledger/ledger_test.go
@@ -119,6 +119,7 @@
 	taken := 0
 	for range n {
 		if l.TakeRetry(service).Granted {
+			l.RecordSent(service)
 			taken++
 		}
 	}
--- a/ingress/services/stages/batcher.go
+++ b/ingress/services/stages/batcher.go
@@ -34,8 +34,11 @@
 type Retries interface {
 	// CountRequest counts a new job, as opposed to a retry.
 	CountRequest(service string)
-	// TakeRetry takes one retry from the budget, unless it is exhausted.
+	// TakeRetry takes one retry from the budget, unless it is exhausted. If it is granted, RecordSent
+	// follows.
 	TakeRetry(service string) budget.Decision
+	// RecordSent records that a granted retry is sent now.
+	RecordSent(service string)
 }
 
 // Meter records metrics of calls.
@@ -172,6 +175,9 @@
 func (b *Batcher) mayRetry(service string) bool {
 	d := b.options.Retries.TakeRetry(service)
 	ledger.LogDecision(b.options.Log.With(zap.String("service", service)), "call", d)
+	if d.Granted {
+		b.options.Retries.RecordSent(service) // its items join the calls that are sent next
+	}
 	return d.Granted
 }
 
--- a/share/decide/budget/budget.go
+++ b/share/decide/budget/budget.go
@@ -34,9 +34,12 @@
 	// knownSince is the start of the time for which all requests and retries of the ingress are
 	// counted. What an earlier run of it has spent before that is not known.
 	knownSince time.Time
-	// requests and retries hold the times within the last window, the oldest first.
+	// requests and retries hold when requests arrived and retries were sent within the last window, the
+	// oldest first.
 	requests []time.Time
 	retries  []time.Time
+	// unsent is the number of retries that were granted and have not been sent yet.
+	unsent int
 	// earlier is the account of an earlier run of the ingress at earlierAt; zero if there is none.
 	earlier   Account
 	earlierAt time.Time
@@ -68,7 +71,7 @@
 	b.requests = append(b.requests, now)
 }
 
-// Decision states whether retries were granted, and what this depended on.
+// Decision states whether a retry was granted, and what this depended on.
 type Decision struct {
 	Granted bool
 	// Account is what was counted before the decision.
@@ -79,23 +82,30 @@
 	Ingresses int
 }
 
-// TakeRetries counts n retries and grants them, or counts none if they exceed this ingress's part
-// of the limit. The argument ingresses is the highest number of ingresses that may use the budget
-// at the same time.
-func (b *Budget) TakeRetries(now time.Time, n, ingresses int) Decision {
+// TakeRetry grants a retry, unless it exceeds this ingress's part of the limit. The argument ingresses
+// is the highest number of ingresses that may use the budget at the same time. The retry counts until
+// a window after it was sent: RecordSent or ReturnRetry must follow.
+func (b *Budget) TakeRetry(now time.Time, ingresses int) Decision {
 	a := b.Account(now)
 	ingresses = max(ingresses, 1)
 	d := Decision{Account: a, Ingresses: ingresses, Limit: b.limit(a, ingresses)}
-	if float64(a.Retries+n) > d.Limit {
+	if float64(a.Retries+1) > d.Limit {
 		return d
 	}
-	for range n {
-		b.retries = append(b.retries, now)
-	}
+	b.unsent++
 	d.Granted = true
 	return d
 }
 
+// RecordSent records that a granted retry is sent now.
+func (b *Budget) RecordSent(now time.Time) {
+	b.unsent--
+	b.retries = append(b.retries, now)
+}
+
+// ReturnRetry records that a granted retry will not be sent.
+func (b *Budget) ReturnRetry() { b.unsent-- }
+
 // limit returns how many retries are allowed within the window that ends now. As long as an earlier run may
 // have spent its part within the window, the slack grows with the time, so that several starts in a row get
 // no more of it than one.
@@ -112,7 +122,7 @@
 // whole window, since it is not known when they were made; its requests expire evenly over the window.
 func (b *Budget) Account(now time.Time) Account {
 	b.expire(now)
-	a := Account{Requests: len(b.requests), Retries: len(b.retries), Known: min(now.Sub(b.knownSince), b.settings.Window)}
+	a := Account{Requests: len(b.requests), Retries: len(b.retries) + b.unsent, Known: min(now.Sub(b.knownSince), b.settings.Window)}
 	if rest := b.settings.Window - now.Sub(b.earlierAt); rest > 0 {
 		a.Retries += b.earlier.Retries
 		a.Requests += int(float64(b.earlier.Requests) * rest.Seconds() / b.settings.Window.Seconds())
--- a/share/decide/budget/budget_test.go
+++ b/share/decide/budget/budget_test.go
@@ -12,6 +12,39 @@
 
 var settings = budget.Settings{Ratio: 0.2, Slack: 58, Window: 10 * time.Second} //nolint:gochecknoglobals // a constant in all but syntax
 
+// takeRetry takes a retry and sends it at once. It returns false if none is granted.
+func takeRetry(b *budget.Budget, now time.Time, ingresses int) bool {
+	if !b.TakeRetry(now, ingresses).Granted {
+		return false
+	}
+	b.RecordSent(now)
+	return true
+}
+
+// Guards against more retries than the limit in a window because they were granted in one and sent in the
+// next, after their results had been produced again.
+func TestRetriesCountWhenTheyAreSent(t *testing.T) {
+	is := is.New(t)
+	b := budget.NewBudget(settings, time.Time{})
+	granted := func(now time.Time) int {
+		n := 0
+		for b.TakeRetry(now, 1).Granted {
+			n++
+		}
+		return n
+	}
+	start := time.Unix(0, 0)
+	first := granted(start)
+	is.Equal(first, 40) // 0.7 of 58
+	sent := start.Add(settings.Window - time.Second)
+	for range first - 1 {
+		b.RecordSent(sent)
+	}
+	b.ReturnRetry()
+	is.Equal(granted(start.Add(settings.Window+time.Second)), 1)
+	is.Equal(granted(sent.Add(settings.Window+time.Millisecond)), first-1)
+}
+
 // Backend servers crash in a burst and every request is retried. Six ingresses that cannot
 // reach each other must together stay within the limit over any span of one window.
 func TestIngressesTogetherStayWithinBound(t *testing.T) {
@@ -29,7 +62,7 @@
 			b := budgets[rapid.IntRange(0, ingresses-1).Draw(t, "ingress")]
 			b.CountRequest(now)
 			requests = append(requests, now)
-			if b.TakeRetries(now, 1, ingresses).Granted {
+			if takeRetry(b, now, ingresses) {
 				retries = append(retries, now)
 			}
 		}
@@ -72,7 +105,7 @@
 			b.CountRequest(now)
 			requests = append(requests, now)
 			for range 2 {
-				if b.TakeRetries(now, 1, ingresses).Granted {
+				if takeRetry(b, now, ingresses) {
 					retries = append(retries, now)
 				}
 			}
@@ -109,13 +142,13 @@
 	is := is.New(t)
 	b := budget.NewBudget(settings, time.Time{})
 	now := time.Unix(0, 0)
-	is.True(b.TakeRetries(now, 1, 6).Granted)
+	is.True(takeRetry(b, now, 6))
 	taken := 1
-	for b.TakeRetries(now, 1, 6).Granted {
+	for takeRetry(b, now, 6) {
 		taken++
 	}
 	is.Equal(taken, 6) // 0.7 of 58/6
-	is.True(b.TakeRetries(now.Add(settings.Window+time.Millisecond), 1, 6).Granted)
+	is.True(takeRetry(b, now.Add(settings.Window+time.Millisecond), 6))
 }
 
 // Guards against an ingress that gets no retries for longer than a window after it was restarted.
@@ -123,11 +156,11 @@
 	is := is.New(t)
 	startedAt := time.Unix(0, 0)
 	b := budget.NewBudget(settings, startedAt)
-	is.True(!b.TakeRetries(startedAt, 1, 6).Granted)
-	is.True(b.TakeRetries(startedAt.Add(settings.Window/2), 1, 6).Granted) // 0.25 of half of 58/6
+	is.True(!takeRetry(b, startedAt, 6))
+	is.True(takeRetry(b, startedAt.Add(settings.Window/2), 6)) // 0.25 of half of 58/6
 	later := startedAt.Add(2 * settings.Window)
 	taken := 0
-	for b.TakeRetries(later, 1, 6).Granted {
+	for takeRetry(b, later, 6) {
 		taken++
 	}
 	is.Equal(taken, 6)
