--- a/proofs/hosted/budget_test.go
+++ b/proofs/hosted/budget_test.go
@@ -18,10 +18,12 @@
 )
 
 const (
-	// retryRatio, retrySlack and retryWindow are the retry budget of the deployments of this file.
-	retryRatio  = 0.2
-	retrySlack  = 60
-	retryWindow = 4 * time.Second
+	// retryRatio and retrySlack are the retry budget of all deployments, defaultRetryWindow its window, and
+	// retryWindow the window of the deployments of newRetryDeployment.
+	retryRatio         = 0.2
+	retrySlack         = 60
+	defaultRetryWindow = 10 * time.Second
+	retryWindow        = 4 * time.Second
 	// retryCallers is the number of callers at each ingress.
 	retryCallers = 4
 	// returnPause is how long a caller waits after an attempt.
@@ -101,10 +103,10 @@
 	return l.sent
 }
 
-// listRepeats returns when attempts arrived at plain servers that had arrived at one before, in order.
-func (d *deployment) listRepeats() []time.Time {
+// listRepeats returns when attempts arrived at one of the servers that had arrived at one before, in order.
+func listRepeats(servers []*hosted.Server) []time.Time {
 	all := []hosted.Attempt{}
-	for _, s := range d.plainServers {
+	for _, s := range servers {
 		all = append(all, s.Attempts()...)
 	}
 	slices.SortFunc(all, func(a, b hosted.Attempt) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
@@ -121,29 +123,29 @@
 
 // checkRetryBudget checks the repeats in each window that begins with one. The requests are those of the
 // window, of the one before it or of the one half a window before it, whichever are most.
-func checkRetryBudget(t *testing.T, sent, repeats []time.Time) {
+func checkRetryBudget(t *testing.T, window time.Duration, sent, repeats []time.Time) {
 	t.Helper()
 	most := 0
 	for _, from := range repeats {
 		requests := 0
-		for _, before := range []time.Duration{0, retryWindow / 2, retryWindow} {
-			requests = max(requests, countFrom(sent, from.Add(-before)))
+		for _, before := range []time.Duration{0, window / 2, window} {
+			requests = max(requests, countFrom(sent, from.Add(-before), window))
 		}
-		count := countFrom(repeats, from)
+		count := countFrom(repeats, from, window)
 		most = max(most, count)
 		if allowed := retryRatio*float64(requests) + retrySlack; float64(count) > allowed {
-			t.Errorf("%d repeats within %v, allowed are %.0f for %d requests", count, retryWindow, allowed, requests)
+			t.Errorf("%d repeats within %v, allowed are %.0f for %d requests", count, window, allowed, requests)
 			return
 		}
 	}
-	t.Logf("%d repeats, at most %d within %v", len(repeats), most, retryWindow)
+	t.Logf("%d repeats, at most %d within %v", len(repeats), most, window)
 }
 
-// countFrom returns how many of the times are in the retry window that begins at a time.
-func countFrom(times []time.Time, from time.Time) int {
+// countFrom returns how many of the times are in the window that begins at a time.
+func countFrom(times []time.Time, from time.Time, window time.Duration) int {
 	count := 0
 	for _, at := range times {
-		if !at.Before(from) && at.Before(from.Add(retryWindow)) {
+		if !at.Before(from) && at.Before(from.Add(window)) {
 			count++
 		}
 	}
@@ -197,9 +199,9 @@
 				time.Sleep(retryWindow / 4)
 			}
 			time.Sleep(retryWindow / 2)
-			sent, repeats := load.end(), d.listRepeats()
+			sent, repeats := load.end(), listRepeats(d.plainServers)
 			is.True(len(repeats) > 0) // the servers refused orders that were then repeated
-			checkRetryBudget(t, sent, repeats)
+			checkRetryBudget(t, retryWindow, sent, repeats)
 		})
 	}
 }
--- a/proofs/hosted/soak_check_test.go
+++ b/proofs/hosted/soak_check_test.go
@@ -14,6 +14,7 @@
 // call is one attempt of a caller and its answer.
 type call struct {
 	request request
+	sentAt  time.Time
 	answer  answer
 	// cancelsEarly is set if the caller canceled the request unless it was answered within 20 to
 	// 420 ms.
@@ -42,9 +43,10 @@
 		if cancelsEarly {
 			clientTimeout = time.Duration(20+random.IntN(400)) * time.Millisecond
 		}
+		sentAt := time.Now()
 		a := s.sendOnce(client, s.ingresses[n%len(s.ingresses)], q, clientTimeout)
 		s.lock.Lock()
-		s.calls = append(s.calls, call{request: q, answer: a, cancelsEarly: cancelsEarly})
+		s.calls = append(s.calls, call{request: q, sentAt: sentAt, answer: a, cancelsEarly: cancelsEarly})
 		s.lock.Unlock()
 		time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
 	}
@@ -162,6 +164,7 @@
 		s.checkCall(c)
 	}
 	s.checkStreams()
+	s.checkBudgets(calls)
 	for _, violation := range s.Violations() {
 		s.t.Error(violation)
 	}
--- a/proofs/hosted/soak_versions_test.go
+++ b/proofs/hosted/soak_versions_test.go
@@ -61,7 +61,7 @@
 	checkVersions(s.t, streams)
 	resumed := 0
 	for _, stream := range streams {
-		if stream.tries > 1 && len(stream.ids) > 0 {
+		if len(stream.sent) > 1 && len(stream.ids) > 0 {
 			resumed++
 		}
 	}
--- a/proofs/hosted/versions_test.go
+++ b/proofs/hosted/versions_test.go
@@ -54,15 +54,15 @@
 	// ids are those of the events, in the order of their arrival.
 	ids      []string
 	complete bool
-	// tries counts the attempts.
-	tries int
+	// sent holds when the attempts were sent.
+	sent []time.Time
 	// unnamed is set if the caller does not state which attempt brought the first event.
 	unnamed bool
 }
 
 // receive sends the next attempt of the stream and records its events.
 func (s *resumedStream) receive(i *ingress) {
-	s.tries++
+	s.sent = append(s.sent, time.Now())
 	q := newReview()
 	if len(s.ids) > 0 {
 		q.header["Last-Event-Id"] = s.ids[len(s.ids)-1]
