flow: log lines of broken attempts name the prompt parts of the request

The lines named a digest of the whole request. They could not tell whether requests that were at a server when it crashed share a part of their prompts, and whether an attempt had brought events before.

--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -21,6 +21,8 @@
 	relayBufferBytes = 16 << 10
 	// maxEventBytes limits the length of an event. The stream fails if an event is longer.
 	maxEventBytes = 1 << 20
+	// eventEnd ends an event.
+	eventEnd = "\n\n"
 )
 
 // forward relays the answer to the caller. Events are only written complete.
@@ -73,6 +75,7 @@
 
 // write writes complete events to the caller.
 func (r *relay) write(events []byte) error {
+	r.events += bytes.Count(events, []byte(eventEnd))
 	if id, found := lastEventID(events); found {
 		r.lastID = id
 	}
@@ -87,11 +90,11 @@
 
 // completeLength returns the total length of the complete events at the start of data.
 func completeLength(data []byte) int {
-	n := bytes.LastIndex(data, []byte("\n\n"))
+	n := bytes.LastIndex(data, []byte(eventEnd))
 	if n < 0 {
 		return 0
 	}
-	return n + 2
+	return n + len(eventEnd)
 }
 
 // lastEventID returns the ID of the last event that has one.
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -245,6 +245,15 @@
 	}
 }
 
+// sharedParts returns the IDs of the prompt parts that other requests may share: all but the last one.
+func (x *exchange) sharedParts() []string {
+	ids := []string{}
+	for i := range len(x.Parts) - 1 {
+		ids = append(ids, x.Parts[i].ID)
+	}
+	return ids
+}
+
 // isStaged reports whether the request needs results of stages.
 func (x *exchange) isStaged() bool {
 	for i := range min(len(x.route.Stages), len(x.ItemCounts)) {
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -155,7 +155,7 @@
 		return verdict{retry: true, result: x.refuseNoServer()}
 	}
 	notSent := errors.Is(err, reach.ErrNotSent)
-	x.log.Warn("attempt-broken", zap.String("digest", string(x.digest)), zap.String("server", server.ID), zap.Stringer("address", server.Address),
+	x.log.Warn("attempt-broken", zap.String("digest", string(x.digest)), zap.Strings("parts", x.sharedParts()), zap.String("server", server.ID), zap.Stringer("address", server.Address),
 		zap.Bool("not-sent", notSent), zap.Duration("took", took), logs.Err(err))
 	if errors.Is(ctx.Err(), context.Canceled) {
 		x.end(server, place.ResultCanceled, took, nil)
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -137,6 +137,8 @@
 	headSent bool
 	// lastID is the ID of the last event that was written to the caller.
 	lastID string
+	// events is the number of whole events that the current attempt has brought.
+	events int
 }
 
 // preconnect opens a connection in advance to the reserved engine, unless it takes no requests any more.
@@ -262,6 +264,7 @@
 func (r *relay) try(ctx context.Context, server site.Server) verdict {
 	r.tried = append(r.tried, server.ID)
 	r.sends++
+	r.events = 0
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	handles := []string(nil)
@@ -338,7 +341,8 @@
 	if callerLeft || errors.Is(err, reach.ErrNotSent) || ctx.Err() == nil && !r.route.Resumable {
 		return r.handleError(ctx, server, err, took)
 	}
-	r.log.Warn("stream-broken", zap.String("digest", string(r.digest)), zap.String("server", server.ID), zap.String("last-event", r.lastID),
+	r.log.Warn("stream-broken", zap.String("digest", string(r.digest)), zap.Strings("parts", r.sharedParts()), zap.String("server", server.ID),
+		zap.Int("events", r.events), zap.String("last-event", r.lastID),
 		zap.Duration("took", took), logs.Err(err))
 	r.end(server, place.ResultBroken, took, nil)
 	r.recordCrash(server, took)
