proofs: prompt parts that crash engines, known red

All requests differ, and share a part of their prompts that crashes each engine. 28 to 31 of them reach engines later than 4 s after the fifth crash, where 3 are allowed.

--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -284,6 +284,11 @@
 		s.crashFor(downTime)
 		return
 	}
+	if downTime, crashes := s.world.checkParts(r.Header.Get("X-Verbenaroad-Prefix-Hash")); crashes {
+		s.world.recordPartCrash()
+		s.crashFor(downTime)
+		return
+	}
 	if s.Events > 0 {
 		s.stream(w, r, fault)
 		return
--- a/fakes/services/hosted/world.go
+++ b/fakes/services/hosted/world.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,6 +27,11 @@
 	downTime time.Duration
 	// poisonKey is the key of pool items that crash the server that runs them; empty: none.
 	poisonKey string
+	// poisonPart is the prompt part of streams that crash the server that runs them; empty: none.
+	poisonPart string
+	// partArrivals holds when streams with poisonPart arrived, partCrashes when servers crashed on them.
+	partArrivals []time.Time
+	partCrashes  []time.Time
 }
 
 // heldResult is a result that a pool server holds until it is released or expires.
@@ -109,6 +115,48 @@
 	w.poisonKey, w.downTime = key, downTime
 }
 
+// SetPoisonPart makes a server crash when it starts a stream whose prompt has this part, unless it is the
+// last one. The server restarts after downTime. An empty part ends that.
+func (w *World) SetPoisonPart(part string, downTime time.Duration) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.poisonPart, w.downTime = part, downTime
+}
+
+// PartArrivals returns when streams with the part of SetPoisonPart arrived at servers.
+func (w *World) PartArrivals() []time.Time {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return slices.Clone(w.partArrivals)
+}
+
+// PartCrashes returns when servers crashed on streams with the part of SetPoisonPart.
+func (w *World) PartCrashes() []time.Time {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return slices.Clone(w.partCrashes)
+}
+
+// checkParts reports whether a stream with these prompt parts crashes its server, and for how long.
+func (w *World) checkParts(parts string) (downTime time.Duration, crashes bool) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	ids := strings.Split(parts, ",")
+	for _, part := range ids[:len(ids)-1] {
+		if id, _, _ := strings.Cut(part, ":"); id == w.poisonPart && id != "" {
+			w.partArrivals = append(w.partArrivals, time.Now())
+			return w.downTime, true
+		}
+	}
+	return 0, false
+}
+
+func (w *World) recordPartCrash() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.partCrashes = append(w.partCrashes, time.Now())
+}
+
 // checkItems reports whether a pool call with these items crashes its server, and for how long.
 func (w *World) checkItems(items []stageItem) (downTime time.Duration, crashes bool) {
 	w.lock.Lock()
