poison, screen: a prompt part that crashes servers is told from others and quarantined

What callers saw: engines crash one after the other, three a second, and a tenth of all requests is not served. The requests that do it share one part of their prompts and are otherwise all different.

Cause: crashes were counted for a digest of the whole request, so nothing learnt from one request served for the next.

Now the crashes of a service are counted by the prompt parts of the requests that its servers had not answered, at three ingresses. Any ingress that has had a request with it answered withdraws the quarantine.

The case without the store now restores it before the last step, which restarts all ingresses: one of them has no other way to its records, and had not been ready before either.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -158,7 +158,9 @@
 		Pools: pools.Client{HTTP: client, Heads: heads.Codec{}}, Meter: i.meters, Retries: i.ledger, Limits: i.limits, Pauses: i.limits, Log: i.log,
 		Regions: s.Place.Regions, Region: s.Place.Region,
 		Discard: func(service string, handles []string) { i.producer.Discard(service, handles) },
-		OnCrash: func(c batch.Crash) { i.screen.RecordCrash(poison.ID(c.RequestDigest), c.Server, c.SentAt) },
+		OnCrash: func(c batch.Crash) {
+			i.screen.RecordCrash(poison.Identity{Request: poison.ID(c.RequestDigest)}, c.Server, c.SentAt, false)
+		},
 	})
 	i.placer = assign.NewPlacer(s.Place.Regions, s.Cold.Settings, i.limits)
 	i.dispatcher = assign.NewDispatcher(i.mesh, i.book, i.placer, i.log)
--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -75,7 +75,7 @@
 
 // write writes complete events to the caller.
 func (r *relay) write(events []byte) error {
-	r.events += bytes.Count(events, []byte(eventEnd))
+	r.countEvents(bytes.Count(events, []byte(eventEnd)))
 	if id, found := lastEventID(events); found {
 		r.lastID = id
 	}
@@ -88,6 +88,22 @@
 	return nil
 }
 
+// answeredAfter is how long after its first event an attempt must bring a further one to count as answered. A
+// server that crashes on a request may bring an event before.
+const answeredAfter = 250 * time.Millisecond
+
+// countEvents counts whole events of the current attempt.
+func (r *relay) countEvents(n int) {
+	if r.events == 0 {
+		r.firstEventAt = time.Now()
+	}
+	r.events += n
+	if !r.isAnswered && time.Since(r.firstEventAt) >= answeredAfter {
+		r.isAnswered = true
+		r.server.options.Screen.RecordAnswered(r.identity)
+	}
+}
+
 // completeLength returns the total length of the complete events at the start of data.
 func completeLength(data []byte) int {
 	n := bytes.LastIndex(data, []byte(eventEnd))
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -114,11 +114,13 @@
 	server  *Server
 	route   *site.Route
 	service string
-	// digest identifies the request across all its attempts.
-	digest poison.ID
+	// identity is what the request is known by across all its attempts.
+	identity poison.Identity
 	// trial is set if the request is quarantined and is sent to a single server as a trial.
 	trial bool
-	log   *zap.Logger
+	// isAnswered is set once the current attempt has been answered for a while.
+	isAnswered bool
+	log        *zap.Logger
 	// deadline is when the request must have its final answer.
 	deadline time.Time
 	// software has begun the stream, which may go on only there; nil before the answer has begun.
@@ -158,7 +160,9 @@
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, q *Request) {
 	x := s.newExchange(q)
 	defer x.returnRetry()
-	x.trial = s.options.Screen.IsQuarantined(x.digest) && s.options.Screen.TakeTrial(ctx, x.digest)
+	if id, quarantined := s.options.Screen.FindQuarantine(x.identity); quarantined {
+		x.trial = s.options.Screen.TakeTrial(ctx, id)
+	}
 	result := x.refuseQuarantined()
 	switch {
 	case result != nil:
@@ -173,28 +177,44 @@
 // refuseQuarantined returns the error for a quarantined request. It returns nil if the request is
 // not quarantined or if this is the first attempt of a trial.
 func (x *exchange) refuseQuarantined() *codes.Result {
-	if x.trial && x.sends == 0 || !x.server.options.Screen.IsQuarantined(x.digest) {
+	if x.trial && x.sends == 0 {
 		return nil
 	}
-	return codes.NewResult(codes.Quarantined, "request "+string(x.digest)+" crashed the servers that ran it")
+	id, quarantined := x.server.options.Screen.FindQuarantine(x.identity)
+	switch {
+	case !quarantined:
+		return nil
+	case id.IsPart():
+		return codes.NewResult(codes.Quarantined, "requests with the prompt part "+string(id)+" crashed the servers that ran them")
+	default:
+		return codes.NewResult(codes.Quarantined, "request "+string(id)+" crashed the servers that ran it")
+	}
 }
 
 func (s *Server) newExchange(q *Request) *exchange {
 	r := q.Decision.Route
 	service := access.PickService(r, rand.Float64()) //nolint:gosec // a share of traffic, no secret
-	path, _, _ := strings.Cut(q.Target, "?")
 	return &exchange{
 		Request:  q,
 		server:   s,
 		route:    r,
 		service:  service,
-		digest:   poison.NewID(q.Decision.Team, q.Host, path, q.Body),
+		identity: newIdentity(q, service),
 		deadline: q.Arrived.Add(FinalAnswerTimeout(r, q.CallerTimeout)),
 		log: s.options.Log.With(zap.String("request", q.AttemptID), zap.String("route", r.Name),
 			zap.String("service", service), zap.Uint64("config", q.View.Version())),
 	}
 }
 
+func newIdentity(q *Request, service string) poison.Identity {
+	path, _, _ := strings.Cut(q.Target, "?")
+	i := poison.Identity{Request: poison.NewID(q.Decision.Team, q.Host, path, q.Body), Service: poison.NewPartID(service, "")}
+	for n := range len(q.Parts) - 1 {
+		i.Parts = append(i.Parts, poison.NewPartID(service, q.Parts[n].ID))
+	}
+	return i
+}
+
 // finish logs the outcome of the request. If no backend server's answer was delivered, it writes
 // result as the answer.
 func (x *exchange) finish(ctx context.Context, w http.ResponseWriter, result *codes.Result) {
@@ -245,13 +265,14 @@
 	}
 }
 
-// sharedParts returns the IDs of the prompt parts that other requests may share: all but the last one.
-func (x *exchange) sharedParts() []string {
-	ids := []string{}
-	for i := range len(x.Parts) - 1 {
-		ids = append(ids, x.Parts[i].ID)
+// describeParts returns the prompt parts that other requests may share, all but the last one, each with the
+// ID under which it may be quarantined.
+func (x *exchange) describeParts() []string {
+	described := []string{}
+	for n, id := range x.identity.Parts {
+		described = append(described, x.Parts[n].ID+"="+string(id))
 	}
-	return ids
+	return described
 }
 
 // isStaged reports whether the request needs results of stages.
--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -52,6 +52,9 @@
 	placer     *assign.Placer
 	placements int
 	sentTo     []string
+	// body replaces the answers of the engines; nil: it does not. parts are those of the prompt.
+	body  io.ReadCloser
+	parts []site.PromptPart
 	// breaksAt is the ID of an engine that breaks off each stream after two events, avoid that of one
 	// that is excluded from the first placement.
 	breaksAt string
@@ -138,7 +141,11 @@
 	if r.Server.ID == s.breaksAt {
 		events += "id: 2\ndata: x\n\nid: 3\nda"
 	}
-	return &reach.Reply{Answer: answer, Body: io.NopCloser(strings.NewReader(events)), Length: -1}, nil
+	body := s.body
+	if body == nil {
+		body = io.NopCloser(strings.NewReader(events))
+	}
+	return &reach.Reply{Answer: answer, Body: body, Length: -1}, nil
 }
 
 var regions = map[string]string{"n1": "north", "s1": "south"} //nolint:gochecknoglobals // a constant in all but syntax
@@ -182,7 +189,7 @@
 	answer := httptest.NewRecorder()
 	server.Serve(context.Background(), answer, &flow.Request{
 		Memory:  memory.NewBudget(4 << 20).NewAccount(),
-		Request: site.Request{AttemptID: "a", CallerTimeout: 5 * time.Second, ItemCounts: []int{2}, Resumes: s.resumes, LastEventID: s.lastEventID},
+		Request: site.Request{AttemptID: "a", CallerTimeout: 5 * time.Second, ItemCounts: []int{2}, Parts: s.parts, Resumes: s.resumes, LastEventID: s.lastEventID},
 		Method:  http.MethodPost, Target: "/", Arrived: time.Now(), Header: http.Header{}, Decision: decision, View: s.view,
 	})
 	return answer
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -91,7 +91,7 @@
 		return v
 	}
 	x.runs++
-	x.server.options.Screen.RecordServed(x.digest)
+	x.server.options.Screen.RecordServed(x.identity.Request)
 	served := reply.Status < http.StatusInternalServerError
 	x.end(server, outcomeOf(served), took, reply.Load)
 	if !served && x.route.Kind == site.KindIdempotent && x.mayRunAgain("server-error") {
@@ -155,7 +155,7 @@
 		return verdict{retry: true, result: x.refuseNoServer()}
 	}
 	notSent := errors.Is(err, reach.ErrNotSent)
-	x.log.Warn("attempt-broken", zap.String("digest", string(x.digest)), zap.Strings("parts", x.sharedParts()), zap.String("server", server.ID), zap.Stringer("address", server.Address),
+	x.log.Warn("attempt-broken", zap.String("digest", string(x.identity.Request)), zap.Strings("parts", x.describeParts()), zap.String("server", server.ID), zap.Stringer("address", server.Address),
 		zap.Bool("not-sent", notSent), zap.Duration("took", took), logs.Err(err))
 	if errors.Is(ctx.Err(), context.Canceled) {
 		x.end(server, place.ResultCanceled, took, nil)
@@ -182,7 +182,7 @@
 
 // recordCrash records an attempt that broke now, took after it was sent.
 func (x *exchange) recordCrash(server site.Server, took time.Duration) {
-	x.server.options.Screen.RecordCrash(x.digest, server, time.Now().Add(-took))
+	x.server.options.Screen.RecordCrash(x.identity, server, time.Now().Add(-took), x.isAnswered)
 }
 
 // mayRunAgain reports whether a request that may already have run may be sent to another server.
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -76,15 +76,18 @@
 
 // Screen quarantines requests that crash the servers that run them.
 type Screen interface {
-	// IsQuarantined reports whether a request must not be sent to any server.
-	IsQuarantined(id poison.ID) bool
-	// TakeTrial reports whether a quarantined request is to be sent to a single server as a trial.
-	// Each trial is granted once.
+	// FindQuarantine returns the ID under which a request is quarantined. It returns false if the request
+	// may be sent to servers.
+	FindQuarantine(i poison.Identity) (poison.ID, bool)
+	// TakeTrial reports whether a request that is quarantined under an ID is to be sent to a single server
+	// as a trial. Each trial is granted once.
 	TakeTrial(ctx context.Context, id poison.ID) bool
-	// RecordCrash records an attempt that broke and may have crashed its server. RecordServed
-	// records a request that received a complete answer.
-	RecordCrash(id poison.ID, server site.Server, sent time.Time)
+	// RecordCrash records an attempt that broke and may have crashed its server; isAnswered is set if it had
+	// been answered for a while. RecordServed records a request that received a complete answer, which may be
+	// an error, and RecordAnswered one that has been answered for a while, or completely without an error.
+	RecordCrash(i poison.Identity, server site.Server, sent time.Time, isAnswered bool)
 	RecordServed(id poison.ID)
+	RecordAnswered(i poison.Identity)
 }
 
 // Retries limits the retries of requests, by service.
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -137,8 +137,10 @@
 	headSent bool
 	// lastID is the ID of the last event that was written to the caller.
 	lastID string
-	// events is the number of whole events that the current attempt has brought.
-	events int
+	// events is the number of whole events that the current attempt has brought, firstEventAt when the
+	// first of them came.
+	events       int
+	firstEventAt time.Time
 }
 
 // preconnect opens a connection in advance to the reserved engine, unless it takes no requests any more.
@@ -155,7 +157,7 @@
 	}
 	results, failed := r.server.options.StageRunner.ProduceChain(ctx, stages.Chain{
 		AttemptID:     r.AttemptID,
-		RequestDigest: string(r.digest),
+		RequestDigest: string(r.identity.Request),
 		ItemKey:       r.ItemKey,
 		ItemCounts:    r.ItemCounts,
 		Stages:        r.route.Stages,
@@ -264,7 +266,7 @@
 func (r *relay) try(ctx context.Context, server site.Server) verdict {
 	r.tried = append(r.tried, server.ID)
 	r.sends++
-	r.events = 0
+	r.events, r.isAnswered = 0, false
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	handles := []string(nil)
@@ -303,7 +305,8 @@
 	}
 	r.end(server, place.ResultServed, took, reply.Load)
 	r.recordComplete()
-	r.server.options.Screen.RecordServed(r.digest)
+	r.server.options.Screen.RecordServed(r.identity.Request)
+	r.server.options.Screen.RecordAnswered(r.identity)
 	return verdict{}
 }
 
@@ -317,7 +320,7 @@
 	}
 	r.log.Warn("stream-refused", zap.String("server", server.ID), zap.Int("status", reply.Status), zap.Duration("took", took))
 	r.runs++
-	r.server.options.Screen.RecordServed(r.digest)
+	r.server.options.Screen.RecordServed(r.identity.Request)
 	r.end(server, outcomeOf(reply.Status < http.StatusInternalServerError), took, reply.Load)
 	if r.route.Resumable && r.mayRunAgain("server-error") {
 		return verdict{retry: true, result: codes.NewResult(codes.BackendFailed, server.ID+" failed")}
@@ -341,7 +344,7 @@
 	if callerLeft || errors.Is(err, reach.ErrNotSent) || ctx.Err() == nil && !r.route.Resumable {
 		return r.handleError(ctx, server, err, took)
 	}
-	r.log.Warn("stream-broken", zap.String("digest", string(r.digest)), zap.Strings("parts", r.sharedParts()), zap.String("server", server.ID),
+	r.log.Warn("stream-broken", zap.String("digest", string(r.identity.Request)), zap.Strings("parts", r.describeParts()), zap.String("server", server.ID),
 		zap.Int("events", r.events), zap.String("last-event", r.lastID),
 		zap.Duration("took", took), logs.Err(err))
 	r.end(server, place.ResultBroken, took, nil)
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -275,6 +275,16 @@
 	return link.ReportCrash(ctx, session, c)
 }
 
+// ReportPartCrash reports to another ingress that a server crashed before it answered a request whose
+// prompt has parts. The answer names the parts that are quarantined.
+func (m *Mesh) ReportPartCrash(ctx context.Context, name string, c *wire.PartCrash) (*wire.PartCrashNoted, error) {
+	session, err := m.getSession(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	return link.ReportPartCrash(ctx, session, c)
+}
+
 // ReportServed reports to another ingress that a request was served.
 func (m *Mesh) ReportServed(ctx context.Context, name string, s *wire.Served) error {
 	session, err := m.getSession(ctx, name)
--- a/ingress/services/mesh/serve.go
+++ b/ingress/services/mesh/serve.go
@@ -25,6 +25,7 @@
 // Screen counts, for other ingresses, the servers that crashed while they ran a request.
 type Screen interface {
 	ServeCrash(c *wire.Crash) *wire.CrashNoted
+	ServePartCrash(c *wire.PartCrash) *wire.PartCrashNoted
 	ServeServed(s *wire.Served)
 }
 
@@ -87,6 +88,9 @@
 		h.Producer.ServeDiscard(frame.GetDiscard())
 	case frame.GetCrash() != nil:
 		h.answer(stream, &wire.Frame{Body: &wire.Frame_CrashNoted{CrashNoted: h.Screen.ServeCrash(frame.GetCrash())}})
+	case frame.GetPartCrash() != nil:
+		noted := h.Screen.ServePartCrash(frame.GetPartCrash())
+		h.answer(stream, &wire.Frame{Body: &wire.Frame_PartCrashNoted{PartCrashNoted: noted}})
 	case frame.GetServed() != nil:
 		h.Screen.ServeServed(frame.GetServed())
 	case frame.GetMemos() != nil:
--- a/ingress/services/screen/report.go
+++ b/ingress/services/screen/report.go
@@ -65,13 +65,20 @@
 	return p.up
 }
 
-// runReport reports a crash to the owner of the request. If this ingress is the owner or cannot reach
-// the owner, it counts the crash itself. It does nothing if the server is up or the request was
-// served at this ingress.
-func (s *Screen) runReport(id poison.ID, server site.Server, c poison.Crash) {
+// runReport reports a crash to the ingresses that count it. It does nothing if the server is up.
+func (s *Screen) runReport(i poison.Identity, server site.Server, c poison.Crash, isAnswered bool) {
 	if s.isUp(server) {
 		return
 	}
+	if !isAnswered && len(i.Parts) > 0 {
+		go s.runReportParts(i, server.Service, c)
+	}
+	s.reportRequest(i.Request, server, c)
+}
+
+// reportRequest reports a crash to the owner of the request. If this ingress is the owner or cannot reach
+// the owner, it counts the crash itself. It does nothing if the request was served at this ingress.
+func (s *Screen) reportRequest(id poison.ID, server site.Server, c poison.Crash) {
 	s.lock.Lock()
 	wasServed := s.served.Has(id)
 	if !wasServed && len(s.reported) < maxReported {
@@ -120,7 +127,7 @@
 	if !quarantined {
 		return
 	}
-	if s.IsQuarantined(id) {
+	if s.isQuarantined(id) {
 		return
 	}
 	s.lock.Lock()
--- a/ingress/services/screen/screen.go
+++ b/ingress/services/screen/screen.go
@@ -2,8 +2,10 @@
 // servers. It decides based on the attempts that broke and the requests that were served.
 //
 // The crashes of a request are counted by one ingress, the owner of the request, which is chosen by
-// rendezvous hashing. The other ingresses report crashes to it. A quarantine is a record in the
-// platform's store, so that it applies at every ingress and survives their restarts.
+// rendezvous hashing. The other ingresses report crashes to it. Requests that all differ may share a
+// prompt part that crashes servers; three ingresses count the crashes of all parts of a service. A
+// quarantine, of a request or of a part, is a record in the platform's store, so that it applies at every
+// ingress and survives their restarts.
 package screen
 
 import (
@@ -33,6 +35,9 @@
 	// is quarantined. ReportServed reports that a request was served.
 	ReportCrash(ctx context.Context, name string, c *wire.Crash) (*wire.CrashNoted, error)
 	ReportServed(ctx context.Context, name string, s *wire.Served) error
+	// ReportPartCrash reports a crash with the prompt parts of a request to another ingress, which counts
+	// it and replies which of the parts are quarantined.
+	ReportPartCrash(ctx context.Context, name string, c *wire.PartCrash) (*wire.PartCrashNoted, error)
 }
 
 // Store writes records.
@@ -77,7 +82,11 @@
 	// that were served at this ingress.
 	crashes *poison.CrashCounter
 	served  *poison.ServedSet
-	// pending holds the quarantined requests whose quarantine is not yet in the view.
+	// parts counts the crashes of prompt parts, by service. answered holds the parts of the requests that
+	// were answered at this ingress, or at others as far as they reported it.
+	parts    map[string]*poison.PartCounter
+	answered *poison.SoundSet
+	// pending holds the quarantined requests and parts whose quarantine is not yet in the view.
 	pending map[poison.ID]bool
 	// reported holds the requests of which this ingress has reported a crash and that have not been
 	// served since.
@@ -95,6 +104,7 @@
 func NewScreen(options Options) *Screen {
 	s := &Screen{
 		options: options, crashes: poison.NewCrashCounter(options.Limit), served: poison.NewServedSet(),
+		parts: map[string]*poison.PartCounter{}, answered: poison.NewSoundSet(),
 		pending: map[poison.ID]bool{}, reported: map[poison.ID]bool{}, probes: map[string]*probe{},
 		changedAt: map[poison.ID]time.Time{},
 	}
@@ -103,7 +113,8 @@
 }
 
 // SetView replaces the quarantines by those of a new view. It ends the quarantine of a request that
-// was served at this ingress, because such a request does not crash servers.
+// was served at this ingress, because such a request does not crash servers, and that of a part with which
+// a request was answered here lately.
 func (s *Screen) SetView(v *state.View) {
 	before := s.view.Swap(v)
 	s.lock.Lock()
@@ -114,20 +125,38 @@
 		}
 		delete(s.pending, id)
 		s.changedAt[id] = time.Now()
-		if s.served.Has(id) {
+		switch {
+		case id.IsPart():
+			s.observePart(id, q)
+		case s.served.Has(id):
 			go s.runEnd(id, "it was served here")
 		}
 	}
 	for id := range before.Quarantines {
 		if _, stays := v.Quarantines[id]; !stays {
 			s.crashes.Clear(id)
+			s.clearPart(id)
 			delete(s.changedAt, id)
 		}
 	}
 }
 
-// IsQuarantined reports whether a request must not be sent to any server.
-func (s *Screen) IsQuarantined(id poison.ID) bool {
+// FindQuarantine returns the ID under which a request is quarantined, its own or that of one of its parts.
+// It returns false if the request may be sent to servers.
+func (s *Screen) FindQuarantine(i poison.Identity) (poison.ID, bool) {
+	if s.isQuarantined(i.Request) {
+		return i.Request, true
+	}
+	for _, id := range i.Parts {
+		if s.isQuarantined(id) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// isQuarantined reports whether no request with an ID must be sent to any server.
+func (s *Screen) isQuarantined(id poison.ID) bool {
 	v := s.view.Load()
 	if q, known := v.Quarantines[id]; known && poison.QuarantineApplies(q, v.Servers[q.Service]) {
 		return true
@@ -138,7 +167,8 @@
 }
 
 // RecordServed records a request that received a complete answer and thus does not crash servers.
-// The crashes that this ingress has reported of it are withdrawn, and its quarantine is ended.
+// The crashes that this ingress has reported of it are withdrawn, and its quarantine is ended. The answer may
+// be an error, which says nothing about the parts of its prompt.
 func (s *Screen) RecordServed(id poison.ID) {
 	s.lock.Lock()
 	s.served.Add(id)
@@ -153,9 +183,11 @@
 	}
 }
 
-// RecordCrash records an attempt that broke. It is counted as a crash if its server is down.
-func (s *Screen) RecordCrash(id poison.ID, server site.Server, sent time.Time) {
-	go s.runReport(id, server, poison.Crash{Server: incarnationName(server), Version: server.Version, SentAt: sent, BrokeAt: time.Now()})
+// RecordCrash records an attempt that broke. It is counted as a crash if its server is down, and as one of the
+// parts of its prompt unless it had been answered for a while.
+func (s *Screen) RecordCrash(i poison.Identity, server site.Server, sent time.Time, isAnswered bool) {
+	c := poison.Crash{Server: incarnationName(server), Version: server.Version, SentAt: sent, BrokeAt: time.Now()}
+	go s.runReport(i, server, c, isAnswered)
 }
 
 // incarnationName identifies one incarnation of a server.
@@ -183,7 +215,7 @@
 	if newlyQuarantined {
 		go s.runPut(id, poison.ExtendQuarantine(q, service, suspect))
 	}
-	return s.IsQuarantined(id)
+	return s.isQuarantined(id)
 }
 
 // ServeCrash counts a crash that another ingress reports.
--- a/ingress/services/screen/screen_test.go
+++ b/ingress/services/screen/screen_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +28,8 @@
 	timeout    = 5 * time.Second
 )
 
+var requestIdentity = poison.Identity{Request: request} //nolint:gochecknoglobals // a constant in all but syntax
+
 // world simulates two ingresses whose screens report to each other, the store that both read, and
 // servers that are down unless serversUp is set.
 type world struct {
@@ -40,6 +43,10 @@
 	writes        int
 	view          state.View
 	serversUp     bool
+	// names are the ingresses in the order in which they own everything, if there are more than two. lost
+	// ones cannot be reached.
+	names []string
+	lost  map[string]bool
 }
 
 // peer implements screen.Peers for one of the ingresses.
@@ -48,10 +55,12 @@
 	name string
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T) *world { return newWorldOf(t, "a", "b") }
+
+func newWorldOf(t *testing.T, names ...string) *world {
 	t.Helper()
-	w := &world{t: t, screens: map[string]*screen.Screen{}, owner: "b"}
-	for _, name := range []string{"a", "b"} {
+	w := &world{t: t, screens: map[string]*screen.Screen{}, owner: "b", names: names, lost: map[string]bool{}}
+	for _, name := range names {
 		w.screens[name] = screen.NewScreen(screen.Options{
 			Peers: peer{w, name}, Store: w, Codec: record.Codec{}, Prober: w, Limit: 3,
 			Trials: poison.TrialSchedule{trialDelay}, Log: zap.NewNop(),
@@ -61,6 +70,11 @@
 }
 
 func (p peer) Rank(string) []string {
+	if len(p.names) > 2 {
+		p.lock.Lock()
+		defer p.lock.Unlock()
+		return slices.DeleteFunc(slices.Clone(p.names), func(name string) bool { return p.lost[name] })
+	}
 	if p.owner == "a" {
 		return []string{"a", "b"}
 	}
@@ -76,6 +90,13 @@
 	return p.screens[name].ServeCrash(c), nil
 }
 
+func (p peer) ReportPartCrash(_ context.Context, name string, c *wire.PartCrash) (*wire.PartCrashNoted, error) {
+	if p.partitioned {
+		return nil, errors.New("the ingress is partitioned")
+	}
+	return p.screens[name].ServePartCrash(c), nil
+}
+
 func (p peer) ReportServed(_ context.Context, name string, s *wire.Served) error {
 	p.screens[name].ServeServed(s)
 	return nil
@@ -100,7 +121,7 @@
 
 func (w *world) PutIf(ctx context.Context, key string, value []byte, revision uint64) error {
 	w.lock.Lock()
-	current := w.view.Quarantines[request].Revision
+	current := w.view.Quarantines[poison.ID(record.Codec{}.QuarantineID(key))].Revision
 	w.lock.Unlock()
 	if current != revision {
 		return errors.New("the record has changed")
@@ -153,7 +174,7 @@
 	for range times {
 		sent := time.Now()
 		time.Sleep(2 * time.Millisecond)
-		w.screens[name].RecordCrash(request, site.Server{ID: sent.String(), Service: service, Version: version}, sent)
+		w.screens[name].RecordCrash(requestIdentity, site.Server{ID: sent.String(), Service: service, Version: version}, sent, false)
 		time.Sleep(10 * time.Millisecond)
 	}
 }
@@ -168,8 +189,13 @@
 	}
 }
 
+func (w *world) isQuarantinedAt(name string, i poison.Identity) bool {
+	_, quarantined := w.screens[name].FindQuarantine(i)
+	return quarantined
+}
+
 func (w *world) isQuarantined() (a, b bool) {
-	return w.screens["a"].IsQuarantined(request), w.screens["b"].IsQuarantined(request)
+	return w.isQuarantinedAt("a", requestIdentity), w.isQuarantinedAt("b", requestIdentity)
 }
 
 // Guards against a request crashing servers through every ingress because each ingress counts only
--- a/proofs/hosted/parts_test.go
+++ b/proofs/hosted/parts_test.go
@@ -206,6 +206,7 @@
 			time.Sleep(2*partContact + 3*time.Second)
 			load.end()
 			load.checkPart(t, startedAt)
+			d.Store.SetFault(0, hosted.NoStoreFault)
 			for _, i := range d.ingresses {
 				eventually(t, i.name+" is ready", i.isReady)
 			}
--- a/share/decide/poison/id.go
+++ b/share/decide/poison/id.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -26,3 +27,18 @@
 	_, _ = h.Write(body)
 	return ID(strconv.FormatUint(h.Sum64(), idBase))
 }
+
+// partPrefix precedes the IDs of prompt parts.
+const partPrefix = "part-"
+
+// NewPartID returns the ID of a part of the prompts of a service. An empty part stands for any of them.
+func NewPartID(service, part string) ID {
+	h := xxhash.New()
+	_, _ = h.WriteString(service) // never returns an error
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(part)
+	return ID(partPrefix + strconv.FormatUint(h.Sum64(), idBase))
+}
+
+// IsPart reports whether an ID is that of a prompt part, as opposed to that of a request.
+func (i ID) IsPart() bool { return strings.HasPrefix(string(i), partPrefix) }
--- a/share/modules/link/exchange.go
+++ b/share/modules/link/exchange.go
@@ -134,6 +134,19 @@
 	return frame.GetCrashNoted(), nil
 }
 
+// ReportPartCrash reports to a peer that a server crashed before it answered a request whose prompt has
+// parts. The answer names the parts that are quarantined.
+func ReportPartCrash(ctx context.Context, s *Session, crash *wire.PartCrash) (*wire.PartCrashNoted, error) {
+	frame, err := exchange(ctx, s, &wire.Frame{Body: &wire.Frame_PartCrash{PartCrash: crash}})
+	if err != nil {
+		return nil, err
+	}
+	if frame.GetPartCrashNoted() == nil {
+		return nil, ErrLink.New("the answer to a report of prompt parts is not a part-crash-noted frame")
+	}
+	return frame.GetPartCrashNoted(), nil
+}
+
 // ReportServed reports to a peer that a request was served. It does not wait for an answer.
 func ReportServed(s *Session, served *wire.Served) error {
 	return send(s, &wire.Frame{Body: &wire.Frame_Served{Served: served}})
