--- a/proofs/hosted/soak_budget_test.go
+++ b/proofs/hosted/soak_budget_test.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// killWhileRefused kills all ingresses while servers refuse requests.
+func (s *soak) killWhileRefused() {
+	refused := sync.WaitGroup{}
+	refused.Go(s.refuseRequests)
+	s.killIngresses()
+	refused.Wait()
+}
+
 // refuseRequests makes the plain servers or the engines refuse all requests for a while.
 func (s *soak) refuseRequests() {
 	servers := [][]*hosted.Server{s.plainServers, s.engines}[s.randomInt(2)]
@@ -45,7 +53,7 @@
 	for _, server := range servers {
 		server.SetRefusing(true)
 	}
-	time.Sleep(s.randomDelay(300, 4000))
+	time.Sleep(s.randomDelay(1000, 6000))
 	for _, server := range servers {
 		server.SetRefusing(false)
 	}
--- a/proofs/hosted/soak_faults_test.go
+++ b/proofs/hosted/soak_faults_test.go
@@ -108,7 +108,7 @@
 		go s.runStreamCaller(n)
 	}
 	faults := []func(){
-		s.freezeIngress, s.killIngress, s.restartIngress, s.failStore, s.changeConfig, s.crashServer, s.setServerFaults, s.drainServer, s.disruptLink, s.disruptLink, s.limitServer, s.leaveServer, s.pauseServer, s.updateEngine, s.killIngresses, s.refuseRequests,
+		s.freezeIngress, s.killIngress, s.restartIngress, s.failStore, s.changeConfig, s.crashServer, s.setServerFaults, s.drainServer, s.disruptLink, s.disruptLink, s.limitServer, s.leaveServer, s.pauseServer, s.updateEngine, s.killIngresses, s.refuseRequests, s.killWhileRefused,
 	}
 	deadline := time.Now().Add(duration)
 	running := sync.WaitGroup{}
