--- a/fakes/services/hosted/answers.go
+++ b/fakes/services/hosted/answers.go
@@ -39,6 +39,9 @@
 		_ = http.NewResponseController(w).Flush()
 		cut(w)
 		return
+	case Unframed, UnframedReset:
+		answerUnframed(w, text, fault)
+		return
 	case WrongID:
 		w.Header().Set("X-Verbenaroad-Attempt-Id", "ffffffffffffffff")
 	}
@@ -71,13 +74,17 @@
 	s.lock.Lock()
 	version := s.softwareVersion()
 	s.lock.Unlock()
+	if fault == Unframed || fault == UnframedStop {
+		s.streamUnframed(w, r, fault, after, version)
+		return
+	}
 	for i := after + 1; i <= s.Events; i++ {
 		select {
 		case <-time.After(s.EventInterval):
 		case <-r.Context().Done():
 			return
 		}
-		event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", i, r.Header.Get("X-Verbenaroad-Attempt-Id"), version)
+		event := newEvent(i, r, version)
 		if fault == CutStream && i == after+3 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			_ = control.Flush()
@@ -88,3 +95,26 @@
 		_ = control.Flush()
 	}
 }
+
+func newEvent(id int, r *http.Request, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %s\n\n", id, r.Header.Get("X-Verbenaroad-Attempt-Id"), version)
+}
+
+// streamUnframed sends events that end with the connection. With UnframedStop it ends in the middle of the
+// third one.
+func (s *Server) streamUnframed(w http.ResponseWriter, r *http.Request, fault Fault, after int, version string) {
+	u := beginUnframed(w)
+	if u == nil {
+		return
+	}
+	defer u.end()
+	for i := after + 1; i <= s.Events; i++ {
+		time.Sleep(s.EventInterval)
+		event := newEvent(i, r, version)
+		if fault == UnframedStop && i == after+3 {
+			u.write(event[:len(event)/2])
+			return
+		}
+		u.write(event)
+	}
+}
--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -38,6 +38,12 @@
 	CutBeforeAnswer Fault = "cut-at-once"
 	// CutStream resets the connection of a stream in the middle of the third event that it sends.
 	CutStream Fault = "cut-stream"
+	// Unframed answers correctly with neither a length nor chunks: the answer ends with its connection.
+	Unframed Fault = "unframed"
+	// UnframedReset resets the connection in the middle of such an answer.
+	UnframedReset Fault = "unframed-reset"
+	// UnframedStop closes the connection of such a stream in the middle of the third event that it sends.
+	UnframedStop Fault = "unframed-stop"
 )
 
 // Run is one run of a request, as the backend server received it.
--- a/proofs/hosted/faults_test.go
+++ b/proofs/hosted/faults_test.go
@@ -301,3 +301,67 @@
 	got := d.ingresses[1].send(context.Background(), newReview())
 	is.Equal(eventIDs(got.body), "1,2,3,4,5,6")
 }
+
+// Guards against a plain answer that ends with its connection being taken for broken, and against one that was
+// reset on the way looking complete, whether it is buffered or relayed as it arrives.
+func TestPlainAnswersThatEndWithTheirConnection(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	for _, bytes := range []int{0, 3 << 20} {
+		for _, s := range d.plainServers {
+			s.AnswerBytes = bytes
+			s.SetFaults(hosted.Unframed)
+		}
+		q := newRequest("/order/1")
+		got := d.ingresses[0].send(context.Background(), q)
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		is.True(len(got.body) >= bytes && strings.HasPrefix(got.body, "answer of ") && strings.Contains(got.body, q.id))
+
+		for _, s := range d.plainServers {
+			s.SetFaults(hosted.UnframedReset)
+		}
+		got = d.ingresses[0].send(context.Background(), newRequest("/order/1"))
+		is.True(got.err != nil || got.status == http.StatusBadGateway)
+		for _, s := range d.plainServers {
+			s.SetFaults()
+		}
+	}
+}
+
+// Guards against a stream that ends inside an event being taken for complete because it has neither a length nor
+// chunks. It must go on at another engine, or end with an error if it may not.
+func TestStreamsThatEndWithTheirConnection(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	for _, e := range d.engines {
+		e.SetFaults(hosted.Unframed)
+	}
+	got := d.ingresses[0].send(context.Background(), newReview())
+	is.NoErr(got.err)
+	is.Equal(eventIDs(got.body), "1,2,3,4,5,6")
+
+	for _, e := range d.engines {
+		e.SetFaults(hosted.UnframedStop)
+	}
+	q := newReview()
+	got = d.ingresses[0].send(context.Background(), q)
+	is.Equal(eventIDs(got.body), "1,2,3,4")
+	is.True(got.err != nil) // the second engine stopped inside an event as well
+	is.Equal(len(d.Runs(q.id)), 2)
+
+	d.engines[0].SetFaults(hosted.UnframedStop)
+	d.engines[1].SetFaults()
+	for range 2 {
+		got = d.ingresses[0].send(context.Background(), newReview())
+		is.NoErr(got.err)
+		is.Equal(eventIDs(got.body), "1,2,3,4,5,6")
+	}
+
+	for _, e := range d.engines {
+		e.SetFaults(hosted.UnframedStop)
+	}
+	got = d.ingresses[0].send(context.Background(), newRequest("/advice/1"))
+	is.True(got.err != nil)
+	is.Equal(eventIDs(got.body), "1,2")
+}
--- a/proofs/hosted/soak_faults_test.go
+++ b/proofs/hosted/soak_faults_test.go
@@ -246,6 +246,7 @@
 	server := servers[s.randomInt(len(servers))]
 	faults := []hosted.Fault{
 		hosted.RefuseNotRun, hosted.UnclassifiedFailure, hosted.CutAfterRun, hosted.WrongID, hosted.Unsigned, hosted.Truncate, hosted.Fail, hosted.CutStream,
+		hosted.Unframed, hosted.UnframedReset, hosted.UnframedStop,
 	}
 	fault := faults[s.randomInt(len(faults))]
 	s.recordf("%s: fault %s for the next and the third request", server.ID, fault)
