--- a/proofs/hosted/soak_budget_test.go
+++ b/proofs/hosted/soak_budget_test.go
@@ -1,6 +1,7 @@
 package hosted_test
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 	}
 	for range 1 + s.randomInt(3) {
 		s.recordf("ingresses %v are killed", acquired)
+		since := time.Now()
 		killed := sync.WaitGroup{}
 		for _, n := range acquired {
 			killed.Go(s.ingresses[n].kill)
@@ -31,6 +33,11 @@
 			s.ingresses[n].start()
 		}
 		s.recordf("ingresses %v start", acquired)
+		s.lock.Lock()
+		for _, n := range acquired {
+			s.losses[n] = append(s.losses[n], timeRange{from: since, to: time.Now()})
+		}
+		s.lock.Unlock()
 		time.Sleep(s.randomDelay(300, 2000))
 	}
 	for _, n := range acquired {
@@ -53,18 +60,40 @@
 	for _, server := range servers {
 		server.SetRefusing(true)
 	}
+	since := time.Now()
 	time.Sleep(s.randomDelay(1000, 6000))
+	s.lock.Lock()
+	s.refusals[servers[0].Service] = append(s.refusals[servers[0].Service], timeRange{from: since, to: time.Now()})
+	s.lock.Unlock()
 	for _, server := range servers {
 		server.SetRefusing(false)
 	}
 	s.recordf("the servers of %s take requests again", servers[0].Service)
 }
 
+// couldNotBeServed reports whether a call was sent while all servers of its service refused requests, or to an
+// ingress that did not run since killIngresses had killed it.
+func (s *soak) couldNotBeServed(c call) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return slices.ContainsFunc(slices.Concat(s.refusals[serviceOf(c.request)], s.losses[c.ingress]), func(r timeRange) bool {
+		return c.sentAt.After(r.from) && c.sentAt.Before(r.to)
+	})
+}
+
+// serviceOf returns the service of a request.
+func serviceOf(q request) string {
+	if strings.HasPrefix(q.target, "/order") || strings.HasPrefix(q.target, "/read") {
+		return "orders"
+	}
+	return "models"
+}
+
 // checkBudgets checks the repeats at the plain servers and at the engines, in each window.
 func (s *soak) checkBudgets(calls []call) {
 	plain, streams := []time.Time{}, []time.Time{}
 	for _, c := range calls {
-		if strings.HasPrefix(c.request.target, "/order") || strings.HasPrefix(c.request.target, "/read") {
+		if serviceOf(c.request) == "orders" {
 			plain = append(plain, c.sentAt)
 		} else {
 			streams = append(streams, c.sentAt)
--- a/proofs/hosted/soak_check_test.go
+++ b/proofs/hosted/soak_check_test.go
@@ -14,6 +14,8 @@
 // call is one attempt of a caller and its answer.
 type call struct {
 	request request
+	// ingress is the number of the ingress that it was sent to.
+	ingress int
 	sentAt  time.Time
 	answer  answer
 	// cancelsEarly is set if the caller canceled the request unless it was answered within 20 to
@@ -46,7 +48,7 @@
 		sentAt := time.Now()
 		a := s.sendOnce(client, s.ingresses[n%len(s.ingresses)], q, clientTimeout)
 		s.lock.Lock()
-		s.calls = append(s.calls, call{request: q, sentAt: sentAt, answer: a, cancelsEarly: cancelsEarly})
+		s.calls = append(s.calls, call{request: q, ingress: n % len(s.ingresses), sentAt: sentAt, answer: a, cancelsEarly: cancelsEarly})
 		s.lock.Unlock()
 		time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
 	}
@@ -80,7 +82,7 @@
 }
 
 // checkRecovery ends the remaining faults and waits until everything is served again. It then checks
-// the rates that servers state, and that they leave or ask for pauses, stops the callers, checks the quarantine, and waits until no result is
+// the rates that servers state, and that they leave or ask for pauses, stops the callers, checks the quarantines, and waits until no result is
 // held and no request is running.
 func (s *soak) checkRecovery() {
 	for _, r := range s.relays {
@@ -117,6 +119,7 @@
 	close(s.stop)
 	s.callers.Wait()
 	s.checkQuarantine()
+	s.checkCrashingPart()
 	eventually(s.t, "all results are released", func() bool { return s.HeldResults() == 0 })
 	for _, server := range s.allServers() {
 		eventually(s.t, server.ID+" has no running requests", func() bool { return server.Running() == 0 })
@@ -150,16 +153,45 @@
 	}
 }
 
+// checkCrashingPart sends requests with a prompt part that crashes engines, all of them different, and checks that
+// the part is quarantined and that requests with the parts beside it are served.
+func (s *soak) checkCrashingPart() {
+	s.SetPoisonPart(crashingPart, poisonDowntime)
+	for n := range 12 {
+		s.ingresses[n%len(s.ingresses)].send(context.Background(), newPartRequest(crashingPart))
+		time.Sleep(poisonDowntime)
+	}
+	time.Sleep(quarantineDelay)
+	before := len(s.PartArrivals())
+	for _, i := range s.ingresses {
+		if a := i.send(context.Background(), newPartRequest(crashingPart)); a.status != http.StatusServiceUnavailable {
+			s.t.Errorf("%s answered a request whose prompt crashes servers with status %d", i.name, a.status)
+		}
+		eventually(s.t, i.name+" serves other requests", func() bool {
+			return i.send(context.Background(), newPartRequest("0dd5")).status == http.StatusOK
+		})
+	}
+	if arrivals := len(s.PartArrivals()); arrivals != before {
+		s.t.Errorf("requests with a quarantined part reached servers: %d before, %d after", before, arrivals)
+	}
+	s.t.Logf("%d servers crashed on a prompt part", len(s.PartCrashes()))
+}
+
 // checkCalls compares what callers received with what servers ran. At least a quarter of the
-// requests must have been served before checkRates, which lets most of them be refused.
+// requests must have been served before checkRates, which lets most of them be refused. Those that could not be
+// served do not count.
 func (s *soak) checkCalls() {
 	s.lock.Lock()
 	calls := append([]call{}, s.calls...)
 	s.lock.Unlock()
-	served := 0
+	served, hopeless := 0, 0
 	for n, c := range calls {
-		if n < s.callsBeforeRates && c.answer.err == nil && c.answer.status == http.StatusOK {
+		switch {
+		case n >= s.callsBeforeRates:
+		case c.answer.err == nil && c.answer.status == http.StatusOK:
 			served++
+		case s.couldNotBeServed(c):
+			hopeless++
 		}
 		s.checkCall(c)
 	}
@@ -168,10 +200,10 @@
 	for _, violation := range s.Violations() {
 		s.t.Error(violation)
 	}
-	if served*4 < s.callsBeforeRates {
-		s.t.Errorf("only %d of %d requests were served", served, s.callsBeforeRates)
+	if served*4 < s.callsBeforeRates-hopeless {
+		s.t.Errorf("only %d of %d requests were served, without %d that could not be", served, s.callsBeforeRates, hopeless)
 	}
-	s.t.Logf("%d requests, %d served; %d while rates were stated", s.callsBeforeRates, served, len(calls)-s.callsBeforeRates)
+	s.t.Logf("%d requests, %d served, %d could not be; %d while rates were stated", s.callsBeforeRates, served, hopeless, len(calls)-s.callsBeforeRates)
 }
 
 func (s *soak) checkCall(c call) {
--- a/proofs/hosted/soak_faults_test.go
+++ b/proofs/hosted/soak_faults_test.go
@@ -40,6 +40,10 @@
 	crashed map[string]bool
 	// streams are those of the callers of runStreamCaller.
 	streams []*resumedStream
+	// refusals holds when all servers of a service refused its requests, by service.
+	refusals map[string][]timeRange
+	// losses holds when killIngresses had killed an ingress and not started it again, by its number.
+	losses map[int][]timeRange
 	// draining holds the time since which a server drains, by its ID.
 	draining map[string]time.Time
 }
@@ -60,6 +64,8 @@
 		inFault:    map[int]bool{},
 		crashed:    map[string]bool{},
 		draining:   map[string]time.Time{},
+		refusals:   map[string][]timeRange{},
+		losses:     map[int][]timeRange{},
 	}
 	for _, engine := range s.engines {
 		engine.EventInterval = soakEventInterval
