place: what is believed of a server fades without outcomes

What callers saw: a plain server or an engine that had been slow, or had failed, for a moment got no requests for as long as the others had room, since only its own answers changed what was believed of it. Of two servers one did all the work.

Now a latency above that of the fastest server, and a failure rate, fade to half in 5 s and are forgotten after 30 s. Of equal servers the one without a request for the longest time is chosen.

--- a/share/decide/place/engines.go
+++ b/share/decide/place/engines.go
@@ -94,9 +94,9 @@
 	parts map[string]cachedPart
 	// slowdown is the smoothed ratio of the time until an answer began to the time that
 	// prefillRate predicts at the engine's pace.
-	slowdown    float64
-	pace        pace.Pace
-	failureRate float64
+	slowdown float64
+	pace     pace.Pace
+	failures failureRate
 	// connFailures counts the connection failures in a row. The engine is avoided until
 	// backoffUntil.
 	connFailures int
@@ -228,7 +228,7 @@
 	if e.isFull(q, c) {
 		cost += fullCost
 	}
-	return cost + time.Duration(c.failureRate*float64(failureCost))
+	return cost + time.Duration(c.failures.at(now)*float64(failureCost))
 }
 
 // slowdownAt returns the slowdown of the engine at the pace that it has now.
--- a/share/decide/place/place.go
+++ b/share/decide/place/place.go
@@ -104,11 +104,12 @@
 	site.Server
 	// inFlight counts this ingress's requests in flight at the server.
 	inFlight int
-	// latency is smoothed and holds for the usual pace; 0 before the first answer.
-	latency time.Duration
-	pace    pace.Pace
-	// failureRate is smoothed, from 0 to 1.
-	failureRate float64
+	// latency is smoothed and holds for the usual pace; 0 before the first answer. It was updated at
+	// latencyAt.
+	latency   time.Duration
+	latencyAt time.Time
+	pace      pace.Pace
+	failures  failureRate
 	// load is the server's own report, received at loadAt.
 	load   site.Load
 	loadAt time.Time
@@ -118,6 +119,8 @@
 	backoffUntil time.Time
 	// arrivals counts recently sent requests, for the limit of a cold server.
 	arrivals cold.Window
+	// startedAt is when the last request was sent to the server.
+	startedAt time.Time
 }
 
 // NewChooser returns a chooser without servers. Regions maps failure domains to their regions.
@@ -158,7 +161,7 @@
 func (c *Chooser) Count() int { return len(c.accepting) }
 
 // Pick returns the server with the lowest estimated latency for a request, or false if no
-// server is eligible.
+// server is eligible. Of several it returns the one that has had no request for the longest time.
 func (c *Chooser) Pick(now time.Time, q Query) (site.Server, bool) {
 	candidates := c.listCandidates(now, q)
 	if len(candidates) == 0 {
@@ -166,7 +169,9 @@
 	}
 	assumed := c.lowestLatency()
 	best := slices.MinFunc(candidates, func(a, b *server) int {
-		return cmp.Compare(c.estimateLatency(now, q, a, assumed), c.estimateLatency(now, q, b, assumed))
+		return cmp.Or(
+			cmp.Compare(c.estimateLatency(now, q, a, assumed), c.estimateLatency(now, q, b, assumed)), a.startedAt.Compare(b.startedAt),
+		)
 	})
 	return best.Server, true
 }
@@ -217,19 +222,28 @@
 // estimateLatency estimates the time until a server answers a request. Assumed is the latency of a server
 // that has not answered yet.
 func (c *Chooser) estimateLatency(now time.Time, q Query, s *server, assumed time.Duration) time.Duration {
-	latency := s.latency
-	if latency == 0 {
-		latency = assumed
-	}
+	latency := s.estimateServiceTime(now, assumed)
 	outstanding := s.inFlight
 	if now.Sub(s.loadAt) < maxLoadAge {
 		outstanding = max(outstanding, s.load.Running+s.load.Waiting)
 	}
 	queueFactor := 1 + float64(outstanding)/float64(max(s.Slots, 1))
-	estimate := time.Duration(float64(latency) * queueFactor * s.pace.At(now) * (1 + failureWeight*s.failureRate))
+	estimate := time.Duration(float64(latency) * queueFactor * s.pace.At(now) * (1 + failureWeight*s.failures.at(now)))
 	return estimate + c.networkLatency(q, s)
 }
 
+// estimateServiceTime returns the smoothed latency of the server. A higher one than assumed, that of the
+// fastest server, fades while the server does not answer.
+func (s *server) estimateServiceTime(now time.Time, assumed time.Duration) time.Duration {
+	if s.latency <= assumed {
+		if s.latency == 0 {
+			return assumed
+		}
+		return s.latency
+	}
+	return assumed + time.Duration(fade(now.Sub(s.latencyAt))*float64(s.latency-assumed))
+}
+
 // networkLatency returns the round-trip time between the caller's ingress and a server.
 func (c *Chooser) networkLatency(q Query, s *server) time.Duration {
 	switch {
@@ -246,6 +260,7 @@
 func (c *Chooser) Start(now time.Time, id string) {
 	if s := c.servers[id]; s != nil {
 		s.inFlight++
+		s.startedAt = now
 		s.arrivals.Reserve()
 		s.arrivals.MarkSent(now)
 	}
@@ -266,29 +281,26 @@
 	}
 	switch result {
 	case ResultServed:
-		s.recordSuccess(time.Duration(float64(took) / s.pace.At(now)))
+		s.recordSuccess(now, time.Duration(float64(took)/s.pace.At(now)), c.lowestLatency())
 	case ResultFailed:
-		s.recordFailure()
+		s.failures.record(now, true)
 		s.connFailures = 0
 	case ResultBroken, ResultUnreachable:
-		s.recordFailure()
+		s.failures.record(now, true)
 		s.backoffUntil = now.Add(min(initialBackoff<<min(s.connFailures, 4), maxBackoff))
 		s.connFailures++
 	case ResultRefused, ResultCanceled:
 	}
 }
 
-func (s *server) recordSuccess(took time.Duration) {
+func (s *server) recordSuccess(now time.Time, took, assumed time.Duration) {
 	s.connFailures = 0
 	s.backoffUntil = time.Time{}
-	s.failureRate -= failureAlpha * s.failureRate
+	s.failures.record(now, false)
 	if s.latency == 0 {
-		s.latency = took
+		s.latency, s.latencyAt = took, now
 		return
 	}
-	s.latency += time.Duration(latencyAlpha * float64(took-s.latency))
-}
-
-func (s *server) recordFailure() {
-	s.failureRate += failureAlpha * (1 - s.failureRate)
+	latency := s.estimateServiceTime(now, assumed)
+	s.latency, s.latencyAt = latency+time.Duration(latencyAlpha*float64(took-latency)), now
 }
--- a/share/decide/place/reservations.go
+++ b/share/decide/place/reservations.go
@@ -130,11 +130,11 @@
 	case ResultServed:
 		c.connFailures = 0
 		c.backoffUntil = time.Time{}
-		c.failureRate -= failureAlpha * c.failureRate
+		c.failures.record(now, false)
 	case ResultFailed:
-		c.failureRate += failureAlpha * (1 - c.failureRate)
+		c.failures.record(now, true)
 	case ResultBroken, ResultUnreachable:
-		c.failureRate += failureAlpha * (1 - c.failureRate)
+		c.failures.record(now, true)
 		c.backoffUntil = now.Add(min(initialBackoff<<min(c.connFailures, 4), maxBackoff))
 		c.connFailures++
 	case ResultRefused:
