--- a/share/modules/link/options.go
+++ b/share/modules/link/options.go
@@ -4,8 +4,11 @@
 package link
 
 import (
+	"context"
 	"crypto/tls"
 	"io"
+	"net"
+	"net/netip"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -48,6 +51,8 @@
 	SilenceTimeout time.Duration
 	// HelloTimeout limits the time for connecting and exchanging hellos.
 	HelloTimeout time.Duration
+	// Dial opens the connection to a peer; nil: over TCP.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// ConnectAttempt limits one attempt to connect, which is repeated until HelloTimeout; 0: one attempt
 	// only. The first packet to a peer that is about to start is lost, and the kernel sends it again only
 	// after a second.
@@ -67,6 +72,9 @@
 }
 
 func (o Options) withDefaults() Options {
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
 	if o.HeartbeatInterval == 0 {
 		o.HeartbeatInterval = DefaultHeartbeatInterval
 	}
@@ -79,6 +87,10 @@
 	return o
 }
 
+func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+}
+
 func muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	// The heartbeats on the control stream detect a dead session, so yamux's own pings are not needed.
--- a/share/modules/link/session.go
+++ b/share/modules/link/session.go
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(ctx, options.HelloTimeout)
 	defer cancel()
 	conn, err := dials.Repeat(ctx, options.ConnectAttempt, func(ctx context.Context) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+		return options.Dial(ctx, address)
 	})
 	if err != nil {
 		return nil, ErrLink.Wrap(err)
