valve, sched, callers: an overloaded ingress closes new connections unread

The server for callers read whatever it accepted. An ingress with less processor than that takes answered nothing in time, for 20 s beyond the flood: checks 4.7 s late, 2,800 goroutines, and requests held beyond their route's time limit.

Now a periodic check that runs late while the process has used up its processor reduces the share of new connections that are taken; the others are reset before their request is read, which costs little, and their callers go elsewhere. A process that the machine did not run refuses nothing.

--- a/ingress/cmds/callers.go
+++ b/ingress/cmds/callers.go
@@ -48,6 +48,35 @@
 	Log     *zap.Logger
 	// MaxConnections limits the number of open connections.
 	MaxConnections int
+	// Gate decides which new connections are taken.
+	Gate Gate
+}
+
+// Gate decides which new connections of callers are taken.
+type Gate interface {
+	// TakeConnection reports whether a new connection is taken. One that is not is closed unread, so that
+	// its caller goes to another instance at once.
+	TakeConnection() bool
+}
+
+// gatedListener accepts the connections that a gate takes and resets the others.
+type gatedListener struct {
+	net.Listener
+	gate Gate
+}
+
+// Accept implements net.Listener.
+func (l gatedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || l.gate.TakeConnection() {
+			return conn, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // Close sends a reset instead of a FIN
+		}
+		_ = conn.Close()
+	}
 }
 
 // CallerServer is the HTTP server for callers. It closes connections that have been idle for longer
@@ -87,8 +116,14 @@
 	return c, nil
 }
 
+// Address returns the address on which the server listens.
+func (c *CallerServer) Address() netip.AddrPort {
+	address, _ := netip.ParseAddrPort(c.listener.Addr().String()) // a TCP listener has such an address
+	return address
+}
+
 func (c *CallerServer) run() {
-	if err := c.server.Serve(c.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := c.server.Serve(gatedListener{Listener: c.listener, gate: c.options.Gate}); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		c.options.Log.Error("caller-server-failed", logs.Err(err))
 	}
 }
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -90,6 +90,7 @@
 	origins       *origin.Registry
 	flow          *flow.Server
 	stopper       *stops.Stopper
+	watcher       *sched.Watcher
 	callerServer  *CallerServer
 	readyServer   *http.Server
 	metricsServer *http.Server
@@ -137,6 +138,7 @@
 		OnArrival: func() { i.book.ObserveOwnAnswer(time.Now()) },
 		OnCall:    func(call keyval.Call, err error) { i.meters.CountStoreCall(string(call), err) },
 	})
+	i.watcher = sched.NewWatcher(sched.Options{ProcessorTime: processorTime, Cores: s.Place.Cores, Meter: i.meters, Log: i.log})
 	i.limits = limits.NewRegistry(limits.Options{Meter: i.meters, Log: i.log, OnLeaving: func() { i.book.Refresh() }})
 	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.setView, IsLeaving: i.limits.IsLeaving})
 	i.mesh = mesh.NewMesh(mesh.Options{
@@ -221,7 +223,7 @@
 		return err
 	}
 	i.callerServer, err = NewCallerServer(ctx, CallerServerOptions{
-		Address: s.Callers.Listen, Views: i.book, Log: i.log, MaxConnections: s.Callers.MaxConnections(),
+		Address: s.Callers.Listen, Views: i.book, Log: i.log, MaxConnections: s.Callers.MaxConnections(), Gate: i.watcher,
 		Handler: public.NewRouter(public.Options{
 			Codec: heads.Codec{}, Views: i.book, Flow: i.flow, Admission: i.stopper, Peers: i.mesh, StoreStatus: i.book,
 			Memory: i.memory, Log: i.log,
@@ -282,7 +284,7 @@
 	i.ledger.Start(ctx)
 	i.origins.Start(ctx)
 	(&usageReporter{ingress: i}).Start(ctx)
-	(&sched.Watcher{ProcessorTime: processorTime, Meter: i.meters, Log: i.log}).Start(ctx)
+	i.watcher.Start(ctx)
 	i.log.Info("started", zap.Stringer("callers", s.Callers.Listen), zap.Stringer("peers", s.Peers.Listen),
 		zap.Stringer("metrics", s.Metrics.Listen), zap.Stringer("store", s.Store.Address),
 		zap.String("incarnation", i.incarnation))
--- a/ingress/services/meters/meters.go
+++ b/ingress/services/meters/meters.go
@@ -23,6 +23,7 @@
 	droppedLines  *prometheus.CounterVec
 	reloads       *prometheus.CounterVec
 	lateChecks    prometheus.Histogram
+	refusedConns  prometheus.Counter
 	configVersion prometheus.Gauge
 	storeAge      prometheus.GaugeFunc
 	requestMemory prometheus.GaugeFunc
@@ -71,6 +72,9 @@
 		reloads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenaroad_reloads_total", Help: "Settings files that were read again.",
 		}, []string{"outcome"}),
+		refusedConns: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "verbenaroad_refused_connections_total", Help: "New connections of callers that were closed unread because the process was overloaded.",
+		}),
 		lateChecks: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "verbenaroad_late_check_seconds", Help: "Delay of periodic checks that ran late, which all goroutines of the process share.",
 			Buckets: latencyBuckets(),
@@ -85,7 +89,7 @@
 			Name: "verbenaroad_request_memory_bytes", Help: "Memory held by bodies of requests and by answers that are not read yet.",
 		}, func() float64 { return float64(requestMemory()) }),
 	}
-	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.limitedSends, m.limitedCount, m.closedCount, m.droppedLines, m.reloads, m.lateChecks, m.configVersion, m.storeAge, m.requestMemory)
+	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.limitedSends, m.limitedCount, m.closedCount, m.droppedLines, m.reloads, m.lateChecks, m.refusedConns, m.configVersion, m.storeAge, m.requestMemory)
 	return m
 }
 
@@ -137,6 +141,9 @@
 // CountLateCheck counts a check that ran late by delay.
 func (m *Meters) CountLateCheck(delay time.Duration) { m.lateChecks.Observe(delay.Seconds()) }
 
+// CountRefusedConnection counts a new connection that was closed unread.
+func (m *Meters) CountRefusedConnection() { m.refusedConns.Inc() }
+
 // SetVersion sets the version of the configuration in force.
 func (m *Meters) SetVersion(version uint64) { m.configVersion.Set(float64(version)) }
 
--- a/ingress/services/sched/tracker.go
+++ b/ingress/services/sched/tracker.go
@@ -1,5 +1,6 @@
 // Package sched reports when the goroutines of the process run late, because the process is busy itself or
-// because the machine does not run it. Every timeout and every heartbeat of the process is late then, too.
+// because the machine does not run it. Every timeout and every heartbeat of the process is late then, too. While
+// the process is busy itself, it takes only some of the new connections.
 package sched
 
 import "time"
@@ -8,8 +9,10 @@
 	// checkInterval is the time between two checks. A check that runs later than lateAfter counts as late.
 	checkInterval = 100 * time.Millisecond
 	lateAfter     = 100 * time.Millisecond
-	// reportInterval is the minimum time between two reports.
-	reportInterval = 5 * time.Second
+	// reportInterval is the minimum time between two reports, refusalReportInterval that between two lines
+	// about refused connections.
+	reportInterval        = 5 * time.Second
+	refusalReportInterval = time.Second
 )
 
 // Usage is what a process has used since its start, and what it is at.
