ledger, budget: no slack is used before the number of ingresses is known

A starting ingress knows those of its own failure domain first, and divided the slack of the retry budget by their number, or by one before it knew any. TestSlackIsNotUsedBeforeTheOthersAreKnown failed before: the whole slack was granted. Not seen in the logs of the incident, where the number was always right.

--- a/ingress/services/flow/stream_test.go
+++ b/ingress/services/flow/stream_test.go
@@ -45,6 +45,7 @@
 func newLedger() *ledger.Ledger {
 	l := ledger.NewLedger(ledger.Options{Retries: budget.Settings{Ratio: 1, Slack: 10, Window: time.Second}})
 	l.MarkFirstRun()
+	l.SetView(&state.View{Ingresses: make([]site.Ingress, 1), IsComplete: true})
 	return l
 }
 
--- a/ingress/services/ledger/ledger.go
+++ b/ingress/services/ledger/ledger.go
@@ -42,7 +42,7 @@
 	knownSince time.Time
 	// budgets is keyed by the name of the service.
 	budgets map[string]*budget.Budget
-	// ingresses is the highest number of ingresses in any view so far.
+	// ingresses is the highest number of ingresses in any view so far; 0: not known.
 	ingresses int
 	// changed holds a token if the accounts are to be written soon: a retry was taken, or other ingresses
 	// have been seen for the first time.
@@ -84,8 +84,12 @@
 	}
 }
 
-// SetView updates the number of ingresses that share the budgets.
+// SetView updates the number of ingresses that share the budgets. A view in which some may be missing is
+// ignored.
 func (l *Ledger) SetView(v *state.View) {
+	if !v.IsComplete {
+		return
+	}
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	if len(v.Ingresses) > l.ingresses {
--- a/ingress/services/ledger/ledger_test.go
+++ b/ingress/services/ledger/ledger_test.go
@@ -88,7 +88,7 @@
 	t.Helper()
 	core, lines := observer.New(zap.InfoLevel)
 	l = ledger.NewLedger(ledger.Options{Name: "a", Retries: settings, Memos: h, Log: zap.New(core)})
-	l.SetView(&state.View{Ingresses: make([]site.Ingress, 3)})
+	l.SetView(&state.View{Ingresses: make([]site.Ingress, 3), IsComplete: true})
 	if isFirst {
 		l.MarkFirstRun()
 	}
@@ -141,6 +141,18 @@
 	is.Equal(take(second, service, 20), 0)
 }
 
+// Guards against an ingress that takes the whole slack for itself because it does not know the others yet.
+func TestSlackIsNotUsedBeforeTheOthersAreKnown(t *testing.T) {
+	is := is.New(t)
+	l := ledger.NewLedger(ledger.Options{Name: "a", Retries: settings, Log: zap.NewNop()})
+	l.MarkFirstRun()
+	is.Equal(take(l, service, 20), 0)
+	l.SetView(&state.View{Ingresses: make([]site.Ingress, 1)}) // those of its failure domain
+	is.Equal(take(l, service, 20), 0)
+	l.SetView(&state.View{Ingresses: make([]site.Ingress, 30), IsComplete: true})
+	is.Equal(take(l, service, 20), 1) // 0.7 of 60/30
+}
+
 // Guards against an ingress that has no retries after it was restarted, although others know that it spent few
 // of them, and against one that spends more than its part over several starts.
 func TestRestartedIngressKeepsItsRetries(t *testing.T) {
--- a/ingress/services/stages/producer_test.go
+++ b/ingress/services/stages/producer_test.go
@@ -57,6 +57,7 @@
 func newLedger(settings budget.Settings) *ledger.Ledger {
 	l := ledger.NewLedger(ledger.Options{Retries: settings})
 	l.MarkFirstRun()
+	l.SetView(&state.View{Ingresses: make([]site.Ingress, 1), IsComplete: true})
 	return l
 }
 
--- a/share/decide/budget/budget.go
+++ b/share/decide/budget/budget.go
@@ -78,16 +78,15 @@
 	Account
 	// Limit is the highest number of retries that was allowed within the window.
 	Limit float64
-	// Ingresses is the number of ingresses that share the slack.
+	// Ingresses is the number of ingresses that share the slack; 0: not known.
 	Ingresses int
 }
 
 // TakeRetry grants a retry, unless it exceeds this ingress's part of the limit. The argument ingresses
-// is the highest number of ingresses that may use the budget at the same time. The retry counts until
-// a window after it was sent: RecordSent or ReturnRetry must follow.
+// is the highest number of ingresses that may use the budget at the same time; while it is 0, not known, no
+// slack is granted. The retry counts until a window after it was sent: RecordSent or ReturnRetry must follow.
 func (b *Budget) TakeRetry(now time.Time, ingresses int) Decision {
 	a := b.Account(now)
-	ingresses = max(ingresses, 1)
 	d := Decision{Account: a, Ingresses: ingresses, Limit: b.limit(a, ingresses)}
 	if float64(a.Retries+1) > d.Limit {
 		return d
@@ -110,7 +109,10 @@
 // have spent its part within the window, the slack grows with the time, so that several starts in a row get
 // no more of it than one.
 func (b *Budget) limit(a Account, ingresses int) float64 {
-	part := b.settings.Slack / float64(ingresses)
+	part := 0.0
+	if ingresses > 0 {
+		part = b.settings.Slack / float64(ingresses)
+	}
 	earned := b.settings.Ratio * float64(a.Requests)
 	if a.Known >= b.settings.Window {
 		return usableShare * (earned + part)
