--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -206,10 +206,13 @@
 	}
 }
 
+// maxIdentityParts limits the prompt parts by which a request is known.
+const maxIdentityParts = 16
+
 func newIdentity(q *Request, service string) poison.Identity {
 	path, _, _ := strings.Cut(q.Target, "?")
 	i := poison.Identity{Request: poison.NewID(q.Decision.Team, q.Host, path, q.Body), Service: poison.NewPartID(service, "")}
-	for n := range len(q.Parts) - 1 {
+	for n := range min(len(q.Parts)-1, maxIdentityParts) {
 		i.Parts = append(i.Parts, poison.NewPartID(service, q.Parts[n].ID))
 	}
 	return i
--- a/ingress/services/sched/watcher.go
+++ b/ingress/services/sched/watcher.go
@@ -36,7 +36,7 @@
 
 	lock  sync.Mutex
 	valve *valve.Valve
-	// checkedAt is when the last check ran, and used the processor time by then.
+	// checkedAt is when the last check ran, and used the processor time by then; zero before Start.
 	checkedAt time.Time
 	used      time.Duration
 	// refused counts the connections that were refused since the last line, which was written at reportedAt.
@@ -46,11 +46,16 @@
 
 // NewWatcher returns a watcher that takes all connections.
 func NewWatcher(options Options) *Watcher {
-	return &Watcher{options: options, valve: valve.NewValve(options.Cores), checkedAt: time.Now(), used: options.ProcessorTime()}
+	return &Watcher{options: options, valve: valve.NewValve(options.Cores)}
 }
 
 // Start checks until the context ends.
-func (w *Watcher) Start(ctx context.Context) { go w.loop(ctx) }
+func (w *Watcher) Start(ctx context.Context) {
+	w.lock.Lock()
+	w.checkedAt, w.used = time.Now(), w.options.ProcessorTime()
+	w.lock.Unlock()
+	go w.loop(ctx)
+}
 
 func (w *Watcher) loop(ctx context.Context) {
 	tracker := NewTracker(time.Now(), w.readUsage())
@@ -86,10 +91,14 @@
 	return valve.Check{Delay: elapsed - checkInterval, Elapsed: elapsed, Used: used - w.used}
 }
 
-// TakeConnection reports whether a new connection is taken. One that is not is to be closed unread.
+// TakeConnection reports whether a new connection is taken. One that is not is to be closed unread. Before Start
+// all are taken.
 func (w *Watcher) TakeConnection() bool {
 	w.lock.Lock()
 	defer w.lock.Unlock()
+	if w.checkedAt.IsZero() {
+		return true
+	}
 	now := time.Now()
 	used := w.used
 	if now.Sub(w.checkedAt) > checkInterval+lateAfter {
--- a/ingress/services/sched/watcher_test.go
+++ b/ingress/services/sched/watcher_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -57,8 +58,12 @@
 		is := is.New(t)
 		p := &busyProcess{}
 		w := sched.NewWatcher(sched.Options{ProcessorTime: p.processorTime, Cores: 0.144, Meter: p, Log: zap.NewNop()})
-		is.Equal(take(w), 100)
-		time.Sleep(time.Second) // no check runs, the watcher has not been started
+		p.use(time.Second)
+		is.Equal(take(w), 100) // it has not been started
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		w.Start(ctx)
+		time.Sleep(time.Second) // no check runs
 		is.Equal(take(w), 100)  // the process was not run
 		p.use(140 * time.Millisecond)
 		is.Equal(take(w), 2)
--- a/ingress/services/screen/parts.go
+++ b/ingress/services/screen/parts.go
@@ -142,18 +142,18 @@
 	s.recordReportedAnswers(now, report)
 	counter := s.findCounter(service)
 	counter.Record(now, crash, isExplained)
-	counts := s.describeCounts(now, counter, crash.Identity.Parts)
-	id, suspect, found := counter.Find(now)
-	found = found && !s.pending[id]
-	if found {
-		s.pending[id] = true
-		counter.MarkPoison(id)
+	e := counter.Evaluate(now, crash.Identity.Parts)
+	counts := s.describeCounts(now, e.Counts, crash.Identity.Parts)
+	isFound := e.Found != "" && !s.pending[e.Found]
+	if isFound {
+		s.pending[e.Found] = true
+		counter.MarkPoison(e.Found)
 	}
 	s.lock.Unlock()
 	s.options.Log.Warn("part-crash-counted", zap.String("service", service), zap.String("server", crash.Server), zap.String("digest", string(crash.Identity.Request)),
-		zap.Strings("parts", counts), zap.Bool("explained", isExplained), zap.String("quarantined", string(id)))
-	if found {
-		go s.runPutPart(id, service, suspect)
+		zap.Strings("parts", counts), zap.Bool("explained", isExplained), zap.String("quarantined", string(e.Found)))
+	if isFound {
+		go s.runPutPart(e.Found, service, e.Suspect)
 	}
 	return &wire.PartCrashNoted{Quarantined: s.listQuarantined(crash.Identity.Parts)}
 }
@@ -201,10 +201,10 @@
 
 // describeCounts returns each part with the number of servers that crashed while they had it, and the age of the
 // last answer to a request with it, for log lines. The caller holds the lock.
-func (s *Screen) describeCounts(now time.Time, counter *poison.PartCounter, parts []poison.ID) []string {
+func (s *Screen) describeCounts(now time.Time, counts []int, parts []poison.ID) []string {
 	described := []string{}
-	for _, id := range parts {
-		text := string(id) + "=" + strconv.Itoa(counter.Count(now, id))
+	for n, id := range parts {
+		text := string(id) + "=" + strconv.Itoa(counts[n])
 		if at := s.answered.LastAt(id); !at.IsZero() {
 			text += "/answered-" + now.Sub(at).Round(time.Millisecond).String() + "-ago"
 		}
--- a/ingress/services/screen/screen.go
+++ b/ingress/services/screen/screen.go
@@ -85,7 +85,7 @@
 	// parts counts the crashes of prompt parts, by service. answered holds the parts of the requests that
 	// were answered at this ingress, or at others as far as they reported it.
 	parts    map[string]*poison.PartCounter
-	answered *poison.SoundSet
+	answered *poison.AnsweredSet
 	// pending holds the quarantined requests and parts whose quarantine is not yet in the view.
 	pending map[poison.ID]bool
 	// reported holds the requests of which this ingress has reported a crash and that have not been
@@ -104,7 +104,7 @@
 func NewScreen(options Options) *Screen {
 	s := &Screen{
 		options: options, crashes: poison.NewCrashCounter(options.Limit), served: poison.NewServedSet(),
-		parts: map[string]*poison.PartCounter{}, answered: poison.NewSoundSet(),
+		parts: map[string]*poison.PartCounter{}, answered: poison.NewAnsweredSet(),
 		pending: map[poison.ID]bool{}, reported: map[poison.ID]bool{}, probes: map[string]*probe{},
 		changedAt: map[poison.ID]time.Time{},
 	}
--- a/share/decide/poison/parts.go
+++ b/share/decide/poison/parts.go
@@ -21,7 +21,7 @@
 	// maxPartCrashes limits the crashed servers that are kept; the oldest is dropped first. maxRequests limits
 	// the requests that are kept for each of them.
 	maxPartCrashes = 128
-	maxRequests    = 64
+	maxRequests    = 32
 )
 
 // PartCrash is an attempt that broke before it was answered because its server crashed.
@@ -60,16 +60,16 @@
 // or shortly before, although others of the service were. A part that precedes it in the same prompts shares
 // its crashes, so of several suspects the last one in the prompts counts.
 type PartCounter struct {
-	// service is the ID under which sound holds when any request of the service was answered.
-	service ID
-	sound   *SoundSet
-	crashes []*crashedServer
+	// service is the ID under which answered holds when any request of the service was answered.
+	service  ID
+	answered *AnsweredSet
+	crashes  []*crashedServer
 }
 
-// NewPartCounter returns a counter without crashes. Sound holds when requests with parts were answered, and
+// NewPartCounter returns a counter without crashes. Answered holds when requests with parts were answered, and
 // under the ID service when any request of the service was.
-func NewPartCounter(service ID, sound *SoundSet) *PartCounter {
-	return &PartCounter{service: service, sound: sound}
+func NewPartCounter(service ID, answered *AnsweredSet) *PartCounter {
+	return &PartCounter{service: service, answered: answered}
 }
 
 // Record counts a crash. IsExplained is set if a part of the request is known to crash servers.
@@ -102,24 +102,56 @@
 	}
 }
 
-// Find returns the part that crashes servers, with the servers and versions that it crashed, if one is told
-// from the others now.
-func (c *PartCounter) Find(now time.Time) (id ID, s Suspect, found bool) {
-	if !c.sound.Has(now, c.service) {
-		return "", Suspect{}, false // nothing is answered, so nothing tells the parts apart
-	}
+// Evaluation is what the crashes say of the parts.
+type Evaluation struct {
+	// Found is the part that crashes servers; empty if none is told from the others now. Suspect holds the
+	// servers and versions that it crashed.
+	Found   ID
+	Suspect Suspect
+	// Counts holds, for each of the given parts, how many servers crashed while they had it since a request
+	// with it was last answered, as far as no known part explains it.
+	Counts []int
+}
+
+// Evaluate tells the part that crashes servers from the others, if that is possible now. The parts are those of
+// the crash that was recorded last; without one of them at enough servers, none is found.
+func (c *PartCounter) Evaluate(now time.Time, parts []ID) Evaluation {
 	unexplained := c.listUnexplained()
+	e := Evaluation{}
+	for _, id := range parts {
+		e.Counts = append(e.Counts, c.countServers(now, id, unexplained))
+	}
+	if len(parts) == 0 || slices.Max(e.Counts) < partLimit {
+		return e
+	}
+	if !c.answered.Has(now, c.service) {
+		return e // nothing is answered, so nothing tells the parts apart
+	}
 	suspects := c.listSuspects(now, unexplained)
 	for i, p := range suspects {
-		if p.score() < partLimit || float64(len(p.servers)) < minPartShare*float64(p.countSince(unexplained)) || p.countRivals(suspects) > maxRivals {
-			continue
+		if p.standsOut(suspects, unexplained) && !slices.ContainsFunc(suspects[:i], func(other *partSuspect) bool { return other.mayExplain(p) }) {
+			e.Found, e.Suspect = p.id, p.describe()
+			return e
 		}
-		if slices.ContainsFunc(suspects[:i], func(other *partSuspect) bool { return other.mayExplain(p) }) {
-			continue
+	}
+	return e
+}
+
+// countServers returns how many servers crashed while they had a part.
+func (c *PartCounter) countServers(now time.Time, id ID, unexplained []*crashedServer) int {
+	count := 0
+	for _, s := range unexplained {
+		if c.isSuspect(now, s, id) && slices.ContainsFunc(s.requests, func(r Identity) bool { return slices.Contains(r.Parts, id) }) {
+			count++
 		}
-		return p.id, p.describe(), true
 	}
-	return "", Suspect{}, false
+	return count
+}
+
+// isSuspect reports whether a part of a request that a crashed server had may have been the cause: no request with
+// the part was answered lately, nor since the crash.
+func (c *PartCounter) isSuspect(now time.Time, s *crashedServer, id ID) bool {
+	return !c.answered.Has(now, id) && s.at.After(c.answered.LastAt(id))
 }
 
 // partSuspect is a part that has not been answered lately, with the servers that crashed while they had it.
@@ -146,6 +178,11 @@
 	return len(unexplained) - n
 }
 
+// standsOut reports whether the part was at enough of the servers that crashed, and few other parts were.
+func (p *partSuspect) standsOut(suspects []*partSuspect, unexplained []*crashedServer) bool {
+	return p.score() >= partLimit && float64(len(p.servers)) >= minPartShare*float64(p.countSince(unexplained)) && p.countRivals(suspects) <= maxRivals
+}
+
 // countRivals returns how many other suspects were at more than half as many of the servers.
 func (p *partSuspect) countRivals(suspects []*partSuspect) int {
 	count := 0
@@ -163,7 +200,7 @@
 	for _, s := range unexplained {
 		for _, request := range s.requests {
 			for depth, id := range request.Parts {
-				if c.sound.Has(now, id) || !s.at.After(c.sound.LastAt(id)) {
+				if !c.isSuspect(now, s, id) {
 					continue
 				}
 				p := byID[id]
@@ -228,16 +265,5 @@
 	return s
 }
 
-// Count returns how many servers crashed while they had a part that has not been answered since, as far as no
-// known part explains it.
-func (c *PartCounter) Count(now time.Time, id ID) int {
-	for _, p := range c.listSuspects(now, c.listUnexplained()) {
-		if p.id == id {
-			return len(p.servers)
-		}
-	}
-	return 0
-}
-
 // Len returns the number of crashes that are kept.
 func (c *PartCounter) Len() int { return len(c.crashes) }
--- a/share/decide/poison/parts_test.go
+++ b/share/decide/poison/parts_test.go
@@ -17,7 +17,7 @@
 	// ingresses, which takes less than the four seconds that requests may go on reaching servers.
 	maxFindTime = 2 * time.Second
 	// simulationStep is the resolution of the simulations, answerTime how long an answer has come when its
-	// request counts as sound.
+	// request counts as answered.
 	simulationStep = 10 * time.Millisecond
 	answerTime     = 250 * time.Millisecond
 )
@@ -30,14 +30,14 @@
 	random  *rand.Rand
 	now     time.Time
 	counter *poison.PartCounter
-	// sound holds the parts that were answered at each ingress. The first one counts.
-	sound   []*poison.SoundSet
-	servers []*simulatedServer
+	// answered holds the parts that were answered at each ingress. The first one counts.
+	answered []*poison.AnsweredSet
+	servers  []*simulatedServer
 	// firsts and sessions are the numbers of first parts and of sessions.
 	firsts, sessions int
-	// soundRate, crashingRate and otherCrashRate are requests, requests with the part and other crashes per
+	// steadyRate, crashingRate and otherCrashRate are requests, requests with the part and other crashes per
 	// second.
-	soundRate, crashingRate, otherCrashRate float64
+	steadyRate, crashingRate, otherCrashRate float64
 	// firstOfCrashing is the first part of the requests with the crashing part; empty: any.
 	firstOfCrashing poison.ID
 	starts, lastID  int
@@ -68,15 +68,15 @@
 func newSimulation(seed uint64) *simulation {
 	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), now: start}
 	for range 3 + s.random.IntN(10) {
-		s.sound = append(s.sound, poison.NewSoundSet())
+		s.answered = append(s.answered, poison.NewAnsweredSet())
 	}
-	s.counter = poison.NewPartCounter(serviceID, s.sound[0])
+	s.counter = poison.NewPartCounter(serviceID, s.answered[0])
 	for range 6 + s.random.IntN(30) {
 		s.servers = append(s.servers, &simulatedServer{})
 		s.startServer(len(s.servers) - 1)
 	}
 	s.firsts, s.sessions = 1+s.random.IntN(40), 20+s.random.IntN(200)
-	s.soundRate = 10 + 70*s.random.Float64()
+	s.steadyRate = 10 + 70*s.random.Float64()
 	s.otherCrashRate = 0.5 * s.random.Float64()
 	return s
 }
@@ -104,7 +104,7 @@
 	}
 	return &simulatedRequest{
 		identity: poison.Identity{Request: poison.ID(fmt.Sprint("r", s.lastID)), Parts: []poison.ID{first, second}},
-		crashes:  isCrashing, ingress: s.random.IntN(len(s.sound)),
+		crashes:  isCrashing, ingress: s.random.IntN(len(s.answered)),
 	}
 }
 
@@ -145,19 +145,19 @@
 // report tells the counter of a crash, and when the ingress of the request last had its parts answered.
 func (s *simulation) report(server *simulatedServer, r *simulatedRequest) {
 	for _, id := range append([]poison.ID{serviceID}, r.identity.Parts...) {
-		if at := s.sound[r.ingress].LastAt(id); !at.IsZero() {
-			s.sound[0].Add(at, id)
+		if at := s.answered[r.ingress].LastAt(id); !at.IsZero() {
+			s.answered[0].Add(at, id)
 		}
 	}
 	isKnown := slices.ContainsFunc(r.identity.Parts, func(id poison.ID) bool { return slices.Contains(s.found, id) })
 	s.counter.Record(s.now, poison.PartCrash{Server: server.name, Version: "v1", BrokeAt: s.now, Identity: r.identity}, isKnown)
-	id, _, found := s.counter.Find(s.now)
-	if !found {
+	id := s.counter.Evaluate(s.now, r.identity.Parts).Found
+	if id == "" {
 		return
 	}
-	if slices.ContainsFunc(s.sound, func(known *poison.SoundSet) bool { return known.Has(s.now, id) }) {
+	if slices.ContainsFunc(s.answered, func(known *poison.AnsweredSet) bool { return known.Has(s.now, id) }) {
 		s.withdrawn++
-		s.sound[0].Add(s.now, id)
+		s.answered[0].Add(s.now, id)
 		return
 	}
 	s.counter.MarkPoison(id)
@@ -168,7 +168,7 @@
 // step advances the time.
 func (s *simulation) step() {
 	s.now = s.now.Add(simulationStep)
-	if s.isDue(s.soundRate) {
+	if s.isDue(s.steadyRate) {
 		s.send(s.newRequest(false))
 	}
 	if s.isDue(s.crashingRate) && !slices.Contains(s.found, crashing) {
@@ -195,7 +195,7 @@
 		answered := s.now.Sub(r.answersAt) >= answerTime
 		if answered {
 			for _, id := range append([]poison.ID{serviceID}, r.identity.Parts...) {
-				s.sound[r.ingress].Add(s.now, id)
+				s.answered[r.ingress].Add(s.now, id)
 			}
 		}
 		return answered && s.now.Sub(r.answersAt) >= time.Second
@@ -256,25 +256,24 @@
 // Guards against the quarantine of a session because one of its requests crashes each server that runs it.
 func TestRequestThatCrashesServersDoesNotCondemnItsParts(t *testing.T) {
 	is := is.New(t)
-	sound := poison.NewSoundSet()
-	sound.Add(start, serviceID)
-	c := poison.NewPartCounter(serviceID, sound)
+	answered := poison.NewAnsweredSet()
+	answered.Add(start, serviceID)
+	c := poison.NewPartCounter(serviceID, answered)
 	for n := range 6 {
 		c.Record(start, poison.PartCrash{
 			Server: fmt.Sprint("s", n), Version: "v1", BrokeAt: after(time.Duration(n) * time.Second),
 			Identity: poison.Identity{Request: "r", Parts: []poison.ID{"part-a"}},
 		}, false)
 	}
-	_, _, found := c.Find(after(6 * time.Second))
-	is.True(!found)
+	is.Equal(c.Evaluate(after(6*time.Second), []poison.ID{"part-a"}).Found, poison.ID(""))
 	for n := range 3 {
 		recordCrash(c, 7+n, "part-a")
 	}
-	id, suspect, found := c.Find(after(9 * time.Second))
-	is.True(found)
-	is.Equal(id, poison.ID("part-a"))
-	is.Equal(len(suspect.Servers), 9)
-	is.Equal(suspect.Versions, []string{"v1"})
+	e := c.Evaluate(after(9*time.Second), []poison.ID{"part-a", "part-b"})
+	is.Equal(e.Found, poison.ID("part-a"))
+	is.Equal(e.Counts, []int{9, 0})
+	is.Equal(len(e.Suspect.Servers), 9)
+	is.Equal(e.Suspect.Versions, []string{"v1"})
 }
 
 // recordCrash records the crash of a server while it had a new request with the given parts.
@@ -289,53 +288,67 @@
 // server that crashed.
 func TestPartThatPrecedesTheCrashingOneIsNotFound(t *testing.T) {
 	is := is.New(t)
-	sound := poison.NewSoundSet()
-	sound.Add(start, serviceID)
-	c := poison.NewPartCounter(serviceID, sound)
+	answered := poison.NewAnsweredSet()
+	answered.Add(start, serviceID)
+	c := poison.NewPartCounter(serviceID, answered)
 	recordCrash(c, 0, "part-first", "part-session")
 	for n := range 4 {
 		recordCrash(c, 1+n, "part-first", crashing)
 	}
-	_, _, found := c.Find(after(5 * time.Second))
-	is.True(!found)
+	is.Equal(c.Evaluate(after(5*time.Second), []poison.ID{"part-first", crashing}).Found, poison.ID(""))
 	recordCrash(c, 5, "part-first", crashing)
-	id, _, found := c.Find(after(6 * time.Second))
-	is.True(found)
-	is.Equal(id, crashing)
+	is.Equal(c.Evaluate(after(6*time.Second), []poison.ID{"part-first", crashing}).Found, crashing)
 	c.MarkPoison(crashing)
 	recordCrash(c, 6, "part-first", "part-session")
-	_, _, found = c.Find(after(7 * time.Second))
-	is.True(!found)
+	is.Equal(c.Evaluate(after(7*time.Second), []poison.ID{"part-first", "part-session"}).Found, poison.ID(""))
 }
 
 // Guards against the quarantine of all parts while no request of a service is answered, for instance since its
 // software crashes whatever it is sent.
 func TestNoPartIsFoundWhileNothingIsAnswered(t *testing.T) {
 	is := is.New(t)
-	sound := poison.NewSoundSet()
-	sound.Add(start.Add(-poison.SoundTime), serviceID)
-	c := poison.NewPartCounter(serviceID, sound)
+	answered := poison.NewAnsweredSet()
+	answered.Add(start.Add(-poison.AnsweredTime), serviceID)
+	c := poison.NewPartCounter(serviceID, answered)
 	for n := range 9 {
 		recordCrash(c, n, "part-first")
 	}
-	_, _, found := c.Find(after(9 * time.Second))
-	is.True(!found)
-	sound.Add(after(9*time.Second), serviceID)
-	_, _, found = c.Find(after(9 * time.Second))
-	is.True(found)
+	is.Equal(c.Evaluate(after(9*time.Second), []poison.ID{"part-first"}).Found, poison.ID(""))
+	answered.Add(after(9*time.Second), serviceID)
+	is.Equal(c.Evaluate(after(9*time.Second), []poison.ID{"part-first"}).Found, poison.ID("part-first"))
 }
 
 // Guards against a counter and a set that grow without a limit.
 func TestPartCounterIsBounded(t *testing.T) {
-	sound := poison.NewSoundSet()
-	c := poison.NewPartCounter(serviceID, sound)
+	answered := poison.NewAnsweredSet()
+	c := poison.NewPartCounter(serviceID, answered)
 	for n := range 20_000 {
 		now := after(time.Duration(n) * time.Millisecond)
 		id := poison.ID(fmt.Sprint("part-", n))
-		sound.Add(now, id)
+		answered.Add(now, id)
 		c.Record(now, poison.PartCrash{Server: fmt.Sprint("s", n), BrokeAt: now, Identity: poison.Identity{Request: id, Parts: []poison.ID{id}}}, false)
 	}
-	if c.Len() > 128 || sound.Len() > 2*2048 {
-		t.Errorf("%d crashes and %d parts are kept", c.Len(), sound.Len())
+	if c.Len() > 128 || answered.Len() > 2*2048 {
+		t.Errorf("%d crashes and %d parts are kept", c.Len(), answered.Len())
+	}
+}
+
+// BenchmarkEvaluate measures an evaluation in the middle of a series of crashes: of the parts of a bystander, and
+// of one that was at many servers.
+func BenchmarkEvaluate(b *testing.B) {
+	answered := poison.NewAnsweredSet()
+	answered.Add(start, serviceID)
+	c := poison.NewPartCounter(serviceID, answered)
+	for n := range 128 * 14 {
+		c.Record(start, poison.PartCrash{Server: fmt.Sprint("s", n/14), BrokeAt: start, Identity: poison.Identity{
+			Request: poison.ID(fmt.Sprint("r", n)), Parts: []poison.ID{poison.ID(fmt.Sprint("part-first", n%20)), poison.ID(fmt.Sprint("part-session", n%1000))},
+		}}, false)
+	}
+	for name, part := range map[string]poison.ID{"bystander": "part-session7", "at many servers": "part-first7"} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				c.Evaluate(start, []poison.ID{part})
+			}
+		})
 	}
 }
