screen: one crash of a new software version quarantines a part again

A quarantine holds while a server of the service runs a version that the part has crashed. After a release of all servers the part crashed five of the new version before it was refused again, a few more after each release. For whole requests one crash was enough; now it is for parts too (TestNewSoftwareVersionEndsTheQuarantineOfAPart failed before). Found by reading the change.

--- a/ingress/services/screen/parts.go
+++ b/ingress/services/screen/parts.go
@@ -144,6 +144,9 @@
 	counter.Record(now, crash, isExplained)
 	e := counter.Evaluate(now, crash.Identity.Parts)
 	counts := s.describeCounts(now, e.Counts, crash.Identity.Parts)
+	if e.Found == "" {
+		e.Found, e.Suspect = s.findRenewed(now, crash)
+	}
 	isFound := e.Found != "" && !s.pending[e.Found]
 	if isFound {
 		s.pending[e.Found] = true
@@ -158,6 +161,18 @@
 	return &wire.PartCrashNoted{Quarantined: s.listQuarantined(crash.Identity.Parts)}
 }
 
+// findRenewed returns a part that was quarantined for other software versions, if there is one: a single crash of
+// a new version quarantines it again. The caller holds the lock.
+func (s *Screen) findRenewed(now time.Time, crash poison.PartCrash) (poison.ID, poison.Suspect) {
+	for _, id := range crash.Identity.Parts {
+		q, known := s.view.Load().Quarantines[id]
+		if known && !slices.Contains(q.Versions, crash.Version) && !s.answered.Has(now, id) {
+			return id, poison.Suspect{Servers: []string{crash.Server}, Versions: []string{crash.Version}}
+		}
+	}
+	return "", poison.Suspect{}
+}
+
 func decodePartCrash(report *wire.PartCrash) poison.PartCrash {
 	crash := poison.PartCrash{
 		Server: report.GetServerId(), Version: report.GetVersion(), BrokeAt: time.Now().Add(-time.Duration(report.GetBrokeAgoNanos())),
--- a/ingress/services/screen/parts_test.go
+++ b/ingress/services/screen/parts_test.go
@@ -22,11 +22,16 @@
 )
 
 // crashWith records a number of crashes at an ingress, each of another server with another request.
-func (w *world) crashWith(name string, times int, isAnswered bool, parts ...poison.ID) {
+func (w *world) crashWith(name string, times int, version string, parts ...poison.ID) {
+	w.crashAfter(name, times, version, false, parts...)
+}
+
+// crashAfter is crashWith for requests that were answered for a while, if isAnswered is set.
+func (w *world) crashAfter(name string, times int, version string, isAnswered bool, parts ...poison.ID) {
 	for range times {
 		sent := time.Now()
 		time.Sleep(2 * time.Millisecond)
-		w.screens[name].RecordCrash(newPartIdentity(parts...), site.Server{ID: sent.String(), Service: service, Version: "v1"}, sent, isAnswered)
+		w.screens[name].RecordCrash(newPartIdentity(parts...), site.Server{ID: sent.String(), Service: service, Version: version}, sent, isAnswered)
 		time.Sleep(5 * time.Millisecond)
 	}
 }
@@ -54,13 +59,13 @@
 	is := is.New(t)
 	w := newWorldOf(t, "a", "b", "c", "d", "e")
 	w.screens["e"].RecordAnswered(newPartIdentity(commonPart, "part-other"))
-	w.crashWith("e", 2, false, commonPart, crashingPart)
+	w.crashWith("e", 2, "v1", commonPart, crashingPart)
 	w.lose("a")
-	w.crashWith("d", 2, false, commonPart, crashingPart)
+	w.crashWith("d", 2, "v1", commonPart, crashingPart)
 	w.lose("b")
 	time.Sleep(50 * time.Millisecond)
 	is.True(!w.isPartQuarantinedAt("c", crashingPart))
-	w.crashWith("e", 1, false, commonPart, crashingPart)
+	w.crashWith("e", 1, "v1", commonPart, crashingPart)
 	w.eventually("the part is quarantined at all ingresses", func() bool {
 		return w.isPartQuarantinedAt("c", crashingPart) && w.isPartQuarantinedAt("d", crashingPart) && w.isPartQuarantinedAt("e", crashingPart)
 	})
@@ -75,7 +80,7 @@
 	w := newWorldOf(t, "a", "b", "c", "d")
 	w.partitioned = true
 	w.screens["d"].RecordAnswered(newPartIdentity(commonPart))
-	w.crashWith("d", 5, false, crashingPart)
+	w.crashWith("d", 5, "v1", crashingPart)
 	w.eventually("the part is quarantined", func() bool { return w.isPartQuarantinedAt("d", crashingPart) })
 }
 
@@ -85,7 +90,7 @@
 	is := is.New(t)
 	w := newWorldOf(t, "a", "b", "c")
 	w.screens["a"].RecordAnswered(newPartIdentity(commonPart))
-	w.crashWith("b", 10, true, crashingPart)
+	w.crashAfter("b", 10, "v1", true, crashingPart)
 	time.Sleep(100 * time.Millisecond)
 	is.True(!w.isPartQuarantinedAt("b", crashingPart))
 }
@@ -97,19 +102,36 @@
 	w := newWorldOf(t, "a", "b", "c", "d")
 	w.screens["d"].RecordAnswered(newPartIdentity(commonPart))
 	w.screens["a"].RecordAnswered(newPartIdentity("part-other"))
-	w.crashWith("b", 5, false, commonPart)
+	w.crashWith("b", 5, "v1", commonPart)
 	w.eventually("the quarantine is written and withdrawn", func() bool {
 		w.lock.Lock()
 		defer w.lock.Unlock()
 		return w.writes >= 2 && len(w.view.Quarantines) == 0
 	})
-	w.crashWith("b", 5, false, commonPart)
+	w.crashWith("b", 5, "v1", commonPart)
 	time.Sleep(100 * time.Millisecond)
 	for _, name := range w.names {
 		is.True(!w.isPartQuarantinedAt(name, commonPart))
 	}
 }
 
+// Guards against a part that crashes as many servers again after each new software version.
+func TestNewSoftwareVersionEndsTheQuarantineOfAPart(t *testing.T) {
+	is := is.New(t)
+	w := newWorldOf(t, "a", "b", "c", "d")
+	w.setVersion("v1")
+	w.screens["d"].RecordAnswered(newPartIdentity(commonPart))
+	w.crashWith("d", 5, "v1", commonPart, crashingPart)
+	w.eventually("the part is quarantined", func() bool { return w.isPartInStore(crashingPart) && w.isPartQuarantinedAt("d", crashingPart) })
+	w.setVersion("v2")
+	is.True(!w.isPartQuarantinedAt("d", crashingPart))
+	w.crashWith("d", 1, "v2", commonPart, crashingPart)
+	w.eventually("a single crash of the new version quarantines it again", func() bool {
+		return w.isPartQuarantinedAt("a", crashingPart) && w.isPartQuarantinedAt("d", crashingPart)
+	})
+	is.True(!w.isPartQuarantinedAt("d", commonPart))
+}
+
 // Guards against a part that is refused forever although its servers were mended, and one that is let
 // through to many servers to find out.
 func TestQuarantinedPartIsTriedAgain(t *testing.T) {
@@ -117,7 +139,7 @@
 	w := newWorldOf(t, "a", "b", "c")
 	w.setVersion("v1")
 	w.screens["a"].RecordAnswered(newPartIdentity(commonPart))
-	w.crashWith("a", 5, false, crashingPart)
+	w.crashWith("a", 5, "v1", crashingPart)
 	w.eventually("the part is quarantined", func() bool { return w.isPartInStore(crashingPart) })
 	time.Sleep(trialDelay)
 	trials := 0
