--- a/ingress/cmds/settings.go
+++ b/ingress/cmds/settings.go
@@ -119,7 +119,7 @@
 	fs.StringVar(&p.Name, "place.name", "", "unique `name` of this instance")
 	fs.StringVar(&p.Domain, "place.domain", "", "failure `domain` of this instance")
 	fs.StringVar(&p.Region, "place.region", "", "`region` of this instance")
-	fs.Float64Var(&p.Cores, "place.cores", 1, "`share` of a processor core that the process has; work that ingresses do for each other is distributed by it")
+	fs.Float64Var(&p.Cores, "place.cores", 1, "`share` of a processor core that the process has; work that ingresses do for each other is distributed by it, and a process that has used it up and runs late refuses new connections")
 	fs.Var(p.Regions, "place.regions", "regions of all failure domains as a list of `domain=region`")
 }
 
