keyval, state: log the store's era, dropped histories and listings

In the incident with the restored store no line told that records or a whole listing were refused, nor by which revisions. These three lines tell the hypotheses apart.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -137,6 +137,7 @@
 		Address: s.Store.Address, CallTimeout: s.Store.Timeout,
 		OnArrival: func() { i.book.ObserveOwnAnswer(time.Now()) },
 		OnCall:    func(call keyval.Call, err error) { i.meters.CountStoreCall(string(call), err) },
+		OnEra:     func(era uint64) { i.log.Warn("store-era", zap.Uint64("era", era)) },
 	})
 	i.watcher = sched.NewWatcher(sched.Options{ProcessorTime: processorTime, Cores: s.Place.Cores, Meter: i.meters, Log: i.log})
 	i.limits = limits.NewRegistry(limits.Options{Meter: i.meters, Log: i.log, OnLeaving: func() { i.book.Refresh() }})
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -264,7 +264,16 @@
 func (b *Book) ApplyListing(records []site.Record, revision uint64) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.applyChanged(b.records.ApplyListing(records, revision), "store")
+	before := b.records.CompleteRevision()
+	changed := b.records.ApplyListing(records, revision)
+	b.options.Log.Info("records-listed", zap.Uint64("revision", revision), zap.Uint64("complete-before", before),
+		zap.Int("records", len(records)), zap.Int("changed", len(changed)))
+	b.applyChanged(changed, "store")
+}
+
+// logDroppedHistory logs that the store no longer holds the changes after the records here.
+func (b *Book) logDroppedHistory() {
+	b.options.Log.Warn("watch-history-gone", zap.Uint64("complete", b.CompleteRevision()))
 }
 
 // Apply applies the changes from a watch that is complete up to the given revision.
--- a/ingress/services/state/watch.go
+++ b/ingress/services/state/watch.go
@@ -76,6 +76,7 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, w.HistoryGone):
+			w.Book.logDroppedHistory()
 			pauses.Wait(ctx, r.recordDrop())
 		default:
 			w.observeFailure(began, r.answered, err)
