--- a/fakes/services/hosted/calls.go
+++ b/fakes/services/hosted/calls.go
@@ -10,6 +10,9 @@
 )
 
 func (s *Store) serve(p *port, w http.ResponseWriter, r *http.Request) {
+	s.lock.Lock()
+	s.setEra(w)
+	s.lock.Unlock()
 	if !s.checkFault(p, w, r) {
 		return
 	}
@@ -68,6 +71,7 @@
 	for _, key := range keys[:min(len(keys), pageItems)] {
 		items = append(items, s.items[key])
 	}
+	s.setEra(w)
 	reply(w, http.StatusOK, map[string]any{"Items": items, "HasMore": more, "At": s.revision})
 }
 
@@ -94,7 +98,8 @@
 			cut(w)
 			return
 		}
-		if after < s.compacted {
+		s.setEra(w) // it may have risen while the watch waited
+		if after < s.compacted || after > s.revision {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -112,15 +117,27 @@
 	}
 }
 
-// serveWrite writes items; it writes none if the lease of one of them does not exist.
+// serveWrite writes and removes items if each of them has the expected revision. It changes none if the lease
+// of one does not exist.
 func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request) {
-	body := struct{ SetKeys []item }{}
+	body := struct {
+		ExpectedRevision []item
+		SetKeys          []item
+		Remove           []string
+	}{}
 	if json.NewDecoder(r.Body).Decode(&body) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.setEra(w)
+	for _, i := range body.ExpectedRevision {
+		if s.items[i.Key].Revision != i.Revision {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
 	for _, i := range body.SetKeys {
 		if _, live := s.leases[i.Lease]; i.Lease != 0 && !live {
 			w.WriteHeader(http.StatusNotFound)
@@ -130,6 +147,9 @@
 	for _, i := range body.SetKeys {
 		s.put(i.Key, i.Value, i.Lease)
 	}
+	for _, key := range body.Remove {
+		s.remove(key)
+	}
 	reply(w, http.StatusOK, map[string]any{"Revision": s.revision})
 }
 
@@ -141,6 +161,7 @@
 	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.setEra(w)
 	s.lastLease++
 	s.ttls[s.lastLease] = time.Duration(body.TtlMs) * time.Millisecond
 	s.leases[s.lastLease] = time.Now().Add(s.ttls[s.lastLease])
@@ -152,6 +173,7 @@
 	lease, err := strconv.ParseUint(id, 10, 64)
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.setEra(w)
 	if _, live := s.leases[lease]; err != nil || !live {
 		w.WriteHeader(http.StatusNotFound)
 		return
--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -96,6 +96,9 @@
 	crashes int
 	// restarts is the number of restarts; the registered incarnation is derived from it.
 	restarts int64
+	// state is that of the last registration, sequence the number of registrations since the last start.
+	state    string
+	sequence int64
 	faults   []Fault
 	// header holds additional headers of every answer.
 	header http.Header
@@ -153,15 +156,18 @@
 func (s *Server) Register(state string) {
 	address := s.registeredAddress()
 	s.lock.Lock()
-	restarts := s.restarts
-	version := s.softwareVersion()
-	s.lock.Unlock()
+	defer s.lock.Unlock()
+	s.state = state
+	s.sequence++
 	s.store.Put("servers/"+s.ID, map[string]any{
-		"Service": s.Service, "Address": address.String(), "Zone": s.Zone, "Version": version,
-		"Slots": registeredSlots, "State": state, "ColdRemainingMs": s.ColdRemaining.Milliseconds(), "Sequence": 1, "born": 1 + restarts,
+		"Service": s.Service, "Address": address.String(), "Zone": s.Zone, "Version": s.softwareVersion(),
+		"Slots": registeredSlots, "State": state, "ColdRemainingMs": s.ColdRemaining.Milliseconds(), "Sequence": s.sequence, "born": s.born(),
 	})
 }
 
+// born identifies the present start of the server. The caller holds the lock.
+func (s *Server) born() int64 { return 1 + s.restarts }
+
 // SetVersion sets the software version of the server, which must be down.
 func (s *Server) SetVersion(version string) {
 	s.lock.Lock()
@@ -190,6 +196,7 @@
 	s.server = server
 	s.lock.Lock()
 	s.restarts++
+	s.sequence = 0
 	s.lock.Unlock()
 	s.Register("ready")
 	return nil
--- a/fakes/services/hosted/store.go
+++ b/fakes/services/hosted/store.go
@@ -40,8 +40,10 @@
 // Store is the platform's key-value store. It listens on several addresses, so that it can fail for
 // some callers while it serves others.
 type Store struct {
-	lock     sync.Mutex
-	changed  *sync.Cond
+	lock    sync.Mutex
+	changed *sync.Cond
+	// era is 1 at first and rises by one with each Restore.
+	era      uint64
 	revision uint64
 	items    map[string]item
 	history  []item
@@ -64,7 +66,7 @@
 // NewStore starts a store that listens on n loopback addresses.
 func NewStore(n int) (*Store, error) {
 	s := &Store{
-		revision: 1, items: map[string]item{}, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{},
+		era: 1, revision: 1, items: map[string]item{}, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{},
 	}
 	s.changed = sync.NewCond(&s.lock)
 	for range n {
--- a/fakes/services/hosted/world.go
+++ b/fakes/services/hosted/world.go
@@ -20,6 +20,8 @@
 	held       map[string]heldResult
 	violations []string
 	version    int
+	// config is the configuration that was written last.
+	config map[string]any
 	// poisonBody is the body of plain and stream requests that crash the server that runs them;
 	// empty: none.
 	poisonBody string
@@ -266,14 +268,14 @@
 // PutConfig writes a new version of the configuration to the store and returns its number.
 func (w *World) PutConfig(routes []Route, services []map[string]any, tenants []map[string]any) int {
 	w.lock.Lock()
+	defer w.lock.Unlock()
 	w.version += 3
-	version := w.version
-	w.lock.Unlock()
-	w.Store.Put("op/config", map[string]any{
-		"Version": version, "Routes": routes, "Services": services, "Tenants": tenants,
+	w.config = map[string]any{
+		"Version": w.version, "Routes": routes, "Services": services, "Tenants": tenants,
 		"Limits": map[string]any{
 			"MaxHeaderBytes": 16384, "MaxBodyBytes": w.MaxBodyBytes, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000,
 		},
-	})
-	return version
+	}
+	w.Store.Put("op/config", w.config)
+	return w.version
 }
