--- a/ingress/services/mesh/deltas.go
+++ b/ingress/services/mesh/deltas.go
@@ -25,25 +25,48 @@
 
 // EncodeDelta encodes a delta, compressed if it is large.
 func EncodeDelta(d mirror.Delta) *wire.Records {
-	records := &wire.Records{}
-	for _, r := range d.Records {
-		records.Records = append(records.Records, &wire.Record{
-			Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted,
-		})
-	}
+	records := &wire.Records{Records: encodeRecords(d.Records), Holds: encodeRecords(d.Holds)}
 	if proto.Size(records) >= compressMinBytes {
 		if compressed, err := compress(records); err == nil {
 			records = &wire.Records{Packed: compressed}
 		}
 	}
 	records.Whole = d.Full
-	records.At = d.CompleteRevision
+	records.At, records.Era = d.CompleteRevision.Number, d.CompleteRevision.Era
+	records.Earlier, records.EarlierEra = d.EarlierRevision.Number, d.EarlierRevision.Era
+	records.EraBase, records.EraAgeNanos = d.EraBase.Number, int64(d.EraAge)
 	return records
 }
 
+func encodeRecords(records []site.Record) []*wire.Record {
+	encoded := make([]*wire.Record, 0, len(records))
+	for _, r := range records {
+		encoded = append(encoded, &wire.Record{
+			Key: r.Key, Value: r.Value, Revision: r.Revision.Number, Era: r.Revision.Era, Deleted: r.Deleted,
+		})
+	}
+	return encoded
+}
+
+func decodeRecords(records []*wire.Record) []site.Record {
+	var decoded []site.Record
+	for _, r := range records {
+		decoded = append(decoded, site.Record{
+			Key: r.GetKey(), Value: r.GetValue(), Revision: site.Revision{Era: r.GetEra(), Number: r.GetRevision()}, Deleted: r.GetDeleted(),
+		})
+	}
+	return decoded
+}
+
 // DecodeDelta decodes what EncodeDelta returns.
 func DecodeDelta(records *wire.Records) (mirror.Delta, error) {
-	d := mirror.Delta{Full: records.GetWhole(), CompleteRevision: records.GetAt()}
+	d := mirror.Delta{
+		Full:             records.GetWhole(),
+		CompleteRevision: site.Revision{Era: records.GetEra(), Number: records.GetAt()},
+		EarlierRevision:  site.Revision{Era: records.GetEarlierEra(), Number: records.GetEarlier()},
+		EraBase:          site.Revision{Era: records.GetEra(), Number: records.GetEraBase()},
+		EraAge:           time.Duration(records.GetEraAgeNanos()),
+	}
 	if len(records.GetPacked()) > 0 {
 		decompressed, err := decompress(records.GetPacked())
 		if err != nil {
@@ -51,11 +74,7 @@
 		}
 		records = decompressed
 	}
-	for _, r := range records.GetRecords() {
-		d.Records = append(d.Records, site.Record{
-			Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted(),
-		})
-	}
+	d.Records, d.Holds = decodeRecords(records.GetRecords()), decodeRecords(records.GetHolds())
 	return d, nil
 }
 
@@ -91,13 +110,47 @@
 // its copy of the records, for its heartbeats.
 func EncodeStoreStatus(b *state.Book) *wire.Reading {
 	e := b.Extent()
-	return &wire.Reading{Direct: b.IsDirect(), AgeNanos: int64(b.Age()), Newest: e.NewestRevision, At: e.CompleteRevision}
+	return &wire.Reading{
+		Direct: b.IsDirect(), AgeNanos: int64(b.Age()), Newest: e.NewestRevision.Number, NewestEra: e.NewestRevision.Era,
+		At: e.CompleteRevision.Number, Era: e.CompleteRevision.Era, Earlier: e.EarlierRevision.Number, EarlierEra: e.EarlierRevision.Era,
+	}
 }
 
 func decodeStatus(reading *wire.Reading) feed.StoreStatus {
 	return feed.StoreStatus{Direct: reading.GetDirect(), Age: time.Duration(reading.GetAgeNanos())}
 }
 
-func decodeExtent(reading *wire.Reading) state.Extent {
-	return state.Extent{NewestRevision: reading.GetNewest(), CompleteRevision: reading.GetAt()}
+func decodeExtent(reading *wire.Reading) mirror.Extent {
+	return mirror.Extent{
+		NewestRevision:   site.Revision{Era: reading.GetNewestEra(), Number: reading.GetNewest()},
+		CompleteRevision: site.Revision{Era: reading.GetEra(), Number: reading.GetAt()},
+		EarlierRevision:  site.Revision{Era: reading.GetEarlierEra(), Number: reading.GetEarlier()},
+	}
+}
+
+func newSync(e mirror.Extent) *wire.Sync {
+	return &wire.Sync{
+		At: e.CompleteRevision.Number, Era: e.CompleteRevision.Era, Earlier: e.EarlierRevision.Number, EarlierEra: e.EarlierRevision.Era,
+	}
+}
+
+func newFollow(e mirror.Extent) *wire.Follow {
+	return &wire.Follow{
+		At: e.CompleteRevision.Number, Era: e.CompleteRevision.Era, Earlier: e.EarlierRevision.Number, EarlierEra: e.EarlierRevision.Era,
+	}
+}
+
+// asked is what a wire.Sync or a wire.Follow states of the copy of its sender.
+type asked interface {
+	GetAt() uint64
+	GetEra() uint64
+	GetEarlier() uint64
+	GetEarlierEra() uint64
+}
+
+func decodeAsked(a asked) mirror.Extent {
+	return mirror.Extent{
+		CompleteRevision: site.Revision{Era: a.GetEra(), Number: a.GetAt()},
+		EarlierRevision:  site.Revision{Era: a.GetEarlierEra(), Number: a.GetEarlier()},
+	}
 }
--- a/ingress/services/mesh/deltas_test.go
+++ b/ingress/services/mesh/deltas_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -15,12 +16,16 @@
 
 // newDelta returns a full delta with the given number of backend servers.
 func newDelta(servers int) mirror.Delta {
-	d := mirror.Delta{Full: true, CompleteRevision: 1000}
+	d := mirror.Delta{
+		Full: true, CompleteRevision: site.Revision{Era: 2, Number: 1000}, EarlierRevision: site.Revision{Era: 1, Number: 3000},
+		EraBase: site.Revision{Era: 2, Number: 900}, EraAge: time.Second,
+		Holds: []site.Record{{Key: "op/evacuate/a1", Value: []byte("{}"), Revision: site.Revision{Era: 1, Number: 2999}, Deleted: true}},
+	}
 	for i := range servers {
 		d.Records = append(d.Records, site.Record{
 			Key:      fmt.Sprintf("servers/i-%d", i),
 			Value:    fmt.Appendf(nil, `{"Service":"models","Address":"10.1.64.%d:8080","Zone":"a1","State":"ready","Sequence":%d}`, i%256, i),
-			Revision: uint64(i + 1), //nolint:gosec // a small number
+			Revision: site.Revision{Era: 2, Number: uint64(i + 1)}, //nolint:gosec // a small number
 		})
 	}
 	return d
--- a/ingress/services/mesh/feeder.go
+++ b/ingress/services/mesh/feeder.go
@@ -11,6 +11,7 @@
 
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/feed"
+	"verbenaroad.example/share/decide/mirror"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/wire"
@@ -202,7 +203,7 @@
 
 // receive opens the stream of the followed ingress and applies its messages until it fails.
 func (f *Feeder) receive(ctx context.Context, s *subscription) error {
-	stream, err := f.options.Mesh.Follow(ctx, s.name, &wire.Follow{At: f.options.Book.CompleteRevision()}, f.observeSourcePart)
+	stream, err := f.options.Mesh.Follow(ctx, s.name, newFollow(f.options.Book.Extent()), f.observeSourcePart)
 	if err != nil {
 		return err
 	}
@@ -294,20 +295,21 @@
 	now := time.Now()
 	theirs := decodeExtent(reading)
 	f.options.Book.Advance(theirs)
-	own := f.options.Book.CompleteRevision()
+	own := f.options.Book.Extent()
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	status := decodeStatus(reading)
 	f.chooser.ObserveStatus(now, name, status)
-	if f.source != nil && f.source.name == name && f.chooser.IsSourceFresh(now) && theirs.NewestRevision <= own {
+	if f.source != nil && f.source.name == name && f.chooser.IsSourceFresh(now) && !theirs.NewestRevision.IsAfter(own.CompleteRevision) {
 		f.options.Book.ObserveSourceAnswer(now.Add(-status.Age))
 	}
-	if own == 0 {
+	if own.CompleteRevision.IsZero() {
 		return // the first snapshot comes from the followed ingress, the store or a Puller
 	}
-	if f.chooser.ObserveGap(now, name, theirs.NewestRevision, own) {
-		f.options.Log.Info("records-missing", zap.String("ahead", name))
-		go f.options.Puller.runPull(name, theirs.NewestRevision)
+	if f.chooser.ObserveGap(now, name, theirs, own) {
+		f.options.Log.Info("records-missing", zap.String("ahead", name), zap.Stringer("newest", theirs.NewestRevision),
+			zap.Stringer("complete", own.CompleteRevision))
+		go f.options.Puller.runPull(name, theirs)
 	}
 }
 
@@ -320,20 +322,22 @@
 }
 
 // ServeFollower sends a follower the records that its copy lacks, at once and after each change,
-// until the context ends. The copy is complete up to the given revision.
-func (f *Feeder) ServeFollower(ctx context.Context, stream net.Conn, revision uint64) {
+// until the context ends.
+func (f *Feeder) ServeFollower(ctx context.Context, stream net.Conn, copied mirror.Extent) {
 	f.addFollower(1)
 	defer f.addFollower(-1)
 	for first := true; ; first = false {
 		changed := f.options.Book.Changed()
-		records := f.encodeSince(revision)
+		records := f.encodeSince(copied)
 		if first || hasContent(records) {
 			if err := wire.WriteFrame(stream, &wire.Frame{Body: &wire.Frame_Records{Records: records}}); err != nil {
 				f.options.Log.Info("follower-lost", logs.Err(err))
 				return
 			}
 		}
-		revision = max(revision, records.GetAt())
+		reached := decodeAsked(records)
+		copied.CompleteRevision = copied.CompleteRevision.Latest(reached.CompleteRevision)
+		copied.EarlierRevision = copied.EarlierRevision.Latest(reached.EarlierRevision)
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -368,26 +372,30 @@
 
 // hasContent reports whether the message changes the records of its receiver.
 func hasContent(records *wire.Records) bool {
-	return records.GetWhole() || len(records.GetRecords()) > 0 || len(records.GetPacked()) > 0
+	return records.GetWhole() || len(records.GetRecords()) > 0 || len(records.GetHolds()) > 0 || len(records.GetPacked()) > 0
 }
 
-// encodedDelta is the encoded delta for a copy that was complete up to revision from. The records
-// here had reached at least the given extent when it was encoded.
+// encodedDelta is the encoded delta for a copy with extent from. The records here had reached at least the
+// given extent when it was encoded.
 type encodedDelta struct {
-	from    uint64
-	extent  state.Extent
-	records *wire.Records
+	from      mirror.Extent
+	extent    mirror.Extent
+	encodedAt time.Time
+	records   *wire.Records
 }
 
-// encodeSince returns the encoded delta for a copy that is complete up to revision from. Most
-// followers ask from the same revision, so the last result is cached and shared by them.
-func (f *Feeder) encodeSince(from uint64) *wire.Records {
+// maxEncodedAge is how long an encoded delta is used, since it states the age of the era.
+const maxEncodedAge = time.Second
+
+// encodeSince returns the encoded delta for a copy with extent from. Most followers ask from the same extent, so
+// the last result is cached and shared by them.
+func (f *Feeder) encodeSince(from mirror.Extent) *wire.Records {
 	f.encodeLock.Lock()
 	defer f.encodeLock.Unlock()
 	extent := f.options.Book.Extent()
 	c := f.lastEncoded
-	if c.records == nil || c.from != from || c.extent != extent {
-		c = encodedDelta{from: from, extent: extent, records: EncodeDelta(f.options.Book.Since(from))}
+	if c.records == nil || c.from != from || c.extent != extent || time.Since(c.encodedAt) > maxEncodedAge {
+		c = encodedDelta{from: from, extent: extent, encodedAt: time.Now(), records: EncodeDelta(f.options.Book.Since(from))}
 		f.lastEncoded = c
 	}
 	return c.records
--- a/ingress/services/mesh/fleet_test.go
+++ b/ingress/services/mesh/fleet_test.go
@@ -154,7 +154,7 @@
 type sharedRecords struct {
 	lock     sync.Mutex
 	changed  *sync.Cond
-	revision uint64
+	revision site.Revision
 	all      map[string]site.Record
 	// callTime is the time that a listing, a grant and a write take in addition to their transfer.
 	callTime time.Duration
@@ -172,17 +172,17 @@
 func (r *sharedRecords) put(key string, value []byte) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.revision++
+	r.revision.Number++
 	r.all[key] = site.Record{Key: key, Value: value, Revision: r.revision}
 	r.changed.Broadcast()
 }
 
-func (r *sharedRecords) since(revision uint64) ([]site.Record, uint64) {
+func (r *sharedRecords) since(revision site.Revision) ([]site.Record, site.Revision) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	found := []site.Record{}
 	for _, rec := range r.all {
-		if rec.Revision > revision {
+		if rec.Revision.IsAfter(revision) {
 			found = append(found, rec)
 		}
 	}
@@ -205,10 +205,10 @@
 	return nil
 }
 
-func (s store) List(ctx context.Context, prefix string) ([]site.Record, uint64, error) {
+func (s store) List(ctx context.Context, prefix string) ([]site.Record, site.Revision, error) {
 	s.countList(prefix)
 	time.Sleep(s.callTime)
-	found, at := s.since(0)
+	found, at := s.since(site.Revision{})
 	found = slices.DeleteFunc(found, func(r site.Record) bool { return !strings.HasPrefix(r.Key, prefix) })
 	return found, at, s.receive(ctx, found)
 }
@@ -228,7 +228,7 @@
 	return r.lists, len(r.watchers)
 }
 
-func (s store) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]site.Record, uint64, error) {
+func (s store) Watch(ctx context.Context, _ string, after site.Revision, wait time.Duration) ([]site.Record, site.Revision, error) {
 	s.lock.Lock()
 	s.watchers[s.name] = true
 	s.lock.Unlock()
@@ -240,25 +240,25 @@
 		select {
 		case <-time.After(5 * time.Millisecond):
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, site.Revision{}, ctx.Err()
 		}
 	}
 }
 
 func (store) Close() {}
 
-func (s store) Grant(ctx context.Context, _ time.Duration) (uint64, error) {
+func (s store) Grant(ctx context.Context, _ time.Duration) (site.Lease, error) {
 	time.Sleep(s.callTime)
-	return 1, s.down.transfer(ctx, callBytes)
+	return site.Lease{ID: 1}, s.down.transfer(ctx, callBytes)
 }
 
-func (s store) Put(ctx context.Context, key string, value []byte, _ uint64) error {
+func (s store) Put(ctx context.Context, key string, value []byte, _ site.Lease) (site.Revision, error) {
 	time.Sleep(s.callTime)
 	s.put(key, value)
-	return s.down.transfer(ctx, callBytes)
+	return site.Revision{}, s.down.transfer(ctx, callBytes)
 }
 
-func (s store) Renew(ctx context.Context, _ uint64) error { return s.down.transfer(ctx, callBytes) }
+func (s store) Renew(ctx context.Context, _ site.Lease) error { return s.down.transfer(ctx, callBytes) }
 
 // instance is an ingress without callers.
 type instance struct {
--- a/ingress/services/mesh/puller.go
+++ b/ingress/services/mesh/puller.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/decide/mirror"
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/pauses"
 	"verbenaroad.example/share/modules/wire"
@@ -106,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	defer p.Feed.ObserveMessageEnd()
-	records, err := p.Mesh.SyncAddress(ctx, seed, p.newSync(), p.Feed.ObserveMessagePart)
+	records, err := p.Mesh.SyncAddress(ctx, seed, newSync(p.Book.Extent()), p.Feed.ObserveMessagePart)
 	if err != nil {
 		p.Log.Info("pull-failed", zap.Stringer("seed", seed), logs.Err(err))
 		return
@@ -114,24 +115,20 @@
 	p.apply(records)
 }
 
-func (p *Puller) newSync() *wire.Sync {
-	return &wire.Sync{At: p.Book.CompleteRevision()}
-}
-
-// runPull asks one ingress that has newer records for them. It stops early once the records here
-// are complete up to revision newest.
-func (p *Puller) runPull(name string, newest uint64) {
+// runPull asks one ingress for the records that it has and this one lacks. It stops early once they have arrived
+// from another source.
+func (p *Puller) runPull(name string, theirs mirror.Extent) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go p.runCancelWhenComplete(ctx, cancel, newest)
+	go p.runCancelWhenComplete(ctx, cancel, theirs)
 	p.pull(ctx, name)
 }
 
-// runCancelWhenComplete cancels a pull once the records here are complete up to revision newest.
-func (p *Puller) runCancelWhenComplete(ctx context.Context, cancel context.CancelFunc, newest uint64) {
+// runCancelWhenComplete cancels a pull once the other ingress's extent is not ahead of the records here.
+func (p *Puller) runCancelWhenComplete(ctx context.Context, cancel context.CancelFunc, theirs mirror.Extent) {
 	for {
 		changed := p.Book.Changed()
-		if p.Book.CompleteRevision() >= newest {
+		if !theirs.IsAheadOf(p.Book.Extent()) {
 			cancel()
 			return
 		}
@@ -149,7 +146,7 @@
 	defer cancel()
 	defer p.Feed.ObserveMessageEnd()
 	began := time.Now()
-	records, err := p.Mesh.Sync(ctx, name, p.newSync(), p.Feed.ObserveMessagePart)
+	records, err := p.Mesh.Sync(ctx, name, newSync(p.Book.Extent()), p.Feed.ObserveMessagePart)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return // the records arrived from another source meanwhile
 	}
--- a/ingress/services/mesh/seeds_test.go
+++ b/ingress/services/mesh/seeds_test.go
@@ -21,7 +21,7 @@
 
 func (l lateListing) run() {
 	time.Sleep(l.delay)
-	l.target.book.ApplyListing(l.records, 1)
+	l.target.book.ApplyListing(l.records, site.Revision{Number: 1})
 }
 
 // Guards against ingresses that open a session again and again to one that has just started itself, when all
@@ -39,7 +39,7 @@
 	delta, err := mesh.DecodeDelta(ask())
 	is.NoErr(err)
 	is.Equal(len(delta.Records), 0) // there is none, and the caller must not wait for ever
-	l := lateListing{delay: 100 * time.Millisecond, target: seed, records: []site.Record{{Key: "op/config", Value: []byte(`{"Version":1}`), Revision: 1}}}
+	l := lateListing{delay: 100 * time.Millisecond, target: seed, records: []site.Record{{Key: "op/config", Value: []byte(`{"Version":1}`), Revision: site.Revision{Number: 1}}}}
 	go l.run()
 	delta, err = mesh.DecodeDelta(ask())
 	is.NoErr(err)
--- a/ingress/services/mesh/serve.go
+++ b/ingress/services/mesh/serve.go
@@ -69,14 +69,14 @@
 		w := watcher{reader: reader, cancel: func() { _ = stream.Close() }}
 		go w.run()
 		h.Feeder.awaitSnapshot(ctx)
-		records := h.Feeder.encodeSince(frame.GetSync().GetAt())
+		records := h.Feeder.encodeSince(decodeAsked(frame.GetSync()))
 		h.answer(stream, &wire.Frame{Body: &wire.Frame_Records{Records: records}})
 	case frame.GetFollow() != nil:
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		w := watcher{reader: reader, cancel: cancel}
 		go w.run()
-		h.Feeder.ServeFollower(ctx, stream, frame.GetFollow().GetAt())
+		h.Feeder.ServeFollower(ctx, stream, decodeAsked(frame.GetFollow()))
 	case frame.GetProduce() != nil:
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
--- a/ingress/services/origin/marks.go
+++ b/ingress/services/origin/marks.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/pauses"
 )
@@ -58,7 +59,7 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(ctx, markTimeout)
 		defer cancel()
-		err = o.options.Store.Put(ctx, o.options.Codec.MixedKey(service), value, 0)
+		_, err = o.options.Store.Put(ctx, o.options.Codec.MixedKey(service), value, site.Lease{})
 	}
 	o.options.Log.Info("versions-mark", zap.String("service", service), zap.Strings("versions", versions), logs.Err(err))
 }
@@ -66,7 +67,7 @@
 func (o *Registry) unmark(ctx context.Context, service string) {
 	ctx, cancel := context.WithTimeout(ctx, markTimeout)
 	defer cancel()
-	err := o.options.Store.Remove(ctx, o.options.Codec.MixedKey(service))
+	_, err := o.options.Store.Remove(ctx, o.options.Codec.MixedKey(service))
 	o.options.Log.Info("versions-unmark", zap.String("service", service), logs.Err(err))
 }
 
--- a/ingress/services/origin/origin.go
+++ b/ingress/services/origin/origin.go
@@ -37,8 +37,8 @@
 
 // Store writes records.
 type Store interface {
-	Put(ctx context.Context, key string, value []byte, lease uint64) error
-	Remove(ctx context.Context, key string) error
+	Put(ctx context.Context, key string, value []byte, lease site.Lease) (site.Revision, error)
+	Remove(ctx context.Context, key string) (site.Revision, error)
 }
 
 // Codec encodes the marks of services that had several versions lately.
--- a/ingress/services/origin/origin_test.go
+++ b/ingress/services/origin/origin_test.go
@@ -45,18 +45,18 @@
 // store writes the marks.
 type store struct{ *world }
 
-func (s store) Put(_ context.Context, key string, value []byte, _ uint64) error {
+func (s store) Put(_ context.Context, key string, value []byte, _ site.Lease) (site.Revision, error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.records[key] = value
-	return nil
+	return site.Revision{}, nil
 }
 
-func (s store) Remove(_ context.Context, key string) error {
+func (s store) Remove(_ context.Context, key string) (site.Revision, error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	delete(s.records, key)
-	return nil
+	return site.Revision{}, nil
 }
 
 func (w *world) Age() time.Duration { return w.age }
--- a/ingress/services/screen/report.go
+++ b/ingress/services/screen/report.go
@@ -176,7 +176,8 @@
 	value, err := s.options.Codec.WriteQuarantine(q)
 	if err == nil {
 		err = s.writeOnce(ctx, func(ctx context.Context) error {
-			return s.options.Store.PutIf(ctx, s.options.Codec.QuarantineKey(string(id)), value, q.Revision)
+			_, err := s.options.Store.PutIf(ctx, s.options.Codec.QuarantineKey(string(id)), value, q.Revision)
+			return err
 		})
 	}
 	s.options.Log.Warn("quarantine", zap.String("digest", string(id)), zap.String("what", "tried"),
@@ -192,7 +193,8 @@
 		return
 	}
 	s.write(id, "quarantined", func(ctx context.Context) error {
-		return s.options.Store.Put(ctx, s.options.Codec.QuarantineKey(string(id)), value, 0)
+		_, err := s.options.Store.Put(ctx, s.options.Codec.QuarantineKey(string(id)), value, site.Lease{})
+		return err
 	})
 	for _, old := range poison.FindExcessQuarantines(s.view.Load().Quarantines) {
 		s.runEnd(old, "there are too many")
@@ -202,7 +204,8 @@
 // runEnd ends a quarantine by removing its record from the store.
 func (s *Screen) runEnd(id poison.ID, reason string) {
 	s.write(id, "released: "+reason, func(ctx context.Context) error {
-		return s.options.Store.Remove(ctx, s.options.Codec.QuarantineKey(string(id)))
+		_, err := s.options.Store.Remove(ctx, s.options.Codec.QuarantineKey(string(id)))
+		return err
 	})
 }
 
--- a/ingress/services/screen/screen.go
+++ b/ingress/services/screen/screen.go
@@ -42,10 +42,10 @@
 
 // Store writes records.
 type Store interface {
-	Put(ctx context.Context, key string, value []byte, lease uint64) error
+	Put(ctx context.Context, key string, value []byte, lease site.Lease) (site.Revision, error)
 	// PutIf writes a record if its last change has the given revision.
-	PutIf(ctx context.Context, key string, value []byte, revision uint64) error
-	Remove(ctx context.Context, key string) error
+	PutIf(ctx context.Context, key string, value []byte, revision site.Revision) (site.Revision, error)
+	Remove(ctx context.Context, key string) (site.Revision, error)
 }
 
 // Codec encodes the records of quarantines.
--- a/ingress/services/screen/screen_test.go
+++ b/ingress/services/screen/screen_test.go
@@ -108,29 +108,29 @@
 	return w.serversUp
 }
 
-func (w *world) Put(_ context.Context, key string, value []byte, _ uint64) error {
+func (w *world) Put(_ context.Context, key string, value []byte, _ site.Lease) (site.Revision, error) {
 	q, err := record.Codec{}.ReadQuarantine(value)
 	if err != nil {
-		return err
+		return site.Revision{}, err
 	}
-	return w.write(func(all map[poison.ID]site.Quarantine) {
-		q.Revision = uint64(w.writes) //nolint:gosec // a small number
+	return site.Revision{}, w.write(func(all map[poison.ID]site.Quarantine) {
+		q.Revision = site.Revision{Number: uint64(w.writes)} //nolint:gosec // a small number
 		all[poison.ID(record.Codec{}.QuarantineID(key))] = q
 	})
 }
 
-func (w *world) PutIf(ctx context.Context, key string, value []byte, revision uint64) error {
+func (w *world) PutIf(ctx context.Context, key string, value []byte, revision site.Revision) (site.Revision, error) {
 	w.lock.Lock()
 	current := w.view.Quarantines[poison.ID(record.Codec{}.QuarantineID(key))].Revision
 	w.lock.Unlock()
 	if current != revision {
-		return errors.New("the record has changed")
+		return site.Revision{}, errors.New("the record has changed")
 	}
-	return w.Put(ctx, key, value, 0)
+	return w.Put(ctx, key, value, site.Lease{})
 }
 
-func (w *world) Remove(_ context.Context, key string) error {
-	return w.write(func(all map[poison.ID]site.Quarantine) { delete(all, poison.ID(record.Codec{}.QuarantineID(key))) })
+func (w *world) Remove(_ context.Context, key string) (site.Revision, error) {
+	return site.Revision{}, w.write(func(all map[poison.ID]site.Quarantine) { delete(all, poison.ID(record.Codec{}.QuarantineID(key))) })
 }
 
 // write changes the quarantines and publishes them to both ingresses, unless the write is to fail.
--- a/ingress/services/state/apply.go
+++ b/ingress/services/state/apply.go
@@ -46,7 +46,7 @@
 	}
 	b.mixed = updated
 	b.options.Log.Info("versions-marked", zap.String("service", service), zap.Bool("several", !r.Deleted),
-		zap.Uint64("revision", r.Revision), zap.String("source", source))
+		zap.Stringer("revision", r.Revision), zap.String("source", source))
 }
 
 // applyQuarantine adds or removes the quarantine of a request that crashes servers. An unreadable
@@ -72,7 +72,7 @@
 	updated[id] = q
 	b.options.Log.Info("quarantine-seen", zap.String("digest", string(id)), zap.String("service", q.Service),
 		zap.Strings("servers", q.Servers), zap.Strings("versions", q.Versions),
-		zap.Uint64("revision", r.Revision), zap.String("source", source))
+		zap.Stringer("revision", r.Revision), zap.String("source", source))
 }
 
 // applyEvacuation starts or ends the evacuation of a failure domain.
@@ -84,7 +84,7 @@
 		b.servers.Evacuate(domain)
 	}
 	b.options.Log.Info("domain-evacuated", zap.String("domain", domain), zap.Bool("evacuated", !r.Deleted),
-		zap.Uint64("revision", r.Revision), zap.String("source", source))
+		zap.Stringer("revision", r.Revision), zap.String("source", source))
 }
 
 // coldTime returns how long the servers of a service are cold after a start, 0 if unknown.
@@ -103,22 +103,22 @@
 // stays in force if the record is unreadable or deleted, because its routes are still needed.
 func (b *Book) applyConfig(r site.Record, source string) {
 	if r.Deleted {
-		b.options.Log.Warn("config-kept", zap.String("reason", "the record was deleted"), zap.Uint64("revision", r.Revision))
+		b.options.Log.Warn("config-kept", zap.String("reason", "the record was deleted"), zap.Stringer("revision", r.Revision))
 		return
 	}
 	config, err := b.options.Codec.ReadConfig(r.Value)
 	if err != nil {
-		b.options.Log.Error("config-kept", zap.String("reason", "unreadable"), zap.Uint64("revision", r.Revision), logs.Err(err))
+		b.options.Log.Error("config-kept", zap.String("reason", "unreadable"), zap.Stringer("revision", r.Revision), logs.Err(err))
 		return
 	}
 	if b.table != nil && config.Version <= b.table.Config().Version {
 		b.options.Log.Info("config-kept", zap.String("reason", "not newer"),
-			zap.Uint64("version", config.Version), zap.Uint64("revision", r.Revision))
+			zap.Uint64("version", config.Version), zap.Stringer("revision", r.Revision))
 		return
 	}
 	b.table = access.NewTable(config)
 	b.options.Log.Info("config-applied",
-		zap.Uint64("version", config.Version), zap.Uint64("revision", r.Revision), zap.String("source", source),
+		zap.Uint64("version", config.Version), zap.Stringer("revision", r.Revision), zap.String("source", source),
 		zap.Int("bytes", len(r.Value)), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("teams", len(config.Teams)))
 }
 
@@ -126,14 +126,14 @@
 	id := b.options.Codec.ServerID(r.Key)
 	if r.Deleted {
 		kept := b.servers.Remove(id, time.Now())
-		b.options.Log.Info("server-removed", zap.String("server", id), zap.Uint64("revision", r.Revision),
+		b.options.Log.Info("server-removed", zap.String("server", id), zap.Stringer("revision", r.Revision),
 			zap.String("source", source), zap.Bool("kept-for-now", kept))
 		return
 	}
 	server, err := b.options.Codec.ReadServer(r.Key, r.Value)
 	if err != nil {
 		b.servers.Remove(id, time.Now())
-		b.options.Log.Warn("server-unreadable", zap.String("key", r.Key), zap.Uint64("revision", r.Revision), logs.Err(err))
+		b.options.Log.Warn("server-unreadable", zap.String("key", r.Key), zap.Stringer("revision", r.Revision), logs.Err(err))
 		return
 	}
 	if server.ColdRemaining > 0 {
@@ -143,7 +143,7 @@
 	b.options.Log.Info("server-seen", zap.String("server", id), zap.String("service", server.Service),
 		zap.Stringer("address", server.Address), zap.String("state", string(server.State)), zap.Duration("cold-for", server.ColdRemaining),
 		zap.String("version", server.Version), zap.Int64("incarnation", server.Incarnation),
-		zap.Uint64("revision", r.Revision), zap.String("source", source))
+		zap.Stringer("revision", r.Revision), zap.String("source", source))
 }
 
 func (b *Book) applyIngress(r site.Record) {
--- a/ingress/services/state/discovery_test.go
+++ b/ingress/services/state/discovery_test.go
@@ -23,7 +23,7 @@
 	calls, sent int
 }
 
-func (s *countingStore) List(_ context.Context, prefix string) ([]site.Record, uint64, error) {
+func (s *countingStore) List(_ context.Context, prefix string) ([]site.Record, site.Revision, error) {
 	s.calls++
 	found := []site.Record{}
 	for _, r := range s.records {
@@ -32,7 +32,7 @@
 		}
 	}
 	s.sent += len(found)
-	return found, 1, nil
+	return found, at(1), nil
 }
 
 // newDeployment returns a store with n ingresses in the given number of failure domains, three backend
@@ -42,7 +42,7 @@
 	s := &countingStore{}
 	codec := record.Codec{}
 	put := func(key string, value []byte) {
-		s.records = append(s.records, site.Record{Key: key, Value: value, Revision: uint64(len(s.records) + 1)})
+		s.records = append(s.records, site.Record{Key: key, Value: value, Revision: at(uint64(len(s.records) + 1))})
 	}
 	put("op/config", []byte(`{"Version":1}`))
 	for i := range 3 * n {
@@ -125,12 +125,12 @@
 	is.NoErr(err)
 	book := newBook()
 	earlier := codec.IngressPrefix() + "a"
-	book.ApplyListing([]site.Record{{Key: earlier, Value: value, Revision: 1}}, 1)
-	book.Apply([]site.Record{{Key: codec.IngressKey(ingress), Value: value, Revision: 2}}, 2)
-	book.Apply([]site.Record{{Key: earlier, Revision: 3, Deleted: true}}, 3)
+	book.ApplyListing([]site.Record{{Key: earlier, Value: value, Revision: at(1)}}, at(1))
+	book.Apply([]site.Record{{Key: codec.IngressKey(ingress), Value: value, Revision: at(2)}}, at(2))
+	book.Apply([]site.Record{{Key: earlier, Revision: at(3), Deleted: true}}, at(3))
 	book.DropExpired(time.Now().Add(time.Hour))
 	is.Equal(len(book.View().Ingresses), 1)
-	book.Apply([]site.Record{{Key: codec.IngressKey(ingress), Revision: 4, Deleted: true}}, 4)
+	book.Apply([]site.Record{{Key: codec.IngressKey(ingress), Revision: at(4), Deleted: true}}, at(4))
 	book.DropExpired(time.Now().Add(time.Hour))
 	is.Equal(len(book.View().Ingresses), 0)
 }
--- a/ingress/services/state/evacuation_test.go
+++ b/ingress/services/state/evacuation_test.go
@@ -8,6 +8,7 @@
 
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/platform/record"
+	"verbenaroad.example/share/decide/mirror"
 	"verbenaroad.example/share/models/site"
 )
 
@@ -27,22 +28,22 @@
 	options := state.Options{Codec: record.Codec{}, Log: zap.NewNop()}
 	b := state.NewBook(options)
 	b.ApplyListing([]site.Record{
-		{Key: "op/config", Value: []byte(coldConfig), Revision: 1},
-		{Key: "servers/n", Value: []byte(northServer), Revision: 2},
-		{Key: "servers/s", Value: []byte(southServer), Revision: 3},
-	}, 3)
+		{Key: "op/config", Value: []byte(coldConfig), Revision: at(1)},
+		{Key: "servers/n", Value: []byte(northServer), Revision: at(2)},
+		{Key: "servers/s", Value: []byte(southServer), Revision: at(3)},
+	}, at(3))
 	is.Equal(countReady(b), 2)
-	b.Apply([]site.Record{{Key: evacuationKey, Value: []byte("{}"), Revision: 4}}, 4)
+	b.Apply([]site.Record{{Key: evacuationKey, Value: []byte("{}"), Revision: at(4)}}, at(4))
 	is.Equal(countReady(b), 1)
 	is.Equal(b.View().Evacuated, []string{"north-a"})
 
 	follower := state.NewBook(options)
-	follower.ApplyDelta(b.Since(0))
+	follower.ApplyDelta(b.Since(mirror.Extent{}))
 	is.Equal(countReady(follower), 1)
 
-	b.Apply([]site.Record{{Key: evacuationKey, Revision: 5, Deleted: true}}, 5)
+	b.Apply([]site.Record{{Key: evacuationKey, Revision: at(5), Deleted: true}}, at(5))
 	is.Equal(countReady(b), 2)
-	follower.ApplyDelta(b.Since(4))
+	follower.ApplyDelta(b.Since(mirror.Extent{CompleteRevision: at(4)}))
 	is.Equal(countReady(follower), 2)
 	for _, s := range follower.View().Servers["engines"] {
 		is.True(!s.ColdUntil.IsZero()) // n: its evacuation just ended; s: its registration states it
@@ -54,9 +55,9 @@
 func TestEvacuationMissingInListingHasEnded(t *testing.T) {
 	is := is.New(t)
 	b := state.NewBook(state.Options{Codec: record.Codec{}, Log: zap.NewNop()})
-	north := site.Record{Key: "servers/n", Value: []byte(northServer), Revision: 2}
-	b.ApplyListing([]site.Record{{Key: evacuationKey, Value: []byte("{}"), Revision: 1}, north}, 2)
+	north := site.Record{Key: "servers/n", Value: []byte(northServer), Revision: at(2)}
+	b.ApplyListing([]site.Record{{Key: evacuationKey, Value: []byte("{}"), Revision: at(1)}, north}, at(2))
 	is.Equal(countReady(b), 0)
-	b.ApplyListing([]site.Record{north}, 9)
+	b.ApplyListing([]site.Record{north}, at(9))
 	is.Equal(countReady(b), 1)
 }
--- a/ingress/services/state/leaving_test.go
+++ b/ingress/services/state/leaving_test.go
@@ -22,9 +22,9 @@
 	})
 	put := func(born string, revision uint64) {
 		value := strings.Replace(northServer, `"Slots":4`, `"Slots":4,"born":`+born, 1)
-		b.Apply([]site.Record{{Key: "servers/n", Value: []byte(value), Revision: revision}}, revision)
+		b.Apply([]site.Record{{Key: "servers/n", Value: []byte(value), Revision: at(revision)}}, at(revision))
 	}
-	b.ApplyListing([]site.Record{{Key: "servers/s", Value: []byte(southServer), Revision: 3}}, 3)
+	b.ApplyListing([]site.Record{{Key: "servers/s", Value: []byte(southServer), Revision: at(3)}}, at(3))
 	put("100", 4)
 	is.Equal(countReady(b), 2)
 	leaving[100] = true
--- a/ingress/services/state/looked.go
+++ b/ingress/services/state/looked.go
@@ -64,14 +64,14 @@
 	close(b.looked)
 }
 
-// findLease returns the lease of a registration that the store held before this process registered; 0 if
+// findLease returns the lease of a registration that the store held before this process registered; zero if
 // there was none with the given key and value.
-func (b *Book) findLease(key string, value []byte) uint64 {
+func (b *Book) findLease(key string, value []byte) site.Lease {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	r, found := b.leases[key]
 	if !found || !bytes.Equal(r.value, value) {
-		return 0
+		return site.Lease{}
 	}
 	return r.lease
 }
--- a/ingress/services/state/register.go
+++ b/ingress/services/state/register.go
@@ -16,9 +16,9 @@
 
 // Leases writes the registration of this ingress to the store.
 type Leases interface {
-	Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error)
-	Put(ctx context.Context, key string, value []byte, lease uint64) error
-	Renew(ctx context.Context, lease uint64) error
+	Grant(ctx context.Context, ttl time.Duration) (site.Lease, error)
+	Put(ctx context.Context, key string, value []byte, lease site.Lease) (site.Revision, error)
+	Renew(ctx context.Context, lease site.Lease) error
 }
 
 const (
@@ -46,8 +46,8 @@
 	Looked <-chan struct{}
 	Log    *zap.Logger
 
-	// lease is 0 while the ingress is not registered.
-	lease uint64
+	// lease is zero while the ingress is not registered.
+	lease site.Lease
 	// renewed is set once the lease has been renewed.
 	renewed bool
 	// resumed is set once an earlier registration was tried.
@@ -72,7 +72,7 @@
 	case <-ctx.Done():
 		return
 	}
-	if r.lease == 0 {
+	if r.lease.IsZero() {
 		return
 	}
 	if err := r.end(ctx); err != nil {
@@ -87,7 +87,8 @@
 	if err != nil {
 		return err
 	}
-	return r.Leases.Put(ctx, r.Codec.IngressKey(ended), value, r.lease)
+	_, err = r.Leases.Put(ctx, r.Codec.IngressKey(ended), value, r.lease)
+	return err
 }
 
 func (r *Registrar) loop(ctx context.Context) {
@@ -104,7 +105,7 @@
 			r.Log.Warn("registration-lost", zap.Duration("store-age", r.Book.Age()), logs.Err(err))
 		}
 		if errors.Is(err, r.LeaseGone) {
-			r.lease = 0
+			r.lease = site.Lease{}
 		}
 		if !r.wait(ctx, began, err) {
 			return
@@ -154,7 +155,7 @@
 // retryDelay returns the delay after a failed registration or renewal. An ingress that watches the store
 // has to notice soon that it answers again, and one without a lease has to register.
 func (r *Registrar) retryDelay() time.Duration {
-	if r.lease == 0 || r.Book.isWatching() {
+	if r.lease.IsZero() || r.Book.isWatching() {
 		return maxRetryPause
 	}
 	return feed.RenewalRetryDelay(r.failures, r.interval())
@@ -169,7 +170,7 @@
 func (r *Registrar) registerOrRenew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
-	if r.lease != 0 {
+	if !r.lease.IsZero() {
 		r.renewed = true
 		return r.Leases.Renew(ctx, r.lease)
 	}
@@ -185,7 +186,7 @@
 	if err != nil {
 		return err
 	}
-	if err := r.Leases.Put(ctx, key, value, lease); err != nil {
+	if _, err := r.Leases.Put(ctx, key, value, lease); err != nil {
 		return err
 	}
 	r.lease = lease
@@ -199,7 +200,7 @@
 // ended. It costs one renewal in place of a lease and a write, and the other ingresses see no change.
 func (r *Registrar) resume(ctx context.Context, key string, value []byte) bool {
 	lease := r.Book.findLease(key, value)
-	if lease == 0 || r.resumed {
+	if lease.IsZero() || r.resumed {
 		return false
 	}
 	r.resumed = true
--- a/ingress/services/state/register_test.go
+++ b/ingress/services/state/register_test.go
@@ -16,6 +16,9 @@
 	"verbenaroad.example/share/models/site"
 )
 
+// at returns a revision of the first era.
+func at(number uint64) site.Revision { return site.Revision{Number: number} }
+
 // stubStore is a store that answers every call. It holds no records, grants leases, and its watches
 // return without changes after their wait.
 type stubStore struct {
@@ -28,9 +31,11 @@
 	written site.Record
 }
 
-func (s *stubStore) List(context.Context, string) ([]site.Record, uint64, error) { return nil, 1, nil }
+func (s *stubStore) List(context.Context, string) ([]site.Record, site.Revision, error) {
+	return nil, at(1), nil
+}
 
-func (s *stubStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]site.Record, uint64, error) {
+func (s *stubStore) Watch(ctx context.Context, _ string, after site.Revision, wait time.Duration) ([]site.Record, site.Revision, error) {
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
@@ -40,21 +45,21 @@
 
 func (*stubStore) Close() {}
 
-func (s *stubStore) Grant(context.Context, time.Duration) (uint64, error) {
+func (s *stubStore) Grant(context.Context, time.Duration) (site.Lease, error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.grants++
-	return uint64(s.grants), nil //nolint:gosec // a small number
+	return site.Lease{ID: uint64(s.grants)}, nil //nolint:gosec // a small number
 }
 
-func (s *stubStore) Put(_ context.Context, key string, value []byte, lease uint64) error {
+func (s *stubStore) Put(_ context.Context, key string, value []byte, lease site.Lease) (site.Revision, error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.written = site.Record{Key: key, Value: value, Revision: s.written.Revision + 1, Lease: lease}
-	return nil
+	s.written = site.Record{Key: key, Value: value, Revision: at(s.written.Revision.Number + 1), Lease: lease}
+	return s.written.Revision, nil
 }
 
-func (s *stubStore) Renew(context.Context, uint64) error {
+func (s *stubStore) Renew(context.Context, site.Lease) error {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.renewals++
@@ -133,7 +138,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &countingStore{records: []site.Record{{Key: codec.IngressKey(self), Value: value, Revision: 1, Lease: 7}}}
+	s := &countingStore{records: []site.Record{{Key: codec.IngressKey(self), Value: value, Revision: at(1), Lease: site.Lease{ID: 7}}}}
 	return discover(s)
 }
 
@@ -195,7 +200,7 @@
 	cancel()
 	registrar.Close(t.Context())
 	ended := s.lastWritten()
-	is.Equal(ended.Lease, uint64(1)) // it ends with the lease of the registration
+	is.Equal(ended.Lease, site.Lease{ID: 1}) // it ends with the lease of the registration
 
 	book, isFirstRun := discoverAs("a", ended)
 	is.True(!isFirstRun)
@@ -206,8 +211,8 @@
 	is.True(isFirstRun)
 
 	other := state.NewBook(state.Options{Codec: record.Codec{}, Log: zap.NewNop()})
-	other.Apply([]site.Record{running}, 1)
-	other.Apply([]site.Record{ended}, 2)
+	other.Apply([]site.Record{running}, at(1))
+	other.Apply([]site.Record{ended}, at(2))
 	is.Equal(len(other.View().Ingresses), 1)
 	other.DropExpired(time.Now().Add(time.Minute))
 	is.Equal(len(other.View().Ingresses), 0)
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -136,15 +136,17 @@
 // registration is what the store holds under the key of an ingress.
 type registration struct {
 	value []byte
-	lease uint64
+	lease site.Lease
 }
 
 // NewBook returns a book without records.
 func NewBook(options Options) *Book {
 	b := &Book{
-		options:      options,
-		started:      time.Now(),
-		records:      mirror.NewMirror(func(key string) bool { return isWanted(options.Codec, key) }),
+		options: options,
+		started: time.Now(),
+		records: mirror.NewMirror(mirror.Options{
+			IsWanted: func(key string) bool { return isWanted(options.Codec, key) }, Policy: holdPolicy{options.Codec},
+		}),
 		servers:      alive.NewSet(),
 		peers:        map[string]site.Ingress{},
 		peerKeys:     map[string]string{},
@@ -242,7 +244,7 @@
 }
 
 // IsListed reports whether the book holds a complete copy of the records as of some revision.
-func (b *Book) IsListed() bool { return b.CompleteRevision() > 0 }
+func (b *Book) IsListed() bool { return !b.CompleteRevision().IsZero() }
 
 // IsStoreUnavailable reports whether this ingress watches the store and the store does not answer
 // its watch or its lease renewals.
@@ -254,30 +256,31 @@
 
 // CompleteRevision returns the revision up to which the records are complete. A watch continues
 // after it.
-func (b *Book) CompleteRevision() uint64 {
+func (b *Book) CompleteRevision() site.Revision {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	return b.records.CompleteRevision()
 }
 
 // ApplyListing applies a full listing of the store that was started at the given revision.
-func (b *Book) ApplyListing(records []site.Record, revision uint64) {
+func (b *Book) ApplyListing(records []site.Record, revision site.Revision) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	before := b.records.CompleteRevision()
-	changed := b.records.ApplyListing(records, revision)
-	b.options.Log.Info("records-listed", zap.Uint64("revision", revision), zap.Uint64("complete-before", before),
+	changed := b.records.ApplyListing(time.Now(), records, revision)
+	b.options.Log.Info("records-listed", zap.Stringer("revision", revision), zap.Stringer("complete-before", before),
 		zap.Int("records", len(records)), zap.Int("changed", len(changed)))
 	b.applyChanged(changed, "store")
+	b.logEra(before)
 }
 
 // logDroppedHistory logs that the store no longer holds the changes after the records here.
 func (b *Book) logDroppedHistory() {
-	b.options.Log.Warn("watch-history-gone", zap.Uint64("complete", b.CompleteRevision()))
+	b.options.Log.Warn("watch-history-gone", zap.Stringer("complete", b.CompleteRevision()))
 }
 
 // Apply applies the changes from a watch that is complete up to the given revision.
-func (b *Book) Apply(changes []site.Record, revision uint64) {
+func (b *Book) Apply(changes []site.Record, revision site.Revision) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	b.applyChanged(b.records.Apply(changes, revision), "store")
@@ -294,34 +297,49 @@
 func (b *Book) ApplyDelta(d mirror.Delta) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.applyChanged(b.records.ApplyDelta(d), "peer")
+	before := b.records.Extent()
+	b.applyChanged(b.records.ApplyDelta(time.Now(), d), "peer")
+	b.logEra(before.CompleteRevision)
+	if b.records.Extent().EarlierRevision != before.EarlierRevision {
+		b.notifyChanged() // those that follow this ingress may lack records of an earlier era
+	}
 }
 
-// Since returns the delta for a copy that is complete up to the given revision.
-func (b *Book) Since(revision uint64) mirror.Delta {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	return b.records.Since(revision)
+// logEra logs what stays in force if the records are of a later era of the store than they were, up to the given
+// revision. The caller must hold the lock.
+func (b *Book) logEra(before site.Revision) {
+	after := b.records.CompleteRevision()
+	if before.IsZero() || after.Era == before.Era {
+		return
+	}
+	keys := []string{}
+	for _, r := range b.records.Holds() {
+		keys = append(keys, r.Key)
+	}
+	b.options.Log.Warn("era-began", zap.Stringer("revision", after), zap.Stringer("complete-before", before),
+		zap.Int("held", len(keys)), zap.Strings("first-held", keys[:min(len(keys), maxLoggedHolds)]))
 }
 
-// Extent describes which changes a copy of the records reflects.
-type Extent struct {
-	// NewestRevision is the highest revision of any change in the copy. CompleteRevision is the
-	// revision up to which the copy lacks no change.
-	NewestRevision   uint64
-	CompleteRevision uint64
+// maxLoggedHolds limits the held records that a log line names.
+const maxLoggedHolds = 8
+
+// Since returns the delta for a copy with the given extent.
+func (b *Book) Since(e mirror.Extent) mirror.Delta {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.records.Since(time.Now(), e)
 }
 
 // Extent returns the extent of the records in the book.
-func (b *Book) Extent() Extent {
+func (b *Book) Extent() mirror.Extent {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	return Extent{NewestRevision: b.records.NewestRevision(), CompleteRevision: b.records.CompleteRevision()}
+	return b.records.Extent()
 }
 
 // Advance processes the extent of another ingress's copy. It may show that the records in this
 // book are complete up to a later revision.
-func (b *Book) Advance(e Extent) {
+func (b *Book) Advance(e mirror.Extent) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	b.records.Advance(e.NewestRevision, e.CompleteRevision)
@@ -416,11 +434,12 @@
 	}
 }
 
-// DropExpired drops the expired servers that did not register again in time, and the ingresses
-// whose registration ended at least peerRetention ago.
+// DropExpired drops the expired servers that did not register again in time, the ingresses whose registration
+// ended at least peerRetention ago, and the records of an earlier era of the store that are held no longer.
 func (b *Book) DropExpired(now time.Time) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
+	b.applyChanged(b.records.ExpireHolds(now), "expiry")
 	dropped := b.servers.DropExpired(now)
 	if len(dropped) > 0 {
 		b.options.Log.Info("servers-not-back", zap.Strings("servers", dropped))
@@ -448,7 +467,7 @@
 const peerRetention = 10 * time.Second
 
 // isComplete reports whether the records are complete as of some revision. The caller must hold the lock.
-func (b *Book) isComplete() bool { return b.records.CompleteRevision() > 0 }
+func (b *Book) isComplete() bool { return !b.records.CompleteRevision().IsZero() }
 
 // applyChanged updates the state derived from the records that changed, and publishes a new view if any
 // did or if the records have become complete. The caller must hold the lock.
@@ -460,6 +479,11 @@
 		b.applyRecord(r, source)
 	}
 	b.publish()
+	b.notifyChanged()
+}
+
+// notifyChanged wakes those that wait for a change. The caller must hold the lock.
+func (b *Book) notifyChanged() {
 	close(b.changed)
 	b.changed = make(chan struct{})
 }
--- a/ingress/services/state/watch.go
+++ b/ingress/services/state/watch.go
@@ -13,10 +13,10 @@
 type Store interface {
 	// List returns the records below a prefix and a revision. A watch that starts after that
 	// revision misses no change.
-	List(ctx context.Context, prefix string) ([]site.Record, uint64, error)
+	List(ctx context.Context, prefix string) ([]site.Record, site.Revision, error)
 	// Watch waits for changes below a prefix after a revision, for at most wait. It returns the
 	// changes and the revision up to which they are complete.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]site.Record, uint64, error)
+	Watch(ctx context.Context, prefix string, after site.Revision, wait time.Duration) ([]site.Record, site.Revision, error)
 	// Close drops idle connections.
 	Close()
 }
@@ -53,7 +53,7 @@
 	// new ones work. A change is then observed after Wait at the latest.
 	Wait time.Duration
 	// HistoryGone is the error that the store returns if it no longer holds the changes after the
-	// requested revision.
+	// requested revision, or is in a later era.
 	HistoryGone error
 }
 
--- a/ingress/services/state/watch_test.go
+++ b/ingress/services/state/watch_test.go
@@ -23,15 +23,15 @@
 	watchedInEffect atomic.Int64
 }
 
-func (s *forgetfulStore) List(context.Context, string) ([]site.Record, uint64, error) {
+func (s *forgetfulStore) List(context.Context, string) ([]site.Record, site.Revision, error) {
 	s.lists.Add(1)
-	return nil, 1, nil
+	return nil, at(1), nil
 }
 
-func (s *forgetfulStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]site.Record, uint64, error) {
+func (s *forgetfulStore) Watch(ctx context.Context, _ string, after site.Revision, _ time.Duration) ([]site.Record, site.Revision, error) {
 	if s.dropped.Load() < s.drops.Load() {
 		s.dropped.Add(1)
-		return nil, 0, errHistoryGone
+		return nil, site.Revision{}, errHistoryGone
 	}
 	s.watchedInEffect.Add(1)
 	<-ctx.Done()
--- a/share/decide/feed/feed.go
+++ b/share/decide/feed/feed.go
@@ -16,6 +16,7 @@
 import (
 	"time"
 
+	"verbenaroad.example/share/decide/mirror"
 	"verbenaroad.example/share/modules/rhash"
 )
 
@@ -128,7 +129,7 @@
 	knowsMembers bool
 	listed       bool
 	leaving      bool
-	// gaps holds by name the revisions at which other ingresses are ahead of this one.
+	// gaps holds by name the extents with which other ingresses are ahead of this one.
 	gaps map[string]gap
 	// gapRequestedAt is when another ingress was last asked for missing records; zero once it
 	// has answered.
@@ -147,10 +148,10 @@
 	reportedAt     time.Time
 }
 
-// gap is a revision that another ingress had and this one lacked at the given time.
+// gap is the extent with which another ingress was ahead of this one at the given time.
 type gap struct {
-	revision uint64
-	since    time.Time
+	extent mirror.Extent
+	since  time.Time
 }
 
 // NewChooser returns a chooser that knows no other ingresses.
@@ -293,16 +294,16 @@
 	return c.follow != "" && now.Sub(c.sourcePartAt) < partTimeout
 }
 
-// ObserveGap processes the revisions that another ingress and this one have reached. It returns
+// ObserveGap processes the extents of the records of another ingress and of this one. It returns
 // true if the other must be asked for the missing records: within gapTimeout this ingress has
-// not reached the revision that the other one had, and no records are in flight.
-func (c *Chooser) ObserveGap(now time.Time, name string, theirs, own uint64) (ask bool) {
+// not received what the other one had, and no records are in flight.
+func (c *Chooser) ObserveGap(now time.Time, name string, theirs, own mirror.Extent) (ask bool) {
 	g, known := c.gaps[name]
 	switch {
-	case theirs <= own:
+	case !theirs.IsAheadOf(own):
 		delete(c.gaps, name)
-	case !known || g.revision <= own:
-		c.gaps[name] = gap{revision: theirs, since: now}
+	case !known || !g.extent.IsAheadOf(own):
+		c.gaps[name] = gap{extent: theirs, since: now}
 	case now.Sub(g.since) >= gapTimeout && !c.IsReceiving(now):
 		delete(c.gaps, name)
 		c.gapRequestedAt = now
--- a/share/decide/feed/feed_test.go
+++ b/share/decide/feed/feed_test.go
@@ -7,6 +7,8 @@
 	"github.com/matryer/is"
 
 	"verbenaroad.example/share/decide/feed"
+	"verbenaroad.example/share/decide/mirror"
+	"verbenaroad.example/share/models/site"
 )
 
 var start = time.Unix(1000, 0) //nolint:gochecknoglobals // a constant in all but syntax
@@ -148,15 +150,21 @@
 	is.Equal(c.Plan(after(4*time.Second)).Read, false)
 }
 
+// reached returns the extent of a copy that has reached a revision of the first era.
+func reached(number uint64) mirror.Extent {
+	revision := site.Revision{Number: number}
+	return mirror.Extent{NewestRevision: revision, CompleteRevision: revision}
+}
+
 // A heartbeat reports a change whose record is already in flight. Records must be requested only
 // if they are still missing after gapTimeout.
 func TestPersistentGapIsRequested(t *testing.T) {
 	is := is.New(t)
 	c := newFollower()
-	is.True(!c.ObserveGap(start, "b", 7, 5))
-	is.True(!c.ObserveGap(after(100*time.Millisecond), "b", 7, 7))
-	is.True(!c.ObserveGap(after(200*time.Millisecond), "b", 8, 7))
-	is.True(c.ObserveGap(after(500*time.Millisecond), "b", 8, 7))
+	is.True(!c.ObserveGap(start, "b", reached(7), reached(5)))
+	is.True(!c.ObserveGap(after(100*time.Millisecond), "b", reached(7), reached(7)))
+	is.True(!c.ObserveGap(after(200*time.Millisecond), "b", reached(8), reached(7)))
+	is.True(c.ObserveGap(after(500*time.Millisecond), "b", reached(8), reached(7)))
 }
 
 // Servers change continuously: each heartbeat reports a change that has not arrived yet, while the
@@ -166,7 +174,7 @@
 	c := newFollower()
 	for heartbeat := range 20 {
 		at := time.Duration(heartbeat) * 300 * time.Millisecond
-		is.True(!c.ObserveGap(after(at), "b", uint64(heartbeat)+2, uint64(heartbeat)+1)) //nolint:gosec // a small number
+		is.True(!c.ObserveGap(after(at), "b", reached(uint64(heartbeat)+2), reached(uint64(heartbeat)+1))) //nolint:gosec // a small number
 	}
 }
 
@@ -202,17 +210,17 @@
 func TestNoRequestWhileRecordsArrive(t *testing.T) {
 	is := is.New(t)
 	c := newFollower(newMember("b", "x2"), newMember("d", "y1"))
-	is.True(!c.ObserveGap(start, "b", 7, 6))
-	is.True(!c.ObserveGap(start, "d", 7, 6))
+	is.True(!c.ObserveGap(start, "b", reached(7), reached(6)))
+	is.True(!c.ObserveGap(start, "d", reached(7), reached(6)))
 	for at := time.Duration(0); at <= 3*time.Second; at += 300 * time.Millisecond {
 		c.ObserveMessagePart(after(at), true)
-		is.True(!c.ObserveGap(after(at), "b", 7, 6))
+		is.True(!c.ObserveGap(after(at), "b", reached(7), reached(6)))
 	}
 	c.ObserveMessageEnd(true)
-	is.True(c.ObserveGap(after(3300*time.Millisecond), "b", 7, 6))  // the message did not contain the missing records
-	is.True(!c.ObserveGap(after(3400*time.Millisecond), "d", 7, 6)) // the first request is not answered yet
+	is.True(c.ObserveGap(after(3300*time.Millisecond), "b", reached(7), reached(6)))  // the message did not contain the missing records
+	is.True(!c.ObserveGap(after(3400*time.Millisecond), "d", reached(7), reached(6))) // the first request is not answered yet
 	c.ObserveMessageEnd(false)
-	is.True(c.ObserveGap(after(3500*time.Millisecond), "d", 7, 6))
+	is.True(c.ObserveGap(after(3500*time.Millisecond), "d", reached(7), reached(6)))
 }
 
 // Guards against abandoning a source in the middle of a large message, behind which its heartbeats
--- a/share/decide/feed/fleet_test.go
+++ b/share/decide/feed/fleet_test.go
@@ -189,7 +189,7 @@
 	if other == nil || other.killed || other.frozen || f.ticks%heartbeatTicks != 0 {
 		return
 	}
-	if n.chooser.ObserveGap(f.now, other.Name, uint64(other.known), uint64(n.known)) { //nolint:gosec // small numbers
+	if n.chooser.ObserveGap(f.now, other.Name, reached(uint64(other.known)), reached(uint64(n.known))) { //nolint:gosec // small numbers
 		n.known = other.known
 	}
 }
--- a/share/decide/mirror/mirror_test.go
+++ b/share/decide/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -12,18 +13,33 @@
 	"verbenaroad.example/share/models/site"
 )
 
+// start is the beginning of each test.
+var start = time.Unix(1000, 0) //nolint:gochecknoglobals // a constant in all but syntax
+
 func newRecord(key string, revision uint64) site.Record {
-	return site.Record{Key: key, Value: []byte(key), Revision: revision}
+	return site.Record{Key: key, Value: []byte(key), Revision: at(revision)}
 }
 
 func newTombstone(key string, revision uint64) site.Record {
-	return site.Record{Key: key, Revision: revision, Deleted: true}
+	return site.Record{Key: key, Revision: at(revision), Deleted: true}
 }
 
 func newMirror(prefix string) *mirror.Mirror {
-	return mirror.NewMirror(func(key string) bool { return strings.HasPrefix(key, prefix) })
+	return mirror.NewMirror(mirror.Options{IsWanted: func(key string) bool { return strings.HasPrefix(key, prefix) }, Policy: keepAll{}})
+}
+
+// keepAll holds what differs until it is written again.
+type keepAll struct{}
+
+func (keepAll) Decide(_, _ site.Record, isFresh bool) mirror.Decision {
+	return mirror.Decision{Held: !isFresh}
 }
 
+func (keepAll) NeedsRevision(string) bool { return false }
+
+// at returns a revision of the first era.
+func at(number uint64) site.Revision { return site.Revision{Number: number} }
+
 // findLive returns a record that is not deleted.
 func findLive(m *mirror.Mirror, key string) (site.Record, bool) {
 	for _, r := range m.List() {
@@ -39,11 +55,11 @@
 func TestOutdatedRecordsAreIgnored(t *testing.T) {
 	is := is.New(t)
 	m := newMirror("servers/")
-	m.Apply([]site.Record{newRecord("servers/a", 5), newTombstone("servers/b", 6)}, 6)
+	m.Apply([]site.Record{newRecord("servers/a", 5), newTombstone("servers/b", 6)}, at(6))
 	is.Equal(len(m.Merge([]site.Record{newRecord("servers/a", 4), newRecord("servers/b", 3)})), 0)
 	_, found := findLive(m, "servers/b")
 	is.True(!found)
-	is.Equal(m.CompleteRevision(), uint64(6))
+	is.Equal(m.CompleteRevision(), at(6))
 }
 
 // The store compacts its history while a watch is interrupted, and servers are removed meanwhile.
@@ -52,22 +68,22 @@
 func TestListingDeletesMissingRecords(t *testing.T) {
 	is := is.New(t)
 	m := newMirror("servers/")
-	m.Apply([]site.Record{newRecord("servers/a", 5), newRecord("servers/b", 6)}, 6)
+	m.Apply([]site.Record{newRecord("servers/a", 5), newRecord("servers/b", 6)}, at(6))
 	m.Merge([]site.Record{newRecord("servers/c", 20)})
-	changed := m.ApplyListing([]site.Record{newRecord("servers/a", 5)}, 10)
+	changed := m.ApplyListing(start, []site.Record{newRecord("servers/a", 5)}, at(10))
 	is.Equal(changed, []site.Record{newTombstone("servers/b", 10)})
 	is.Equal(len(m.List()), 2)
-	is.Equal(m.CompleteRevision(), uint64(10))
+	is.Equal(m.CompleteRevision(), at(10))
 }
 
 func TestMergeDoesNotAdvanceCompleteRevision(t *testing.T) {
 	is := is.New(t)
 	m := newMirror("op/")
-	m.Apply([]site.Record{newRecord("op/config", 5)}, 5)
+	m.Apply([]site.Record{newRecord("op/config", 5)}, at(5))
 	m.Merge([]site.Record{newRecord("op/config", 9), newRecord("servers/a", 8)})
-	is.Equal(m.CompleteRevision(), uint64(5)) // changes between 5 and 9 may be missing
-	is.Equal(m.NewestRevision(), uint64(9))
-	is.Equal(len(m.Since(5).Records), 1)
+	is.Equal(m.CompleteRevision(), at(5)) // changes between 5 and 9 may be missing
+	is.Equal(m.Extent().NewestRevision, at(9))
+	is.Equal(len(m.Since(start, mirror.Extent{CompleteRevision: at(5)}).Records), 1)
 	is.Equal(len(m.List()), 1)
 }
 
@@ -133,12 +149,12 @@
 func (s *simulation) check(t *rapid.T) {
 	for i, m := range s.copies {
 		for key, r := range s.latest {
-			if r.Revision > m.CompleteRevision() {
+			if r.Revision.IsAfter(m.CompleteRevision()) {
 				continue
 			}
 			got, found := findLive(m, key)
 			if found == r.Deleted || found && got.Revision != r.Revision {
-				t.Fatalf("copy %d is complete up to revision %d, but for %s it has %v (%v) instead of %v", i, m.CompleteRevision(), key, got, found, r)
+				t.Fatalf("copy %d is complete up to revision %v, but for %s it has %v (%v) instead of %v", i, m.CompleteRevision(), key, got, found, r)
 			}
 		}
 	}
@@ -161,15 +177,15 @@
 			case 0, 1:
 				s.change(fmt.Sprintf("servers/%d", rapid.IntRange(0, 4).Draw(t, "key")), rapid.Bool().Draw(t, "deleted"))
 			case 2:
-				m.ApplyListing(s.list(), s.revision)
+				m.ApplyListing(start, s.list(), at(s.revision))
 			case 3:
-				if m.CompleteRevision() > 0 {
-					m.Apply(s.history[m.CompleteRevision():], s.revision)
+				if complete := m.CompleteRevision(); !complete.IsZero() {
+					m.Apply(s.history[complete.Number:], at(s.revision))
 				}
 			case 4:
-				m.ApplyDelta(other.Since(m.CompleteRevision()))
+				m.ApplyDelta(start, other.Since(start, m.Extent()))
 			case 5:
-				m.Advance(other.NewestRevision(), other.CompleteRevision())
+				m.Advance(other.Extent().NewestRevision, other.CompleteRevision())
 			case 6:
 				if list := s.list(); len(list) > 0 {
 					m.Merge(list[:1]) // a partial read
--- a/share/decide/poison/poison_test.go
+++ b/share/decide/poison/poison_test.go
@@ -130,7 +130,7 @@
 	is := is.New(t)
 	quarantines := map[poison.ID]site.Quarantine{}
 	for n := range poison.MaxQuarantines + 2 {
-		quarantines[poison.ID(fmt.Sprint(n))] = site.Quarantine{Revision: uint64(n)} //nolint:gosec // a small number
+		quarantines[poison.ID(fmt.Sprint(n))] = site.Quarantine{Revision: site.Revision{Number: uint64(n)}} //nolint:gosec // a small number
 	}
 	is.Equal(poison.FindExcessQuarantines(quarantines), []poison.ID{"0", "1"})
 }
--- a/share/decide/poison/quarantine.go
+++ b/share/decide/poison/quarantine.go
@@ -42,6 +42,6 @@
 	for id := range quarantines {
 		ids = append(ids, id)
 	}
-	slices.SortFunc(ids, func(a, b ID) int { return int(quarantines[a].Revision) - int(quarantines[b].Revision) }) //nolint:gosec // revisions are small numbers
+	slices.SortFunc(ids, func(a, b ID) int { return quarantines[a].Revision.Compare(quarantines[b].Revision) })
 	return ids[:max(len(ids)-MaxQuarantines, 0)]
 }
--- a/share/models/site/config.go
+++ b/share/models/site/config.go
@@ -183,9 +183,11 @@
 	// starts under the same ID.
 	ID          string
 	Incarnation int64
-	Service     string
-	Address     netip.AddrPort
-	Domain      string
+	// Sequence increases with what one start of the server states of itself; 0: not stated.
+	Sequence uint64
+	Service  string
+	Address  netip.AddrPort
+	Domain   string
 	// Version is the version of its software.
 	Version string
 	Slots   int
@@ -212,7 +214,7 @@
 	// Trials counts how often the request was admitted to test whether it still crashes servers.
 	Trials int
 	// Revision is the revision of the quarantine's record in the store.
-	Revision uint64
+	Revision Revision
 }
 
 // Ingress is one process that accepts callers' requests, as registered in the store.
--- a/share/models/site/request.go
+++ b/share/models/site/request.go
@@ -196,12 +196,14 @@
 
 // Record is one entry of the platform's store.
 type Record struct {
-	Key      string
-	Value    []byte
-	Revision uint64
-	// Deleted records hold no value; their Revision is that of the deletion.
+	Key   string
+	Value []byte
+	// Revision is that of the last change of the record.
+	Revision Revision
+	// Deleted records hold the value from before, or none if it is not known. Their Revision is that of
+	// the deletion.
 	Deleted bool
-	// Lease is the lease under which the record was written, if it comes from the store itself; 0: none,
+	// Lease is the lease under which the record was written, if it comes from the store itself; zero: none,
 	// or not known.
-	Lease uint64
+	Lease Lease
 }
