--- a/ingress/services/state/register.go
+++ b/ingress/services/state/register.go
@@ -88,6 +88,14 @@
 		return err
 	}
 	_, err = r.Leases.Put(ctx, r.Codec.IngressKey(ended), value, r.lease)
+	if !errors.Is(err, r.LeaseGone) {
+		return err
+	}
+	// A restored store may hold the registration under an earlier lease, which has not ended.
+	if r.lease, err = r.Leases.Grant(ctx, r.TTL); err != nil {
+		return err
+	}
+	_, err = r.Leases.Put(ctx, r.Codec.IngressKey(ended), value, r.lease)
 	return err
 }
 
--- a/ingress/services/state/register_test.go
+++ b/ingress/services/state/register_test.go
@@ -27,6 +27,8 @@
 	grants   int
 	// renewErr is what a renewal returns.
 	renewErr error
+	// goneLease is the lease under which a write fails with errGone.
+	goneLease site.Lease
 	// written is the record that was written last.
 	written site.Record
 }
@@ -55,6 +57,9 @@
 func (s *stubStore) Put(_ context.Context, key string, value []byte, lease site.Lease) (site.Revision, error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	if lease == s.goneLease {
+		return site.Revision{}, errGone
+	}
 	s.written = site.Record{Key: key, Value: value, Revision: at(s.written.Revision.Number + 1), Lease: lease}
 	return s.written.Revision, nil
 }
@@ -218,6 +223,32 @@
 	is.Equal(len(other.View().Ingresses), 0)
 }
 
+// Guards against an ingress that has stopped and that others go on to ask, since the lease of its registration was
+// lost by a restored store, which holds an earlier registration.
+func TestRegistrationIsEndedAfterItsLeaseWasLost(t *testing.T) {
+	is := is.New(t)
+	s := &stubStore{}
+	book := state.NewBook(state.Options{Codec: record.Codec{}, Log: zap.NewNop()})
+	ctx, cancel := context.WithCancel(t.Context())
+	registrar := &state.Registrar{
+		Leases: s, Codec: record.Codec{}, Self: site.Ingress{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:1")}, TTL: time.Minute,
+		LeaseGone: errGone, Book: book, ProbeEvery: time.Hour, Log: zap.NewNop(),
+	}
+	registrar.Start(ctx)
+	for grants, _ := s.counts(); grants == 0 || s.lastWritten().Key == ""; grants, _ = s.counts() {
+		time.Sleep(time.Millisecond)
+	}
+	s.lock.Lock()
+	s.goneLease = s.written.Lease
+	s.lock.Unlock()
+	cancel()
+	registrar.Close(t.Context())
+	ended := s.lastWritten()
+	is.Equal(ended.Lease, site.Lease{ID: 2})
+	book.Apply([]site.Record{ended}, at(9))
+	is.Equal(len(book.View().Ingresses), 0)
+}
+
 func (s *stubStore) lastWritten() site.Record {
 	s.lock.Lock()
 	defer s.lock.Unlock()
