mesh, state: an ingress that starts asks others what was in force before a restore

An ingress that started just after the store was restored listed it and began to serve with what the copy held: it accepted keys that had been revoked, and sent requests to servers that had left.

Cause: a restored store was trusted to hold what it had acknowledged. A store that states no era was never restored, and nothing is asked.

--- a/ingress/services/mesh/puller.go
+++ b/ingress/services/mesh/puller.go
@@ -66,6 +66,7 @@
 // Start asks peers for records, when it is necessary, until the context ends.
 func (p *Puller) Start(ctx context.Context) {
 	go p.loop(ctx)
+	go p.runConfirm(ctx)
 }
 
 func (p *Puller) loop(ctx context.Context) {
@@ -103,7 +104,11 @@
 	if len(p.Seeds) == 0 {
 		return
 	}
-	seed := p.Seeds[rand.IntN(len(p.Seeds))] //nolint:gosec // not security-relevant
+	p.pullSeed(ctx, p.Seeds[rand.IntN(len(p.Seeds))]) //nolint:gosec // not security-relevant
+}
+
+// pullSeed asks the ingress at an address for the records that this one lacks and applies them.
+func (p *Puller) pullSeed(ctx context.Context, seed netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	defer p.Feed.ObserveMessageEnd()
--- a/ingress/services/mesh/serve.go
+++ b/ingress/services/mesh/serve.go
@@ -68,7 +68,9 @@
 	case frame.GetSync() != nil:
 		w := watcher{reader: reader, cancel: func() { _ = stream.Close() }}
 		go w.run()
-		h.Feeder.awaitSnapshot(ctx)
+		if frame.GetSync().GetAt() == 0 {
+			h.Feeder.awaitSnapshot(ctx)
+		}
 		records := h.Feeder.encodeSince(decodeAsked(frame.GetSync()))
 		h.answer(stream, &wire.Frame{Body: &wire.Frame_Records{Records: records}})
 	case frame.GetFollow() != nil:
--- a/ingress/services/state/apply.go
+++ b/ingress/services/state/apply.go
@@ -204,8 +204,12 @@
 
 // publish replaces the view and passes it to OnChange. The caller must hold the lock.
 func (b *Book) publish() {
+	table := b.table
+	if b.unconfirmed {
+		table = nil
+	}
 	v := &View{
-		Table: b.table, Servers: b.servers.List(), Evacuated: b.servers.Evacuated(), Quarantines: b.quarantines, Versions: b.servers.Versions(), Mixed: b.mixed,
+		Table: table, Servers: b.servers.List(), Evacuated: b.servers.Evacuated(), Quarantines: b.quarantines, Versions: b.servers.Versions(), Mixed: b.mixed,
 		IsComplete: b.isComplete(),
 	}
 	v.Leaving = b.removeLeaving(v.Servers)
--- a/ingress/services/state/hold_test.go
+++ b/ingress/services/state/hold_test.go
@@ -27,6 +27,7 @@
 func restoreBook(before, after []site.Record) *state.Book {
 	b := state.NewBook(state.Options{Codec: record.Codec{}, Log: zap.NewNop()})
 	b.ApplyListing(before, site.Revision{Era: 1, Number: 90})
+	b.Confirm()
 	b.ApplyListing(after, site.Revision{Era: 2, Number: 80})
 	return b
 }
@@ -42,6 +43,7 @@
 	late := state.NewBook(state.Options{Codec: record.Codec{}, Log: zap.NewNop()})
 	late.ApplyListing([]site.Record{inEra(2, 81, "op/config", `{"Version":58}`)}, site.Revision{Era: 2, Number: 82})
 	late.ApplyDelta(b.Since(late.Extent()))
+	late.Confirm()
 	is.Equal(late.View().Version(), uint64(62))
 	b.Apply([]site.Record{inEra(2, 83, "op/config", `{"Version":65}`)}, site.Revision{Era: 2, Number: 83})
 	is.Equal(b.View().Version(), uint64(65))
@@ -150,3 +152,19 @@
 	b := restoreBook([]site.Record{inEra(1, 85, key, value)}, []site.Record{inEra(2, 70, key, value)})
 	is.Equal(b.View().Quarantines["7"].Revision, site.Revision{Era: 2, Number: 70})
 }
+
+// Guards against an ingress that starts with what a restored store holds, before it has asked others what was in
+// force; and against a start that waits for others although the store was never restored.
+func TestConfigurationOfARestoredStoreIsUsedOnceConfirmed(t *testing.T) {
+	is := is.New(t)
+	for era, confirmed := range map[uint64]bool{0: true, 1: false} {
+		b := state.NewBook(state.Options{Codec: record.Codec{}, Log: zap.NewNop()})
+		b.ApplyListing([]site.Record{inEra(era, 60, "op/config", `{"Version":54}`)}, site.Revision{Era: era, Number: 80})
+		is.Equal(b.View().Version() == 54, confirmed)
+		is.Equal(b.View().IsComplete, confirmed)
+		is.Equal(b.IsUnconfirmed(), !confirmed)
+		b.Confirm()
+		is.Equal(b.View().Version(), uint64(54))
+		is.True(b.View().IsComplete)
+	}
+}
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -104,9 +104,12 @@
 
 	lock    sync.Mutex
 	records *mirror.Mirror
-	servers *alive.Set
-	table   *access.Table
-	peers   map[string]site.Ingress
+	// unconfirmed is set from the first listing of a store that may have been restored until other ingresses
+	// were asked what was in force before. Until then the view has no configuration.
+	unconfirmed bool
+	servers     *alive.Set
+	table       *access.Table
+	peers       map[string]site.Ingress
 	// peerKeys holds the key of the registration that each peer was last seen with.
 	peerKeys map[string]string
 	// removedPeers holds when the registration of a peer ended, until the peer is dropped or
@@ -243,6 +246,26 @@
 	return b.direct && len(b.unanswered) == 0
 }
 
+// IsUnconfirmed reports whether other ingresses are to be asked what was in force before the store was restored,
+// since the records here come from the store alone.
+func (b *Book) IsUnconfirmed() bool {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.unconfirmed
+}
+
+// Confirm records that other ingresses were asked what was in force before, or that none can be.
+func (b *Book) Confirm() {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if !b.unconfirmed {
+		return
+	}
+	b.unconfirmed = false
+	b.publish()
+	b.notifyChanged()
+}
+
 // IsListed reports whether the book holds a complete copy of the records as of some revision.
 func (b *Book) IsListed() bool { return !b.CompleteRevision().IsZero() }
 
@@ -267,6 +290,9 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	before := b.records.CompleteRevision()
+	if before.IsZero() && revision.Era > 0 {
+		b.unconfirmed = true
+	}
 	changed := b.records.ApplyListing(time.Now(), records, revision)
 	b.options.Log.Info("records-listed", zap.Stringer("revision", revision), zap.Stringer("complete-before", before),
 		zap.Int("records", len(records)), zap.Int("changed", len(changed)))
@@ -466,8 +492,9 @@
 // places. Peers detect by themselves that an ingress that has really stopped cannot be reached.
 const peerRetention = 10 * time.Second
 
-// isComplete reports whether the records are complete as of some revision. The caller must hold the lock.
-func (b *Book) isComplete() bool { return !b.records.CompleteRevision().IsZero() }
+// isComplete reports whether the records are complete as of some revision, and confirmed. The caller must hold the
+// lock.
+func (b *Book) isComplete() bool { return !b.records.CompleteRevision().IsZero() && !b.unconfirmed }
 
 // applyChanged updates the state derived from the records that changed, and publishes a new view if any
 // did or if the records have become complete. The caller must hold the lock.
