state: records of the ingresses that a restored store has lost are written again

A quarantine that a restored store had lost was gone for good: requests that crash servers reached them again, from ingresses that started and, once the loss was seen, from all. The same held for the marks of services that had several software versions, and for the ends of both, which came back.

Cause: the operator and the backend servers write again what a restored store has lost; nobody did so for what the ingresses write. What an ingress writes is in force there once it is acknowledged, so that a record is known even if the store loses it before any ingress has watched it.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -76,6 +76,7 @@
 	incarnation   string
 	store         *keyval.Client
 	book          *state.Book
+	restorer      *state.Restorer
 	mesh          *mesh.Mesh
 	feeder        *mesh.Feeder
 	puller        *mesh.Puller
@@ -167,11 +168,13 @@
 	})
 	i.placer = assign.NewPlacer(s.Place.Regions, s.Cold.Settings, i.limits)
 	i.dispatcher = assign.NewDispatcher(i.mesh, i.book, i.placer, i.log)
+	writer := &state.Writer{Book: i.book, Writes: i.store}
+	i.restorer = &state.Restorer{Book: i.book, Writes: writer, Ranks: i.mesh, Log: i.log}
 	i.screen = screen.NewScreen(screen.Options{
-		Peers: i.mesh, Store: i.store, Codec: record.Codec{}, Prober: client, Limit: poison.DefaultLimit,
+		Peers: i.mesh, Store: writer, Codec: record.Codec{}, Prober: client, Limit: poison.DefaultLimit,
 		Trials: poison.DefaultTrialSchedule(), Log: i.log,
 	})
-	i.origins = origin.NewRegistry(origin.Options{Memos: i.recall, News: i.book, Peers: i.mesh, Store: i.store, Codec: record.Codec{}, Log: i.log})
+	i.origins = origin.NewRegistry(origin.Options{Memos: i.recall, News: i.book, Peers: i.mesh, Store: writer, Codec: record.Codec{}, Log: i.log})
 	i.producer = stages.NewProducer(i.mesh, i.batcher, i.log)
 	i.flow = flow.NewServer(flow.Options{
 		Views: i.book, Sender: client, StageRunner: i.producer, EnginePlacer: i.dispatcher, Screen: i.screen, Origins: i.origins, Meter: i.meters, Log: i.log,
@@ -277,6 +280,7 @@
 	}
 	registrar.Start(ctx)
 	(&state.Sweeper{Book: i.book}).Start(ctx)
+	i.restorer.Start(ctx)
 	i.mesh.Start(ctx)
 	i.puller.Start(ctx)
 	i.batcher.Start(ctx)
--- a/ingress/services/origin/marks.go
+++ b/ingress/services/origin/marks.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/share/decide/turn"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/pauses"
@@ -30,7 +30,7 @@
 func (o *Registry) Start(ctx context.Context) { go o.loop(ctx) }
 
 func (o *Registry) loop(ctx context.Context) {
-	dueSince := map[string]time.Time{}
+	order := turn.NewOrder(markTakeover)
 	for pauses.Wait(ctx, markInterval) {
 		now := time.Now()
 		o.lock.Lock()
@@ -38,16 +38,14 @@
 		outdated := o.history.ListOutdated(now)
 		versions := o.view.Versions
 		o.lock.Unlock()
-		maps.DeleteFunc(dueSince, func(service string, _ time.Time) bool {
-			return !slices.Contains(unmarked, service) && !slices.Contains(outdated, service)
-		})
+		order.Retain(slices.Concat(unmarked, outdated))
 		for _, service := range unmarked {
-			if o.isMarker(now, service, dueSince) {
+			if order.IsTurn(now, service, o.findPlace(service)) {
 				o.mark(ctx, service, versions[service])
 			}
 		}
 		for _, service := range outdated {
-			if o.isMarker(now, service, dueSince) {
+			if order.IsTurn(now, service, o.findPlace(service)) {
 				o.unmark(ctx, service)
 			}
 		}
@@ -71,12 +69,7 @@
 	o.options.Log.Info("versions-unmark", zap.String("service", service), logs.Err(err))
 }
 
-// isMarker reports whether this ingress writes the mark of a service now. The first by rank does so at once,
-// the others one after the other if the mark stays due, since the first may be cut off from the store.
-func (o *Registry) isMarker(now time.Time, service string, dueSince map[string]time.Time) bool {
-	if _, isDue := dueSince[service]; !isDue {
-		dueSince[service] = now
-	}
-	place := slices.Index(o.options.Peers.Rank(markRankPrefix+service), o.options.Peers.Self())
-	return place >= 0 && now.Sub(dueSince[service]) >= time.Duration(place)*markTakeover
+// findPlace returns the place of this ingress by rank among those that mark a service.
+func (o *Registry) findPlace(service string) int {
+	return slices.Index(o.options.Peers.Rank(markRankPrefix+service), o.options.Peers.Self())
 }
