state: a registration that is missing in a restored store is no sign of a first run

An ingress without a registration took itself for one that had not run within a lease, and spent its retry budgets from nothing. A restored store may have lost the registration of an ingress that ran a moment ago; the retries of the run before then count twice.

Now that is concluded only if the store states no era, so that it was never restored; else the ingress asks others what its earlier run has spent, as after any restart. TestMissingRegistrationInARestoredStoreIsNoFirstRun failed before. The stand-in of the store states its era from the first restore on, or if told to.

--- a/fakes/services/hosted/restore.go
+++ b/fakes/services/hosted/restore.go
@@ -9,7 +9,8 @@
 	"time"
 )
 
-// eraHeader is in every answer of the store. Its value rises by one each time the store is restored.
+// eraHeader is in every answer of the store, unless the era is 0. Its value rises by one each time the store is
+// restored.
 const eraHeader = "Store-Era"
 
 // Backup is a copy of everything that a store holds.
@@ -43,16 +44,18 @@
 	s.changed.Broadcast()
 }
 
-// Era returns the era in the answers of the store.
-func (s *Store) Era() uint64 {
+// StateEra makes a store that was never restored state its era.
+func (s *Store) StateEra() {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return s.era
+	s.era = max(s.era, 1)
 }
 
 // setEra adds the present era to the headers of an answer. The caller holds the lock.
 func (s *Store) setEra(w http.ResponseWriter) {
-	w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
+	if s.era > 0 {
+		w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
+	}
 }
 
 // WriteAgain writes the configuration again as of its last version, and the registrations of the servers
--- a/fakes/services/hosted/store.go
+++ b/fakes/services/hosted/store.go
@@ -42,7 +42,7 @@
 type Store struct {
 	lock    sync.Mutex
 	changed *sync.Cond
-	// era is 1 at first and rises by one with each Restore.
+	// era rises by one with each Restore; 0: answers state none.
 	era      uint64
 	revision uint64
 	items    map[string]item
@@ -66,7 +66,7 @@
 // NewStore starts a store that listens on n loopback addresses.
 func NewStore(n int) (*Store, error) {
 	s := &Store{
-		era: 1, revision: 1, items: map[string]item{}, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{},
+		revision: 1, items: map[string]item{}, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{},
 	}
 	s.changed = sync.NewCond(&s.lock)
 	for range n {
--- a/ingress/services/state/discovery_test.go
+++ b/ingress/services/state/discovery_test.go
@@ -21,6 +21,8 @@
 	stubStore
 	records     []site.Record
 	calls, sent int
+	// era is that of the answers; 0: they state none.
+	era uint64
 }
 
 func (s *countingStore) List(_ context.Context, prefix string) ([]site.Record, site.Revision, error) {
@@ -32,7 +34,7 @@
 		}
 	}
 	s.sent += len(found)
-	return found, at(1), nil
+	return found, site.Revision{Era: s.era, Number: 1}, nil
 }
 
 // newDeployment returns a store with n ingresses in the given number of failure domains, three backend
--- a/ingress/services/state/reader.go
+++ b/ingress/services/state/reader.go
@@ -21,8 +21,9 @@
 	// Wait and HistoryGone are passed to the Watcher.
 	Wait        time.Duration
 	HistoryGone error
-	// OnFirstRun is called if the store, when it is first asked, holds no registration of this ingress: the
-	// ingress has not run before, or not for the duration of a lease. It may be nil.
+	// OnFirstRun is called if the store, when it is first asked, holds no registration of this ingress and was
+	// never restored, as far as it states: the ingress has not run before, or not for the duration of a lease.
+	// It may be nil.
 	OnFirstRun func()
 	Log        *zap.Logger
 
@@ -139,7 +140,7 @@
 
 // listPeers lists the ingresses of the failure domain and returns their names.
 func (r *Reader) listPeers(ctx context.Context) ([]string, error) {
-	records, _, err := r.Store.List(ctx, r.Book.IngressDomainPrefix(r.Domain))
+	records, revision, err := r.Store.List(ctx, r.Book.IngressDomainPrefix(r.Domain))
 	if err != nil {
 		r.Book.lookFailed.Store(true)
 		r.Log.Warn("first-look-failed", logs.Err(err))
@@ -149,7 +150,9 @@
 	for _, record := range records {
 		names = append(names, r.Book.options.Codec.IngressName(record.Key))
 	}
-	if !r.Book.HasLooked() && !slices.Contains(names, r.Name) && r.OnFirstRun != nil {
+	// A restored store may have lost the registration. The number of its first era is not known.
+	mayHaveLost := revision.Era > 0
+	if !r.Book.HasLooked() && !slices.Contains(names, r.Name) && !mayHaveLost && r.OnFirstRun != nil {
 		r.OnFirstRun()
 	}
 	r.Book.Merge(records)
--- a/ingress/services/state/register_test.go
+++ b/ingress/services/state/register_test.go
@@ -176,10 +176,15 @@
 // discoverAs runs a first look at a store that holds one record. It returns the book, and whether the
 // look showed that the ingress has not run before.
 func discoverAs(name string, left site.Record) (*state.Book, bool) {
+	return discoverIn(&countingStore{records: []site.Record{left}}, name)
+}
+
+// discoverIn does the same with a store.
+func discoverIn(s *countingStore, name string) (*state.Book, bool) {
 	book := state.NewBook(state.Options{Codec: record.Codec{}, Log: zap.NewNop()})
 	isFirstRun := false
 	reader := state.Reader{
-		Book: book, Store: &countingStore{records: []site.Record{left}}, Name: name, Domain: "d0",
+		Book: book, Store: s, Name: name, Domain: "d0",
 		OnFirstRun: func() { isFirstRun = true }, Log: zap.NewNop(),
 	}
 	reader.DiscoverPeers(context.Background(), func() bool { return true })
@@ -249,6 +254,16 @@
 	is.Equal(len(book.View().Ingresses), 0)
 }
 
+// Guards against an ingress that takes itself for one that has not run before, and spends its retry budget anew,
+// because a restored store has lost its registration.
+func TestMissingRegistrationInARestoredStoreIsNoFirstRun(t *testing.T) {
+	is := is.New(t)
+	_, isFirstRun := discoverIn(&countingStore{}, "a")
+	is.True(isFirstRun)
+	_, isFirstRun = discoverIn(&countingStore{era: 1}, "a")
+	is.True(!isFirstRun)
+}
+
 func (s *stubStore) lastWritten() site.Record {
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/share/decide/mirror/era_test.go
+++ b/share/decide/mirror/era_test.go
@@ -84,7 +84,7 @@
 }
 
 func (s *restorable) list() []site.Record {
-	return slices.SortedFunc(maps.Values(s.records), func(a, b site.Record) int { return cmpKeys(a, b) })
+	return slices.SortedFunc(maps.Values(s.records), cmpKeys)
 }
 
 func cmpKeys(a, b site.Record) int {
--- a/share/decide/turn/turn_test.go
+++ b/share/decide/turn/turn_test.go
@@ -14,7 +14,7 @@
 func TestNextByRankTakesOver(t *testing.T) {
 	is := is.New(t)
 	start := time.Unix(1000, 0)
-	after := func(d time.Duration) time.Time { return start.Add(d) }
+	after := start.Add
 	o := turn.NewOrder(3 * time.Second)
 	is.True(o.IsTurn(start, "a", 0))
 	is.True(!o.IsTurn(start, "b", 1))
