--- a/proofs/hosted/soak_check_test.go
+++ b/proofs/hosted/soak_check_test.go
@@ -81,8 +81,8 @@
 	return answer{status: got.StatusCode, header: got.Header, body: string(text), err: err}
 }
 
-// checkRecovery ends the remaining faults and waits until everything is served again. It then checks
-// the rates that servers state, and that they leave or ask for pauses, stops the callers, checks the quarantines, and waits until no result is
+// checkRecovery ends the remaining faults and waits until everything is served again. It then checks that nothing
+// older comes back with a restored store, the rates that servers state, and that they leave or ask for pauses, stops the callers, checks the quarantines, and waits until no result is
 // held and no request is running.
 func (s *soak) checkRecovery() {
 	for _, r := range s.relays {
@@ -114,6 +114,7 @@
 		}
 	}
 	s.drainOtherEngines()
+	s.checkRestore()
 	s.checkRates()
 	s.checkClosures()
 	close(s.stop)
--- a/proofs/hosted/soak_faults_test.go
+++ b/proofs/hosted/soak_faults_test.go
@@ -46,6 +46,8 @@
 	losses map[int][]timeRange
 	// draining holds the time since which a server drains, by its ID.
 	draining map[string]time.Time
+	// restoring is set while restoreStore runs.
+	restoring bool
 }
 
 // soakEventInterval lets streams last so long that many of them are under way when a fault begins.
@@ -114,7 +116,7 @@
 		go s.runStreamCaller(n)
 	}
 	faults := []func(){
-		s.freezeIngress, s.killIngress, s.restartIngress, s.failStore, s.changeConfig, s.crashServer, s.setServerFaults, s.drainServer, s.disruptLink, s.disruptLink, s.limitServer, s.leaveServer, s.pauseServer, s.updateEngine, s.killIngresses, s.refuseRequests, s.killWhileRefused,
+		s.freezeIngress, s.killIngress, s.restartIngress, s.failStore, s.changeConfig, s.crashServer, s.setServerFaults, s.drainServer, s.disruptLink, s.disruptLink, s.limitServer, s.leaveServer, s.pauseServer, s.updateEngine, s.killIngresses, s.refuseRequests, s.killWhileRefused, s.restoreStore, s.restoreStore,
 	}
 	deadline := time.Now().Add(duration)
 	running := sync.WaitGroup{}
