--- a/spec/check.sh
+++ b/spec/check.sh
@@ -34,8 +34,9 @@
 		holds|drain|one instance, two senders, two stops, a return|
 		holds|attempt|a request that may run once, three servers|
 		holds|attempt|an idempotent request, three servers|-DIDEMPOTENT
-		holds|feed|two that watch, a follower, 3 faults|
-		holds|feed|two that watch, a follower, 5 faults, 3 changes|-DFAULTS=5 -DCHANGES=3
+		holds|feed|two that watch, a follower, 3 faults, a restore|
+		holds|feed|two that watch, a follower, 2 faults, 3 changes, 2 restores|-DFAULTS=2 -DCHANGES=3 -DRESTORES=2
+		holds|feed|two that watch, a follower, 5 faults, 3 changes|-DFAULTS=5 -DCHANGES=3 -DRESTORES=0
 		holds|evacuate|one that places, one that sends, 3 changes, 3 faults|
 		holds|limit|two ingresses learn of a limit, 3 changes, 2 faults|
 		holds|limit|two ingresses learn of a limit, 5 changes, 4 faults|-DCHANGES=5 -DFAULTS=4
@@ -75,6 +76,9 @@
 		mutant|feed|an older record takes the place of a newer one|-DMUTANT_ANY_REVISION
 		mutant|feed|a source that the store does not answer is kept|-DMUTANT_NO_AGE
 		mutant|feed|nobody reads for itself|-DMUTANT_NEVER_READS
+		mutant|feed|a watch goes by numbers without their era|-DMUTANT_READ_BY_NUMBER
+		mutant|feed|ingresses compare numbers without their era|-DMUTANT_PEERS_BY_NUMBER
+		mutant|feed|what a restored store lacks is in force no longer|-DMUTANT_NO_HOLDS
 		mutant|lease|no wait for the old lease|-DIGNORES -DPROCESSES=2 -DMUTANT_NO_OBSERVED_WAIT
 		mutant|lease|no wait for the longest order|-DIGNORES -DPROCESSES=2 -DMUTANT_NO_ORDER_WAIT
 		mutant|lease|the holder does not look at the clock|-DIGNORES -DPROCESSES=2 -DMUTANT_NO_CLOCK
