--- a/ingress/services/mesh/fleet_test.go
+++ b/ingress/services/mesh/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -13,6 +14,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"verbenaroad.example/ingress/services/mesh"
 	"verbenaroad.example/ingress/services/state"
@@ -150,6 +152,9 @@
 // errLeaseGone is never returned, because no lease ends in these tests.
 var errLeaseGone = errors.New("the lease has ended")
 
+// errHistoryGone is returned to a watch of an earlier era.
+var errHistoryGone = errors.New("the history is gone")
+
 // sharedRecords are the records of the platform's store, which all instances share.
 type sharedRecords struct {
 	lock     sync.Mutex
@@ -177,6 +182,25 @@
 	r.changed.Broadcast()
 }
 
+// backup returns the records, and the revision that they had reached.
+func (r *sharedRecords) backup() (map[string]site.Record, site.Revision) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return maps.Clone(r.all), r.revision
+}
+
+// restore goes back to a backup, in a new era.
+func (r *sharedRecords) restore(all map[string]site.Record, revision site.Revision) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.revision = site.Revision{Era: r.revision.Era + 1, Number: revision.Number}
+	r.all = map[string]site.Record{}
+	for key, rec := range all {
+		rec.Revision.Era = r.revision.Era
+		r.all[key] = rec
+	}
+}
+
 func (r *sharedRecords) since(revision site.Revision) ([]site.Record, site.Revision) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -234,6 +258,9 @@
 	s.lock.Unlock()
 	for ends := time.Now().Add(wait); ; {
 		found, at := s.since(after)
+		if at.Era != after.Era {
+			return nil, site.Revision{}, errHistoryGone
+		}
 		if len(found) > 0 || time.Now().After(ends) {
 			return found, at, s.receive(ctx, found)
 		}
@@ -274,8 +301,10 @@
 
 // fleet is a set of ingresses that reach each other and the store over their links.
 type fleet struct {
-	t         *testing.T
-	log       *zap.Logger
+	t   *testing.T
+	log *zap.Logger
+	// lines are the log lines of all instances.
+	lines     *observer.ObservedLogs
 	records   *sharedRecords
 	regions   map[string]string
 	instances []*instance
@@ -301,8 +330,9 @@
 // newFleetOn returns a fleet on a network; nil: over TCP.
 func newFleetOn(t *testing.T, network *memoryNetwork, regions map[string]string, rates []linkRate) *fleet {
 	t.Helper()
+	core, lines := observer.New(zap.InfoLevel)
 	f := &fleet{
-		t: t, log: zap.NewNop(), records: newSharedRecords(), regions: regions, network: network,
+		t: t, log: zap.New(core), lines: lines, records: newSharedRecords(), regions: regions, network: network,
 		inbound: map[string]netip.AddrPort{}, outbound: map[string]netip.AddrPort{},
 	}
 	for number, rate := range rates {
@@ -337,7 +367,7 @@
 	i.puller = &mesh.Puller{Mesh: i.mesh, Book: i.book, Log: log}
 	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
 		Mesh: i.mesh, Book: i.book, Puller: i.puller, Self: i.self, Regions: f.regions, LeaseTTL: leaseTTL, IsLeaving: isLeaving, Log: log,
-		Reader: &state.Reader{Book: i.book, Store: f.newStore(i), Name: name, Domain: rate.domain, Wait: 4 * time.Second, Log: log},
+		Reader: &state.Reader{Book: i.book, Store: f.newStore(i), Name: name, Domain: rate.domain, Wait: 4 * time.Second, HistoryGone: errHistoryGone, Log: log},
 	})
 	i.puller.Feed = i.feeder
 	i.server = peers.NewServerOn(f.listen(), peers.Options{Link: options, Handler: &mesh.Handler{Feeder: i.feeder, Log: log}, Log: log})
