--- a/share/decide/budget/budget_test.go
+++ b/share/decide/budget/budget_test.go
@@ -114,6 +114,32 @@
 	})
 }
 
+// Guards against an ingress that has just spent its whole part when it is restarted, does not learn of it, and spends
+// as much again within the window.
+func TestRestartAfterAllIsSpentStaysWithinBound(t *testing.T) {
+	const step, perWindow = 10 * time.Millisecond, 1000
+	now := time.Unix(0, 0)
+	b := budget.NewBudget(settings, time.Time{})
+	requests, retries := 0, 0
+	for n := range 2*perWindow - 1 {
+		if n == perWindow {
+			for takeRetry(b, now, 1) {
+				retries++
+			}
+			b = budget.NewBudget(settings, now)
+		}
+		now = now.Add(step)
+		b.CountRequest(now)
+		requests++
+		for n >= perWindow && takeRetry(b, now, 1) {
+			retries++
+		}
+	}
+	if limit := settings.Ratio*float64(requests)/2 + settings.Slack; float64(retries) > limit {
+		t.Fatalf("%d retries within a window; allowed are %g", retries, limit)
+	}
+}
+
 // checkBound checks the retries in each window. The requests are those of the window, of the one before it
 // or of the one half a window before it, whichever are most.
 func checkBound(t *rapid.T, requests, retries []time.Time) {
