--- a/ingress/services/mesh/deltas.go
+++ b/ingress/services/mesh/deltas.go
@@ -140,17 +140,18 @@
 	}
 }
 
-// asked is what a wire.Sync or a wire.Follow states of the copy of its sender.
-type asked interface {
+// reached is what a message states of the copy of its sender: a wire.Sync or a wire.Follow of the one that lacks
+// records, wire.Records of the one that sends them.
+type reached interface {
 	GetAt() uint64
 	GetEra() uint64
 	GetEarlier() uint64
 	GetEarlierEra() uint64
 }
 
-func decodeAsked(a asked) mirror.Extent {
+func decodeReached(r reached) mirror.Extent {
 	return mirror.Extent{
-		CompleteRevision: site.Revision{Era: a.GetEra(), Number: a.GetAt()},
-		EarlierRevision:  site.Revision{Era: a.GetEarlierEra(), Number: a.GetEarlier()},
+		CompleteRevision: site.Revision{Era: r.GetEra(), Number: r.GetAt()},
+		EarlierRevision:  site.Revision{Era: r.GetEarlierEra(), Number: r.GetEarlier()},
 	}
 }
--- a/ingress/services/mesh/serve.go
+++ b/ingress/services/mesh/serve.go
@@ -71,14 +71,14 @@
 		if frame.GetSync().GetAt() == 0 {
 			h.Feeder.awaitSnapshot(ctx)
 		}
-		records := h.Feeder.encodeSince(decodeAsked(frame.GetSync()))
+		records := h.Feeder.encodeSince(decodeReached(frame.GetSync()))
 		h.answer(stream, &wire.Frame{Body: &wire.Frame_Records{Records: records}})
 	case frame.GetFollow() != nil:
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		w := watcher{reader: reader, cancel: cancel}
 		go w.run()
-		h.Feeder.ServeFollower(ctx, stream, decodeAsked(frame.GetFollow()))
+		h.Feeder.ServeFollower(ctx, stream, decodeReached(frame.GetFollow()))
 	case frame.GetProduce() != nil:
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
