mirror: what a full delta of an earlier era lacks was deleted before

Cause: the ingress asked two others which were still in the earlier era, 12 and 20 ms before they noticed the restore. Their answer was a full delta of that era, in which the registration is only missing, and the ingress took what the copy held. Now a record that is missing there and whose number the sender had reached counts as deleted, as in a copy of its own; the same for a late listing of the earlier era.

The new test failed before.

--- a/share/decide/mirror/era_test.go
+++ b/share/decide/mirror/era_test.go
@@ -336,3 +336,21 @@
 	m.Merge([]site.Record{versionRecord(3, 57, 1)}) // written again
 	is.Equal(len(m.List()), 1)
 }
+
+// Guards against a deleted record that is in force at a copy which starts with what a restored store holds, and asks
+// one that has not noticed the restore: in the full delta of that one it is only missing.
+func TestDeletedRecordIsMissingInADeltaOfAnEarlierEra(t *testing.T) {
+	is := is.New(t)
+	options := mirror.Options{IsWanted: func(string) bool { return true }, Policy: keepAll{}}
+	asked, asking := mirror.NewMirror(options), mirror.NewMirror(options)
+	other := site.Record{Key: "b", Value: []byte("1"), Revision: site.Revision{Era: 1, Number: 21}}
+	asked.ApplyListing(start, []site.Record{versionRecord(1, 20, 1), other}, site.Revision{Era: 1, Number: 50})
+	asked.Apply([]site.Record{{Key: "a", Revision: site.Revision{Era: 1, Number: 60}, Deleted: true}}, site.Revision{Era: 1, Number: 60})
+	other.Revision.Era = 2
+	asking.ApplyListing(start, []site.Record{versionRecord(2, 20, 1), other}, site.Revision{Era: 2, Number: 30})
+	delta := asked.Since(start, asking.Extent())
+	is.True(delta.Full)
+	asking.ApplyDelta(start, delta)
+	is.Equal(asking.List(), []site.Record{other})
+	is.True(!asked.Extent().IsAheadOf(asking.Extent()))
+}
--- a/share/decide/mirror/hold.go
+++ b/share/decide/mirror/hold.go
@@ -80,10 +80,7 @@
 			continue
 		}
 		keys = append(keys, key)
-		if r.Revision.Number <= complete.Number {
-			// The copy was complete without the record: it was deleted before, or written since.
-			m.mergeEarlier(site.Record{Key: key, Revision: complete, Deleted: true})
-		}
+		m.mergeAbsence(r, complete)
 	}
 	slices.Sort(keys)
 	for _, key := range keys {
@@ -102,6 +99,30 @@
 	return before
 }
 
+// mergeEarlierListing applies a full listing of an earlier era, and the holds of its sender.
+func (m *Mirror) mergeEarlierListing(records, holds []site.Record, revision site.Revision) (changed []site.Record) {
+	changed = m.Merge(records)
+	listed := make(map[string]bool, len(records)+len(holds))
+	for _, r := range slices.Concat(records, holds) {
+		listed[r.Key] = true
+	}
+	for key, r := range m.records {
+		if !listed[key] && !r.Deleted && r.Revision.Era == m.completeRevision.Era {
+			changed = m.append(changed, key, func() { m.mergeAbsence(r, revision) })
+		}
+	}
+	return changed
+}
+
+// mergeAbsence processes that a copy of an earlier era, which was complete up to a revision, lacked a record of the
+// present one. If it had reached the record's number, the record was deleted before that, or written since the
+// restore.
+func (m *Mirror) mergeAbsence(r site.Record, complete site.Revision) {
+	if r.Revision.Number <= complete.Number {
+		m.mergeEarlier(site.Record{Key: r.Key, Revision: complete, Deleted: true})
+	}
+}
+
 // mergeEarlier applies a record of an earlier era.
 func (m *Mirror) mergeEarlier(earlier site.Record) {
 	if h, held := m.holds[earlier.Key]; held && !m.outranks(earlier, h.record) {
--- a/share/decide/mirror/mirror.go
+++ b/share/decide/mirror/mirror.go
@@ -117,7 +117,11 @@
 	changed = m.lowerBase(d.EraBase)
 	switch {
 	case d.CompleteRevision.Era < m.completeRevision.Era:
-		changed = append(changed, m.Merge(d.Records)...)
+		if d.Full {
+			changed = append(changed, m.mergeEarlierListing(d.Records, d.Holds, d.CompleteRevision)...)
+		} else {
+			changed = append(changed, m.Merge(d.Records)...)
+		}
 		m.earlierRevision = m.earlierRevision.Latest(d.CompleteRevision)
 	case d.Full:
 		changed = append(changed, m.applyListing(now.Add(-d.EraAge), d.Records, d.CompleteRevision, d.EraBase)...)
@@ -247,7 +251,10 @@
 // applyListing applies a full listing. If it is of a later era, base is the lowest revision at which the store
 // was listed in that era, which was first noticed at the given time.
 func (m *Mirror) applyListing(noticedAt time.Time, records []site.Record, revision, base site.Revision) (changed []site.Record) {
-	if revision.Era > m.completeRevision.Era || m.completeRevision.IsZero() {
+	switch {
+	case revision.Era < m.completeRevision.Era:
+		return m.mergeEarlierListing(records, nil, revision)
+	case revision.Era > m.completeRevision.Era || m.completeRevision.IsZero():
 		return m.beginEra(noticedAt, records, revision, base)
 	}
 	changed = m.Merge(records)
