state, alive: a server that left before a restore is not kept as one whose registration expired

Cause: registrations that end within 0.7 s after an outage count as expired in it, and their servers are kept for a while. The end that others told the ingress of is of the earlier era: it was seen while the store still answered. Now such an end removes the server at once.

The new test failed before.

--- a/ingress/services/state/apply.go
+++ b/ingress/services/state/apply.go
@@ -125,7 +125,7 @@
 func (b *Book) applyServer(r site.Record, source string) {
 	id := b.options.Codec.ServerID(r.Key)
 	if r.Deleted {
-		kept := b.servers.Remove(id, time.Now())
+		kept := b.removeServer(id, r.Revision)
 		b.options.Log.Info("server-removed", zap.String("server", id), zap.Stringer("revision", r.Revision),
 			zap.String("source", source), zap.Bool("kept-for-now", kept))
 		return
@@ -146,6 +146,16 @@
 		zap.Stringer("revision", r.Revision), zap.String("source", source))
 }
 
+// removeServer handles the end of a registration. It returns true if the server is kept for now. An end of an
+// earlier era was seen while the store answered, so that it is no expiry caused by an outage.
+func (b *Book) removeServer(id string, revision site.Revision) (kept bool) {
+	if revision.Era < b.records.CompleteRevision().Era {
+		b.servers.Drop(id)
+		return false
+	}
+	return b.servers.Remove(id, time.Now())
+}
+
 func (b *Book) applyIngress(r site.Record) {
 	name := b.options.Codec.IngressName(r.Key)
 	if r.Deleted {
--- a/ingress/services/state/hold_test.go
+++ b/ingress/services/state/hold_test.go
@@ -10,6 +10,7 @@
 
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/platform/record"
+	"verbenaroad.example/share/decide/mirror"
 	"verbenaroad.example/share/models/site"
 )
 
@@ -93,6 +94,21 @@
 	}
 }
 
+// Guards against a server that left before a restore, and that an ingress which started in the outage keeps as one
+// whose registration has expired in it.
+func TestServerThatLeftIsNotKeptAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	const key = "servers/n"
+	left := site.Record{Key: key, Value: []byte(newServerValue(7, 9, "ready")), Revision: site.Revision{Era: 1, Number: 91}, Deleted: true}
+	b := state.NewBook(state.Options{Codec: record.Codec{}, Log: zap.NewNop()})
+	b.SetDirect(true)
+	b.ObserveWatchFailure(time.Now().Add(-2*time.Second), errGone)
+	b.ApplyListing([]site.Record{inEra(2, 60, key, newServerValue(7, 9, "ready"))}, site.Revision{Era: 2, Number: 80})
+	b.ObserveWatchAnswer()
+	b.ApplyDelta(mirror.Delta{Holds: []site.Record{left}, CompleteRevision: site.Revision{Era: 2, Number: 80}, EarlierRevision: left.Revision})
+	is.Equal(len(b.View().Servers["s"]), 0)
+}
+
 // Guards against what is held for a server staying in force for ever: the server itself, which is gone, or its end,
 // while it is alive and has nothing to write again.
 func TestHoldsOfServersExpire(t *testing.T) {
--- a/share/decide/alive/alive.go
+++ b/share/decide/alive/alive.go
@@ -76,6 +76,9 @@
 	return false
 }
 
+// Drop removes a server that is known to have left before any outage.
+func (s *Set) Drop(id string) { delete(s.servers, id) }
+
 // mayHaveExpired reports whether a removal may be an expiry caused by an outage.
 func (s *Set) mayHaveExpired(now time.Time) bool {
 	return s.isInOutage(now) || s.hasRecoveredWithin(now, ExpiryWindow)
