--- a/proofs/hosted/soak_test.go
+++ b/proofs/hosted/soak_test.go
@@ -16,6 +16,9 @@
 	envSeed   = "VERBENA_SOAK_SEED"
 	envLength = "VERBENA_SOAK_LENGTH"
 
+	// parallelSeeds is how many seeds run at the same time. Most of their time they wait.
+	parallelSeeds = 2
+
 	// defaultLength is how long faults are injected with each seed if envLength is unset, as in CI.
 	defaultLength = 4 * time.Second
 )
@@ -47,8 +50,12 @@
 	for i := range count {
 		seeds = append(seeds, first+i)
 	}
+	slots := make(chan struct{}, parallelSeeds)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
 			s := newSoak(t, seed)
 			s.injectFaults(length)
 			s.checkRecovery()
