--- a/fakes/services/hosted/restore.go
+++ b/fakes/services/hosted/restore.go
@@ -44,13 +44,6 @@
 	s.changed.Broadcast()
 }
 
-// StateEra makes a store that was never restored state its era.
-func (s *Store) StateEra() {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.era = max(s.era, 1)
-}
-
 // setEra adds the present era to the headers of an answer. The caller holds the lock.
 func (s *Store) setEra(w http.ResponseWriter) {
 	if s.era > 0 {
