--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -38,10 +38,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	c.journal.add("sent      %s to %s: %s %s", one.attempt, to.name, method, path)
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+to.callers+path, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+to.callers+"/", strings.NewReader(body))
 	if err != nil {
 		fail("request: %v", err)
 	}
+	request.URL.Path = path // in the request line as it is, with all its slashes
 	request.Host = host
 	request.Header.Set("X-Verbenaroad-Attempt-Id", one.attempt)
 	request.Header.Set("X-Verbenaroad-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
