--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -33,6 +33,8 @@
 	ttls      map[uint64]time.Duration
 	lastLease uint64
 	address   string
+	// silent is set while the store answers nothing: calls that begin or wait then are never answered.
+	silent bool
 	// isLate, if set, reports whether the answer to a write is lost, and the write is done lateBy later.
 	isLate func(keys []string) bool
 	lateBy time.Duration
@@ -85,6 +87,27 @@
 	}
 }
 
+// setSilent begins or ends an outage.
+func (s *store) setSilent(silent bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.silent = silent
+	s.changed.Broadcast()
+}
+
+func (s *store) isSilent() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.silent
+}
+
+// awaitUp waits until there is no outage.
+func (s *store) awaitUp() {
+	for s.isSilent() {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // put writes a record as the operator and the replicas do. When it returns, the store has acknowledged it.
 func (s *store) put(key string, value any) {
 	encoded, err := json.Marshal(value)
@@ -121,6 +144,10 @@
 // ServeHTTP serves the calls of the ingresses.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeDelay)
+	if s.isSilent() {
+		<-r.Context().Done()
+		return
+	}
 	path := r.URL.Path
 	switch {
 	case path == "/api/kv-key":
@@ -195,6 +222,12 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	for {
+		if s.silent {
+			s.lock.Unlock()
+			<-r.Context().Done()
+			s.lock.Lock()
+			return
+		}
 		events := []item{}
 		for _, i := range s.history {
 			if i.Revision > after && strings.HasPrefix(i.Key, q.Get("Prefix")) {
