--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,7 +22,7 @@
 		fail("interrupted")
 	}()
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*journal, bool) bool{"silent": playSilent, "late": playLate, "slashes": playSlashes, "unheard": playUnheard}
+	cases := map[string]func(*journal, bool) bool{"silent": playSilent, "late": playLate, "slashes": playSlashes, "unheard": playUnheard, "poison": playPoison}
 	play, known := cases[os.Args[1]]
 	if !known {
 		fail("no case %q", os.Args[1])
--- a/review/stand/unheard.go
+++ b/review/stand/unheard.go
@@ -16,7 +16,7 @@
 
 const (
 	// The outage of the store, and when the replicas crash in it. Each is back downTime later.
-	outageTime  = 8 * time.Second
+	outageTime  = 6500 * time.Millisecond
 	firstCrash  = 500 * time.Millisecond
 	secondCrash = 3500 * time.Millisecond
 	downTime    = 700 * time.Millisecond
