--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -19,6 +19,7 @@
 	"again": runAgain,
 	"steps": runSteps,
 	"count": runCount,
+	"twin":  runTwin,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand-2/replica.go
+++ b/review/stand-2/replica.go
@@ -39,6 +39,8 @@
 	server *listener
 
 	lock     sync.Mutex
+	// limit is the Server-Limit that the replica names in its answers; 0: none.
+	limit    float64
 	born     int64
 	sequence int
 	// listed is set while the replica keeps its entry in the store.
@@ -163,6 +165,11 @@
 		return
 	}
 	w.Header().Set("X-Verbenaroad-Replica-Signature", "3e1b."+id)
+	p.lock.Lock()
+	if p.limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(p.limit, 'f', -1, 64))
+	}
+	p.lock.Unlock()
 	if p.events > 0 {
 		p.stream(w, r)
 		return
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -23,6 +23,7 @@
 // store is a stand-in for the platform's store. It keeps its whole history and is always sound.
 type store struct {
 	server *listener
+	log    func(format string, args ...any)
 
 	lock      sync.Mutex
 	changed   chan struct{}
@@ -32,6 +33,8 @@
 	leases    map[uint64]time.Time
 	ttls      map[uint64]time.Duration
 	lastLease uint64
+	// late is how much later writes are done, without an answer; 0: at once, with an answer.
+	late time.Duration
 }
 
 // storeEra is the era that the store states; it was never restored since.
@@ -228,40 +231,73 @@
 }
 
 func (s *store) serveWrite(w http.ResponseWriter, r *http.Request) {
-	body := struct {
-		ExpectedRevision []record
-		SetKeys          []record
-		Remove           []string
-	}{}
+	body := change{}
 	if json.NewDecoder(r.Body).Decode(&body) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	s.lock.Lock()
+	late := s.late
+	s.lock.Unlock()
+	if late > 0 {
+		s.log("store: a write of %s is not answered, and done in %v", describe(body), late)
+		time.AfterFunc(late, func() {
+			status, _ := s.commit(body)
+			s.log("store: the write of %s is done: %d", describe(body), status)
+		})
+		<-r.Context().Done()
+		return
+	}
+	status, answer := s.commit(body)
+	reply(w, status, answer)
+}
+
+// change is the body of a write.
+type change struct {
+	ExpectedRevision []record
+	SetKeys          []record
+	Remove           []string
+}
+
+func describe(c change) string {
+	words := []string{}
+	for _, e := range c.SetKeys {
+		words = append(words, e.Key+" = "+string(e.Value))
+	}
+	return strings.Join(append(words, c.Remove...), ", ")
+}
+
+// setLate has the store answer no further write, and do it later by the given time; 0 ends that.
+func (s *store) setLate(late time.Duration) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	for _, e := range body.ExpectedRevision {
+	s.late = late
+}
+
+// commit makes a change as a whole, if its conditions hold.
+func (s *store) commit(c change) (status int, answer any) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, e := range c.ExpectedRevision {
 		if s.items[e.Key].Revision != e.Revision {
-			reply(w, http.StatusPreconditionFailed, map[string]any{"Items": []record{s.items[e.Key]}})
-			return
+			return http.StatusPreconditionFailed, map[string]any{"Items": []record{s.items[e.Key]}}
 		}
 	}
-	for _, e := range body.SetKeys {
+	for _, e := range c.SetKeys {
 		if _, live := s.leases[e.Lease]; e.Lease != 0 && !live {
-			w.WriteHeader(http.StatusNotFound)
-			return
+			return http.StatusNotFound, map[string]any{}
 		}
 		if strings.HasPrefix(e.Key, "op/") || strings.HasPrefix(e.Key, "servers/") {
-			w.WriteHeader(http.StatusForbidden)
-			return
+			return http.StatusForbidden, map[string]any{}
 		}
 	}
-	for _, e := range body.SetKeys {
+	for _, e := range c.SetKeys {
 		s.write(e.Key, e.Value, e.Lease)
 	}
-	for _, key := range body.Remove {
+	for _, key := range c.Remove {
 		s.drop(key)
 	}
-	reply(w, http.StatusOK, map[string]any{"Revision": s.revision})
+	return http.StatusOK, map[string]any{"Revision": s.revision}
 }
 
 func (s *store) serveGrant(w http.ResponseWriter, r *http.Request) {
--- a/review/stand-2/swap.go
+++ b/review/stand-2/swap.go
@@ -13,10 +13,10 @@
 func runSwap(w *world) (broken string, err error) {
 	const (
 		streams = 8
-		events  = 24
+		events  = 48
 		pause   = 250 * time.Millisecond
 		// serveOn is how long the first replica serves after its entry was removed.
-		serveOn = 8 * time.Second
+		serveOn = 14 * time.Second
 	)
 	first, err := w.addReplica(&replica{id: "i-first", service: "models", zone: "z1", version: "7.1", events: events, pause: pause})
 	if err != nil {
@@ -50,7 +50,7 @@
 		return "", err
 	}
 	w.log("replica i-second of version 7.2 is registered")
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(3 * time.Second)
 	if w.trouble {
 		if err := w.restartAll(time.Second); err != nil {
 			return "", err
--- a/review/stand-2/world.go
+++ b/review/stand-2/world.go
@@ -38,7 +38,10 @@
 	if w.folder, err = os.MkdirTemp("", "review-2-"); err != nil {
 		return nil, err
 	}
-	w.store, err = newStore()
+	if w.store, err = newStore(); err != nil {
+		return nil, err
+	}
+	w.store.log = w.log
 	w.log("begins; disruption: %v", trouble)
 	return w, err
 }
