--- a/review/stand-2/replica.go
+++ b/review/stand-2/replica.go
@@ -38,7 +38,7 @@
 	world  *world
 	server *listener
 
-	lock     sync.Mutex
+	lock sync.Mutex
 	// limit is the Server-Limit that the replica names in its answers; 0: none.
 	limit    float64
 	born     int64
