--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -20,6 +20,7 @@
 	"steps": runSteps,
 	"count": runCount,
 	"twin":  runTwin,
+	"both":  runBoth,
 	"parts": runParts,
 }
 
--- a/review/stand-2/pool.go
+++ b/review/stand-2/pool.go
@@ -10,6 +10,7 @@
 // servePool makes pieces of stages, one call after the other, or gives up their results.
 func (p *replica) servePool(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/api/stage-free" {
+		p.nameLimit(w)
 		reply(w, http.StatusOK, map[string]any{})
 		return
 	}
@@ -18,9 +19,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	p.nameLimit(w)
 	p.lock.Lock()
-	defer p.lock.Unlock()
+	p.ran = append(p.ran, arrival{path: r.URL.Path, replica: p.id, at: time.Now()})
+	p.lock.Unlock()
+	p.turn.Lock()
+	defer p.turn.Unlock()
 	time.Sleep(p.work)
+	p.lock.Lock()
+	defer p.lock.Unlock()
 	results := []map[string]string{}
 	for range call.Items {
 		p.handles++
--- a/review/stand-2/replica.go
+++ b/review/stand-2/replica.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -48,6 +49,8 @@
 	stopped bool
 	ran     []arrival
 	handles int
+	// turn is held by the call that is being worked on.
+	turn sync.Mutex
 }
 
 // start listens and registers.
@@ -144,7 +147,7 @@
 		w.Header().Set("X-Verbenaroad-Replica-Id", p.id)
 		return
 	}
-	if p.batch > 0 {
+	if p.batch > 0 && strings.HasPrefix(r.URL.Path, "/api/stage-") {
 		p.servePool(w, r)
 		return
 	}
@@ -165,11 +168,7 @@
 		return
 	}
 	w.Header().Set("X-Verbenaroad-Replica-Signature", "3e1b."+id)
-	p.lock.Lock()
-	if p.limit > 0 {
-		w.Header().Set("Server-Limit", strconv.FormatFloat(p.limit, 'f', -1, 64))
-	}
-	p.lock.Unlock()
+	p.nameLimit(w)
 	if p.events > 0 {
 		p.stream(w, r)
 		return
@@ -182,6 +181,15 @@
 	_, _ = fmt.Fprintf(w, "%s answers %s", p.id, id)
 }
 
+// nameLimit names the limit of the replica in an answer, if it has one.
+func (p *replica) nameLimit(w http.ResponseWriter) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(p.limit, 'f', -1, 64))
+	}
+}
+
 // stream sends the events after Last-Event-Id. Each event names the version that made it.
 func (p *replica) stream(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
