--- a/review/stand-2/both.go
+++ b/review/stand-2/both.go
@@ -52,19 +52,19 @@
 		w.log("all replicas of the desks name Server-Limit: %g from now on", limit)
 	}
 	w.pressBoth(services, period, contactTime+3*window)
-	if !w.trouble {
-		return "", nil
-	}
 	allowed := int(1.5*limit*window.Seconds()) + 5
 	worst, where := 0, ""
 	for _, p := range replicas {
 		n := busiest(p.listRan(), named.Add(contactTime), window)
-		w.log("replica %s: %d requests and calls in its busiest 4 s; allowed are %d", p.id, n, allowed)
+		w.log("replica %s: %d requests and calls in its busiest 4 s; allowed with a limit are %d", p.id, n, allowed)
+		if !w.trouble && n <= allowed {
+			return "", fmt.Errorf("without a limit %s gets %d requests and calls in 4 s, so that its limit would bind nothing", p.id, n)
+		}
 		if n > worst {
 			worst, where = n, p.id
 		}
 	}
-	if worst > allowed {
+	if w.trouble && worst > allowed {
 		return fmt.Sprintf("LIMIT: %s got %d requests and calls in 4 s, of %d that its limit allows", where, worst, allowed), nil
 	}
 	return "", nil
