origin, builds: the versions in use are recorded before streams begin there

Cause: a starting ingress took two absences for evidence. That no other version is registered now, and that the store holds no mark of a service with several versions, counted as proof that there had been one only. The mark was written only while two versions were registered at once, and nothing waited for it.

Fix: an inventory of the versions in use, one record in the store. A stream that may be taken up begins at a version only once the inventory names it (or a second later, at an ingress that is registered). It states whether its writer knew all versions, and in which era of the store; a version leaves it only after it was observed, without a silence of the store, to be gone for as long as streams may be taken up. An ingress that starts trusts a complete one only, and adds what it sees. So a missing version was not in use, and a missing record tells nothing.

On related paths: a caller that does not state its attempt, one other ingress that answers, and a silence of the store counted as news or observation too.

The ingresses' lines said known-by=only-version without any versions-mark. The deployments of the hosted tests wait for the inventory, so that TestStreamDoesNotGoOnAtAnEngineThatWasUpdatedUnheard still breaks off streams that have begun (known red).

--- a/ingress/services/flow/origin.go
+++ b/ingress/services/flow/origin.go
@@ -22,7 +22,7 @@
 	o := x.server.options.Origins.Find(ctx, x.Resumes, x.listServices())
 	x.log.Info("resume-requested", zap.String("resumes", x.Resumes), zap.String("last-event", x.LastEventID),
 		zap.String("began-at", o.Software.Version), zap.String("known-by", string(o.Source)), zap.String("held-by", o.HeldBy),
-		zap.Bool("may-be-held", o.MayBeHeld), zap.Duration("took", time.Since(began)))
+		zap.Bool("may-be-held", o.MayBeHeld), zap.Duration("age", o.Age), zap.Duration("took", time.Since(began)))
 	if o.Source == origin.SourceNone {
 		result := codes.NewResult(codes.OriginUnknown, "no ingress that answered knows the origin of the stream")
 		if o.MayBeHeld {
@@ -57,6 +57,20 @@
 	return x.AttemptID
 }
 
+// awaitRecorded waits until the version of the reserved engine is recorded, if the stream may be taken up. It
+// returns the result with which the request ends if the stream may not begin there.
+func (x *exchange) awaitRecorded(ctx context.Context) (waited bool, result *codes.Result) {
+	if !x.route.Resumable {
+		return false, nil
+	}
+	server := x.reservedServer()
+	waited, err := x.server.options.Origins.AwaitRecorded(ctx, server.Software())
+	if err != nil {
+		result = codes.NewResult(codes.NotReady, err.Error()).WithRetryAfter(originRetryAfter)
+	}
+	return waited, result
+}
+
 // recordBegun records that a server begins the answer. The stream may go on only at its software.
 func (x *exchange) recordBegun(server *site.Server) {
 	if x.software == nil {
--- a/ingress/services/flow/origin_test.go
+++ b/ingress/services/flow/origin_test.go
@@ -19,6 +19,19 @@
 	services []string
 	begun    map[string]site.Software
 	complete []string
+	// notRecorded is the error with which no stream may begin. While awaited is not nil, it is called in place
+	// of a wait.
+	notRecorded error
+	awaited     func()
+}
+
+func (o *fakeOrigins) AwaitRecorded(context.Context, site.Software) (bool, error) {
+	if o.awaited == nil {
+		return false, o.notRecorded
+	}
+	o.awaited()
+	o.awaited = nil
+	return true, o.notRecorded
 }
 
 func (o *fakeOrigins) RecordBegun(attempt string, software site.Software, _ time.Time) {
@@ -112,3 +125,35 @@
 		}
 	}
 }
+
+// Guards against a stream that begins at a software version which is not recorded, although nothing would tell
+// of it after the loss of all ingresses.
+func TestNewStreamBeginsOnlyAtARecordedVersion(t *testing.T) {
+	is := is.New(t)
+	route := newResumableRoute()
+	s := &deployment{view: newView(1, route, newVersionedEngine("n", "v2")), origins: fakeOrigins{notRecorded: origin.ErrNotRecorded}}
+	got := s.serve(route)
+	is.Equal(got.Code, http.StatusServiceUnavailable)
+	is.True(got.Header().Get("Retry-After") != "")
+	is.Equal(len(s.sentTo), 0)
+	route.Resumable = false
+	s.view = newView(1, route, newVersionedEngine("n", "v2"))
+	is.Equal(s.serve(route).Code, http.StatusOK) // nobody takes it up
+}
+
+// Guards against a request that is sent to the engine that was reserved for it, although that has left, or has
+// started again with other software, while its version was being recorded.
+func TestEngineIsChosenAgainAfterTheWaitForTheRecord(t *testing.T) {
+	is := is.New(t)
+	route := newResumableRoute()
+	s := &deployment{
+		view: newView(1, route, newVersionedEngine("n", "v2")), resumes: "first", lastEventID: "3",
+		origins: fakeOrigins{found: knownOrigin("engines", "v2")},
+	}
+	s.origins.awaited = func() {
+		s.view = newView(1, route, newVersionedEngine("n", "v3"), newVersionedEngine("s", "v2"))
+		s.placer.SetView(s.view)
+	}
+	is.Equal(s.serve(route).Code, http.StatusOK)
+	is.Equal(s.sentTo, []string{"s"})
+}
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -214,6 +214,13 @@
 		if result := r.prepare(ctx); result != nil {
 			return r.endStream(result)
 		}
+		waited, result := r.awaitRecorded(ctx)
+		if result != nil {
+			return r.endStream(result)
+		}
+		if waited && !r.isReservationUsable() {
+			continue
+		}
 		// The request may have been quarantined while the results were produced, because it
 		// crashed servers when sent by other ingresses.
 		if quarantined := r.refuseQuarantined(); quarantined != nil {
--- a/ingress/services/origin/origin.go
+++ b/ingress/services/origin/origin.go
@@ -1,6 +1,6 @@
 // Package origin knows which software began each stream that may be taken up: the ingress that began it has
 // written a memo, which outlives it. Without a memo it is known while the servers of the service have had
-// one version only.
+// one version only. The ingresses record in the store which versions there were, before they use them.
 package origin
 
 import (
@@ -37,19 +37,22 @@
 
 // Store writes records.
 type Store interface {
-	Put(ctx context.Context, key string, value []byte, lease site.Lease) (site.Revision, error)
-	Remove(ctx context.Context, key string) (site.Revision, error)
+	// PutIf writes a record if its last change has the given revision; number 0: if there is none.
+	PutIf(ctx context.Context, key string, value []byte, revision site.Revision) (site.Revision, error)
 }
 
-// Codec encodes the marks of services that had several versions lately.
+// Codec encodes the inventory.
 type Codec interface {
-	MixedKey(service string) string
-	WriteMixed(versions []string) ([]byte, error)
+	InventoryKey() string
+	WriteInventory(i site.Inventory) ([]byte, error)
 }
 
-// News reports how old the view of the deployment is.
+// News reports what the store has confirmed to this ingress.
 type News interface {
+	// Age returns the time since the store last confirmed the view of the deployment.
 	Age() time.Duration
+	// IsRegistered reports whether this ingress has been registered in the store.
+	IsRegistered() bool
 }
 
 // Options are the settings of a Registry.
@@ -66,21 +69,41 @@
 type Registry struct {
 	options Options
 
+	// wake holds a token after the view has changed.
+	wake chan struct{}
+
 	lock    sync.Mutex
 	history *builds.History
 	view    *state.View
+	// changed is closed and replaced when the view changes.
+	changed chan struct{}
+	// unrecordedSince holds since when streams wait for the inventory to name a software version. A software
+	// version that has left without being recorded stays in it; there are few.
+	unrecordedSince map[site.Software]time.Time
+	// createAt is when this ingress writes the first inventory; zero before it is missed.
+	createAt time.Time
 }
 
 // NewRegistry returns a registry that has not observed any service.
 func NewRegistry(options Options) *Registry {
-	return &Registry{options: options, history: builds.NewHistory(), view: &state.View{}}
+	return &Registry{
+		options: options, wake: make(chan struct{}, 1), history: builds.NewHistory(), view: &state.View{},
+		changed: make(chan struct{}), unrecordedSince: map[site.Software]time.Time{},
+	}
+}
+
+// MarkFirstRun records that no ingress has run before, as far as the store tells.
+func (o *Registry) MarkFirstRun() {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.history.MarkFirstRun()
 }
 
 const (
 	// memoPrefix precedes the attempt that brought the first event of a stream in the key of its memo.
 	memoPrefix = "stream/"
-	// maxNewsAge is how old the news of the store may be at an ingress that reaches no other one, if it is
-	// to know that no further version has been added.
+	// maxNewsAge is how old the news of the store may be at an ingress that does not reach all others, if it
+	// is to know that no further version has been added.
 	maxNewsAge = 3 * time.Second
 	// returnTime is how long after the time limit of a stream its caller may still take it up.
 	returnTime = 30 * time.Second
@@ -97,7 +120,13 @@
 	if v.Table != nil {
 		o.history.SetRetention(v.Table.LongestStream() + returnTime)
 	}
-	o.history.Observe(time.Now(), v.Versions, v.Mixed)
+	o.history.Observe(time.Now(), v.Versions, v.Inventory)
+	close(o.changed)
+	o.changed = make(chan struct{})
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
 }
 
 func decodeSoftware(m memo.Memo) (site.Software, error) {
@@ -131,7 +160,8 @@
 	SourceNone Source = ""
 	// SourceMemo means that the ingress that began the stream recorded it.
 	SourceMemo Source = "memo"
-	// SourceOnly means that the servers of the service have had one version only.
+	// SourceOnly means that the servers of the service have had one version only, as the inventory and own
+	// observation tell.
 	SourceOnly Source = "only-version"
 )
 
@@ -141,6 +171,8 @@
 	Source   Source
 	// HeldBy is the ingress that held the memo.
 	HeldBy string
+	// Age is the time since the store last confirmed that there was one version only.
+	Age time.Duration
 	// MayBeHeld is set if an ingress that did not answer may know the origin.
 	MayBeHeld bool
 }
@@ -149,8 +181,7 @@
 // empty: the caller did not state it. Services are those of the stream's route; if the stream may go on at
 // any of them, the first one is chosen.
 func (o *Registry) Find(ctx context.Context, attempt string, services []string) Origin {
-	// Without an attempt no memo can be looked up, and nothing can contradict the only version.
-	finding := recall.Finding{Conclusive: true}
+	finding := recall.Finding{}
 	if attempt != "" {
 		finding = o.options.Memos.Find(ctx, memoPrefix+attempt)
 	}
@@ -161,9 +192,10 @@
 		}
 		o.options.Log.Warn("origin-unreadable", zap.String("resumes", attempt), zap.String("ingress", finding.HeldBy), logs.Err(err))
 	}
+	age := o.options.News.Age()
 	only, isComplete := o.findOnlyVersion(services)
-	if only != nil && (finding.Answered || finding.Conclusive || o.options.News.Age() <= maxNewsAge) {
-		return Origin{Software: *only, Source: SourceOnly}
+	if only != nil && (finding.Conclusive || age <= maxNewsAge) {
+		return Origin{Software: *only, Source: SourceOnly, Age: age}
 	}
 	return Origin{MayBeHeld: !isComplete || !finding.Conclusive}
 }
--- a/ingress/services/origin/origin_test.go
+++ b/ingress/services/origin/origin_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -21,15 +23,26 @@
 type world struct {
 	lock  sync.Mutex
 	memos map[string]memo.Memo
-	// isSilent is set if an ingress that may hold a memo does not answer.
+	// isSilent is set if an ingress that may hold a memo does not answer, and the store does not take writes.
 	isSilent bool
 	// age is the age of the news of the store.
 	age     time.Duration
 	lookups int
 	records map[string][]byte
+	// revision is that of the last write, calls the number of writes that were tried.
+	revision uint64
+	calls    int
+	// observers are the registries that hear of each write, with the versions of the engines that they know.
+	observers map[*origin.Registry][]string
+	// isUnregistered is set if this ingress could not register.
+	isUnregistered bool
 }
 
-func newWorld() *world { return &world{memos: map[string]memo.Memo{}, records: map[string][]byte{}} }
+var errConflict = errors.New("the condition does not hold")
+
+func newWorld() *world {
+	return &world{memos: map[string]memo.Memo{}, records: map[string][]byte{}, observers: map[*origin.Registry][]string{}}
+}
 
 func (w *world) Put(m memo.Memo)    { w.memos[m.Key] = m }
 func (w *world) Drop(key string)    { delete(w.memos, key) }
@@ -42,31 +55,88 @@
 	return recall.Finding{Memo: m, Found: found, HeldBy: "ingress-1", Answered: !w.isSilent, Conclusive: !w.isSilent}
 }
 
-// store writes the marks.
-type store struct{ *world }
+// PutIf writes a record unless the condition does not hold. The records have the revisions 1, 2, 3 and so on.
+func (w *world) PutIf(_ context.Context, key string, value []byte, revision site.Revision) (site.Revision, error) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.calls++
+	if revision.Number != w.revision || w.isSilent {
+		return site.Revision{}, errConflict
+	}
+	w.revision++
+	w.records[key] = value
+	for r, versions := range w.observers {
+		w.pass(r, versions)
+	}
+	return site.Revision{Number: w.revision}, nil
+}
+
+func (w *world) Age() time.Duration {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.age
+}
+
+// set sets the age of the news, and whether others are silent.
+func (w *world) set(age time.Duration, isSilent bool) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.age, w.isSilent = age, isSilent
+}
+
+// countCalls returns the number of writes that were tried.
+func (w *world) countCalls() int {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.calls
+}
+
+func (w *world) IsRegistered() bool { return !w.isUnregistered }
 
-func (s store) Put(_ context.Context, key string, value []byte, _ site.Lease) (site.Revision, error) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.records[key] = value
-	return site.Revision{}, nil
+// readInventory returns what the store holds.
+func (w *world) readInventory() *site.Inventory {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.decode()
 }
 
-func (s store) Remove(_ context.Context, key string) (site.Revision, error) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	delete(s.records, key)
-	return site.Revision{}, nil
+// decode decodes the inventory of the last write, nil if there is none. The caller holds the lock.
+func (w *world) decode() *site.Inventory {
+	value, found := w.records[record.Codec{}.InventoryKey()]
+	if !found {
+		return nil
+	}
+	i, err := record.Codec{}.ReadInventory(value)
+	if err != nil {
+		return nil
+	}
+	i.Revision.Number = w.revision
+	return &i
 }
 
-func (w *world) Age() time.Duration { return w.age }
+// pass passes a registry a view with engines of these versions and what the store holds. The caller holds the lock.
+func (w *world) pass(r *origin.Registry, versions []string) {
+	v := newView(versions...)
+	v.Inventory = w.decode()
+	r.SetView(v)
+}
 
 func newRegistry(w *world) *origin.Registry {
-	return origin.NewRegistry(origin.Options{Memos: w, News: w, Peers: w, Store: store{w}, Codec: record.Codec{}, Log: zap.NewNop()})
+	return origin.NewRegistry(origin.Options{Memos: w, News: w, Peers: w, Store: w, Codec: record.Codec{}, Log: zap.NewNop()})
 }
 
+// newView returns a view with engines of these versions, as the inventory tells as well.
 func newView(versions ...string) *state.View {
-	return &state.View{IsComplete: true, Versions: map[string][]string{"engines": versions, "others": {"v7"}}}
+	all := map[string][]string{"engines": versions, "others": {"v7"}}
+	return &state.View{IsComplete: true, Versions: all, Inventory: &site.Inventory{Versions: all, IsComplete: true, Revision: site.Revision{Number: 1}}}
+}
+
+// start starts the registry until the test ends, and waits until it has taken note of its view.
+func start(t *testing.T, r *origin.Registry) {
+	t.Helper()
+	r.Start(t.Context())
+	time.Sleep(time.Second)
+	synctest.Wait()
 }
 
 var engines = []string{"engines"} //nolint:gochecknoglobals // a constant in all but syntax
@@ -87,87 +157,71 @@
 		"one version, not recorded":              {newView("v2"), "other", engines, false, origin.Origin{Software: v2, Source: origin.SourceOnly}},
 		"another version is not known yet":       {newView("v2"), "recorded", engines, false, origin.Origin{Software: v1, Source: origin.SourceMemo, HeldBy: "ingress-1"}},
 		"two versions, recorded":                 {newView("v1", "v2"), "recorded", engines, false, origin.Origin{Software: v1, Source: origin.SourceMemo, HeldBy: "ingress-1"}},
-		"two versions, not stated":               {newView("v1", "v2"), "", engines, false, origin.Origin{}},
+		"two versions, not stated":               {newView("v1", "v2"), "", engines, false, origin.Origin{MayBeHeld: true}},
 		"two versions, not recorded":             {newView("v1", "v2"), "other", engines, false, origin.Origin{}},
 		"two versions, a holder does not answer": {newView("v1", "v2"), "other", engines, true, origin.Origin{MayBeHeld: true}},
 		"registrations may be missing":           {&state.View{Versions: map[string][]string{"engines": {"v1"}}}, "", engines, false, origin.Origin{MayBeHeld: true}},
 		"two services, recorded":                 {newView("v1"), "recorded", []string{"others", "engines"}, false, origin.Origin{Software: v1, Source: origin.SourceMemo, HeldBy: "ingress-1"}},
-		"two services, one of them updated":      {newView("v1", "v2"), "", []string{"others", "engines"}, false, origin.Origin{}},
+		"two services, one of them updated":      {newView("v1", "v2"), "", []string{"others", "engines"}, false, origin.Origin{MayBeHeld: true}},
 		"two services of one version each":       {newView("v1"), "", []string{"engines", "others"}, false, origin.Origin{Software: v1, Source: origin.SourceOnly}},
 	} {
-		t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			w := newWorld()
 			w.isSilent = c.isSilent
 			r := newRegistry(w)
 			r.SetView(c.view)
+			start(t, r)
 			r.RecordBegun("recorded", v1, time.Now().Add(time.Minute))
-			is.Equal(r.Find(context.Background(), c.attempt, c.services), c.want)
+			t.Log(name)
+			is.Equal(r.Find(t.Context(), c.attempt, c.services), c.want)
 		})
 	}
 }
 
-// Guards against an ingress that reaches neither the store nor another ingress and takes the version that
-// it knows for the only one, although another one may have been added since.
+// Guards against an ingress that is cut off from the store and takes the version that it knows for the only
+// one, although another one may have been added since: if it reaches no other ingress, if it reaches one that may be cut
+// off as well, and if the caller has not stated what others could be asked for.
 func TestOldNewsDoNotTellTheOnlyVersion(t *testing.T) {
-	only := origin.Origin{Software: site.Software{Service: "engines", Version: "v1"}, Source: origin.SourceOnly}
+	only := site.Software{Service: "engines", Version: "v1"}
 	for name, c := range map[string]struct {
 		age      time.Duration
+		attempt  string
 		isSilent bool
 		want     origin.Origin
 	}{
-		"new, no other ingress answers": {time.Second, true, only},
-		"old, another ingress answers":  {time.Minute, false, only},
-		"old, no other ingress answers": {time.Minute, true, origin.Origin{MayBeHeld: true}},
+		"new, not all other ingresses answer": {time.Second, "other", true, origin.Origin{Software: only, Source: origin.SourceOnly, Age: time.Second}},
+		"old, all other ingresses answer":     {time.Minute, "other", false, origin.Origin{Software: only, Source: origin.SourceOnly, Age: time.Minute}},
+		"old, not all other ingresses answer": {time.Minute, "other", true, origin.Origin{MayBeHeld: true}},
+		"old, attempt not stated":             {time.Minute, "", false, origin.Origin{MayBeHeld: true}},
+		"new, attempt not stated":             {time.Second, "", false, origin.Origin{Software: only, Source: origin.SourceOnly, Age: time.Second}},
 	} {
-		t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			w := newWorld()
-			w.age, w.isSilent = c.age, c.isSilent
 			r := newRegistry(w)
 			r.SetView(newView("v1"))
-			is.Equal(r.Find(context.Background(), "other", engines), c.want)
+			start(t, r)
+			t.Log(name)
+			w.set(c.age, c.isSilent)
+			is.Equal(r.Find(t.Context(), c.attempt, engines), c.want)
 		})
 	}
 }
 
 // Guards against a lookup that has nothing to look up, and against records of streams that nobody takes up.
 func TestRecordsEndWithTheirStream(t *testing.T) {
-	is := is.New(t)
-	w := newWorld()
-	r := newRegistry(w)
-	r.SetView(newView("v1"))
-	r.RecordBegun("a", site.Software{Service: "engines", Version: "v1"}, time.Now().Add(time.Minute))
-	is.Equal(r.Find(context.Background(), "", engines).Source, origin.SourceOnly)
-	is.Equal(w.lookups, 0)
-	is.Equal(len(w.memos), 1)
-	r.RecordComplete("a")
-	is.Equal(len(w.memos), 0)
-}
-
-// Guards against an ingress that starts after the loss of all and takes the version that is left for the
-// only one: the service is marked in the store while it has several.
-func TestServiceWithSeveralVersionsIsMarked(t *testing.T) {
-	is := is.New(t)
-	w := newWorld()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	r := newRegistry(w)
-	r.SetView(newView("v1", "v2"))
-	r.Start(ctx)
-	key := record.Codec{}.MixedKey("engines")
-	isMarked := func() bool {
-		w.lock.Lock()
-		defer w.lock.Unlock()
-		return len(w.records) == 1 && w.records[key] != nil
-	}
-	for began := time.Now(); !isMarked(); {
-		is.True(time.Since(began) < 20*time.Second)
-		time.Sleep(20 * time.Millisecond)
-	}
-	started := newRegistry(newWorld())
-	after := newView("v2")
-	after.Mixed = map[string]bool{record.Codec{}.MixedService(key): true}
-	started.SetView(after)
-	is.Equal(started.Find(ctx, "", engines), origin.Origin{})
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		r := newRegistry(w)
+		r.SetView(newView("v1"))
+		start(t, r)
+		r.RecordBegun("a", site.Software{Service: "engines", Version: "v1"}, time.Now().Add(time.Minute))
+		is.Equal(r.Find(t.Context(), "", engines).Source, origin.SourceOnly)
+		is.Equal(w.lookups, 0)
+		is.Equal(len(w.memos), 1)
+		r.RecordComplete("a")
+		is.Equal(len(w.memos), 0)
+	})
 }
--- a/ingress/services/state/apply.go
+++ b/ingress/services/state/apply.go
@@ -28,25 +28,27 @@
 		b.applyEvacuation(r, source)
 	case strings.HasPrefix(r.Key, c.QuarantinePrefix()):
 		b.applyQuarantine(r, source)
-	case strings.HasPrefix(r.Key, c.MixedPrefix()):
-		b.applyMixed(r, source)
+	case r.Key == c.InventoryKey():
+		b.applyInventory(r, source)
 	}
 }
 
-// applyMixed adds or removes the mark of a service that had several software versions lately.
-func (b *Book) applyMixed(r site.Record, source string) {
-	service := b.options.Codec.MixedService(r.Key)
-	updated := maps.Clone(b.mixed)
-	if updated == nil {
-		updated = map[string]bool{}
+// applyInventory replaces the inventory of software versions. One that cannot be read tells nothing.
+func (b *Book) applyInventory(r site.Record, source string) {
+	b.inventory = nil
+	if r.Deleted {
+		b.options.Log.Warn("inventory-removed", zap.Stringer("revision", r.Revision), zap.String("source", source))
+		return
 	}
-	delete(updated, service)
-	if !r.Deleted {
-		updated[service] = true
+	inventory, err := b.options.Codec.ReadInventory(r.Value)
+	if err != nil {
+		b.options.Log.Warn("inventory-unreadable", zap.Stringer("revision", r.Revision), logs.Err(err))
+		return
 	}
-	b.mixed = updated
-	b.options.Log.Info("versions-marked", zap.String("service", service), zap.Bool("several", !r.Deleted),
-		zap.Stringer("revision", r.Revision), zap.String("source", source))
+	inventory.Revision = r.Revision
+	b.inventory = &inventory
+	b.options.Log.Info("inventory-seen", zap.Stringers("software", inventory.ListSoftware()), zap.Bool("complete", inventory.IsComplete),
+		zap.Uint64("confirmed-in-era", inventory.Era), zap.Stringer("revision", r.Revision), zap.String("source", source))
 }
 
 // applyQuarantine adds or removes the quarantine of a request that crashes servers. An unreadable
@@ -219,8 +221,8 @@
 		table = nil
 	}
 	v := &View{
-		Table: table, Servers: b.servers.List(), Evacuated: b.servers.Evacuated(), Quarantines: b.quarantines, Versions: b.servers.Versions(), Mixed: b.mixed,
-		IsComplete: b.isComplete(),
+		Table: table, Servers: b.servers.List(), Evacuated: b.servers.Evacuated(), Quarantines: b.quarantines, Versions: b.servers.Versions(), Inventory: b.inventory,
+		IsComplete: b.isComplete(), Era: b.records.CompleteRevision().Era,
 	}
 	v.Leaving = b.removeLeaving(v.Servers)
 	for _, name := range slices.Sorted(maps.Keys(b.peers)) {
--- a/ingress/services/state/hold.go
+++ b/ingress/services/state/hold.go
@@ -52,16 +52,15 @@
 	}
 }
 
-// NeedsRevision implements mirror.Policy. Quarantines are changed under the condition of their revision.
-func (p holdPolicy) NeedsRevision(key string) bool {
-	return strings.HasPrefix(key, p.codec.QuarantinePrefix())
-}
+// NeedsRevision implements mirror.Policy. Quarantines and the inventory are changed under the condition of their
+// revision.
+func (p holdPolicy) NeedsRevision(key string) bool { return p.isOwn(key) }
 
 func isLive(r site.Record) bool { return r.Key != "" && !r.Deleted }
 
 // isOwn reports whether the ingresses write the record of a key, other than their registrations.
 func (p holdPolicy) isOwn(key string) bool {
-	return strings.HasPrefix(key, p.codec.QuarantinePrefix()) || strings.HasPrefix(key, p.codec.MixedPrefix())
+	return strings.HasPrefix(key, p.codec.QuarantinePrefix()) || key == p.codec.InventoryKey()
 }
 
 // isLaterConfig reports whether a configuration has a higher version than the present one, or that one is missing
--- a/ingress/services/state/looked.go
+++ b/ingress/services/state/looked.go
@@ -23,6 +23,16 @@
 	}
 }
 
+// IsRegistered reports whether this ingress has been registered.
+func (b *Book) IsRegistered() bool {
+	select {
+	case <-b.registered:
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitRegistered waits until this ingress is registered, at most for limit. It returns false if the context
 // ends first.
 func (b *Book) awaitRegistered(ctx context.Context, limit time.Duration) bool {
--- a/ingress/services/state/reader.go
+++ b/ingress/services/state/reader.go
@@ -25,7 +25,10 @@
 	// never restored, as far as it states: the ingress has not run before, or not for the duration of a lease.
 	// It may be nil.
 	OnFirstRun func()
-	Log        *zap.Logger
+	// OnFirstStart is called if the store, when it is first asked, holds no registration of any ingress of the
+	// failure domain. It may be nil.
+	OnFirstStart func()
+	Log          *zap.Logger
 
 	// cancel ends the watch. It is nil while there is none.
 	cancel context.CancelFunc
@@ -155,6 +158,9 @@
 	if !r.Book.HasLooked() && !slices.Contains(names, r.Name) && !mayHaveLost && r.OnFirstRun != nil {
 		r.OnFirstRun()
 	}
+	if !r.Book.HasLooked() && len(names) == 0 && r.OnFirstStart != nil {
+		r.OnFirstStart()
+	}
 	r.Book.Merge(records)
 	r.Book.markLooked(records)
 	r.Book.ObserveOwnAnswer(time.Now())
--- a/ingress/services/state/restore_test.go
+++ b/ingress/services/state/restore_test.go
@@ -48,7 +48,7 @@
 	return slices.Insert([]string{"a", "b"}, w.place, "self")
 }
 
-// newLossyBook returns a book of a store that was restored and has lost a mark and the end of a quarantine, and an
+// newLossyBook returns a book of a store that was restored and has lost the inventory and the end of a quarantine, and an
 // evacuation of the operator.
 func newLossyBook() *state.Book {
 	const quarantine = "verbenaroad/quarantine/7"
@@ -56,7 +56,7 @@
 	b.ApplyListing([]site.Record{inEra(1, 50, quarantine, `{"service":"s"}`)}, site.Revision{Era: 1, Number: 60})
 	b.Apply([]site.Record{
 		{Key: quarantine, Revision: site.Revision{Era: 1, Number: 61}, Deleted: true},
-		inEra(1, 62, "verbenaroad/mixed/s", "{}"), inEra(1, 63, evacuationKey, "{}"),
+		inEra(1, 62, "verbenaroad/software", `{"versions":{"s":["v1"]},"complete":true,"era":1}`), inEra(1, 63, evacuationKey, "{}"),
 	}, site.Revision{Era: 1, Number: 63})
 	b.ApplyListing([]site.Record{inEra(2, 50, quarantine, `{"service":"s"}`)}, site.Revision{Era: 2, Number: 80})
 	return b
@@ -74,9 +74,9 @@
 			time.Sleep(1900 * time.Millisecond)
 			is.Equal(len(w.writes), want)
 			time.Sleep(time.Minute)
-			is.Equal(w.writes, []string{"put verbenaroad/mixed/s", "remove verbenaroad/quarantine/7"})
+			is.Equal(w.writes, []string{"remove verbenaroad/quarantine/7", "put verbenaroad/software"})
 			is.Equal(len(b.View().Quarantines), 0)
-			is.True(b.View().Mixed["s"])
+			is.Equal(b.View().Inventory.Versions["s"], []string{"v1"})
 		})
 	}
 }
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -38,8 +38,8 @@
 	QuarantinePrefix() string
 	QuarantineID(key string) string
 	ReadQuarantine(value []byte) (site.Quarantine, error)
-	MixedPrefix() string
-	MixedService(key string) string
+	InventoryKey() string
+	ReadInventory(value []byte) (site.Inventory, error)
 	ReadIngress(key string, value []byte) (site.Ingress, error)
 }
 
@@ -60,9 +60,11 @@
 	// some revision.
 	IsComplete bool
 	// Versions are the software versions of all registered servers by service, including those that get
-	// no new work. Mixed holds the services that are marked in the store as having had several lately.
-	Versions map[string][]string
-	Mixed    map[string]bool
+	// no new work. Inventory is what the store holds of them; nil: nothing that can be read.
+	Versions  map[string][]string
+	Inventory *site.Inventory
+	// Era is that of the store in which the records are complete.
+	Era uint64
 	// Quarantines holds the quarantines of requests that crash servers.
 	Quarantines map[poison.ID]site.Quarantine
 }
@@ -117,8 +119,8 @@
 	removedPeers map[string]time.Time
 	// quarantines is replaced and never modified, because views share it.
 	quarantines map[poison.ID]site.Quarantine
-	// mixed is replaced and never modified, because views share it.
-	mixed map[string]bool
+	// inventory is replaced and never modified, because views share it.
+	inventory *site.Inventory
 	// direct is set while this ingress watches the store itself. directSince is when direct was
 	// last set or cleared.
 	direct      bool
@@ -168,7 +170,7 @@
 func isWanted(c Codec, key string) bool {
 	return c.IsConfig(key) || strings.HasPrefix(key, c.ServerPrefix()) || strings.HasPrefix(key, c.IngressPrefix()) ||
 		strings.HasPrefix(key, c.EvacuationPrefix()) || strings.HasPrefix(key, c.QuarantinePrefix()) ||
-		strings.HasPrefix(key, c.MixedPrefix())
+		key == c.InventoryKey()
 }
 
 // IngressDomainPrefix is the key prefix of the registrations of a failure domain's ingresses.
@@ -497,9 +499,10 @@
 func (b *Book) isComplete() bool { return !b.records.CompleteRevision().IsZero() && !b.unconfirmed }
 
 // applyChanged updates the state derived from the records that changed, and publishes a new view if any
-// did or if the records have become complete. The caller must hold the lock.
+// did, if the records have become complete, or if an era of the store has begun. The caller must hold the lock.
 func (b *Book) applyChanged(changed []site.Record, source string) {
-	if len(changed) == 0 && b.view.Load().IsComplete == b.isComplete() {
+	v := b.view.Load()
+	if len(changed) == 0 && v.IsComplete == b.isComplete() && v.Era == b.records.CompleteRevision().Era {
 		return
 	}
 	for _, r := range changed {
--- a/ingress/services/state/versions_test.go
+++ b/ingress/services/state/versions_test.go
@@ -29,21 +29,29 @@
 	is.Equal(countReady(b), 2)
 }
 
-// Guards against an ingress that does not learn from a peer that a service has several versions, or that they
-// are gone.
-func TestMarkOfSeveralVersionsIsApplied(t *testing.T) {
+// Guards against an ingress that does not learn from a peer which versions streams may have begun at, against one
+// that believes an inventory which is gone or cannot be read, and against one that does not learn of a new era.
+func TestInventoryIsApplied(t *testing.T) {
 	is := is.New(t)
 	options := state.Options{Codec: record.Codec{}, Log: zap.NewNop()}
 	b, follower := state.NewBook(options), state.NewBook(options)
-	key := record.Codec{}.MixedKey("engines")
-	b.ApplyListing([]site.Record{newVersionRecord("n", "v2", "ready", 1), {Key: key, Value: []byte("{}"), Revision: at(2)}}, at(2))
+	key := record.Codec{}.InventoryKey()
+	b.ApplyListing([]site.Record{
+		newVersionRecord("n", "v2", "ready", 1),
+		{Key: key, Value: []byte(`{"versions":{"engines":["v1","v2"]},"complete":true,"era":0}`), Revision: at(2)},
+	}, at(2))
 	follower.ApplyDelta(b.Since(mirror.Extent{}))
-	is.True(b.View().Mixed["engines"])
-	is.True(follower.View().Mixed["engines"])
-	b.Apply([]site.Record{{Key: key, Revision: at(3), Deleted: true}}, at(3))
-	follower.ApplyDelta(b.Since(mirror.Extent{CompleteRevision: at(2)}))
-	is.True(!b.View().Mixed["engines"])
-	is.True(!follower.View().Mixed["engines"])
+	want := site.Inventory{Versions: map[string][]string{"engines": {"v1", "v2"}}, IsComplete: true, Revision: at(2)}
+	is.Equal(*b.View().Inventory, want)
+	is.Equal(*follower.View().Inventory, want)
+	b.Apply([]site.Record{{Key: key, Value: []byte("[]"), Revision: at(3)}}, at(3))
+	is.Equal(b.View().Inventory, nil)
+	follower.ApplyDelta(mirror.Delta{Records: []site.Record{{Key: key, Revision: at(4), Deleted: true}}, CompleteRevision: at(4)})
+	is.Equal(follower.View().Inventory, nil)
+	is.Equal(follower.View().Era, uint64(0))
+	follower.ApplyListing([]site.Record{newVersionRecord("n", "v2", "ready", 1)}, site.Revision{Era: 1, Number: 4})
+	follower.Confirm()
+	is.Equal(follower.View().Era, uint64(1))
 }
 
 // Guards against a view that is taken for complete while registrations may be missing, and against one
--- a/proofs/hosted/process_test.go
+++ b/proofs/hosted/process_test.go
@@ -110,12 +110,22 @@
 
 // program returns the path of the program that the ingress runs.
 func (i *ingress) program() string {
-	if other := os.Getenv(envOtherProgram); other != "" && strings.HasSuffix(i.name, "1") {
-		return other
+	if i.isEarlierVersion() {
+		return os.Getenv(envOtherProgram)
 	}
 	return os.Getenv(envProgram)
 }
 
+// isEarlierVersion reports whether the ingress runs the other version of the program.
+func (i *ingress) isEarlierVersion() bool {
+	return os.Getenv(envOtherProgram) != "" && strings.HasSuffix(i.name, "1")
+}
+
+// hasInventory reports whether the ingress has seen an inventory that names a software version of a service.
+func (i *ingress) hasInventory(service, version string) bool {
+	return len(i.output.lines("event=inventory-seen", service+":"+version)) > 0
+}
+
 func (i *ingress) hasExited() bool {
 	select {
 	case <-i.exited:
--- a/proofs/hosted/versions_test.go
+++ b/proofs/hosted/versions_test.go
@@ -42,6 +42,7 @@
 		eventually(d.t, i.name+" has seen the other version", func() bool {
 			return len(i.output.lines("event=server-seen", "version="+otherVersion)) >= 2
 		})
+		eventually(d.t, i.name+" has it in its inventory", func() bool { return i.isEarlierVersion() || i.hasInventory("models", otherVersion) })
 	}
 }
 
@@ -244,6 +245,34 @@
 	checkVersions(t, streams)
 }
 
+// Guards against streams that go on at another software version after every ingress was killed, where the
+// engines of the first version had left the store before those of the other one came.
+func TestStreamsDoNotGoOnAtTheVersionThatReplacedTheirs(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.slowStreams()
+	for _, e := range d.engines {
+		e.EventInterval = 250 * time.Millisecond
+	}
+	streams, done := startStreams(testedStreams, false, d.ingresses[0], d.ingresses)
+	time.Sleep(midStream)
+	for _, e := range d.engines {
+		e.Leave()
+	}
+	for _, i := range d.ingresses {
+		eventually(t, i.name+" has seen the removals", func() bool { return len(i.output.lines("event=server-removed")) >= len(d.engines) })
+	}
+	d.addOtherVersion()
+	time.Sleep(midStream)
+	for _, i := range d.ingresses {
+		i.kill()
+	}
+	for _, i := range d.ingresses {
+		i.start()
+	}
+	done.Wait()
+	checkVersions(t, streams)
+}
+
 // Guards against a refusal of streams whose version can be known: their service has had only one.
 func TestStreamsGoOnAfterTheLossOfAllIngressesWithOneVersion(t *testing.T) {
 	d := newDeployment(t, 3)
--- a/proofs/hosted/world_test.go
+++ b/proofs/hosted/world_test.go
@@ -109,6 +109,7 @@
 	for _, i := range d.ingresses {
 		eventually(t, i.name+" is ready", i.isReady)
 		eventually(t, i.name+" has seen all backend servers", func() bool { return len(i.output.lines("event=server-seen")) >= 6 })
+		eventually(t, i.name+" has seen the inventory", func() bool { return i.isEarlierVersion() || i.hasInventory("models", firstVersion) })
 	}
 	return d
 }
--- a/share/decide/builds/history_test.go
+++ b/share/decide/builds/history_test.go
@@ -8,25 +8,40 @@
 	"pgregory.net/rapid"
 
 	"verbenaroad.example/share/decide/builds"
+	"verbenaroad.example/share/models/site"
 )
 
 func at(seconds int) time.Time { return time.Unix(int64(seconds), 0) }
 
 func versions(list ...string) map[string][]string { return map[string][]string{"engines": list} }
 
+// inventory returns a complete inventory of era 1.
+func inventory(revision uint64, list ...string) *site.Inventory {
+	return &site.Inventory{Versions: versions(list...), IsComplete: true, Era: 1, Revision: site.Revision{Era: 1, Number: revision}}
+}
+
+// confirmEach confirms each second of a span.
+func confirmEach(h *builds.History, from, to int) {
+	for s := from; s <= to; s++ {
+		h.Confirm(at(s), 1)
+	}
+}
+
 // Guards against the only version that is left being taken for the one that began a stream, although the
 // last server of another one has left a moment ago.
 func TestVersionThatHasLeftCounts(t *testing.T) {
 	is := is.New(t)
 	h := builds.NewHistory()
-	h.Observe(at(0), versions("v1"), nil)
+	h.Observe(at(0), versions("v1"), inventory(1, "v1"))
+	h.Confirm(at(1), 1)
 	version, known := h.Sole(at(1), "engines")
 	is.True(known)
 	is.Equal(version, "v1")
-	h.Observe(at(10), versions("v1", "v2"), nil)
+	h.Observe(at(10), versions("v1", "v2"), inventory(1, "v1"))
 	_, known = h.Sole(at(10), "engines")
 	is.True(!known)
-	h.Observe(at(200), versions("v2"), nil)
+	h.Observe(at(200), versions("v2"), inventory(2, "v1", "v2"))
+	confirmEach(h, 200, 261)
 	_, known = h.Sole(at(230), "engines")
 	is.True(!known) // v1 was there until now
 	version, known = h.Sole(at(261), "engines")
@@ -36,54 +51,225 @@
 	is.True(!known)
 }
 
-// Guards against an ingress that has just started and takes the version that it sees for the only one,
-// although the service is marked as having had several.
-func TestMarkTellsWhatWasBeforeTheStart(t *testing.T) {
+// Guards against what one ingress sees after its start being taken for all there was: without an inventory, with one
+// that may lack versions, and with one from before a restore.
+func TestOwnObservationIsNotEnoughAfterAStart(t *testing.T) {
+	incomplete, earlier := inventory(1, "v2"), inventory(1, "v2")
+	incomplete.IsComplete, earlier.Era = false, 0
+	for name, c := range map[string]struct {
+		inventory  *site.Inventory
+		isFirstRun bool
+		want       bool
+	}{
+		"no inventory":            {nil, false, false},
+		"no inventory, first run": {nil, true, true},
+		"complete":                {inventory(1, "v2"), false, true},
+		"names another version":   {inventory(1, "v1", "v2"), false, false},
+		"names another one only":  {inventory(1, "v1"), true, false},
+		"incomplete":              {incomplete, false, false},
+		"incomplete, first run":   {incomplete, true, false},
+		"of an earlier era":       {earlier, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := builds.NewHistory()
+			if c.isFirstRun {
+				h.MarkFirstRun()
+			}
+			h.Observe(at(0), versions("v2"), c.inventory)
+			_, known := h.Sole(at(0), "engines")
+			is.True(!known) // the store has confirmed nothing
+			h.Confirm(at(1), 1)
+			_, known = h.Sole(at(1), "engines")
+			is.Equal(known, c.want)
+			confirmEach(h, 2, 70)
+			_, known = h.Sole(at(70), "engines")
+			is.True(known) // observed for long enough
+		})
+	}
+}
+
+// Guards against a version that came and went while this ingress was cut off, and against an ingress that drops a
+// version from the inventory although it was cut off for a part of the time.
+func TestSilenceIsNoObservation(t *testing.T) {
 	is := is.New(t)
 	h := builds.NewHistory()
-	marked := map[string]bool{"engines": true}
-	h.Observe(at(0), versions("v2"), marked)
-	_, known := h.Sole(at(30), "engines")
+	h.Observe(at(0), versions("v1"), inventory(1, "v1"))
+	confirmEach(h, 0, 100)
+	h.Observe(at(150), versions("v1"), inventory(2, "v1", "v2"))
+	confirmEach(h, 150, 160)
+	_, known := h.Sole(at(160), "engines")
 	is.True(!known)
-	is.Equal(len(h.ListOutdated(at(30))), 0)
-	_, known = h.Sole(at(61), "engines")
-	is.True(known)
-	is.Equal(h.ListOutdated(at(61)), []string{"engines"})
-	h.Observe(at(62), versions("v2", "v3"), nil)
-	is.Equal(h.ListUnmarked(), []string{"engines"})
-	h.Observe(at(63), versions("v2", "v3"), marked)
-	is.Equal(len(h.ListUnmarked()), 0)
+	confirmEach(h, 180, 239)
+	_, isDue := h.Update(at(239), 1)
+	is.True(!isDue) // silence from 160 to 180
+	_, known = h.Sole(at(600), "engines")
+	is.True(!known) // silence since 239
+	confirmEach(h, 240, 241)
+	updated, isDue := h.Update(at(241), 1)
+	is.True(isDue)
+	is.Equal(updated.Versions, versions("v1"))
+}
+
+// Guards against an inventory that is not updated, or updated again and again, and against one that an ingress
+// declares complete that does not know.
+func TestUpdateOfTheInventory(t *testing.T) {
+	for name, c := range map[string]struct {
+		present   []string
+		inventory *site.Inventory
+		era       uint64
+		want      *site.Inventory
+	}{
+		"up to date":      {[]string{"v1"}, inventory(1, "v1"), 1, nil},
+		"one has left":    {[]string{"v1"}, inventory(1, "v1", "v2"), 1, nil},
+		"a new version":   {[]string{"v2"}, inventory(4, "v1"), 1, inventory(4, "v1", "v2")},
+		"after a restore": {[]string{"v2"}, inventory(4, "v1"), 2, inventory(4, "v1", "v2")},
+		"none": {
+			[]string{"v1"}, nil, 1, &site.Inventory{Versions: versions("v1")},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := builds.NewHistory()
+			h.Observe(at(0), versions(c.present...), c.inventory)
+			h.Confirm(at(1), c.era)
+			updated, isDue := h.Update(at(1), c.era)
+			is.Equal(isDue, c.want != nil)
+			if c.want != nil {
+				is.Equal(updated, *c.want)
+			}
+		})
+	}
+	is := is.New(t)
+	h := builds.NewHistory()
+	h.Observe(at(0), versions("v1"), inventory(1, "v1"))
+	h.Confirm(at(1), 1)
+	h.Confirm(at(2), 2) // a store that was restored while this ingress observed it
+	updated, isDue := h.Update(at(2), 2)
+	is.True(isDue)
+	is.Equal(updated.Era, uint64(2))
+	is.True(updated.IsComplete)
+}
+
+// Guards against two ingresses that drop a version and add it again by turns, and against one that forgets what it
+// has just seen since another one has dropped it, or since a restored store lacks it.
+func TestVersionThatAnotherIngressDropped(t *testing.T) {
+	for name, c := range map[string]struct {
+		seenUntil int
+		era       uint64
+		want      []string
+	}{
+		"seen long ago":          {20, 1, []string{"v1"}},
+		"seen just now":          {55, 1, []string{"v1", "v2"}},
+		"lost, seen long ago":    {20, 2, []string{"v1", "v2"}},
+		"lost, seen at that end": {55, 2, []string{"v1", "v2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := builds.NewHistory()
+			h.Observe(at(0), versions("v1", "v2"), inventory(1, "v1", "v2"))
+			h.Observe(at(c.seenUntil), versions("v1"), inventory(1, "v1", "v2"))
+			confirmEach(h, 0, 60)
+			dropped := inventory(2, "v1")
+			dropped.Revision.Era = c.era
+			h.Observe(at(60), versions("v1"), dropped)
+			updated, _ := h.Update(at(60), c.era)
+			is.Equal(updated.Versions, versions(c.want...))
+		})
+	}
 }
 
-// Guards against a version being reported as the only one while another was registered within the
-// retention, in any series of updates.
+// Guards against an ingress that forgets a version which it knows from the inventory only, since somebody who knows
+// less has written that of a restored store.
+func TestVersionThatOnlyTheLostInventoryNamed(t *testing.T) {
+	is := is.New(t)
+	h := builds.NewHistory()
+	h.Observe(at(0), versions("v1"), inventory(1, "v1", "v2"))
+	confirmEach(h, 0, 20)
+	written := inventory(2, "v1")
+	written.Revision.Era = 2
+	h.Observe(at(21), versions("v1"), written)
+	h.Confirm(at(21), 2)
+	updated, isDue := h.Update(at(21), 2)
+	is.True(isDue)
+	is.Equal(updated.Versions, versions("v1", "v2"))
+}
+
+// fleet is a number of ingresses before one store, in a model of the protocol: a stream begins at a version only
+// once the inventory names it.
+type fleet struct {
+	t         *rapid.T
+	now       int
+	present   []string
+	inventory *site.Inventory
+	histories []*builds.History
+	// begunAt holds when the last stream began at each version.
+	begunAt map[string]int
+}
+
+// observe lets some of the ingresses observe the store and write the inventory, the others are cut off.
+func (f *fleet) observe(i int) {
+	h := f.histories[i]
+	h.Observe(at(f.now), versions(f.present...), f.inventory)
+	h.Confirm(at(f.now), 1)
+	updated, isDue := h.Update(at(f.now), 1)
+	if !isDue || rapid.Bool().Draw(f.t, "write fails") {
+		return
+	}
+	updated.Revision = site.Revision{Era: 1, Number: uint64(1 + f.now)}
+	f.inventory = &updated
+	h.Observe(at(f.now), versions(f.present...), f.inventory)
+	h.Confirm(at(f.now), 1)
+}
+
+func (f *fleet) begin(i int) {
+	for _, v := range f.present {
+		if f.histories[i].IsRecorded(site.Software{Service: "engines", Version: v}) {
+			f.begunAt[v] = f.now
+		}
+	}
+}
+
+// Guards against a version being reported as the only one while a stream that began at another one may be taken up,
+// in any series of updates, losses of some or all ingresses, cuts and failed writes.
 func TestOnlyVersionIsTheOnlyOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := builds.NewHistory()
-		lastSeen := map[string]time.Time{}
-		now := at(0)
-		present := []string{}
-		for range rapid.IntRange(1, 30).Draw(t, "views") {
-			for _, v := range present {
-				lastSeen[v] = now
-			}
-			present = rapid.SliceOfDistinct(rapid.SampledFrom([]string{"v1", "v2", "v3"}), rapid.ID).Draw(t, "present")
-			h.Observe(now, versions(present...), nil)
-			for _, v := range present {
-				lastSeen[v] = now
+		f := &fleet{t: t, begunAt: map[string]int{}}
+		isFirst := true
+		start := func() *builds.History {
+			h := builds.NewHistory()
+			if isFirst {
+				h.MarkFirstRun()
 			}
-			asked := now.Add(time.Duration(rapid.IntRange(0, 90).Draw(t, "pause")) * time.Second)
-			only, known := h.Sole(asked, "engines")
-			for v, seen := range lastSeen {
-				isPresent := false
-				for _, p := range present {
-					isPresent = isPresent || p == v
+			return h
+		}
+		f.histories = []*builds.History{start(), start()}
+		isFirst = false
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			f.now += rapid.SampledFrom([]int{1, 1, 2, 2, 20, 40}).Draw(t, "pause")
+			f.present = rapid.SliceOfDistinct(rapid.SampledFrom([]string{"v1", "v2", "v3"}), rapid.ID).Draw(t, "present")
+			for i := range f.histories {
+				switch rapid.SampledFrom([]string{"observe", "observe", "observe", "begin", "begin", "lose", "cut"}).Draw(t, "event") {
+				case "observe":
+					f.observe(i)
+				case "begin":
+					f.observe(i)
+					f.begin(i)
+				case "lose":
+					f.histories[i] = start()
 				}
-				if known && v != only && (isPresent || asked.Sub(seen) <= builds.MinRetention) {
-					t.Fatalf("%s is reported as the only version, %s was registered %v ago", only, v, asked.Sub(seen))
+			}
+			if rapid.IntRange(0, 9).Draw(t, "lose all") == 0 {
+				f.histories = []*builds.History{start(), start()}
+			}
+			i := rapid.IntRange(0, 1).Draw(t, "asked")
+			f.observe(i)
+			only, known := f.histories[i].Sole(at(f.now), "engines")
+			for v, begun := range f.begunAt {
+				if known && v != only && f.now-begun <= int(builds.MinRetention/time.Second) {
+					t.Fatalf("%s is reported as the only version, a stream began at %s %d s ago", only, v, f.now-begun)
 				}
 			}
-			now = asked
 		}
 	})
 }
@@ -93,8 +279,9 @@
 	is := is.New(t)
 	h := builds.NewHistory()
 	h.SetRetention(3 * time.Minute)
-	h.Observe(at(0), versions("v1", "v2"), nil)
-	h.Observe(at(10), versions("v2"), nil)
+	h.Observe(at(0), versions("v1", "v2"), inventory(1, "v1", "v2"))
+	h.Observe(at(10), versions("v2"), inventory(1, "v1", "v2"))
+	confirmEach(h, 10, 191)
 	_, known := h.Sole(at(189), "engines")
 	is.True(!known)
 	_, known = h.Sole(at(191), "engines")
--- a/share/models/site/constraints.go
+++ b/share/models/site/constraints.go
@@ -6,6 +6,9 @@
 	Version string
 }
 
+// String returns the service and the version, separated by a colon.
+func (s Software) String() string { return s.Service + ":" + s.Version }
+
 // Constraints restrict the backend servers that may receive a request, whatever their load. Whoever
 // chooses a server for the request, or sends it there, asks them.
 type Constraints struct {
