--- a/share/decide/builds/history_test.go
+++ b/share/decide/builds/history_test.go
@@ -184,8 +184,10 @@
 func TestVersionThatOnlyTheLostInventoryNamed(t *testing.T) {
 	is := is.New(t)
 	h := builds.NewHistory()
-	h.Observe(at(0), versions("v1"), inventory(1, "v1", "v2"))
-	confirmEach(h, 0, 20)
+	h.Observe(at(0), versions("v1"), inventory(1, "v1"))
+	confirmEach(h, 0, 10)
+	h.Observe(at(11), versions("v1"), inventory(2, "v1", "v2"))
+	confirmEach(h, 11, 20)
 	written := inventory(2, "v1")
 	written.Revision.Era = 2
 	h.Observe(at(21), versions("v1"), written)
