record, chain: stages may be numbered in any order

Cause: the decoder refused the configuration as a whole if a stage takes results of one with a higher number.

Fix: site.OrderStages gives the order in which each stage follows its inputs, and the loops use it.

Evidence: the ingresses' lines said config-kept reason=unreadable with the stage.

--- a/proofs/hosted/change_test.go
+++ b/proofs/hosted/change_test.go
@@ -38,6 +38,36 @@
 	}
 }
 
+// Guards against a new version that is refused as a whole, with the keys that it removes and the routes that it moves,
+// since a stage of one route takes results of a stage with a higher number; and against stages that are then run in
+// the order of their numbers.
+func TestConfigurationWithStagesInAnyOrderIsApplied(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	changed := routes()
+	changed[2]["Stages"] = []map[string]any{
+		{"Service": "encoders", "After": []int{1}, "SizeBytes": 1000},
+		{"Service": "encoders", "After": []int{}, "SizeBytes": 1000},
+	}
+	version := d.PutConfig(changed, services(), []map[string]any{{"Name": "workshop", "ApiKeys": []string{"key-2"}}})
+	for _, i := range d.ingresses {
+		eventually(t, "the version is in force", i.hasApplied(version))
+		q := newRequest("/order/1")
+		is.Equal(i.send(context.Background(), q).status, http.StatusUnauthorized)
+		q = newReview()
+		q.key = "key-2"
+		got := i.send(context.Background(), q)
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(eventIDs(got.body), "1,2,3,4,5,6")
+		handles := strings.Split(d.Runs(q.id)[0].Header.Get("X-Verbenaroad-Input-Count"), ",")
+		is.Equal(len(handles), 2) // two pieces of stage 0, each of them from three of stage 1
+		for _, handle := range handles {
+			is.True(strings.Contains(handle, q.id+"-0-"))
+		}
+	}
+	is.Equal(d.Violations(), []string{})
+}
+
 // A new configuration removes a key and some routes. Every ingress must apply it, which should take
 // about a second, and must ignore an older version that is written after it.
 func TestConfigurationChange(t *testing.T) {
--- a/share/decide/chain/chain.go
+++ b/share/decide/chain/chain.go
@@ -3,6 +3,7 @@
 package chain
 
 import (
+	"slices"
 	"time"
 
 	"verbenaroad.example/share/decide/delay"
@@ -66,16 +67,16 @@
 // those with the fewest stages.
 func NewPlan(now time.Time, rank site.Rank, stages []site.Stage, counts []int, s Snapshot) Plan {
 	p := Plan{Remaining: make([]time.Duration, len(stages)), StagesLeft: make([]int, len(stages))}
-	onTime, _ := s.stageTimes(stages, counts, func(service string) time.Duration { return s.wait(now, service, rank) })
-	late, lateWaits := s.stageTimes(stages, counts, func(service string) time.Duration { return s.lateWait(now, service, rank) })
+	order := site.OrderStages(stages)
+	onTime, _ := s.stageTimes(stages, order, counts, func(service string) time.Duration { return s.wait(now, service, rank) })
+	late, lateWaits := s.stageTimes(stages, order, counts, func(service string) time.Duration { return s.lateWait(now, service, rank) })
 	lateRemaining := make([]time.Duration, len(stages))
 	for i := range stages {
 		p.Remaining[i] = engineStartTime
 		lateRemaining[i] = engineStartTime
 	}
-	// The inputs of a stage come only from stages with lower numbers, so going backwards
-	// visits every stage after all stages that use its results.
-	for i := len(stages) - 1; i >= 0; i-- {
+	// Going backwards visits every stage after all stages that use its results.
+	for _, i := range slices.Backward(order) {
 		total := p.Remaining[i] + onTime[i]
 		lateTotal := lateRemaining[i] + late[i]
 		for _, input := range stages[i].After {
@@ -90,18 +91,20 @@
 	return p
 }
 
-// stageTimes estimates how long each stage takes and how much of that it waits. The function
-// wait returns the wait of a result that would reach the service now.
+// stageTimes estimates how long each stage takes and how much of that it waits. Order lists the
+// stages so that each follows its inputs. The function wait returns the wait of a result that would
+// reach the service now.
 //
 // That wait must include the results of requests that are still in an earlier stage, since
 // they reach the service first. Without them a burst is admitted until the queues after the
 // first stage are full, which becomes visible only a second later. The time that the request
 // spends in earlier stages is subtracted, because the queue is worked off in the meantime.
-func (s Snapshot) stageTimes(stages []site.Stage, counts []int, wait func(service string) time.Duration) (times, waits []time.Duration) {
+func (s Snapshot) stageTimes(stages []site.Stage, order, counts []int, wait func(service string) time.Duration) (times, waits []time.Duration) {
 	times = make([]time.Duration, len(stages))
 	waits = make([]time.Duration, len(stages))
 	ends := make([]time.Duration, len(stages))
-	for i, stage := range stages {
+	for _, i := range order {
+		stage := stages[i]
 		arrival := time.Duration(0)
 		for _, input := range stage.After {
 			arrival = max(arrival, ends[input])
--- a/share/decide/chain/chain_test.go
+++ b/share/decide/chain/chain_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"verbenaroad.example/share/decide/chain"
 	"verbenaroad.example/share/decide/delay"
@@ -165,3 +166,33 @@
 	is.Equal(admit(review), chain.Refuse)
 	is.Equal(admit(chat), chain.Refuse)
 }
+
+// Guards against a plan that depends on how the stages are numbered.
+func TestPlanDoesNotDependOnTheNumbers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stages, counts := newStages(), []int{2, 1, 6, 10}
+		now := time.Unix(0, 0)
+		s := newSnapshot(now, 100*ms)
+		s.Reports["rerank"] = newReport(now, 900*ms, 1200*ms)
+		want := chain.NewPlan(now, 0, stages, counts, s)
+		numbers := rapid.Permutation([]int{0, 1, 2, 3}).Draw(t, "numbers")
+		renumbered, recounted := make([]site.Stage, len(stages)), make([]int, len(stages))
+		for i, stage := range stages {
+			moved := stage
+			moved.After = nil
+			for _, input := range stage.After {
+				moved.After = append(moved.After, numbers[input])
+			}
+			renumbered[numbers[i]], recounted[numbers[i]] = moved, counts[i]
+		}
+		got := chain.NewPlan(now, 0, renumbered, recounted, s)
+		if got.Total != want.Total || got.LateTotal != want.LateTotal {
+			t.Fatalf("%v and %v, not %v and %v", got.Total, got.LateTotal, want.Total, want.LateTotal)
+		}
+		for i, n := range numbers {
+			if got.Remaining[n] != want.Remaining[i] || got.StagesLeft[n] != want.StagesLeft[i] {
+				t.Fatalf("stage %d: %v, %d left, not %v, %d", i, got.Remaining[n], got.StagesLeft[n], want.Remaining[i], want.StagesLeft[i])
+			}
+		}
+	})
+}
--- a/share/models/site/chains_test.go
+++ b/share/models/site/chains_test.go
@@ -47,3 +47,15 @@
 	is.True(!(&site.Config{Routes: []site.Route{wide, newRoute(0, "a", "b")}}).LongChainsYield())
 	is.True((&site.Config{Routes: []site.Route{wide, newRoute(0, "a")}}).LongChainsYield())
 }
+
+// Guards against a chain that counts as shorter because its stages are numbered from the last to the first.
+func TestNumbersOfStagesHaveNoOrder(t *testing.T) {
+	is := is.New(t)
+	backward := site.Route{Priority: 2, Stages: []site.Stage{{Service: "c", After: []int{1}}, {Service: "b", After: []int{2}}, {Service: "a"}}}
+	is.Equal(site.OrderStages(backward.Stages), []int{2, 1, 0})
+	is.Equal(site.OrderStages(newRoute(0, "a", "b", "c").Stages), []int{0, 1, 2})
+	is.True((&site.Config{Routes: []site.Route{backward, newRoute(0, "a", "b")}}).LongChainsYield())
+	for _, stages := range [][]site.Stage{{{After: []int{0}}}, {{After: []int{1}}, {After: []int{0}}}, {{After: []int{7}}}, {{After: []int{-1}}}} {
+		is.Equal(len(site.OrderStages(stages)), 0)
+	}
+}
--- a/share/models/site/config.go
+++ b/share/models/site/config.go
@@ -89,7 +89,8 @@
 // Stage is a step that produces results for the request or for a later stage.
 type Stage struct {
 	Service string
-	// After lists the stages whose results this one takes. Each number is below its own.
+	// After lists the stages whose results this one takes, each once. No stage takes results of itself,
+	// directly or through others; the numbers have no order.
 	After []int
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int64
