assign, quota: one ingress counts the requests to a server that states a rate

Cause: the ingress that counts followed from the way of a request. Plain requests and streams asked the placer of the service, calls were counted by the batcher of its queue; the two are the same ingress by chance only.

Fix: it follows from the server. The batcher of its queue counts if its service produces results, else the placer; the placer of engines that also produce results is that batcher, and such a service has one queue. A job that runs at an ingress which could not reach the batcher leaves servers with a stated rate alone, as streams and plain requests do. A batcher asks each 5 ms, so that it would take all that the rate allows: those who place or batch and those who ask for single requests take turns. The retries of TestIngressHasOneScheduledRetryAtATime ask as retries do now (AllowsRetry).

Evidence: limited-send lines of both kinds at two ingresses for three of four services.

--- a/ingress/services/assign/admit.go
+++ b/ingress/services/assign/admit.go
@@ -17,10 +17,10 @@
 const admitRetryAfter = 500 * time.Millisecond
 
 // Admit asks for one request to a server with a rate limit, which is to be sent at once. The requests
-// to such a server are counted by the placer of its service. If the request is not granted, Admit
+// to such a server are counted by one ingress (rankCounters). If the request is not granted, Admit
 // returns how long to wait before the server is asked for again.
 func (d *Dispatcher) Admit(ctx context.Context, server site.Server) (granted bool, retryAfter time.Duration) {
-	ranked := d.peers.Rank(keyPrefix + server.Service)
+	ranked := d.rankCounters(&server)
 	if len(ranked) == 0 || ranked[0] == d.peers.Self() {
 		return d.placer.limits.Take(time.Now(), &server, d.peers.Self())
 	}
--- a/ingress/services/assign/dispatcher.go
+++ b/ingress/services/assign/dispatcher.go
@@ -22,6 +22,8 @@
 	// Rank lists the reachable ingresses in the order of their score for a key. The first one is
 	// the placer that the key stands for.
 	Rank(key string) []string
+	// RankIn is Rank among the ingresses of a region, or all if the region is empty or has none.
+	RankIn(region, key string) []string
 	// Self is the name of this ingress.
 	Self() string
 	// Assign asks the named ingress to place a request.
@@ -38,7 +40,7 @@
 	// between regions plus processing time.
 	assignTimeout = 300 * time.Millisecond
 	// keyPrefix precedes the service in the key by which its placer is chosen, so that placers are
-	// chosen independently of batchers.
+	// chosen independently of batchers of other services.
 	keyPrefix = "engines/"
 )
 
@@ -81,7 +83,7 @@
 }
 
 func (d *Dispatcher) reserve(ctx context.Context, service string, q place.Query) (*Reservation, time.Duration) {
-	ranked := d.peers.Rank(keyPrefix + service)
+	ranked := d.rankPlacers(service)
 	if len(ranked) == 0 || ranked[0] == d.peers.Self() {
 		return d.placeLocally(service, q)
 	}
--- a/ingress/services/limits/limits.go
+++ b/ingress/services/limits/limits.go
@@ -211,11 +211,12 @@
 func (r *Registry) Take(now time.Time, server *site.Server, ingress string) (granted bool, retryAfter time.Duration) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if !r.limiter.Allows(now, server) {
+	if !r.limiter.AllowsRetry(now, server) {
 		return false, r.limiter.ScheduleRetry(now, server, ingress)
 	}
 	r.limiter.Reserve(now, server)
 	r.limiter.MarkSent(server)
+	r.limiter.RecordRetry(server, ingress)
 	return true, 0
 }
 
--- a/ingress/services/stages/producer.go
+++ b/ingress/services/stages/producer.go
@@ -83,7 +83,7 @@
 		if s.Pool == nil {
 			continue
 		}
-		sharded[s.Name] = shard.IsSharded(v.Servers[s.Name], p.regions)
+		sharded[s.Name] = shard.IsSharded(&s, v.Servers[s.Name], p.regions)
 		for _, region := range p.regions {
 			pools[shard.QueueName(s.Name, region)] = s.Pool
 		}
@@ -216,6 +216,7 @@
 		p.log.Warn("batcher-lost", zap.String("service", queue), zap.String("ingress", ranked[0]),
 			zap.String("request", j.AttemptID), logs.Err(err))
 	}
+	j.IsFallback = true
 	return p.batcher.Produce(ctx, queue, j)
 }
 
--- a/proofs/hosted/limits_test.go
+++ b/proofs/hosted/limits_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -189,11 +190,9 @@
 // testStatedRate checks that a server that states a rate, one of two of its service, receives no
 // more than that from three ingresses, that the other one serves the rest, and that the server is
 // used without limit once it states none any more.
-func testStatedRate(t *testing.T, pick func(*deployment) *hosted.Server, newRequest func() request) {
+func testStatedRate(t *testing.T, d *deployment, server *hosted.Server, newRequest func() request) {
 	t.Helper()
 	is := is.New(t)
-	d := newDeployment(t, 3)
-	server := pick(d)
 	server.SetHeader(limitHeader, statedText)
 	l := d.startLoad(4, newRequest)
 	time.Sleep(limitSettleTime)
@@ -219,19 +218,60 @@
 
 // Guards against an engine in need receiving more requests than it takes from all ingresses together.
 func TestStatedRateOfEngineIsKept(t *testing.T) {
-	testStatedRate(t, func(d *deployment) *hosted.Server { return d.engines[0] }, func() request { return newRequest("/advice/1") })
+	d := newDeployment(t, 3)
+	testStatedRate(t, d, d.engines[0], func() request { return newRequest("/advice/1") })
 }
 
 // Guards against a plain server in need receiving more requests than it takes from all ingresses
 // together.
 func TestStatedRateOfPlainServerIsKept(t *testing.T) {
-	testStatedRate(t, func(d *deployment) *hosted.Server { return d.plainServers[0] }, func() request { return newRequest("/order/1") })
+	d := newDeployment(t, 3)
+	testStatedRate(t, d, d.plainServers[0], func() request { return newRequest("/order/1") })
 }
 
 // Guards against a pool server in need receiving more calls than it takes from all ingresses
 // together.
 func TestStatedRateOfPoolServerIsKept(t *testing.T) {
-	testStatedRate(t, func(d *deployment) *hosted.Server { return d.poolServers[0] }, newReview)
+	d := newDeployment(t, 3)
+	testStatedRate(t, d, d.poolServers[0], newReview)
+}
+
+// putBothKinds writes a configuration in which the pool servers answer plain requests too.
+func (d *deployment) putBothKinds() {
+	d.t.Helper()
+	changed := append(routes(), hosted.Route{
+		"Name": "text", "Host": host, "Prefix": "/text/", "Type": "safe", "Service": "encoders",
+		"TimeoutMs": 3000, "TargetLatencyMs": 300, "MaxAttempts": 2, "Priority": 2,
+	})
+	version := d.PutConfig(changed, services(), tenants())
+	for _, i := range d.ingresses {
+		eventually(d.t, "the version is in force", i.hasApplied(version))
+	}
+}
+
+// Guards against a server that produces results of stages, answers plain requests as well, and receives the rate that
+// it states once for each; and against one of the two that gets nothing of it.
+func TestStatedRateOfServerOfBothKindsIsKept(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.putBothKinds()
+	sent := atomic.Uint64{}
+	server := d.poolServers[0]
+	began := time.Now()
+	testStatedRate(t, d, server, func() request {
+		if sent.Add(1)%2 == 0 {
+			return newReview()
+		}
+		return newRequest("/text/1")
+	})
+	plain := 0
+	for _, a := range server.Attempts() {
+		if a.At.After(began.Add(limitSettleTime)) && a.At.Before(began.Add(limitSettleTime+limitWindow)) {
+			plain++
+		}
+	}
+	if least := int(statedRate * limitWindow.Seconds() / 4); plain < least {
+		t.Errorf("%s received %d plain requests within %v; at least %d expected", server.ID, plain, limitWindow, least)
+	}
 }
 
 // Guards against an ingress that sends requests to a server in need because it has not received an
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -45,6 +45,9 @@
 	InputService string
 	// InputBytes is the approximate size of all inputs together.
 	InputBytes int64
+	// IsFallback is set if the ingress that batches for the queue could not be reached. It may still count the
+	// requests to servers that state a rate, so that the job leaves these alone.
+	IsFallback bool
 	// Residency limits the regions of the servers that may produce the results.
 	Residency site.Residency
 }
--- a/share/decide/batch/limits_test.go
+++ b/share/decide/batch/limits_test.go
@@ -120,3 +120,22 @@
 	l.perform(now, addGathered(l.planner, now, j))
 	is.Equal(l.calls, map[string]int{"p1": 1})
 }
+
+// Guards against an ingress that calls a server which states a rate, while another one may count the calls to it.
+func TestJobOfAnUnreachableBatcherLeavesLimitedServersAlone(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := newLimitedPool(now, 5, "a")
+	now = now.Add(10 * time.Second) // the rate allows calls
+	job := newJob(now, 1, 1)
+	job.IsFallback = true
+	actions := l.planner.Add(now, job)
+	is.Equal(len(actions.Calls), 0)
+	is.Equal(actions.Completions[0].Outcome, batch.OutcomeNoServer)
+	is.True(actions.Completions[0].RetryAfter > 0)
+	unlimited := newLimitedPool(now, 5, "a", "b")
+	unlimited.perform(now, unlimited.planner.Add(now, job))
+	unlimited.perform(now.Add(time.Second), unlimited.planner.Tick(now.Add(time.Second)))
+	is.Equal(unlimited.calls["p0"], 0)
+	is.Equal(len(unlimited.calls), 1)
+}
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -252,7 +252,11 @@
 
 // allows reports whether the results of a job may be produced at a server.
 func (p *Planner) allows(j Job, w *worker) bool {
-	return j.Residency.Allows(p.regions[w.server.Domain])
+	if !j.Residency.Allows(p.regions[w.server.Domain]) {
+		return false
+	}
+	_, limited := p.limiter.Find(&w.server)
+	return !j.IsFallback || !limited
 }
 
 // hasServer reports whether there is a server that may produce the results of a job.
--- a/share/decide/quota/limiter.go
+++ b/share/decide/quota/limiter.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"time"
 
 	"verbenaroad.example/share/models/site"
@@ -18,6 +19,9 @@
 	// unsentTime limits the reservations for requests that wait for their stages: to what the server
 	// takes within unsentTime, plus one burst. Requests that wait may all be sent at the same moment.
 	unsentTime = time.Second
+	// turnGrace is how long a request is left for those whose turn it is. An ingress that was told to ask again
+	// may be late by a way on the link.
+	turnGrace = 200 * time.Millisecond
 	// rounding is the error that the number of tokens may have.
 	rounding = 1e-6
 	// maxReturnTime limits how far in the future refused callers are told to return.
@@ -47,8 +51,24 @@
 	scheduledUntil time.Time
 	// retryAt holds when each ingress that was refused is to ask again.
 	retryAt map[string]time.Time
+	// availableSince is since when the rate allows a request; zero: it does not.
+	availableSince time.Time
+	// turn is whose turn the next request is: those who place or batch at the server and those who ask for
+	// single requests take turns. placerAskedAt is when one of the former last asked.
+	turn          turn
+	placerAskedAt time.Time
 }
 
+// turn is whose turn the next request to a server is.
+type turn string
+
+// The turns.
+const (
+	turnNone     turn = ""
+	turnOfPlacer turn = "placer"
+	turnOfRetry  turn = "retry"
+)
+
 // NewLimiter returns a limiter without limits.
 func NewLimiter() *Limiter {
 	return &Limiter{Table: NewTable(), accounts: map[string]*account{}}
@@ -87,7 +107,27 @@
 	}
 	a := l.getAccount(now, server)
 	a.refill(now, rate)
-	return a.tokens >= 1-rounding && float64(a.unsent) < rate*unsentTime.Seconds()+burst(rate)
+	a.placerAskedAt = now
+	return a.mayReserve(now, rate, a.turn == turnOfRetry && a.hasRetry(now))
+}
+
+// AllowsRetry reports whether an ingress that asks for one request, to be sent at once, may have it now.
+func (l *Limiter) AllowsRetry(now time.Time, server *site.Server) bool {
+	rate, limited := l.rate(server)
+	if !limited {
+		return true
+	}
+	a := l.getAccount(now, server)
+	a.refill(now, rate)
+	return a.mayReserve(now, rate, a.turn == turnOfPlacer && now.Sub(a.placerAskedAt) <= turnGrace)
+}
+
+// RecordRetry records that an ingress that asked was granted a request.
+func (l *Limiter) RecordRetry(server *site.Server, ingress string) {
+	if a := l.findAccount(server); a != nil {
+		a.turn = turnOfPlacer
+		delete(a.retryAt, ingress)
+	}
 }
 
 // Reserve counts a request that is to be sent to the server. Each reservation is ended by MarkSent or
@@ -103,6 +143,8 @@
 	}
 	a.refill(now, rate)
 	a.tokens--
+	a.availableSince = time.Time{}
+	a.turn = turnOfRetry
 }
 
 // MarkSent records that a reserved request is sent now.
@@ -248,10 +290,29 @@
 	return true
 }
 
+// mayReserve reports whether the rate allows a request. If it is the turn of others who wait, one request is left
+// for them, but not for longer than turnGrace. The account must be refilled.
+func (a *account) mayReserve(now time.Time, rate float64, isTurnOfOthers bool) bool {
+	if a.tokens < 1-rounding || float64(a.unsent) >= rate*unsentTime.Seconds()+burst(rate) {
+		return false
+	}
+	return !isTurnOfOthers || a.tokens >= 2-rounding || now.Sub(a.availableSince) > turnGrace
+}
+
+// hasRetry reports whether an ingress that was refused is to ask again, or is late by turnGrace at most. It forgets
+// the others.
+func (a *account) hasRetry(now time.Time) bool {
+	maps.DeleteFunc(a.retryAt, func(_ string, at time.Time) bool { return now.Sub(at) > turnGrace })
+	return len(a.retryAt) > 0
+}
+
 func (a *account) refill(now time.Time, rate float64) {
 	elapsed := max(now.Sub(a.refilledAt), 0)
 	a.tokens = min(a.tokens+rate*elapsed.Seconds(), burst(rate))
 	a.refilledAt = now
+	if a.availableSince.IsZero() && a.tokens >= 1-rounding {
+		a.availableSince = now.Add(-min(elapsed, seconds((a.tokens-1)/rate)))
+	}
 }
 
 // burst returns the number of requests that may be sent at once.
--- a/share/decide/quota/limiter_test.go
+++ b/share/decide/quota/limiter_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -206,12 +207,12 @@
 		is.Equal(limiter.ScheduleRetry(now, server, "second"), time.Second)
 	}
 	now = now.Add(500 * time.Millisecond)
-	is.True(limiter.Allows(now, server)) // the retry of the first
+	is.True(limiter.AllowsRetry(now, server)) // the retry of the first
 	limiter.Reserve(now, server)
 	is.Equal(limiter.ScheduleRetry(now, server, "first"), time.Second) // after the second
 	is.Equal(limiter.ScheduleRetry(now, server, "second"), 500*time.Millisecond)
 	now = now.Add(500 * time.Millisecond)
-	is.True(limiter.Allows(now, server))
+	is.True(limiter.AllowsRetry(now, server))
 }
 
 // Guards against a server that takes requests again and gets few for seconds, because those that were
@@ -230,3 +231,60 @@
 	is.True(l.ScheduleRetry(now, server, "a") <= time.Second)
 	is.True(l.ScheduleRetry(now, server, "b") <= 2*time.Second)
 }
+
+// Guards against ingresses that ask for single requests and get none, since whoever places or batches at the
+// server takes each request that its rate allows; and against a rate that is not used while they take turns.
+func TestThoseWhoAskTakeTurnsWithThoseWhoPlace(t *testing.T) {
+	for _, rate := range []float64{0.5, 2, 10, 40} {
+		for _, ingresses := range []int{1, 6} {
+			is := is.New(t)
+			start := time.Unix(100, 0)
+			server := &site.Server{ID: "i-1"}
+			limiter := quota.NewLimiter()
+			limiter.Observe(start, server, limitOf(rate))
+			asksAt := make([]time.Time, ingresses)
+			asked, placed := 0, 0
+			for now := start; now.Before(start.Add(time.Minute)); now = now.Add(5 * time.Millisecond) {
+				for i := range asksAt {
+					name := fmt.Sprint(i)
+					switch {
+					case now.Before(asksAt[i]):
+					case limiter.AllowsRetry(now, server):
+						limiter.Reserve(now, server)
+						limiter.MarkSent(server)
+						limiter.RecordRetry(server, name)
+						asked++
+					default:
+						asksAt[i] = now.Add(max(limiter.ScheduleRetry(now, server, name), 50*time.Millisecond))
+					}
+				}
+				if limiter.Allows(now, server) {
+					limiter.Reserve(now, server)
+					limiter.MarkSent(server)
+					placed++
+				}
+			}
+			taken := rate * time.Minute.Seconds()
+			t.Logf("rate %g, %d ingresses: %d asked for, %d placed", rate, ingresses, asked, placed)
+			is.True(float64(asked) >= 0.3*taken)
+			is.True(float64(placed) >= 0.3*taken)
+			is.True(float64(asked+placed) >= 0.8*taken)
+			is.True(float64(asked+placed) <= taken+slack)
+		}
+	}
+}
+
+// Guards against requests that are kept back for an ingress that does not ask again.
+func TestRequestIsNotLeftForLong(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	server := &site.Server{ID: "i-1"}
+	limiter := quota.NewLimiter()
+	limiter.Observe(now, server, limitOf(2))
+	now = now.Add(limiter.ScheduleRetry(now, server, "gone"))
+	limiter.Reserve(now, server)
+	limiter.MarkSent(server)
+	now = now.Add(limiter.ScheduleRetry(now, server, "gone"))
+	is.True(!limiter.Allows(now, server))
+	is.True(limiter.Allows(now.Add(300*time.Millisecond), server))
+}
--- a/share/decide/shard/shard.go
+++ b/share/decide/shard/shard.go
@@ -37,6 +37,14 @@
 	return queue[:i], queue[i+len(separator):]
 }
 
+// QueueOf returns the name of the queue of the jobs for the servers of a service in a region.
+func QueueOf(service *site.Service, servers []site.Server, regions map[string]string, region string) string {
+	if !IsSharded(service, servers, regions) {
+		return QueueName(service.Name, "")
+	}
+	return QueueName(service.Name, region)
+}
+
 // GroupByRegion returns the servers of each region; regions maps each failure domain to its
 // region. Regions without servers are included, and servers in failure domains without a
 // known region are left out.
@@ -54,8 +62,12 @@
 }
 
 // IsSharded reports whether each region has its own queue: there are at least two regions,
-// and each has at least minRegionServers servers.
-func IsSharded(servers []site.Server, regions map[string]string) bool {
+// and each has at least minRegionServers servers. A service that also runs engines has one
+// queue, since one ingress places all requests at them.
+func IsSharded(service *site.Service, servers []site.Server, regions map[string]string) bool {
+	if service.Engine != nil {
+		return false
+	}
 	groups := GroupByRegion(servers, regions)
 	for _, group := range groups {
 		if len(group) < minRegionServers {
--- a/share/decide/shard/shard_test.go
+++ b/share/decide/shard/shard_test.go
@@ -12,6 +12,8 @@
 
 var regions = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"} //nolint:gochecknoglobals // a constant in all but syntax
 
+var pool = &site.Service{Name: "encoders", Pool: &site.Pool{}} //nolint:gochecknoglobals // as above
+
 func newServers(domains ...string) []site.Server {
 	servers := []site.Server{}
 	for i, domain := range domains {
@@ -34,11 +36,15 @@
 // slow or gone, its jobs wait while servers in other regions are idle.
 func TestTooFewServersPerRegionShareOneQueue(t *testing.T) {
 	is := is.New(t)
-	is.True(shard.IsSharded(newServers("a1", "a1", "a2", "b1", "b2", "b2"), regions))
-	is.True(!shard.IsSharded(newServers("a1", "a2", "a2", "a2", "b1", "b2"), regions))
-	is.True(!shard.IsSharded(newServers("a1", "a1", "a2"), regions))
-	is.True(!shard.IsSharded(newServers("a1", "a1", "a2", "a2"), map[string]string{"a1": "a", "a2": "a"})) // one region
-	is.True(!shard.IsSharded(nil, nil))
+	is.True(shard.IsSharded(pool, newServers("a1", "a1", "a2", "b1", "b2", "b2"), regions))
+	is.True(!shard.IsSharded(pool, newServers("a1", "a2", "a2", "a2", "b1", "b2"), regions))
+	is.True(!shard.IsSharded(pool, newServers("a1", "a1", "a2"), regions))
+	is.True(!shard.IsSharded(pool, newServers("a1", "a1", "a2", "a2"), map[string]string{"a1": "a", "a2": "a"})) // one region
+	is.True(!shard.IsSharded(pool, nil, nil))
+	engines := &site.Service{Name: "models", Engine: &site.Engine{}, Pool: &site.Pool{}}
+	is.True(!shard.IsSharded(engines, newServers("a1", "a1", "a2", "b1", "b2", "b2"), regions))
+	is.Equal(shard.QueueOf(pool, newServers("a1", "a1", "a2", "b1", "b2", "b2"), regions, "b"), "encoders@b")
+	is.Equal(shard.QueueOf(pool, newServers("a1", "a2", "a2", "a2", "b1", "b2"), regions, "b"), "encoders")
 }
 
 // Guards against two faults: a region without servers being left out, which would hide it
