proofs: the soak replaces engines without a drain, loses all ingresses while streams of two versions run, and has servers of both kinds

Long streams of a service of their own are taken up throughout; once the faults have ended, at least half of those that ran when all ingresses were killed must go on, each at its version. Pool servers answer plain requests too, also while they state a rate.

--- a/proofs/hosted/limits_test.go
+++ b/proofs/hosted/limits_test.go
@@ -236,24 +236,11 @@
 	testStatedRate(t, d, d.poolServers[0], newReview)
 }
 
-// putBothKinds writes a configuration in which the pool servers answer plain requests too.
-func (d *deployment) putBothKinds() {
-	d.t.Helper()
-	changed := append(routes(), hosted.Route{
-		"Name": "text", "Host": host, "Prefix": "/text/", "Type": "safe", "Service": "encoders",
-		"TimeoutMs": 3000, "TargetLatencyMs": 300, "MaxAttempts": 2, "Priority": 2,
-	})
-	version := d.PutConfig(changed, services(), tenants())
-	for _, i := range d.ingresses {
-		eventually(d.t, "the version is in force", i.hasApplied(version))
-	}
-}
-
 // Guards against a server that produces results of stages, answers plain requests as well, and receives the rate that
 // it states once for each; and against one of the two that gets nothing of it.
 func TestStatedRateOfServerOfBothKindsIsKept(t *testing.T) {
 	d := newDeployment(t, 3)
-	d.putBothKinds()
+	d.addTextRoute()
 	sent := atomic.Uint64{}
 	server := d.poolServers[0]
 	began := time.Now()
--- a/proofs/hosted/restore_test.go
+++ b/proofs/hosted/restore_test.go
@@ -44,7 +44,7 @@
 
 // putKeys writes a configuration in which these are the keys.
 func (d *deployment) putKeys(keys ...string) int {
-	return d.PutConfig(routes(), services(), []map[string]any{{"Name": "workshop", "ApiKeys": keys}})
+	return d.putConfig([]map[string]any{{"Name": "workshop", "ApiKeys": keys}})
 }
 
 // putAndAwait writes a configuration with these keys and waits until it is in force everywhere.
--- a/proofs/hosted/soak_budget_test.go
+++ b/proofs/hosted/soak_budget_test.go
@@ -86,6 +86,9 @@
 	if strings.HasPrefix(q.target, "/order") || strings.HasPrefix(q.target, "/read") {
 		return "orders"
 	}
+	if strings.HasPrefix(q.target, "/text") {
+		return "encoders"
+	}
 	return "models"
 }
 
@@ -93,15 +96,18 @@
 func (s *soak) checkBudgets(calls []call) {
 	plain, streams := []time.Time{}, []time.Time{}
 	for _, c := range calls {
-		if serviceOf(c.request) == "orders" {
+		switch serviceOf(c.request) {
+		case "orders":
 			plain = append(plain, c.sentAt)
-		} else {
+		case "models":
 			streams = append(streams, c.sentAt)
 		}
 	}
 	s.lock.Lock()
 	for _, stream := range s.streams {
-		streams = append(streams, stream.sent...)
+		if !stream.isNovel {
+			streams = append(streams, stream.sent...)
+		}
 	}
 	s.lock.Unlock()
 	checkRetryBudget(s.t, defaultRetryWindow, plain, listRepeats(s.plainServers))
--- a/proofs/hosted/soak_check_test.go
+++ b/proofs/hosted/soak_check_test.go
@@ -35,7 +35,7 @@
 			return
 		default:
 		}
-		q := newRequest([]string{"/order/1", "/read/1", "/review/1", "/advice/1"}[random.IntN(4)])
+		q := newRequest([]string{"/order/1", "/read/1", "/text/1", "/review/1", "/advice/1"}[random.IntN(5)])
 		if strings.HasPrefix(q.target, "/review") {
 			q = newReview()
 		}
@@ -81,8 +81,8 @@
 	return answer{status: got.StatusCode, header: got.Header, body: string(text), err: err}
 }
 
-// checkRecovery ends the remaining faults and waits until everything is served again. It then checks that nothing
-// older comes back with a restored store, the rates that servers state, and that they leave or ask for pauses, stops the callers, checks the quarantines, and waits until no result is
+// checkRecovery ends the remaining faults and waits until everything is served again. It then checks that streams go on
+// after the loss of all ingresses, that nothing older comes back with a restored store, the rates that servers state, and that they leave or ask for pauses, stops the callers, checks the quarantines, and waits until no result is
 // held and no request is running.
 func (s *soak) checkRecovery() {
 	for _, r := range s.relays {
@@ -94,10 +94,10 @@
 	for _, i := range s.ingresses {
 		eventually(s.t, i.name+" is ready again", i.isReady)
 	}
-	version := s.PutConfig(routes(), services(), []map[string]any{{"Name": "workshop", "ApiKeys": []string{"key-1"}}})
+	version := s.putKeys("key-1")
 	for _, i := range s.ingresses {
 		eventually(s.t, i.name+" has applied the last version", i.hasApplied(version))
-		for _, target := range []string{"/order/1", "/review/1", "/advice/1"} {
+		for _, target := range []string{"/order/1", "/text/1", "/review/1", "/advice/1", "/novel/1"} {
 			eventually(s.t, i.name+" serves "+target, func() bool {
 				q := newRequest(target)
 				if strings.HasPrefix(target, "/review") {
@@ -113,6 +113,7 @@
 			s.t.Errorf("%s: a request with a removed key was answered with status %d", i.name, a.status)
 		}
 	}
+	s.checkTakeUps()
 	s.drainOtherEngines()
 	s.checkRestore()
 	s.checkRates()
@@ -214,7 +215,7 @@
 		s.t.Errorf("%s %s: %s; status %d, error %v, runs %d", q.id, q.target, violation, a.status, a.err, len(runs))
 	}
 	maxRuns := 1
-	if strings.HasPrefix(q.target, "/read") || strings.HasPrefix(q.target, "/review") {
+	if strings.HasPrefix(q.target, "/read") || strings.HasPrefix(q.target, "/text") || strings.HasPrefix(q.target, "/review") {
 		maxRuns = 2
 	}
 	if len(runs) > maxRuns {
@@ -244,7 +245,7 @@
 // checkAnswer checks that an answer with status 200 belongs to its request and is complete.
 func (s *soak) checkAnswer(c call, fail func(string)) {
 	q, a := c.request, c.answer
-	if strings.HasPrefix(q.target, "/order") || strings.HasPrefix(q.target, "/read") {
+	if serviceOf(q) != "models" {
 		if !strings.HasSuffix(a.body, " to "+q.id) || !strings.HasPrefix(a.body, "answer of ") {
 			fail("the answer belongs to another request: " + a.body)
 		}
--- a/proofs/hosted/soak_faults_test.go
+++ b/proofs/hosted/soak_faults_test.go
@@ -44,6 +44,8 @@
 	refusals map[string][]timeRange
 	// losses holds when killIngresses had killed an ingress and not started it again, by its number.
 	losses map[int][]timeRange
+	// novelists are the engines of the service novels, whose streams last for seconds. No fault restarts them.
+	novelists []*hosted.Server
 	// draining holds the time since which a server drains, by its ID.
 	draining map[string]time.Time
 	// restoring is set while restoreStore runs.
@@ -73,6 +75,8 @@
 		engine.EventInterval = soakEventInterval
 	}
 	s.addOtherVersion()
+	s.addTextRoute()
+	s.addNovels()
 	for _, servers := range [][]*hosted.Server{s.plainServers, s.engines, s.poolServers} {
 		for _, server := range servers {
 			r, err := relay.NewRelay(server.Address())
@@ -116,7 +120,7 @@
 		go s.runStreamCaller(n)
 	}
 	faults := []func(){
-		s.freezeIngress, s.killIngress, s.restartIngress, s.failStore, s.changeConfig, s.crashServer, s.setServerFaults, s.drainServer, s.disruptLink, s.disruptLink, s.limitServer, s.leaveServer, s.pauseServer, s.updateEngine, s.killIngresses, s.refuseRequests, s.killWhileRefused, s.restoreStore, s.restoreStore,
+		s.freezeIngress, s.killIngress, s.restartIngress, s.failStore, s.changeConfig, s.crashServer, s.setServerFaults, s.drainServer, s.disruptLink, s.disruptLink, s.limitServer, s.leaveServer, s.pauseServer, s.updateEngine, s.replaceEngine, s.killIngresses, s.refuseRequests, s.killWhileRefused, s.restoreStore, s.restoreStore,
 	}
 	deadline := time.Now().Add(duration)
 	running := sync.WaitGroup{}
@@ -219,7 +223,7 @@
 // changeConfig writes a configuration with or without key-2. key-1 is always in it.
 func (s *soak) changeConfig() {
 	keys := [][]string{{"key-1"}, {"key-1", "key-2"}}[s.randomInt(2)]
-	version := s.PutConfig(routes(), services(), []map[string]any{{"Name": "workshop", "ApiKeys": keys}})
+	version := s.putKeys(keys...)
 	s.lock.Lock()
 	s.version = max(s.version, version)
 	s.lock.Unlock()
--- a/proofs/hosted/versions_test.go
+++ b/proofs/hosted/versions_test.go
@@ -59,12 +59,18 @@
 	sent []time.Time
 	// unnamed is set if the caller does not state which attempt brought the first event.
 	unnamed bool
+	// isNovel is set for a stream of the service novels.
+	isNovel bool
 }
 
 // receive sends the next attempt of the stream and records its events.
 func (s *resumedStream) receive(i *ingress) {
 	s.sent = append(s.sent, time.Now())
 	q := newReview()
+	if s.isNovel {
+		q = newRequest("/novel/1")
+		q.header = map[string]string{}
+	}
 	if len(s.ids) > 0 {
 		q.header["Last-Event-Id"] = s.ids[len(s.ids)-1]
 		if !s.unnamed {
--- a/proofs/hosted/world_test.go
+++ b/proofs/hosted/world_test.go
@@ -24,6 +24,9 @@
 	plainServers []*hosted.Server
 	engines      []*hosted.Server
 	poolServers  []*hosted.Server
+	// addedRoutes and addedServices are configured beside those of every deployment.
+	addedRoutes   []hosted.Route
+	addedServices []map[string]any
 }
 
 const host = "kits.example"
@@ -72,6 +75,31 @@
 	return []map[string]any{{"Name": "workshop", "ApiKeys": []string{"key-1", "key-2"}}}
 }
 
+// putConfig writes a configuration with these tenants and returns its version.
+func (d *deployment) putConfig(tenants []map[string]any) int {
+	return d.PutConfig(append(routes(), d.addedRoutes...), append(services(), d.addedServices...), tenants)
+}
+
+// addRoute adds a route to the configuration, and waits until it is in force.
+func (d *deployment) addRoute(r hosted.Route, services ...map[string]any) {
+	d.t.Helper()
+	d.addedRoutes = append(d.addedRoutes, r)
+	d.addedServices = append(d.addedServices, services...)
+	version := d.putConfig(tenants())
+	for _, i := range d.ingresses {
+		eventually(d.t, i.name+" has applied the version", i.hasApplied(version))
+	}
+}
+
+// addTextRoute adds a route for plain requests to the pool servers.
+func (d *deployment) addTextRoute() {
+	d.t.Helper()
+	d.addRoute(hosted.Route{
+		"Name": "text", "Host": host, "Prefix": "/text/", "Type": "safe", "Service": "encoders",
+		"TimeoutMs": 3000, "TargetLatencyMs": 300, "MaxAttempts": 2, "Priority": 2,
+	})
+}
+
 // newDeployment starts n ingresses and two backend servers of each service. Each ingress has its
 // own address of the store, so that a test can make the store fail for this ingress alone.
 func newDeployment(t *testing.T, n int) *deployment {
