--- a/ingress/services/flow/origin.go
+++ b/ingress/services/flow/origin.go
@@ -66,7 +66,7 @@
 	server := x.reservedServer()
 	waited, err := x.server.options.Origins.AwaitRecorded(ctx, server.Software())
 	if err != nil {
-		result = codes.NewResult(codes.NotReady, err.Error()).WithRetryAfter(originRetryAfter)
+		result = codes.NewResult(codes.NoBackend, err.Error()).WithRetryAfter(originRetryAfter)
 	}
 	return waited, result
 }
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -255,8 +255,11 @@
 	if !j.Residency.Allows(p.regions[w.server.Domain]) {
 		return false
 	}
+	if !j.IsFallback {
+		return true
+	}
 	_, limited := p.limiter.Find(&w.server)
-	return !j.IsFallback || !limited
+	return !limited
 }
 
 // hasServer reports whether there is a server that may produce the results of a job.
