batch, chain, heads: a request for more results than can be produced is refused at once

Cause: the number was used before anything limited it. The estimate of a stage counted one call at most, that of the batcher exceeded what a duration holds and became negative, and while no server responds it is a second.

--- a/proofs/hosted/faults_test.go
+++ b/proofs/hosted/faults_test.go
@@ -365,3 +365,21 @@
 	is.True(got.err != nil)
 	is.Equal(eventIDs(got.body), "1,2")
 }
+
+// Guards against a request that ends the process of an ingress, since it asks for more results than any memory holds,
+// and with it all other requests there.
+func TestRequestOfTooManyResultsIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	for _, i := range d.ingresses {
+		for _, counts := range []string{"2,1796401285807920149", "1796401285807920149,3", "2,2000000000"} {
+			q := newReview()
+			q.header["X-Verbenaroad-Segment-Count"] = counts
+			got := i.send(context.Background(), q)
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			is.True(got.took < time.Second)
+			is.True(!i.hasExited())
+			is.Equal(i.send(context.Background(), newReview()).status, http.StatusOK)
+		}
+	}
+}
--- a/share/decide/batch/batch.go
+++ b/share/decide/batch/batch.go
@@ -254,7 +254,7 @@
 		p.demand.Add(now, j.Rank, j.Count)
 	}
 	wait := p.predictWait(now, j)
-	if now.Add(wait + p.pool.CallTime).After(j.Expires) {
+	if now.Add(wait+p.pool.CallTime).After(j.Expires) || !p.canProduce(now, j) {
 		p.complete(&a, now, Completion{JobID: j.ID, Outcome: OutcomeBusy, RetryAfter: wait})
 		return a
 	}
--- a/share/decide/batch/batch_test.go
+++ b/share/decide/batch/batch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -312,3 +313,29 @@
 	}
 	is.True(refused > 20 && refused < 80)
 }
+
+// Guards against a job with more items than its servers can ever produce, for which memory is reserved: while they
+// respond and while none of them does.
+func TestJobOfTooManyItemsIsRefused(t *testing.T) {
+	for _, isPaused := range []bool{false, true} {
+		for _, count := range []int{2000, math.MaxInt32} {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			p := newPlanner(now, "a", "b")
+			if isPaused {
+				p.SetPauses(pausedUntil(now.Add(time.Second)))
+			}
+			actions := p.Add(now, newJob(now, 1, count))
+			is.Equal(len(actions.Completions), 1)
+			is.Equal(actions.Completions[0].Outcome, batch.OutcomeBusy)
+			is.Equal(p.CountJobs(), 0)
+			p.Add(now, newJob(now, 2, 100))
+			is.Equal(p.CountJobs(), 1)
+		}
+	}
+}
+
+// pausedUntil is the end of the pause that each server has asked for.
+type pausedUntil time.Time
+
+func (u pausedUntil) PausedUntil(time.Time, *site.Server) time.Time { return time.Time(u) }
--- a/share/decide/batch/plan.go
+++ b/share/decide/batch/plan.go
@@ -284,6 +284,13 @@
 	return b.LateWait(j.Rank)
 }
 
+// canProduce reports whether all servers together could produce the results of a job before it expires, if they did
+// nothing else.
+func (p *Planner) canProduce(now time.Time, j Job) bool {
+	calls := int(j.Expires.Sub(now)/max(p.pool.CallTime, time.Millisecond)) + 1
+	return j.Count <= calls*p.pool.Slots*p.pool.MaxBatch*len(p.ready)
+}
+
 // rate returns how many items per second the servers that are neither in backoff nor paused process in
 // full calls. A server with a rate limit processes no more calls than that.
 func (p *Planner) rate(now time.Time) float64 {
--- a/share/decide/chain/chain.go
+++ b/share/decide/chain/chain.go
@@ -111,7 +111,7 @@
 		}
 		if n := countOf(counts, i); n > 0 && s.Pools[stage.Service] != nil {
 			waits[i] = max(wait(stage.Service)-arrival, 0)
-			times[i] = waits[i] + callTime(s.Pools[stage.Service], n)
+			times[i] = waits[i] + max(callTime(s.Pools[stage.Service], n), pendingTime(s.Reports[stage.Service], float64(n)))
 		}
 		ends[i] = arrival + times[i]
 	}
--- a/share/decide/chain/chain_test.go
+++ b/share/decide/chain/chain_test.go
@@ -1,6 +1,7 @@
 package chain_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -196,3 +197,16 @@
 		}
 	})
 }
+
+// Guards against a request with more results than the pools can ever produce that is admitted, and whose pending
+// results make each other request seem late.
+func TestRequestOfTooManyResultsIsRefused(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	for _, count := range []int{100_000, math.MaxInt32} {
+		p := chain.NewPlan(now, 0, newStages(), []int{2, 1, 6, count}, newSnapshot(now, 0))
+		verdict, retryAfter := p.Admit(now, now.Add(2*time.Second), now.Add(20*time.Second))
+		is.Equal(verdict, chain.Refuse)
+		is.True(retryAfter > 0)
+	}
+}
--- a/share/decide/delay/delay.go
+++ b/share/decide/delay/delay.go
@@ -80,9 +80,13 @@
 		return stalledWait
 	}
 	rate := b.Rate - min(demand, maxDemandShare*b.Rate)
-	return time.Duration(results / rate * float64(time.Second))
+	return time.Duration(min(results/rate, maxTime.Seconds()) * float64(time.Second))
 }
 
+// maxTime limits the estimates, so that the number of results that a request asks for cannot exceed what a
+// time holds.
+const maxTime = time.Hour
+
 // maxDemandShare limits the share of a service's rate that ProcessingTime assigns to later
 // arrivals: bursts end, and the demand is only known for about one second.
 const maxDemandShare = 0.8
