reach: a path that begins with two slashes is sent as it was received

Cause: the path was put into url.URL.Opaque, before which net/http writes the scheme if it begins with two slashes.

Fix: such a path is sent by Path and RawPath, if that writes it unchanged; else the request is refused as not run.

--- a/ingress/services/reach/reach.go
+++ b/ingress/services/reach/reach.go
@@ -250,7 +250,9 @@
 	if err != nil {
 		return nil, err
 	}
-	request.URL = newURL(r)
+	if request.URL, err = newURL(r); err != nil {
+		return nil, err
+	}
 	request.Host = r.Host
 	request.Header = r.Header.Clone()
 	request.ContentLength = int64(len(r.Body))
@@ -264,12 +266,24 @@
 	return request, nil
 }
 
+// errTarget means that net/http would send a request with another path.
+var errTarget = errors.New("the path cannot be sent as it was received")
+
 // newURL returns the URL of a request, with the path and query exactly as received from the caller.
-func newURL(r Request) *url.URL {
+func newURL(r Request) (*url.URL, error) {
 	u := &url.URL{Scheme: "http", Host: r.Server.Address.String()}
 	path, query, found := strings.Cut(r.Target, "?")
-	u.Opaque = path
 	u.RawQuery = query
 	u.ForceQuery = found && query == ""
-	return u
+	if !strings.HasPrefix(path, "//") {
+		u.Opaque = path
+		return u, nil
+	}
+	// An opaque part that begins with two slashes would be sent as a host and a path.
+	var err error
+	u.RawPath = path
+	if u.Path, err = url.PathUnescape(path); err == nil && u.EscapedPath() != path {
+		err = errTarget
+	}
+	return u, err
 }
--- a/proofs/hosted/path_test.go
+++ b/proofs/hosted/path_test.go
@@ -1,7 +1,10 @@
 package hosted_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,6 +17,48 @@
 
 // A plain request and its answer must pass through the ingress unchanged, except for the headers
 // that the system owns and for hop-by-hop headers.
+// Guards against a path that begins with two slashes and reaches the server as a host and the rest of the path, and
+// against one that is sent with another encoding.
+func TestPathWithTwoSlashesPassesUnchanged(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	d.addRoute(hosted.Route{
+		"Name": "all", "Host": host, "Prefix": "/", "Type": "safe", "Service": "orders",
+		"TimeoutMs": 3000, "TargetLatencyMs": 300, "MaxAttempts": 2, "Priority": 2,
+	})
+	for target, isSent := range map[string]bool{
+		"//ledger/17": true, "//ledger/17?x=//1&y=%20": true, "///": true, "//a%2Fb//c?": true, "//": true, "/a//b": true, "//a|b": false, "/a|b": true,
+	} {
+		q := newRequest("/")
+		status := d.ingresses[0].sendTarget(t, q, target)
+		runs := d.Runs(q.id)
+		if !isSent {
+			is.Equal(status, http.StatusServiceUnavailable)
+			is.Equal(len(runs), 0)
+			continue
+		}
+		is.Equal(status, http.StatusOK)
+		is.Equal(runs[0].Target, target)
+	}
+}
+
+// sendTarget sends a request with the path and query exactly as given, and returns the status of the answer.
+func (i *ingress) sendTarget(t *testing.T, q request, target string) int {
+	t.Helper()
+	conn, err := net.Dial("tcp", i.callerAddress.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Verbenaroad-Attempt-Id: %s\r\nX-Verbenaroad-Key: %s\r\nContent-Length: 1\r\n\r\nx", target, host, q.id, q.key)
+	got, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = got.Body.Close()
+	return got.StatusCode
+}
+
 func TestPlainRequestPassesUnchanged(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t, 1)
