--- a/ingress/services/mesh/deltas_test.go
+++ b/ingress/services/mesh/deltas_test.go
@@ -24,7 +24,7 @@
 	for i := range servers {
 		d.Records = append(d.Records, site.Record{
 			Key:      fmt.Sprintf("servers/i-%d", i),
-			Value:    fmt.Appendf(nil, `{"Service":"models","Address":"10.1.64.%d:8080","Zone":"a1","State":"ready","Sequence":%d}`, i%256, i),
+			Value:    fmt.Appendf(nil, `{"Service":"models","Address":"10.1.64.%d:8080","Zone":"a1","State":"ready","Version":"v1","Slots":4,"ColdRemainingMs":0,"Sequence":%d}`, i%256, i),
 			Revision: site.Revision{Era: 2, Number: uint64(i + 1)}, //nolint:gosec // a small number
 		})
 	}
--- a/ingress/services/mesh/restore_test.go
+++ b/ingress/services/mesh/restore_test.go
@@ -28,7 +28,7 @@
 			time.Sleep(calmTime)
 			all, revision := f.records.backup()
 			for n := range 10 {
-				f.records.put(fmt.Sprintf("servers/i-%d", n), []byte(`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready"}`))
+				f.records.put(fmt.Sprintf("servers/i-%d", n), []byte(`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","Version":"v1","Slots":4,"ColdRemainingMs":0,"Sequence":1}`))
 			}
 			f.records.put("op/config", []byte(`{"Version":5}`))
 			f.eventually("has the configuration", func(i *instance) bool { return i.book.View().Version() == 5 })
--- a/ingress/services/state/discovery_test.go
+++ b/ingress/services/state/discovery_test.go
@@ -48,7 +48,7 @@
 	}
 	put("op/config", []byte(`{"Version":1}`))
 	for i := range 3 * n {
-		put(fmt.Sprintf("servers/i-%d", i), []byte(`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","Slots":8}`))
+		put(fmt.Sprintf("servers/i-%d", i), []byte(`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","Version":"v1","Slots":8,"ColdRemainingMs":0,"Sequence":1}`))
 	}
 	for i := range n {
 		ingress := site.Ingress{
--- a/ingress/services/state/evacuation_test.go
+++ b/ingress/services/state/evacuation_test.go
@@ -15,8 +15,8 @@
 const (
 	evacuationKey = "op/evacuate/north-a"
 	coldConfig    = `{"Version":7,"Routes":[],"Services":[{"Name":"engines","ColdStartS":3.0,"ColdPerS":9.0}]}`
-	northServer   = `{"Service":"engines","Address":"10.0.0.1:1","Zone":"north-a","State":"ready","Slots":4,"ColdRemainingMs":0}`
-	southServer   = `{"Service":"engines","Address":"10.0.0.2:1","Zone":"south-a","State":"ready","Slots":4,"ColdRemainingMs":1500}`
+	northServer   = `{"Service":"engines","Address":"10.0.0.1:1","Zone":"north-a","State":"ready","Version":"v1","Sequence":1,"Slots":4,"ColdRemainingMs":0}`
+	southServer   = `{"Service":"engines","Address":"10.0.0.2:1","Zone":"south-a","State":"ready","Version":"v1","Sequence":1,"Slots":4,"ColdRemainingMs":1500}`
 )
 
 func countReady(b *state.Book) int { return len(b.View().Servers["engines"]) }
--- a/ingress/services/state/hold_test.go
+++ b/ingress/services/state/hold_test.go
@@ -20,7 +20,7 @@
 }
 
 func newServerValue(born, sequence int, serverState string) string {
-	return fmt.Sprintf(`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":%q,"born":%d,"Sequence":%d}`, serverState, born, sequence)
+	return fmt.Sprintf(`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":4,"ColdRemainingMs":0,"State":%q,"born":%d,"Sequence":%d}`, serverState, born, sequence)
 }
 
 // restoreBook returns a book that knew some records in era 1, up to revision 90, and has then listed others in era 2,
--- a/ingress/services/state/versions_test.go
+++ b/ingress/services/state/versions_test.go
@@ -13,7 +13,7 @@
 )
 
 func newVersionRecord(id, version, serverState string, revision uint64) site.Record {
-	value := `{"Service":"engines","Address":"10.0.0.1:1","Zone":"north-a","Slots":4,"State":"` + serverState + `","Version":"` + version + `"}`
+	value := `{"Service":"engines","Address":"10.0.0.1:1","Zone":"north-a","Slots":4,"Sequence":1,"ColdRemainingMs":0,"State":"` + serverState + `","Version":"` + version + `"}`
 	return site.Record{Key: "servers/" + id, Value: []byte(value), Revision: at(revision)}
 }
 
