--- a/ingress/services/recall/archiver.go
+++ b/ingress/services/recall/archiver.go
@@ -15,9 +15,11 @@
 
 const (
 	// writeInterval is the time between two writes of segments while their memos fit into one each,
-	// backlogPause the time while they do not.
-	writeInterval = time.Second
+	// backlogPause the time while they do not, idleInterval that between two checks whether memos are kept.
+	// What was received since the last write is lost with all ingresses.
+	writeInterval = 250 * time.Millisecond
 	backlogPause  = 100 * time.Millisecond
+	idleInterval  = time.Second
 	// retryPause is the pause after a call that failed, writeTimeout limits a write.
 	retryPause   = time.Second
 	writeTimeout = 1500 * time.Millisecond
@@ -38,10 +40,12 @@
 // loopWrite writes the memos that this ingress is to write.
 func (a *Archive) loopWrite(ctx context.Context) {
 	for pause := writeInterval; pauses.Wait(ctx, pause); {
-		a.fillQueues(time.Now())
+		pause = idleInterval
+		if a.fillQueues(time.Now()) {
+			pause = writeInterval
+		}
 		segments, counts := a.encodeQueues()
 		if len(segments) == 0 {
-			pause = writeInterval
 			continue
 		}
 		if err := a.write(ctx, segments, counts); err != nil {
@@ -52,7 +56,6 @@
 			}
 			continue
 		}
-		pause = writeInterval
 		for shard, count := range counts {
 			q := a.queues[shard]
 			q.memos = q.memos[count:]
@@ -64,11 +67,12 @@
 }
 
 // fillQueues lists the memos that were written since. All of them are listed if the selection has changed, if this
-// ingress has not been the writer of their group before, or if the store was restored and may have lost them.
-func (a *Archive) fillQueues(now time.Time) {
+// ingress has not been the writer of their group before, or if the store was restored and may have lost them. It
+// returns false if no memos are kept, or if they cannot be written now.
+func (a *Archive) fillQueues(now time.Time) bool {
 	selection := a.options.Select()
 	if selection.Name == "" || a.options.Age() > maxSilence {
-		return
+		return false
 	}
 	if era := a.registry.options.Views.View().Era; selection.Name != a.name || era != a.era {
 		a.name, a.era, a.lease = selection.Name, era, site.Lease{}
@@ -91,6 +95,7 @@
 			}
 		}
 	}
+	return true
 }
 
 // encodeQueues returns a segment of each group that has memos to be written, by its key, and how many of the memos of
