flow, stages: a stopping ingress refuses what it has not sent

Cause: neither the loop that holds late requests nor the stages knew of the stop.

Fix: a stopping ingress does not hold, and refuses a second before it exits what no engine has yet, as not run.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -185,7 +185,7 @@
 	i.flow = flow.NewServer(flow.Options{
 		Views: i.book, Sender: client, StageRunner: i.producer, EnginePlacer: i.dispatcher, Screen: i.screen, Origins: i.origins, Meter: i.meters, Log: i.log,
 		Domain: s.Place.Domain, Region: s.Place.Region, Regions: s.Place.Regions, Retries: i.ledger,
-		Cold: s.Cold.Settings, Peers: i.mesh, Limits: i.limits, Admitter: i.dispatcher,
+		Cold: s.Cold.Settings, Peers: i.mesh, Limits: i.limits, Admitter: i.dispatcher, Stop: i.stopper,
 	})
 }
 
@@ -295,6 +295,7 @@
 	i.recall.Start(ctx)
 	i.ledger.Start(ctx)
 	i.origins.Start(ctx)
+	i.flow.Start(ctx)
 	(&usageReporter{ingress: i}).Start(ctx)
 	i.watcher.Start(ctx)
 	i.log.Info("started", zap.Stringer("callers", s.Callers.Listen), zap.Stringer("peers", s.Peers.Listen),
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -47,11 +47,15 @@
 	// servers that state a rate.
 	Limits   Statements
 	Admitter Admitter
+	// Stop reports whether the process is stopping; nil: it never does.
+	Stop Stop
 }
 
 // Server serves requests. It is safe for concurrent use.
 type Server struct {
 	options Options
+	// unsent are the requests for engines that were not sent yet.
+	unsent *unsent
 
 	lock sync.Mutex
 	// services is keyed by the name of the service.
@@ -67,7 +71,10 @@
 
 // NewServer returns a server without backend servers.
 func NewServer(options Options) *Server {
-	return &Server{options: options, services: map[string]*serviceState{}}
+	if options.Stop == nil {
+		options.Stop = neverStops{}
+	}
+	return &Server{options: options, services: map[string]*serviceState{}, unsent: &unsent{cancels: map[*context.CancelCauseFunc]bool{}}}
 }
 
 // SetView updates the backend servers from a new view.
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -155,6 +155,8 @@
 	if len(r.route.Stages) == 0 || r.results != nil {
 		return nil
 	}
+	ctx, release := r.server.unsent.track(ctx)
+	defer release()
 	results, failed := r.server.options.StageRunner.ProduceChain(ctx, stages.Chain{
 		AttemptID:     r.AttemptID,
 		RequestDigest: string(r.identity.Request),
@@ -169,8 +171,15 @@
 		Residency:     r.residency(),
 		Refuse:        r.refuseQuarantined,
 		OnLastStage:   r.preconnect,
+		IsStopping:    r.server.isStopping,
 		Log:           r.log,
 	})
+	if stopping := r.refuseStopping(ctx); stopping != nil && r.runs == 0 {
+		if failed == nil {
+			results.Release()
+		}
+		return stopping
+	}
 	if failed != nil {
 		return failed
 	}
--- a/ingress/services/stages/admit.go
+++ b/ingress/services/stages/admit.go
@@ -14,6 +14,9 @@
 const (
 	// heldCheckInterval is how often a held request checks whether it can be admitted now.
 	heldCheckInterval = 50 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of a request that a stopping ingress does not hold: another one can
+	// take it at once.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// heldAdmitInterval is the minimum time between two held requests that one ingress admits. All
 	// held requests see the same backlog; if they were admitted together, they would fill the
 	// queue at once.
@@ -37,6 +40,10 @@
 				zap.Duration("late", plan.LateTotal), zap.Duration("target", time.Until(c.Target)), zap.Duration("ends", time.Until(c.Deadline)))
 			return plan, nil
 		}
+		if c.IsStopping != nil && c.IsStopping() {
+			return plan, codes.NewResult(codes.Draining, "stopping, and the stages would take "+plan.Total.Round(time.Millisecond).String()).
+				WithRetryAfter(stoppingRetryAfter)
+		}
 		if !held {
 			held = true
 			c.Log.Info("held", zap.Duration("on-time", plan.Total), zap.Duration("late", plan.LateTotal))
--- a/proofs/hosted/faults_test.go
+++ b/proofs/hosted/faults_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -383,3 +384,50 @@
 		}
 	}
 }
+
+// Guards against requests that a stopping ingress holds, or has the stages made of, until the end of its grace period, and
+// whose connections it then closes without an answer although no server has run them.
+func TestStoppingIngressAnswersWhatItHasNotSent(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	for _, s := range d.poolServers {
+		s.WorkTime = 1200 * time.Millisecond
+	}
+	changed := services()
+	changed[2]["Segments"].(map[string]any)["CallMs"] = 1200 //nolint:forcetypeassert // services writes it so
+	version := d.PutConfig(routes(), changed, tenants())
+	stopped := d.ingresses[0]
+	eventually(t, "the version is in force", stopped.hasApplied(version))
+	type result struct {
+		q request
+		a answer
+	}
+	results := make(chan result)
+	const requests = 60
+	for n := range requests {
+		q := newReview()
+		q.callerTimeout = 20 * time.Second
+		q.header["X-Verbenaroad-Segment-Count"] = "8,8"
+		go func() {
+			time.Sleep(time.Duration(n) * 20 * time.Millisecond)
+			results <- result{q, stopped.send(context.Background(), q)}
+		}()
+	}
+	time.Sleep(800 * time.Millisecond)
+	stopped.signal(syscall.SIGTERM)
+	answers := map[int]int{}
+	for range requests {
+		r := <-results
+		answers[r.a.status]++
+		runs := d.Runs(r.q.id)
+		switch {
+		case r.a.err != nil && len(runs) == 0 && r.a.took > time.Second:
+			t.Errorf("%s was closed without an answer after %v, and was not run: %v", r.q.id, r.a.took, r.a.err)
+		case r.a.status == http.StatusServiceUnavailable:
+			is.Equal(len(runs), 0)
+		}
+	}
+	t.Logf("answers by status: %v", answers)
+	<-stopped.exited
+	is.Equal(len(stopped.output.lines("event=stopped", "cut=0")), 1)
+}
--- a/share/decide/drain/instance.go
+++ b/share/decide/drain/instance.go
@@ -115,6 +115,14 @@
 	return i.drainStart.Add(i.settings.Grace), true
 }
 
+// GraceEnd returns when the instance stops at the latest, or false while it is serving.
+func (i *Instance) GraceEnd() (time.Time, bool) {
+	if i.state == StateServing {
+		return time.Time{}, false
+	}
+	return i.drainStart.Add(i.settings.Grace), true
+}
+
 // Step processes one event and returns the actions that follow from it, in order.
 func (i *Instance) Step(now time.Time, e Event) []Action {
 	switch v := e.(type) {
--- a/share/services/stops/stopper.go
+++ b/share/services/stops/stopper.go
@@ -78,6 +78,13 @@
 	return s.instance.State() != drain.StateServing
 }
 
+// EndsAt returns when the process exits at the latest, or false while the drain has not begun.
+func (s *Stopper) EndsAt() (time.Time, bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.instance.GraceEnd()
+}
+
 // Announced returns a channel that is closed when the drain begins.
 func (s *Stopper) Announced() <-chan struct{} { return s.announced }
 
