state: an ingress writes its registration again if it was overwritten

Cause: a call that the store did not answer, executed seconds later, replaced or ended the registration of an ingress, which took the acknowledgement of its own write for what the store holds. All others dropped it, and it went on beside them.

Fix: an ingress compares its own record in its copy of the store with what it has written, and writes it again under its lease if a later change says something else.

--- a/ingress/services/state/looked.go
+++ b/ingress/services/state/looked.go
@@ -33,6 +33,20 @@
 	}
 }
 
+// findOverwrite returns the registration in the store if it is not the one that this ingress has written under a lease
+// at a revision: it was removed, or written later by a call of this ingress that the store had not answered, or by an
+// earlier process of its name. The revision is zero if this process has taken the registration over.
+func (b *Book) findOverwrite(key string, value []byte, lease site.Lease, revision site.Revision) (site.Record, bool) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	r, known := b.records.Find(key)
+	if !known || !b.isComplete() || !r.Revision.IsAfter(revision) {
+		return site.Record{}, false
+	}
+	isOtherLease := !r.Lease.IsZero() && r.Lease != lease // records that other ingresses pass on name no lease
+	return r, r.Deleted || isOtherLease || !bytes.Equal(r.Value, value)
+}
+
 // awaitRegistered waits until this ingress is registered, at most for limit. It returns false if the context
 // ends first.
 func (b *Book) awaitRegistered(ctx context.Context, limit time.Duration) bool {
--- a/ingress/services/state/register.go
+++ b/ingress/services/state/register.go
@@ -50,6 +50,8 @@
 	lease site.Lease
 	// renewed is set once the lease has been renewed.
 	renewed bool
+	// revision is that of the last registration; zero if an earlier one was taken over.
+	revision site.Revision
 	// resumed is set once an earlier registration was tried.
 	resumed bool
 	// failures counts the failed registrations or renewals in a row.
@@ -154,6 +156,9 @@
 		if !pauses.Wait(ctx, min(r.ProbeEvery, r.interval())) {
 			return false
 		}
+		if _, isOverwritten := r.findOverwrite(); isOverwritten {
+			return true
+		}
 		if r.Book.isWatching() || time.Since(began) >= time.Duration(part*float64(r.interval())) {
 			return true
 		}
@@ -178,6 +183,9 @@
 func (r *Registrar) registerOrRenew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
+	if found, isOverwritten := r.findOverwrite(); isOverwritten {
+		return r.registerAgain(ctx, found)
+	}
 	if !r.lease.IsZero() {
 		r.renewed = true
 		return r.Leases.Renew(ctx, r.lease)
@@ -194,7 +202,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := r.Leases.Put(ctx, key, value, lease); err != nil {
+	if r.revision, err = r.Leases.Put(ctx, key, value, lease); err != nil {
 		return err
 	}
 	r.lease = lease
@@ -204,6 +212,34 @@
 	return nil
 }
 
+// findOverwrite returns what the store holds in place of the registration of this ingress, as far as it is known.
+func (r *Registrar) findOverwrite() (site.Record, bool) {
+	if r.lease.IsZero() {
+		return site.Record{}, false
+	}
+	value, err := r.Codec.WriteIngress(r.Self)
+	if err != nil {
+		return site.Record{}, false // a registration reports the error
+	}
+	return r.Book.findOverwrite(r.Codec.IngressKey(r.Self), value, r.lease, r.revision)
+}
+
+// registerAgain writes the registration again under its lease. The acknowledgement of the last one does not show that
+// the store still holds it: a call without an answer may be executed seconds later.
+func (r *Registrar) registerAgain(ctx context.Context, found site.Record) error {
+	value, err := r.Codec.WriteIngress(r.Self)
+	if err != nil {
+		return err
+	}
+	revision, err := r.Leases.Put(ctx, r.Codec.IngressKey(r.Self), value, r.lease)
+	if err == nil {
+		r.revision = revision
+	}
+	r.Log.Warn("registration-overwritten", zap.Stringer("revision", found.Revision), zap.Bool("removed", found.Deleted),
+		zap.Uint64("lease", found.Lease.ID), zap.Duration("age", r.Book.Age()), logs.Err(err))
+	return err
+}
+
 // resume takes over the registration that an earlier process under the same name left, if its lease has not
 // ended. It costs one renewal in place of a lease and a write, and the other ingresses see no change.
 func (r *Registrar) resume(ctx context.Context, key string, value []byte) bool {
--- a/ingress/services/state/register_test.go
+++ b/ingress/services/state/register_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -25,6 +26,7 @@
 	lock     sync.Mutex
 	renewals int
 	grants   int
+	writes   int
 	// renewErr is what a renewal returns.
 	renewErr error
 	// goneLease is the lease under which a write fails with errGone.
@@ -60,6 +62,7 @@
 	if lease == s.goneLease {
 		return site.Revision{}, errGone
 	}
+	s.writes++
 	s.written = site.Record{Key: key, Value: value, Revision: at(s.written.Revision.Number + 1), Lease: lease}
 	return s.written.Revision, nil
 }
@@ -269,3 +272,57 @@
 	defer s.lock.Unlock()
 	return s.written
 }
+
+// Guards against an ingress that all others drop for good, and that goes on beside them, since a write of its own, or of
+// an earlier process of its name, was executed after the one that the store has acknowledged.
+func TestOverwrittenRegistrationIsWrittenAgain(t *testing.T) {
+	self := site.Ingress{Name: "a", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.2:80"), Capacity: 1}
+	codec := record.Codec{}
+	ended := self
+	ended.Ended = true
+	running, err := codec.WriteIngress(self)
+	is.New(t).NoErr(err)
+	stopped, err := codec.WriteIngress(ended)
+	is.New(t).NoErr(err)
+	key := codec.IngressKey(self)
+	for name, c := range map[string]struct {
+		late site.Record
+		want int
+	}{
+		"under an earlier lease":      {site.Record{Key: key, Value: running, Revision: at(5), Lease: site.Lease{ID: 9}}, 2},
+		"ended by an earlier process": {site.Record{Key: key, Value: stopped, Revision: at(5), Lease: site.Lease{ID: 1}}, 2},
+		"removed":                     {site.Record{Key: key, Revision: at(5), Deleted: true}, 2},
+		"ended, told by a peer":       {site.Record{Key: key, Value: stopped, Revision: at(5)}, 2},
+		"the same, told by a peer":    {site.Record{Key: key, Value: running, Revision: at(5)}, 1},
+		"before the acknowledgement":  {site.Record{Key: key, Value: stopped, Revision: at(1), Lease: site.Lease{ID: 9}}, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &stubStore{written: site.Record{Revision: at(3)}}
+			book := state.NewBook(state.Options{Codec: codec, Log: zap.NewNop()})
+			registrar := &state.Registrar{
+				Leases: s, Codec: codec, Self: self, TTL: time.Minute, LeaseGone: errGone, Book: book, ProbeEvery: 300 * time.Millisecond, Log: zap.NewNop(),
+			}
+			registrar.Start(t.Context())
+			time.Sleep(time.Second)
+			is.Equal(s.countWrites(), 1)
+			s.lock.Lock()
+			s.written.Revision = at(7) // later than the one that was executed late
+			s.lock.Unlock()
+			book.ApplyListing([]site.Record{c.late}, at(6))
+			time.Sleep(10 * time.Second)
+			t.Log(name)
+			is.Equal(s.countWrites(), c.want)
+			is.Equal(s.lastWritten().Value, running)
+			is.Equal(s.lastWritten().Lease, site.Lease{ID: 1})
+			grants, _ := s.counts()
+			is.Equal(grants, 1)
+		})
+	}
+}
+
+func (s *stubStore) countWrites() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.writes
+}
--- a/share/decide/mirror/mirror.go
+++ b/share/decide/mirror/mirror.go
@@ -209,6 +209,9 @@
 	return isLiveA == isLiveB && (!isLiveA || bytes.Equal(a.Value, b.Value))
 }
 
+// Find returns the record of a key that is in force, which may be a tombstone, or false if none is known.
+func (m *Mirror) Find(key string) (site.Record, bool) { return m.find(key) }
+
 // find returns the record of a key that is in force, which may be a tombstone, or false if none is known.
 func (m *Mirror) find(key string) (site.Record, bool) {
 	if h, held := m.holds[key]; held {
