--- a/proofs/relay/relay_test.go
+++ b/proofs/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -159,7 +160,7 @@
 		is.Equal(string(buffer[:n]), "half of")
 		end(server)
 		_, err = conn.Read(buffer)
-		is.Equal(err == io.EOF, name == "closed by the server")
+		is.Equal(errors.Is(err, io.EOF), name == "closed by the server")
 		_ = server.Close()
 	}
 }
