--- a/proofs/hosted/faults_test.go
+++ b/proofs/hosted/faults_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -365,3 +366,68 @@
 	is.True(got.err != nil)
 	is.Equal(eventIDs(got.body), "1,2")
 }
+
+// Guards against a request that ends the process of an ingress, since it asks for more results than any memory holds,
+// and with it all other requests there.
+func TestRequestOfTooManyResultsIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	for _, i := range d.ingresses {
+		for _, counts := range []string{"2,1796401285807920149", "1796401285807920149,3", "2,2000000000"} {
+			q := newReview()
+			q.header["X-Verbenaroad-Segment-Count"] = counts
+			got := i.send(context.Background(), q)
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			is.True(got.took < time.Second)
+			is.True(!i.hasExited())
+			is.Equal(i.send(context.Background(), newReview()).status, http.StatusOK)
+		}
+	}
+}
+
+// Guards against requests that a stopping ingress holds, or has the stages made of, until the end of its grace period, and
+// whose connections it then closes without an answer although no server has run them.
+func TestStoppingIngressAnswersWhatItHasNotSent(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	for _, s := range d.poolServers {
+		s.WorkTime = 1200 * time.Millisecond
+	}
+	changed := services()
+	changed[2]["Segments"].(map[string]any)["CallMs"] = 1200 //nolint:forcetypeassert // services writes it so
+	version := d.PutConfig(routes(), changed, tenants())
+	stopped := d.ingresses[0]
+	eventually(t, "the version is in force", stopped.hasApplied(version))
+	type result struct {
+		q request
+		a answer
+	}
+	results := make(chan result)
+	const requests = 60
+	for n := range requests {
+		q := newReview()
+		q.callerTimeout = 20 * time.Second
+		q.header["X-Verbenaroad-Segment-Count"] = "8,8"
+		go func() {
+			time.Sleep(time.Duration(n) * 20 * time.Millisecond)
+			results <- result{q, stopped.send(context.Background(), q)}
+		}()
+	}
+	time.Sleep(800 * time.Millisecond)
+	stopped.signal(syscall.SIGTERM)
+	answers := map[int]int{}
+	for range requests {
+		r := <-results
+		answers[r.a.status]++
+		runs := d.Runs(r.q.id)
+		switch {
+		case r.a.err != nil && len(runs) == 0 && r.a.took > time.Second:
+			t.Errorf("%s was closed without an answer after %v, and was not run: %v", r.q.id, r.a.took, r.a.err)
+		case r.a.status == http.StatusServiceUnavailable:
+			is.Equal(len(runs), 0)
+		}
+	}
+	t.Logf("answers by status: %v", answers)
+	<-stopped.exited
+	is.Equal(len(stopped.output.lines("event=stopped", "cut=0")), 1)
+}
