settings: a silent watch of the store is noticed within store.wait

Cause: the setting says when changes are seen at the latest, and was the time of the watch itself; noticing and the listing came on top.

Fix: a watch lasts half of it.

--- a/fakes/services/hosted/calls.go
+++ b/fakes/services/hosted/calls.go
@@ -92,7 +92,14 @@
 	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	silences := s.silences
 	for {
+		if s.silences != silences {
+			s.lock.Unlock()
+			<-r.Context().Done()
+			s.lock.Lock()
+			return
+		}
 		// An address with a fault also resets the watches that are already waiting.
 		if p.fault != NoStoreFault {
 			cut(w)
--- a/fakes/services/hosted/store.go
+++ b/fakes/services/hosted/store.go
@@ -55,6 +55,8 @@
 	lastLease uint64
 	ports     []*port
 	closed    bool
+	// silences is the number of calls of SilenceWatches.
+	silences int
 }
 
 // port is one address of the store.
@@ -93,6 +95,14 @@
 	s.changed.Broadcast()
 }
 
+// SilenceWatches makes the open watches go silent for good, while new calls are answered.
+func (s *Store) SilenceWatches() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.silences++
+	s.changed.Broadcast()
+}
+
 // Compact drops the history, so that a watch from an older revision fails with 410.
 func (s *Store) Compact() {
 	s.lock.Lock()
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -155,7 +155,7 @@
 	i.puller = &mesh.Puller{Mesh: i.mesh, Book: i.book, Seeds: s.Peers.Seeds, Log: i.log}
 	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
 		Mesh: i.mesh, Book: i.book, Puller: i.puller, Self: i.self, Regions: s.Place.Regions, LeaseTTL: s.Store.Lease, IsLeaving: i.stopper.IsLeaving, Log: i.log,
-		Reader: &state.Reader{Book: i.book, Store: i.store, Name: i.self.Name, Domain: s.Place.Domain, Wait: s.Store.Wait, HistoryGone: keyval.ErrHistoryGone, OnFirstRun: func() { i.ledger.MarkFirstRun() }, OnFirstStart: func() { i.origins.MarkFirstRun() }, Log: i.log},
+		Reader: &state.Reader{Book: i.book, Store: i.store, Name: i.self.Name, Domain: s.Place.Domain, Wait: s.Store.WatchTime(), HistoryGone: keyval.ErrHistoryGone, OnFirstRun: func() { i.ledger.MarkFirstRun() }, OnFirstStart: func() { i.origins.MarkFirstRun() }, Log: i.log},
 	})
 	i.puller.Feed = i.feeder
 	i.recall = recall.NewRegistry(recall.Options{Peers: i.mesh, Views: i.book, Log: i.log})
--- a/ingress/cmds/settings.go
+++ b/ingress/cmds/settings.go
@@ -78,7 +78,8 @@
 // Store is the table [store]: the connection to the platform's store.
 type Store struct {
 	Address netip.AddrPort
-	// Timeout limits the duration of a call, Wait that of a watch.
+	// Timeout limits the duration of a call. Wait is how long after an open watch stopped delivering changes they
+	// are seen at the latest.
 	Timeout time.Duration
 	Wait    time.Duration
 	// Lease is how long an ingress stays registered after it has failed.
@@ -89,7 +90,7 @@
 func (s *Store) Register(fs *flag.FlagSet) {
 	fs.TextVar(&s.Address, "store.address", netip.AddrPort{}, "`ip:port` of the platform's store")
 	fs.DurationVar(&s.Timeout, "store.timeout", 1500*time.Millisecond, "longest `time` of a call to the store")
-	fs.DurationVar(&s.Wait, "store.wait", 4*time.Second, "longest `time` of a watch of the store; if an open watch stops delivering changes, they are seen after this time at the latest")
+	fs.DurationVar(&s.Wait, "store.wait", 4*time.Second, "`time` after which changes are seen at the latest if an open watch of the store stops delivering them")
 	fs.DurationVar(&s.Lease, "store.lease", time.Minute, "`time` for which a failed ingress stays registered; the others notice its failure by themselves")
 }
 
@@ -102,6 +103,10 @@
 	return faults
 }
 
+// WatchTime returns the longest time of one watch. The rest of Wait is for noticing that the watch has gone silent, and
+// for the listing after it.
+func (s *Store) WatchTime() time.Duration { return s.Wait / 2 }
+
 // Place is the table [place]: the name, location and capacity of this process.
 type Place struct {
 	Name   string
--- a/proofs/hosted/change_test.go
+++ b/proofs/hosted/change_test.go
@@ -1,6 +1,7 @@
 package hosted_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -296,3 +297,27 @@
 	eventually(t, "the ingress is ready", late.isReady)
 	is.Equal(late.send(context.Background(), newRequest("/order/1")).status, http.StatusOK)
 }
+
+// Guards against changes that an ingress sees later than its settings say, since its open watch of the store went silent
+// while all other calls were answered.
+func TestChangeIsSeenInTimeAfterTheWatchWentSilent(t *testing.T) {
+	const wait = 4 * time.Second
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	i := d.ingresses[0]
+	i.kill()
+	settings, err := os.ReadFile(i.configFile)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(i.configFile, bytes.Replace(settings, []byte(`wait = "500ms"`), []byte(`wait = "4s"`), 1), 0o600))
+	i.start()
+	eventually(t, "the ingress is ready again", i.isReady)
+	for range 3 {
+		time.Sleep(500 * time.Millisecond) // a watch has just begun
+		d.Store.SilenceWatches()
+		silent := time.Now()
+		time.Sleep(time.Second)
+		version := d.putKeys("key-1")
+		eventually(t, "the version is in force", i.hasApplied(version))
+		is.True(time.Since(silent) < wait)
+	}
+}
