poison: two groups of servers that a request crashed together are evidence

Cause: attempts that overlap in time count as one crash, so that the quarantine came with the third group.

Fix: two groups with five servers or more together are enough.

--- a/share/decide/poison/crashes.go
+++ b/share/decide/poison/crashes.go
@@ -15,6 +15,8 @@
 	// maxSuspects limits the number of suspects. The one whose last crash is the oldest is
 	// evicted first.
 	maxSuspects = 4096
+	// maxOverlapping limits the servers of a suspect that crashed during overlapping attempts.
+	maxOverlapping = 16
 )
 
 // Crash is an attempt of a request during which its server crashed.
@@ -38,13 +40,19 @@
 	// when the last of the attempts broke.
 	crashes   []Crash
 	lastCrash time.Time
+	// overlapping are the other servers that crashed, during attempts that overlap with a counted one.
+	overlapping []string
 }
 
-// isDuplicate reports whether a crash must not be counted because a counted crash is of the same
-// server or its attempt overlaps with this one in time.
-func (s *Suspect) isDuplicate(c Crash) bool {
+// isKnown reports whether a crash of the same server was recorded.
+func (s *Suspect) isKnown(c Crash) bool {
+	return slices.Contains(s.Servers, c.Server) || slices.Contains(s.overlapping, c.Server)
+}
+
+// overlaps reports whether the attempt of a crash overlaps in time with that of a counted one.
+func (s *Suspect) overlaps(c Crash) bool {
 	return slices.ContainsFunc(s.crashes, func(other Crash) bool {
-		return c.Server == other.Server || c.SentAt.Before(other.BrokeAt) && other.SentAt.Before(c.BrokeAt)
+		return c.SentAt.Before(other.BrokeAt) && other.SentAt.Before(c.BrokeAt)
 	})
 }
 
@@ -53,8 +61,9 @@
 //
 // A crash breaks every request on its server, and most of these requests did not cause it. The
 // request that did has a distinct history: it was never served, and it crashed one server after
-// another. Attempts that overlap in time count once, since several servers may crash together.
-// Attempts that broke because the same server was down count once as well.
+// another. Attempts that overlap in time count once, since several servers may crash together; but a
+// request that is sent at several servers at once, and crashes all of them again and again, has crashed more
+// servers than a bystander would meet. Attempts that broke because the same server was down count once as well.
 type CrashCounter struct {
 	limit    int
 	suspects map[ID]*Suspect
@@ -74,7 +83,13 @@
 		s = &Suspect{lastCrash: c.BrokeAt}
 		cc.suspects[id] = s
 	}
-	if s.isDuplicate(c) {
+	switch {
+	case s.isKnown(c):
+		return *s
+	case s.overlaps(c):
+		if len(s.overlapping) < maxOverlapping {
+			s.overlapping = append(s.overlapping, c.Server)
+		}
 		return *s
 	}
 	s.crashes = append(s.crashes, c)
@@ -88,8 +103,12 @@
 	return *s
 }
 
-// IsPoison reports whether the request has crashed at least as many servers as the limit.
-func (cc *CrashCounter) IsPoison(s Suspect) bool { return len(s.Servers) >= cc.limit }
+// IsPoison reports whether the request has crashed at least as many servers as the limit, one after the other, or two
+// groups of servers that are nearly twice as many together.
+func (cc *CrashCounter) IsPoison(s Suspect) bool {
+	const groups = 2
+	return len(s.Servers) >= cc.limit || len(s.Servers) >= groups && len(s.Servers)+len(s.overlapping) >= groups*cc.limit-1
+}
 
 // Clear deletes the recorded crashes of a request, for instance because it was served.
 func (cc *CrashCounter) Clear(id ID) { delete(cc.suspects, id) }
--- a/share/decide/poison/poison_test.go
+++ b/share/decide/poison/poison_test.go
@@ -59,6 +59,24 @@
 	}
 }
 
+// Guards against a request that crashes servers and is sent at several of them at once, again and again, so that each
+// time counts as one crash; and against a bystander of two crashes of a few servers each.
+func TestRequestThatCrashesServersInGroupsIsPoison(t *testing.T) {
+	is := is.New(t)
+	c := poison.NewCrashCounter(3)
+	suspect := poison.Suspect{}
+	for _, n := range []int{0, 1, 2} {
+		suspect = c.Record(start, "a", newCrash(fmt.Sprint("s", n), 0))
+		is.True(!c.IsPoison(suspect))
+		is.True(!c.IsPoison(c.Record(start, "b", newCrash(fmt.Sprint("s", n%2), 0))))
+	}
+	for _, n := range []int{3, 4} {
+		suspect = c.Record(start, "a", newCrash(fmt.Sprint("s", n), 5*time.Second))
+		is.True(!c.IsPoison(c.Record(start, "b", newCrash(fmt.Sprint("s", 2+n%2), 5*time.Second))))
+	}
+	is.True(c.IsPoison(suspect))
+}
+
 // Guards against crashes not being counted because their reports arrived out of order.
 func TestCrashReportsMayArriveOutOfOrder(t *testing.T) {
 	is := is.New(t)
