poison, screen: what served a request, and when, is known

What servers saw: a request that an earlier version served and that crashes those of a release reached them 52 times later than ContactMs after the third crash (review-again, 3 allowed).

Cause: a request that was served counted as harmless whatever had served it, until some 4,000 others had been.

Fix: it is not suspected of the version that served it last for a minute, and of any for 5 s. A quarantine ends once a version that it lists has served the request.

--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -91,7 +91,7 @@
 		return v
 	}
 	x.runs++
-	x.server.options.Screen.RecordServed(x.identity.Request)
+	x.server.options.Screen.RecordServed(x.identity.Request, server.Version)
 	served := reply.Status < http.StatusInternalServerError
 	x.end(server, outcomeOf(served), took, reply.Load)
 	if !served && x.route.Kind == site.KindIdempotent && x.mayRunAgain("server-error") {
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -89,7 +89,7 @@
 	// been answered for a while. RecordServed records a request that received a complete answer, which may be
 	// an error, and RecordAnswered one that has been answered for a while, or completely without an error.
 	RecordCrash(i poison.Identity, server site.Server, sent time.Time, isAnswered bool)
-	RecordServed(id poison.ID)
+	RecordServed(id poison.ID, version string)
 	RecordAnswered(i poison.Identity)
 }
 
--- a/ingress/services/flow/quarantine_test.go
+++ b/ingress/services/flow/quarantine_test.go
@@ -53,7 +53,7 @@
 	s.answered = append(s.answered, i)
 }
 
-func (s *fakeScreen) RecordServed(poison.ID) {
+func (s *fakeScreen) RecordServed(poison.ID, string) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.served++
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -322,7 +322,7 @@
 	}
 	r.end(server, place.ResultServed, took, reply.Load)
 	r.recordComplete()
-	r.server.options.Screen.RecordServed(r.identity.Request)
+	r.server.options.Screen.RecordServed(r.identity.Request, server.Version)
 	r.server.options.Screen.RecordAnswered(r.identity)
 	return verdict{}
 }
@@ -337,7 +337,7 @@
 	}
 	r.log.Warn("stream-refused", zap.String("server", server.ID), zap.Int("status", reply.Status), zap.Duration("took", took))
 	r.runs++
-	r.server.options.Screen.RecordServed(r.identity.Request)
+	r.server.options.Screen.RecordServed(r.identity.Request, server.Version)
 	r.end(server, outcomeOf(reply.Status < http.StatusInternalServerError), took, reply.Load)
 	if r.route.Resumable && r.mayRunAgain("server-error") {
 		return verdict{retry: true, result: codes.NewResult(codes.BackendFailed, server.ID+" failed")}
--- a/ingress/services/screen/report.go
+++ b/ingress/services/screen/report.go
@@ -77,10 +77,11 @@
 }
 
 // reportRequest reports a crash to the owner of the request. If this ingress is the owner or cannot reach
-// the owner, it counts the crash itself. It does nothing if the request was served at this ingress.
+// the owner, it counts the crash itself. It does nothing if the request was served here, by that software version or a
+// moment ago.
 func (s *Screen) reportRequest(id poison.ID, server site.Server, c poison.Crash) {
 	s.lock.Lock()
-	wasServed := s.served.Has(id)
+	wasServed := s.served.Exonerates(time.Now(), id, c.Version)
 	if !wasServed && len(s.reported) < maxReported {
 		s.reported[id] = true
 	}
@@ -94,7 +95,7 @@
 		}
 		quarantined, err := s.reportCrash(name, id, server.Service, c)
 		if err == nil {
-			s.recordDecision(id, quarantined)
+			s.recordDecision(id, c.Version, quarantined)
 			return
 		}
 		s.options.Log.Info("crash-untold", zap.String("digest", string(id)), zap.String("ingress", name), logs.Err(err))
@@ -121,9 +122,9 @@
 	return got.GetQuarantined(), err
 }
 
-// recordDecision records the owner's reply to a reported crash. The reply arrives before the record
+// recordDecision records the owner's reply to a reported crash of a server with a software version. The reply arrives before the record
 // of the quarantine.
-func (s *Screen) recordDecision(id poison.ID, quarantined bool) {
+func (s *Screen) recordDecision(id poison.ID, version string, quarantined bool) {
 	if !quarantined {
 		return
 	}
@@ -132,7 +133,7 @@
 	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if !s.served.Has(id) {
+	if !s.served.Exonerates(time.Now(), id, version) {
 		s.pending[id] = true
 	}
 }
--- a/ingress/services/screen/screen.go
+++ b/ingress/services/screen/screen.go
@@ -128,7 +128,7 @@
 		switch {
 		case id.IsPart():
 			s.observePart(id, q)
-		case s.served.Has(id):
+		case s.served.Has(time.Now(), id, q.Versions...):
 			go s.runEnd(id, "it was served here")
 		}
 	}
@@ -166,19 +166,19 @@
 	return s.pending[id]
 }
 
-// RecordServed records a request that received a complete answer and thus does not crash servers.
-// The crashes that this ingress has reported of it are withdrawn, and its quarantine is ended. The answer may
-// be an error, which says nothing about the parts of its prompt.
-func (s *Screen) RecordServed(id poison.ID) {
+// RecordServed records a request that received a complete answer from a server with a software version, and thus
+// does not crash such servers. The crashes that this ingress has reported of it are withdrawn, and its quarantine is
+// ended if it is for that version. The answer may be an error, which says nothing about the parts of its prompt.
+func (s *Screen) RecordServed(id poison.ID, version string) {
 	s.lock.Lock()
-	s.served.Add(id)
+	s.served.Add(time.Now(), id, version)
 	reported := s.reported[id]
 	delete(s.reported, id)
 	s.lock.Unlock()
 	if reported {
 		go s.runReportServed(id)
 	}
-	if _, quarantined := s.view.Load().Quarantines[id]; quarantined {
+	if q, quarantined := s.view.Load().Quarantines[id]; quarantined && slices.Contains(q.Versions, version) {
 		go s.runEnd(id, "it was served")
 	}
 }
@@ -204,7 +204,7 @@
 	// Once a request is quarantined, crashes of the listed software versions change nothing, because
 	// these attempts were already in flight. A crash of another version extends the quarantine.
 	newlyQuarantined := s.crashes.IsPoison(suspect) && !known || known && !slices.Contains(q.Versions, c.Version)
-	newlyQuarantined = newlyQuarantined && !s.pending[id] && !s.served.Has(id)
+	newlyQuarantined = newlyQuarantined && !s.pending[id] && !s.served.Exonerates(time.Now(), id, c.Version)
 	if newlyQuarantined {
 		s.pending[id] = true
 		s.crashes.Clear(id)
--- a/ingress/services/screen/screen_test.go
+++ b/ingress/services/screen/screen_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -238,7 +239,7 @@
 func TestQuarantineOfAServedRequestEnds(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t)
-	w.screens["a"].RecordServed(request)
+	w.screens["a"].RecordServed(request, "v1")
 	w.crash("b", 3, "v1")
 	w.eventually("the quarantine is written and removed", func() bool {
 		w.lock.Lock()
@@ -307,7 +308,7 @@
 	time.Sleep(2 * trialDelay)
 	is.True(!w.screens["b"].TakeTrial(context.Background(), request)) // the schedule has only one trial
 
-	w.screens["b"].RecordServed(request)
+	w.screens["b"].RecordServed(request, "v1")
 	w.eventually("the quarantine is removed", func() bool { a, b := w.isQuarantined(); return !a && !b })
 }
 
@@ -321,3 +322,32 @@
 	w.owner = "a"
 	is.True(!w.screens["a"].TakeTrial(context.Background(), request))
 }
+
+// Guards against a request that is never quarantined since an earlier software version has served it, or since this one
+// has, long ago; and against a quarantine that ends since another version has served the request.
+func TestRequestThatAnotherVersionServedIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		for _, s := range w.screens {
+			s.RecordServed(request, "v1")
+		}
+		w.crash("a", 3, "v2")
+		time.Sleep(time.Second)
+		a, b := w.isQuarantined()
+		is.True(!a && !b) // it was served a moment ago
+		time.Sleep(10 * time.Second)
+		w.crash("a", 3, "v2")
+		time.Sleep(time.Second)
+		a, b = w.isQuarantined()
+		is.True(a && b)
+		w.screens["a"].RecordServed(request, "v1")
+		time.Sleep(time.Second)
+		a, b = w.isQuarantined()
+		is.True(a && b)
+		w.screens["a"].RecordServed(request, "v2")
+		time.Sleep(time.Second)
+		a, b = w.isQuarantined()
+		is.True(!a && !b)
+	})
+}
--- a/share/decide/poison/poison_test.go
+++ b/share/decide/poison/poison_test.go
@@ -124,12 +124,12 @@
 	for n := range 10_000 {
 		id := poison.ID(fmt.Sprint(n))
 		c.Record(after(time.Duration(n)*time.Millisecond), id, newCrash("s1", time.Duration(n)*time.Millisecond))
-		s.Add(id)
+		s.Add(start, id, "v1")
 	}
 	is.True(c.Len() <= 4096)
-	is.True(s.Has("9999"))
-	is.True(s.Has("8500"))
-	is.True(!s.Has("100"))
+	is.True(s.Has(start, "9999", "v1"))
+	is.True(s.Has(start, "8500", "v1"))
+	is.True(!s.Has(start, "100", "v1"))
 }
 
 // Guards against a quarantine that outlasts the software versions that the request crashes, and
@@ -164,3 +164,23 @@
 	is.True(!schedule.IsDue(after(time.Hour), start, 2))
 	is.True(!schedule.IsDue(after(time.Hour), time.Time{}, 0)) // the start of the quarantine is unknown
 }
+
+// Guards against a belief that a request crashes no servers which outlives the software that it was taken from, or which
+// lasts for as long as few other requests are served.
+func TestServedRequestIsKnownByVersionAndTime(t *testing.T) {
+	is := is.New(t)
+	s := poison.NewServedSet()
+	s.Add(start, "a", "v1")
+	is.True(s.Has(after(time.Second), "a", "v1"))
+	is.True(s.Has(after(time.Second), "a", "v2", "v1"))
+	is.True(!s.Has(after(time.Second), "a", "v2"))
+	is.True(!s.Has(after(time.Second), "b", "v1"))
+	is.True(!s.Has(after(poison.ServedTime+time.Second), "a", "v1"))
+	is.True(s.Exonerates(after(time.Second), "a", "v2"))
+	is.True(!s.Exonerates(after(10*time.Second), "a", "v2"))
+	is.True(s.Exonerates(after(10*time.Second), "a", "v1"))
+	is.True(!s.Exonerates(after(poison.ServedTime+time.Second), "a", "v1"))
+	s.Add(after(20*time.Second), "a", "v2")
+	is.True(!s.Has(after(21*time.Second), "a", "v1"))
+	is.True(s.Exonerates(after(21*time.Second), "a", "v1"))
+}
