poison, screen: answers of software that no server runs any more protect no prompt part

Cause: a part with which a request was answered in the last 30 s is not suspected, whatever software answered.

Fix: the software is kept with the answer, which is forgotten once no registered server runs it.

--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -100,7 +100,7 @@
 	r.events += n
 	if !r.isAnswered && time.Since(r.firstEventAt) >= answeredAfter {
 		r.isAnswered = true
-		r.server.options.Screen.RecordAnswered(r.identity)
+		r.server.options.Screen.RecordAnswered(r.identity, *r.software)
 	}
 }
 
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -90,7 +90,7 @@
 	// an error, and RecordAnswered one that has been answered for a while, or completely without an error.
 	RecordCrash(i poison.Identity, server site.Server, sent time.Time, isAnswered bool)
 	RecordServed(id poison.ID, version string)
-	RecordAnswered(i poison.Identity)
+	RecordAnswered(i poison.Identity, software site.Software)
 }
 
 // Retries limits the retries of requests, by service.
--- a/ingress/services/flow/quarantine_test.go
+++ b/ingress/services/flow/quarantine_test.go
@@ -47,7 +47,7 @@
 	}
 }
 
-func (s *fakeScreen) RecordAnswered(i poison.Identity) {
+func (s *fakeScreen) RecordAnswered(i poison.Identity, _ site.Software) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.answered = append(s.answered, i)
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -323,7 +323,7 @@
 	r.end(server, place.ResultServed, took, reply.Load)
 	r.recordComplete()
 	r.server.options.Screen.RecordServed(r.identity.Request, server.Version)
-	r.server.options.Screen.RecordAnswered(r.identity)
+	r.server.options.Screen.RecordAnswered(r.identity, server.Software())
 	return verdict{}
 }
 
--- a/ingress/services/screen/parts.go
+++ b/ingress/services/screen/parts.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/poison"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
@@ -29,17 +30,17 @@
 	withdrawers    = 8
 )
 
-// RecordAnswered records that a request has been answered for a while, which a prompt part that crashes
-// servers does not let happen. A quarantine of one of its parts is ended.
-func (s *Screen) RecordAnswered(i poison.Identity) {
+// RecordAnswered records that a request has been answered by some software for a while, which a prompt part that
+// crashes servers does not let happen. A quarantine of one of its parts is ended.
+func (s *Screen) RecordAnswered(i poison.Identity, software site.Software) {
 	if len(i.Parts) == 0 {
 		return
 	}
 	s.lock.Lock()
 	now := time.Now()
-	s.answered.Add(now, i.Service)
+	s.answered.Add(now, i.Service, software)
 	for _, id := range i.Parts {
-		s.answered.Add(now, id)
+		s.answered.Add(now, id, software)
 	}
 	s.lock.Unlock()
 	for _, id := range i.Parts {
@@ -185,14 +186,15 @@
 }
 
 // recordReportedAnswers records when the sender of a report had requests of the service, and with the same
-// parts, answered. The caller holds the lock.
+// parts, answered, as far as by software that some server runs. The caller holds the lock.
 func (s *Screen) recordReportedAnswers(now time.Time, report *wire.PartCrash) {
+	software := site.Software{Service: report.GetService(), Version: report.GetVersion()}
 	if ago := report.GetAnsweredAgoNanos(); ago > 0 {
-		s.answered.Add(now.Add(-time.Duration(ago)), poison.NewPartID(report.GetService(), ""))
+		s.answered.Add(now.Add(-time.Duration(ago)), poison.NewPartID(report.GetService(), ""), software)
 	}
 	for _, part := range report.GetParts() {
 		if ago := part.GetAnsweredAgoNanos(); ago > 0 {
-			s.answered.Add(now.Add(-time.Duration(ago)), poison.ID(part.GetId()))
+			s.answered.Add(now.Add(-time.Duration(ago)), poison.ID(part.GetId()), software)
 		}
 	}
 }
@@ -264,10 +266,18 @@
 // the lock.
 func (s *Screen) clearPart(id poison.ID) {
 	if id.IsPart() {
-		s.answered.Add(time.Now(), id)
+		s.answered.Add(time.Now(), id, site.Software{})
 	}
 }
 
+// forgetAnswers forgets what was answered by software that no server runs any more. An empty service stands for none in
+// particular. The caller holds the lock.
+func (s *Screen) forgetAnswers(v *state.View) {
+	s.answered.Forget(func(software site.Software) bool {
+		return software.Service == "" || slices.Contains(v.Versions[software.Service], software.Version)
+	})
+}
+
 // runWithdraw ends the quarantine of a part with which this ingress had a request answered. All ingresses may
 // have had one, so most of them wait whether another one ends it.
 func (s *Screen) runWithdraw(id poison.ID) {
--- a/ingress/services/screen/parts_test.go
+++ b/ingress/services/screen/parts_test.go
@@ -58,7 +58,7 @@
 func TestCrashesOfAPartAreCountedByThreeIngresses(t *testing.T) {
 	is := is.New(t)
 	w := newWorldOf(t, "a", "b", "c", "d", "e")
-	w.screens["e"].RecordAnswered(newPartIdentity(commonPart, "part-other"))
+	w.screens["e"].RecordAnswered(newPartIdentity(commonPart, "part-other"), site.Software{Service: "engines", Version: "v1"})
 	w.crashWith("e", 2, "v1", commonPart, crashingPart)
 	w.lose("a")
 	w.crashWith("d", 2, "v1", commonPart, crashingPart)
@@ -79,7 +79,7 @@
 func TestCrashesOfAPartAreCountedLocallyIfNoIngressIsReachable(t *testing.T) {
 	w := newWorldOf(t, "a", "b", "c", "d")
 	w.partitioned = true
-	w.screens["d"].RecordAnswered(newPartIdentity(commonPart))
+	w.screens["d"].RecordAnswered(newPartIdentity(commonPart), site.Software{Service: "engines", Version: "v1"})
 	w.crashWith("d", 5, "v1", crashingPart)
 	w.eventually("the part is quarantined", func() bool { return w.isPartQuarantinedAt("d", crashingPart) })
 }
@@ -89,7 +89,7 @@
 func TestCrashesOfAnsweredRequestsAreNotCountedForTheirParts(t *testing.T) {
 	is := is.New(t)
 	w := newWorldOf(t, "a", "b", "c")
-	w.screens["a"].RecordAnswered(newPartIdentity(commonPart))
+	w.screens["a"].RecordAnswered(newPartIdentity(commonPart), site.Software{Service: "engines", Version: "v1"})
 	w.crashAfter("b", 10, "v1", true, crashingPart)
 	time.Sleep(100 * time.Millisecond)
 	is.True(!w.isPartQuarantinedAt("b", crashingPart))
@@ -100,8 +100,8 @@
 func TestQuarantineOfAnAnsweredPartIsWithdrawn(t *testing.T) {
 	is := is.New(t)
 	w := newWorldOf(t, "a", "b", "c", "d")
-	w.screens["d"].RecordAnswered(newPartIdentity(commonPart))
-	w.screens["a"].RecordAnswered(newPartIdentity("part-other"))
+	w.screens["d"].RecordAnswered(newPartIdentity(commonPart), site.Software{Service: "engines", Version: "v1"})
+	w.screens["a"].RecordAnswered(newPartIdentity("part-other"), site.Software{Service: "engines", Version: "v1"})
 	w.crashWith("b", 5, "v1", commonPart)
 	w.eventually("the quarantine is written and withdrawn", func() bool {
 		w.lock.Lock()
@@ -120,7 +120,7 @@
 	is := is.New(t)
 	w := newWorldOf(t, "a", "b", "c", "d")
 	w.setVersion("v1")
-	w.screens["d"].RecordAnswered(newPartIdentity(commonPart))
+	w.screens["d"].RecordAnswered(newPartIdentity(commonPart), site.Software{Service: "engines", Version: "v1"})
 	w.crashWith("d", 5, "v1", commonPart, crashingPart)
 	w.eventually("the part is quarantined", func() bool { return w.isPartInStore(crashingPart) && w.isPartQuarantinedAt("d", crashingPart) })
 	w.setVersion("v2")
@@ -138,7 +138,7 @@
 	is := is.New(t)
 	w := newWorldOf(t, "a", "b", "c")
 	w.setVersion("v1")
-	w.screens["a"].RecordAnswered(newPartIdentity(commonPart))
+	w.screens["a"].RecordAnswered(newPartIdentity(commonPart), site.Software{Service: "engines", Version: "v1"})
 	w.crashWith("a", 5, "v1", crashingPart)
 	w.eventually("the part is quarantined", func() bool { return w.isPartInStore(crashingPart) })
 	time.Sleep(trialDelay)
@@ -151,6 +151,6 @@
 		}
 	}
 	is.Equal(trials, 1)
-	w.screens["a"].RecordAnswered(newPartIdentity(crashingPart))
+	w.screens["a"].RecordAnswered(newPartIdentity(crashingPart), site.Software{Service: "engines", Version: "v1"})
 	w.eventually("the quarantine ends", func() bool { return !w.isPartQuarantinedAt("b", crashingPart) })
 }
--- a/ingress/services/screen/screen.go
+++ b/ingress/services/screen/screen.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -119,6 +120,9 @@
 	before := s.view.Swap(v)
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	if v.IsComplete && !maps.EqualFunc(before.Versions, v.Versions, slices.Equal) {
+		s.forgetAnswers(v)
+	}
 	for id, q := range v.Quarantines {
 		if old, known := before.Quarantines[id]; known && old.Revision == q.Revision {
 			continue
--- a/share/decide/poison/parts_test.go
+++ b/share/decide/poison/parts_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"verbenaroad.example/share/decide/poison"
+	"verbenaroad.example/share/models/site"
 )
 
 const (
@@ -146,7 +147,7 @@
 func (s *simulation) report(server *simulatedServer, r *simulatedRequest) {
 	for _, id := range append([]poison.ID{serviceID}, r.identity.Parts...) {
 		if at := s.answered[r.ingress].LastAt(id); !at.IsZero() {
-			s.answered[0].Add(at, id)
+			s.answered[0].Add(at, id, site.Software{})
 		}
 	}
 	isKnown := slices.ContainsFunc(r.identity.Parts, func(id poison.ID) bool { return slices.Contains(s.found, id) })
@@ -157,7 +158,7 @@
 	}
 	if slices.ContainsFunc(s.answered, func(known *poison.AnsweredSet) bool { return known.Has(s.now, id) }) {
 		s.withdrawn++
-		s.answered[0].Add(s.now, id)
+		s.answered[0].Add(s.now, id, site.Software{})
 		return
 	}
 	s.counter.MarkPoison(id)
@@ -195,7 +196,7 @@
 		answered := s.now.Sub(r.answersAt) >= answerTime
 		if answered {
 			for _, id := range append([]poison.ID{serviceID}, r.identity.Parts...) {
-				s.answered[r.ingress].Add(s.now, id)
+				s.answered[r.ingress].Add(s.now, id, site.Software{})
 			}
 		}
 		return answered && s.now.Sub(r.answersAt) >= time.Second
@@ -257,7 +258,7 @@
 func TestRequestThatCrashesServersDoesNotCondemnItsParts(t *testing.T) {
 	is := is.New(t)
 	answered := poison.NewAnsweredSet()
-	answered.Add(start, serviceID)
+	answered.Add(start, serviceID, site.Software{})
 	c := poison.NewPartCounter(serviceID, answered)
 	for n := range 6 {
 		c.Record(start, poison.PartCrash{
@@ -289,7 +290,7 @@
 func TestPartThatPrecedesTheCrashingOneIsNotFound(t *testing.T) {
 	is := is.New(t)
 	answered := poison.NewAnsweredSet()
-	answered.Add(start, serviceID)
+	answered.Add(start, serviceID, site.Software{})
 	c := poison.NewPartCounter(serviceID, answered)
 	recordCrash(c, 0, "part-first", "part-session")
 	for n := range 4 {
@@ -308,13 +309,13 @@
 func TestNoPartIsFoundWhileNothingIsAnswered(t *testing.T) {
 	is := is.New(t)
 	answered := poison.NewAnsweredSet()
-	answered.Add(start.Add(-poison.AnsweredTime), serviceID)
+	answered.Add(start.Add(-poison.AnsweredTime), serviceID, site.Software{})
 	c := poison.NewPartCounter(serviceID, answered)
 	for n := range 9 {
 		recordCrash(c, n, "part-first")
 	}
 	is.Equal(c.Evaluate(after(9*time.Second), []poison.ID{"part-first"}).Found, poison.ID(""))
-	answered.Add(after(9*time.Second), serviceID)
+	answered.Add(after(9*time.Second), serviceID, site.Software{})
 	is.Equal(c.Evaluate(after(9*time.Second), []poison.ID{"part-first"}).Found, poison.ID("part-first"))
 }
 
@@ -325,7 +326,7 @@
 	for n := range 20_000 {
 		now := after(time.Duration(n) * time.Millisecond)
 		id := poison.ID(fmt.Sprint("part-", n))
-		answered.Add(now, id)
+		answered.Add(now, id, site.Software{})
 		c.Record(now, poison.PartCrash{Server: fmt.Sprint("s", n), BrokeAt: now, Identity: poison.Identity{Request: id, Parts: []poison.ID{id}}}, false)
 	}
 	if c.Len() > 128 || answered.Len() > 2*2048 {
@@ -337,7 +338,7 @@
 // of one that was at many servers.
 func BenchmarkEvaluate(b *testing.B) {
 	answered := poison.NewAnsweredSet()
-	answered.Add(start, serviceID)
+	answered.Add(start, serviceID, site.Software{})
 	c := poison.NewPartCounter(serviceID, answered)
 	for n := range 128 * 14 {
 		c.Record(start, poison.PartCrash{Server: fmt.Sprint("s", n/14), BrokeAt: start, Identity: poison.Identity{
@@ -352,3 +353,16 @@
 		})
 	}
 }
+
+// Guards against an answer that protects a part from suspicion after the software that gave it is gone.
+func TestAnswersOfSoftwareThatNoServerRunsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	answered := poison.NewAnsweredSet()
+	answered.Add(start, "a", site.Software{Service: "engines", Version: "v1"})
+	answered.Add(start, "b", site.Software{Service: "engines", Version: "v2"})
+	answered.Add(start, "c", site.Software{})
+	answered.Forget(func(s site.Software) bool { return s.Version != "v1" })
+	is.True(!answered.Has(start, "a"))
+	is.True(answered.Has(start, "b"))
+	is.True(answered.Has(start, "c"))
+}
