--- a/ingress/services/screen/report.go
+++ b/ingress/services/screen/report.go
@@ -81,7 +81,7 @@
 // moment ago.
 func (s *Screen) reportRequest(id poison.ID, server site.Server, c poison.Crash) {
 	s.lock.Lock()
-	wasServed := s.served.Exonerates(time.Now(), id, c.Version)
+	wasServed := s.served.IsTrusted(time.Now(), id, c.Version)
 	if !wasServed && len(s.reported) < maxReported {
 		s.reported[id] = true
 	}
@@ -133,7 +133,7 @@
 	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if !s.served.Exonerates(time.Now(), id, version) {
+	if !s.served.IsTrusted(time.Now(), id, version) {
 		s.pending[id] = true
 	}
 }
--- a/ingress/services/screen/screen.go
+++ b/ingress/services/screen/screen.go
@@ -208,7 +208,7 @@
 	// Once a request is quarantined, crashes of the listed software versions change nothing, because
 	// these attempts were already in flight. A crash of another version extends the quarantine.
 	newlyQuarantined := s.crashes.IsPoison(suspect) && !known || known && !slices.Contains(q.Versions, c.Version)
-	newlyQuarantined = newlyQuarantined && !s.pending[id] && !s.served.Exonerates(time.Now(), id, c.Version)
+	newlyQuarantined = newlyQuarantined && !s.pending[id] && !s.served.IsTrusted(time.Now(), id, c.Version)
 	if newlyQuarantined {
 		s.pending[id] = true
 		s.crashes.Clear(id)
--- a/proofs/hosted/soak_faults_test.go
+++ b/proofs/hosted/soak_faults_test.go
@@ -44,8 +44,8 @@
 	refusals map[string][]timeRange
 	// losses holds when killIngresses had killed an ingress and not started it again, by its number.
 	losses map[int][]timeRange
-	// novelists are the engines of the service novels, whose streams last for seconds. No fault restarts them.
-	novelists []*hosted.Server
+	// novelEngines are the engines of the service novels, whose streams last for seconds. No fault restarts them.
+	novelEngines []*hosted.Server
 	// draining holds the time since which a server drains, by its ID.
 	draining map[string]time.Time
 	// restoring is set while restoreStore runs.
--- a/proofs/hosted/soak_versions_test.go
+++ b/proofs/hosted/soak_versions_test.go
@@ -54,7 +54,7 @@
 // addNovels adds a service of long streams, with an engine of each software version.
 func (s *soak) addNovels() {
 	for n, version := range []string{firstVersion, otherVersion} {
-		s.novelists = append(s.novelists, s.add(&hosted.Server{
+		s.novelEngines = append(s.novelEngines, s.add(&hosted.Server{
 			Service: "novels", Zone: []string{"a1", "b1"}[n], Events: 40, EventInterval: 100 * time.Millisecond, Version: version,
 		}))
 	}
--- a/share/decide/builds/history.go
+++ b/share/decide/builds/history.go
@@ -58,12 +58,12 @@
 // Observe records the versions of all registered servers by service, and the inventory, nil if the store
 // holds none.
 func (h *History) Observe(now time.Time, versions map[string][]string, inventory *site.Inventory) {
-	h.seeAll(now, h.present) // until now
+	h.markSeen(now, h.present) // until now
 	h.present = versions
-	h.seeAll(now, versions)
+	h.markSeen(now, versions)
 	if inventory != nil && (h.inventory == nil || inventory.Revision != h.inventory.Revision) {
 		h.forgetDropped(now, inventory)
-		h.seeAll(now, inventory.Versions)
+		h.markSeen(now, inventory.Versions)
 	}
 	h.inventory = inventory
 	for service, seen := range h.lastSeen {
@@ -91,7 +91,8 @@
 	}
 }
 
-func (h *History) seeAll(now time.Time, versions map[string][]string) {
+// markSeen records that servers with these versions were registered at the given time, or named by the inventory.
+func (h *History) markSeen(now time.Time, versions map[string][]string) {
 	for service, list := range versions {
 		if h.lastSeen[service] == nil {
 			h.lastSeen[service] = map[string]time.Time{}
@@ -109,7 +110,7 @@
 	if h.observedSince.IsZero() || at.Sub(h.confirmedAt) > maxSilence {
 		h.observedSince = at
 		if h.inventory != nil {
-			h.seeAll(at, h.inventory.Versions)
+			h.markSeen(at, h.inventory.Versions)
 		}
 	}
 	if at.After(h.confirmedAt) {
--- a/share/decide/poison/served.go
+++ b/share/decide/poison/served.go
@@ -44,9 +44,9 @@
 	s.current[id] = service{at, version}
 }
 
-// Exonerates reports whether a request is not suspected of a crash of a software version: it was served a moment
-// ago, or by that version within ServedTime.
-func (s *ServedSet) Exonerates(now time.Time, id ID, version string) bool {
+// IsTrusted reports whether a request is not suspected of a crash of a software version: it was served within
+// servedLately, or by that version within ServedTime.
+func (s *ServedSet) IsTrusted(now time.Time, id ID, version string) bool {
 	last, isKnown := s.find(id)
 	return isKnown && now.Sub(last.at) <= servedLately || s.Has(now, id, version)
 }
