--- a/ingress/services/flow/quarantine_test.go
+++ b/ingress/services/flow/quarantine_test.go
@@ -47,13 +47,13 @@
 	}
 }
 
-func (s *fakeScreen) RecordAnswered(i poison.Identity) {
+func (s *fakeScreen) RecordAnswered(i poison.Identity, _ site.Software) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.answered = append(s.answered, i)
 }
 
-func (s *fakeScreen) RecordServed(poison.ID) {
+func (s *fakeScreen) RecordServed(poison.ID, string) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.served++
--- a/share/decide/poison/poison_test.go
+++ b/share/decide/poison/poison_test.go
@@ -59,6 +59,24 @@
 	}
 }
 
+// Guards against a request that crashes servers and is sent at several of them at once, again and again, so that each
+// time counts as one crash; and against a bystander of two crashes of a few servers each.
+func TestRequestThatCrashesServersInGroupsIsPoison(t *testing.T) {
+	is := is.New(t)
+	c := poison.NewCrashCounter(3)
+	suspect := poison.Suspect{}
+	for _, n := range []int{0, 1, 2} {
+		suspect = c.Record(start, "a", newCrash(fmt.Sprint("s", n), 0))
+		is.True(!c.IsPoison(suspect))
+		is.True(!c.IsPoison(c.Record(start, "b", newCrash(fmt.Sprint("s", n%2), 0))))
+	}
+	for _, n := range []int{3, 4} {
+		suspect = c.Record(start, "a", newCrash(fmt.Sprint("s", n), 5*time.Second))
+		is.True(!c.IsPoison(c.Record(start, "b", newCrash(fmt.Sprint("s", 2+n%2), 5*time.Second))))
+	}
+	is.True(c.IsPoison(suspect))
+}
+
 // Guards against crashes not being counted because their reports arrived out of order.
 func TestCrashReportsMayArriveOutOfOrder(t *testing.T) {
 	is := is.New(t)
@@ -106,12 +124,12 @@
 	for n := range 10_000 {
 		id := poison.ID(fmt.Sprint(n))
 		c.Record(after(time.Duration(n)*time.Millisecond), id, newCrash("s1", time.Duration(n)*time.Millisecond))
-		s.Add(id)
+		s.Add(start, id, "v1")
 	}
 	is.True(c.Len() <= 4096)
-	is.True(s.Has("9999"))
-	is.True(s.Has("8500"))
-	is.True(!s.Has("100"))
+	is.True(s.Has(start, "9999", "v1"))
+	is.True(s.Has(start, "8500", "v1"))
+	is.True(!s.Has(start, "100", "v1"))
 }
 
 // Guards against a quarantine that outlasts the software versions that the request crashes, and
@@ -146,3 +164,23 @@
 	is.True(!schedule.IsDue(after(time.Hour), start, 2))
 	is.True(!schedule.IsDue(after(time.Hour), time.Time{}, 0)) // the start of the quarantine is unknown
 }
+
+// Guards against a belief that a request crashes no servers which outlives the software that it was taken from, or which
+// lasts for as long as few other requests are served.
+func TestServedRequestIsKnownByVersionAndTime(t *testing.T) {
+	is := is.New(t)
+	s := poison.NewServedSet()
+	s.Add(start, "a", "v1")
+	is.True(s.Has(after(time.Second), "a", "v1"))
+	is.True(s.Has(after(time.Second), "a", "v2", "v1"))
+	is.True(!s.Has(after(time.Second), "a", "v2"))
+	is.True(!s.Has(after(time.Second), "b", "v1"))
+	is.True(!s.Has(after(poison.ServedTime+time.Second), "a", "v1"))
+	is.True(s.IsTrusted(after(time.Second), "a", "v2"))
+	is.True(!s.IsTrusted(after(10*time.Second), "a", "v2"))
+	is.True(s.IsTrusted(after(10*time.Second), "a", "v1"))
+	is.True(!s.IsTrusted(after(poison.ServedTime+time.Second), "a", "v1"))
+	s.Add(after(20*time.Second), "a", "v2")
+	is.True(!s.Has(after(21*time.Second), "a", "v1"))
+	is.True(s.IsTrusted(after(21*time.Second), "a", "v1"))
+}
