flow, drain: a stopping ingress answers requests that wait at their server

What callers saw: requests that an ingress had read up to three seconds after its SIGTERM, or long before it, and had sent to an engine with a queue, were closed 7.6 s after the SIGTERM with neither an answer nor an error (LOST: passed on, and closed without a whole answer; no server was at work on them, so that the end of the grace period excuses nothing).

Whatever had been sent counted as work that may be cut, though a request that waits for its first event can end in a whole answer at any time: an error that promises nothing. So the connection's close was the only end that such a request could have.

The log named these requests as caller-left, which was not true: a context that ended with the connection was taken for a caller that left. Now the cause of the end is kept, and stream-cut says when the request arrived.

Fix: the grace period has phases, which package drain ends in a fixed order even if its timer is late: requests are no longer sent (EndSends: refused as not run), answers no longer begin (EndAnswers: 502 with the code draining and the outcome unknown, or not-run with 503 if nothing was sent), the rest is cut (Stop). Each request's context ends with its phase. The registry of unsent requests is gone. Work of the last resort must end before answers no longer begin.

TestInstance and TestLastResortWorkIsAdmittedWhileAllInstancesStop expect the two new actions before Stop.

--- a/fakes/services/hosted/answers.go
+++ b/fakes/services/hosted/answers.go
@@ -68,8 +68,7 @@
 		_, _ = io.WriteString(w, "failed")
 		return
 	}
-	sign(w)
-	w.Header().Set("Content-Type", "text/event-stream")
+	setStreamHead(w)
 	control := http.NewResponseController(w)
 	s.lock.Lock()
 	version := s.softwareVersion()
@@ -96,6 +95,18 @@
 	}
 }
 
+func setStreamHead(w http.ResponseWriter) {
+	sign(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+}
+
+// sendStreamHead sends the head of a stream before its first event.
+func sendStreamHead(w http.ResponseWriter) {
+	setStreamHead(w)
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush() // an error means that the caller has disconnected
+}
+
 func newEvent(id int, r *http.Request, version string) string {
 	return fmt.Sprintf("id: %d\ndata: %s %s\n\n", id, r.Header.Get("X-Verbenaroad-Attempt-Id"), version)
 }
--- a/fakes/services/hosted/server.go
+++ b/fakes/services/hosted/server.go
@@ -56,8 +56,9 @@
 	Header    http.Header
 	Body      string
 	StartedAt time.Time
-	// CanceledAt is when the run ended because its connection had closed before the answer was
-	// complete; zero otherwise.
+	// EndedAt is when the run ended; zero while it runs. CanceledAt is the same if it ended because its connection
+	// had closed before the answer was complete, and zero otherwise.
+	EndedAt    time.Time
 	CanceledAt time.Time
 }
 
@@ -80,6 +81,11 @@
 	// results held.
 	MaxBatch   int
 	MaxResults int
+	// Slots is the number of plain requests or streams that run at the same time; the others wait for their turn.
+	// 0: all run at once. It is set before the server is added.
+	Slots int
+	// EarlyHead sends the head of a stream as soon as the request has arrived, before its turn.
+	EarlyHead bool
 	// Advertised is the address to register in the store if a proxy stands in front of the server;
 	// the zero value registers the address that the server listens on.
 	Advertised netip.AddrPort
@@ -114,6 +120,8 @@
 	// refusing is set while SetRefusing applies.
 	refusing bool
 	running  int
+	// turns has room for the requests that run; nil: there is no limit.
+	turns chan struct{}
 	// busy is set while a pool call runs; waiting is the number of pool calls that wait for it.
 	busy    bool
 	waiting int
@@ -291,6 +299,13 @@
 	if s.Events > 0 && !s.checkInputs(w, r) {
 		return
 	}
+	if s.EarlyHead && s.Events > 0 {
+		sendStreamHead(w)
+	}
+	if !s.awaitTurn(r) {
+		return
+	}
+	defer s.endTurn()
 	n := s.begin(r, string(body))
 	defer s.end(n, r)
 	if downTime, crashes := s.world.checkBody(string(body)); crashes {
@@ -309,6 +324,26 @@
 	s.answer(w, r, fault)
 }
 
+// awaitTurn waits until the server may run a request. It returns false if the caller disconnects first: the request is
+// then not run.
+func (s *Server) awaitTurn(r *http.Request) bool {
+	if s.turns == nil {
+		return true
+	}
+	select {
+	case s.turns <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Server) endTurn() {
+	if s.turns != nil {
+		<-s.turns
+	}
+}
+
 // checkInputs reports whether all input results of a request are held, and refuses the request if
 // not.
 func (s *Server) checkInputs(w http.ResponseWriter, r *http.Request) bool {
@@ -339,8 +374,9 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.running--
+	s.runs[n].EndedAt = time.Now()
 	if r.Context().Err() != nil {
-		s.runs[n].CanceledAt = time.Now()
+		s.runs[n].CanceledAt = s.runs[n].EndedAt
 	}
 }
 
--- a/fakes/services/hosted/world.go
+++ b/fakes/services/hosted/world.go
@@ -65,6 +65,9 @@
 	if s.ID == "" {
 		s.ID = fmt.Sprintf("i-%s-%d", s.Service, len(w.servers))
 	}
+	if s.Slots > 0 {
+		s.turns = make(chan struct{}, s.Slots)
+	}
 	server, err := listenHTTP(http.HandlerFunc(s.serve))
 	if err != nil {
 		return nil, err
@@ -101,6 +104,22 @@
 	return runs
 }
 
+// CountAttempts returns how often an attempt arrived at a server that runs plain requests or streams.
+func (w *World) CountAttempts(attempt string) int {
+	w.lock.Lock()
+	servers := append([]*Server{}, w.servers...)
+	w.lock.Unlock()
+	count := 0
+	for _, s := range servers {
+		for _, a := range s.Attempts() {
+			if a.ID == attempt {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // SetPoison makes a server crash when it starts a plain or stream request with this body. The
 // server restarts after downTime.
 func (w *World) SetPoison(body string, downTime time.Duration) {
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -58,6 +58,10 @@
 	// graceReserve is the part of the grace period that is kept for closing the servers and ending the
 	// process. The drain gets the rest.
 	graceReserve = 700 * time.Millisecond
+	// sendReserve is how long before the end of the drain requests are no longer sent to backend servers, answerReserve
+	// how long before it answers no longer begin. A stream that began later would be cut.
+	sendReserve   = time.Second
+	answerReserve = 300 * time.Millisecond
 	// flushTimeout limits the time to write the last log lines.
 	flushTimeout = 200 * time.Millisecond
 )
@@ -135,6 +139,7 @@
 	i.incarnation = link.NewIncarnation()
 	i.stopper = stops.NewStopper(drain.Settings{
 		Grace: s.Stop.Grace - graceReserve, Linger: s.Stop.Admit, AdmitPeriod: s.Stop.Admit,
+		SendReserve: sendReserve, AnswerReserve: answerReserve,
 	})
 	i.store = keyval.NewClient(keyval.Options{
 		Address: s.Store.Address, CallTimeout: s.Store.Timeout,
@@ -295,7 +300,6 @@
 	i.recall.Start(ctx)
 	i.ledger.Start(ctx)
 	i.origins.Start(ctx)
-	i.flow.Start(ctx)
 	(&usageReporter{ingress: i}).Start(ctx)
 	i.watcher.Start(ctx)
 	i.log.Info("started", zap.Stringer("callers", s.Callers.Listen), zap.Stringer("peers", s.Peers.Listen),
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -54,8 +54,6 @@
 // Server serves requests. It is safe for concurrent use.
 type Server struct {
 	options Options
-	// unsent are the requests for engines that were not sent yet.
-	unsent *unsent
 
 	lock sync.Mutex
 	// services is keyed by the name of the service.
@@ -74,7 +72,7 @@
 	if options.Stop == nil {
 		options.Stop = neverStops{}
 	}
-	return &Server{options: options, services: map[string]*serviceState{}, unsent: &unsent{cancels: map[*context.CancelCauseFunc]bool{}}}
+	return &Server{options: options, services: map[string]*serviceState{}}
 }
 
 // SetView updates the backend servers from a new view.
@@ -125,6 +123,8 @@
 	identity poison.Identity
 	// trial is set if the request is quarantined and is sent to a single server as a trial.
 	trial bool
+	// lifetime is that of the context in which the request is served.
+	lifetime *lifetime
 	// isAnswered is set once the current attempt has been answered for a while.
 	isAnswered bool
 	log        *zap.Logger
@@ -167,6 +167,8 @@
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, q *Request) {
 	x := s.newExchange(q)
 	defer x.returnRetry()
+	ctx, x.lifetime = newLifetime(ctx, s.options.Stop.Answers())
+	defer x.lifetime.close()
 	if id, quarantined := s.options.Screen.FindQuarantine(x.identity); quarantined {
 		x.trial = s.options.Screen.TakeTrial(ctx, id)
 	}
@@ -253,6 +255,9 @@
 	if result == nil || x.runs == 0 || result.Outcome != codes.OutcomeNotRun {
 		return result
 	}
+	if result.Code == codes.Draining {
+		return result.WithOutcome(codes.OutcomeUnknown).WithRetryAfter(0)
+	}
 	return codes.NewResult(codes.BackendLost, "an attempt may have run; then: "+result.Detail)
 }
 
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -50,9 +50,12 @@
 		if quarantined := x.refuseQuarantined(); quarantined != nil {
 			return quarantined
 		}
+		if refused := x.refuseSend(); refused != nil {
+			return refused
+		}
 		server, found := x.pick(ctx)
 		if !found && ctx.Err() != nil {
-			return codes.NewResult(codes.Canceled, "the caller left").WithOutcome(codes.OutcomeNotRun)
+			return x.describeEnd(ctx).WithOutcome(codes.OutcomeNotRun)
 		}
 		if !found {
 			return x.refuseNoServer()
@@ -159,7 +162,10 @@
 		zap.Bool("not-sent", notSent), zap.Duration("took", took), logs.Err(err))
 	if errors.Is(ctx.Err(), context.Canceled) {
 		x.end(server, place.ResultCanceled, took, nil)
-		return verdict{result: codes.NewResult(codes.Canceled, "the caller left")}
+		if !notSent {
+			x.runs++
+		}
+		return verdict{result: x.describeEnd(ctx)}
 	}
 	if notSent {
 		x.end(server, place.ResultUnreachable, took, nil)
@@ -253,6 +259,7 @@
 func (x *exchange) deliver(w http.ResponseWriter, reply *reach.Reply, buffered []byte, isWhole bool) {
 	copyHeader(w.Header(), reply.Header)
 	to := newCallerWriter(w)
+	x.beginAnswer()
 	if isWhole {
 		w.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
 		w.WriteHeader(reply.Status)
--- a/ingress/services/flow/stopping.go
+++ b/ingress/services/flow/stopping.go
@@ -3,90 +3,71 @@
 import (
 	"context"
 	"errors"
-	"sync"
+	"fmt"
 	"time"
 
 	"verbenaroad.example/share/modules/codes"
 )
 
-// Stop reports whether the process is stopping.
+// Stop reports whether and when the process stops.
 type Stop interface {
-	// EndsAt returns when the process exits at the latest, or false while it is not stopping.
+	// EndsAt returns when the process cuts the answers that have not ended, or false while it is not stopping.
 	EndsAt() (at time.Time, isStopping bool)
-	// Announced returns a channel that is closed when the stop begins.
-	Announced() <-chan struct{}
+	// Sends returns a context that ends when requests are no longer sent to backend servers, Answers one that ends
+	// when answers no longer begin, and Work one that ends when those that have begun are cut.
+	Sends() context.Context
+	Answers() context.Context
+	Work() context.Context
 }
 
-const (
-	// sendReserve is how long before the process exits requests are no longer sent to an engine. A stream
-	// that began later would be cut.
-	sendReserve = time.Second
-	// stoppingRetryAfter is the Retry-After of a request that a stopping ingress has not sent: another one can
-	// take it at once.
-	stoppingRetryAfter = 50 * time.Millisecond
-)
+// stoppingRetryAfter is the Retry-After of a request that a stopping ingress has not sent: another one can
+// take it at once.
+const stoppingRetryAfter = 50 * time.Millisecond
 
-// errStopping is the cause of the end of a request that was not sent before the process exits.
+// errStopping is the cause of the end of a request that the process no longer serves.
 var errStopping = errors.New("the ingress stops")
 
 // neverStops is the Stop of a server without one.
 type neverStops struct{}
 
-func (neverStops) EndsAt() (time.Time, bool)  { return time.Time{}, false }
-func (neverStops) Announced() <-chan struct{} { return nil }
+func (neverStops) EndsAt() (time.Time, bool) { return time.Time{}, false }
+func (neverStops) Sends() context.Context    { return context.Background() }
+func (neverStops) Answers() context.Context  { return context.Background() }
+func (neverStops) Work() context.Context     { return context.Background() }
 
-// unsent holds the functions that end the requests which were not sent to an engine yet. It is safe for concurrent
-// use.
-type unsent struct {
-	lock    sync.Mutex
-	cancels map[*context.CancelCauseFunc]bool
-	// isOver is set once requests are no longer sent.
-	isOver bool
+// lifetime ends the context of a request when a phase of the stop ends.
+type lifetime struct {
+	cancel context.CancelCauseFunc
+	// leave releases the phase with which the context ends now; nil: none.
+	leave func() bool
 }
 
-// track returns a context that ends with errStopping once requests are no longer sent, until release is called.
-func (u *unsent) track(ctx context.Context) (tracked context.Context, release func()) {
-	tracked, cancel := context.WithCancelCause(ctx)
-	u.lock.Lock()
-	defer u.lock.Unlock()
-	if u.isOver {
-		cancel(errStopping)
-	}
-	u.cancels[&cancel] = true
-	return tracked, func() {
-		u.lock.Lock()
-		delete(u.cancels, &cancel)
-		u.lock.Unlock()
-		cancel(nil)
-	}
+// newLifetime returns a context that ends with the given phase of a stop. The cause is then errStopping.
+func newLifetime(ctx, phase context.Context) (context.Context, *lifetime) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	l := &lifetime{cancel: cancel}
+	l.endWith(phase)
+	return ctx, l
 }
 
-func (u *unsent) end() {
-	u.lock.Lock()
-	defer u.lock.Unlock()
-	u.isOver = true
-	for cancel := range u.cancels {
-		(*cancel)(errStopping)
+// endWith lets the context end with the given phase, in place of the one before.
+func (l *lifetime) endWith(phase context.Context) {
+	if l.leave != nil {
+		l.leave()
 	}
+	l.leave = context.AfterFunc(phase, l.stop)
 }
 
-// Start ends the requests that were not sent when the process is about to exit. It runs until the context ends.
-func (s *Server) Start(ctx context.Context) { go s.runStop(ctx) }
+func (l *lifetime) stop() { l.cancel(errStopping) }
 
-func (s *Server) runStop(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-s.options.Stop.Announced():
-	}
-	endsAt, _ := s.options.Stop.EndsAt()
-	select {
-	case <-ctx.Done():
-	case <-time.After(time.Until(endsAt) - sendReserve):
-		s.unsent.end()
-	}
+func (l *lifetime) close() {
+	l.leave()
+	l.cancel(nil)
 }
 
+// beginAnswer lets the request go on until the answers that have begun are cut.
+func (x *exchange) beginAnswer() { x.lifetime.endWith(x.server.options.Stop.Work()) }
+
 // isStopping reports whether the process is stopping. Requests that would wait for their first stage go to another
 // ingress.
 func (s *Server) isStopping() bool {
@@ -94,10 +75,20 @@
 	return isStopping
 }
 
-// refuseStopping returns the refusal of a request that was not sent before the process exits, or nil.
-func (x *exchange) refuseStopping(ctx context.Context) *codes.Result {
-	if !errors.Is(context.Cause(ctx), errStopping) {
+// refuseSend returns the refusal of a request that was not sent to a backend server before the process exits, or nil.
+func (x *exchange) refuseSend() *codes.Result {
+	if x.runs > 0 || x.server.options.Stop.Sends().Err() == nil {
 		return nil
 	}
 	return codes.NewResult(codes.Draining, "stopping").WithRetryAfter(stoppingRetryAfter)
 }
+
+// describeEnd returns the result of a request whose context was canceled: the caller left, or the process stops.
+func (x *exchange) describeEnd(ctx context.Context) *codes.Result {
+	if !errors.Is(context.Cause(ctx), errStopping) {
+		return codes.NewResult(codes.Canceled, "the caller left")
+	}
+	endsAt, _ := x.server.options.Stop.EndsAt()
+	detail := fmt.Sprintf("stopping; it arrived %v before the end of the grace period", endsAt.Sub(x.Arrived).Round(time.Millisecond))
+	return codes.NewResult(codes.Draining, detail).WithRetryAfter(stoppingRetryAfter)
+}
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -114,7 +114,7 @@
 	case result == nil:
 		return nil
 	case errors.Is(ctx.Err(), context.Canceled):
-		return codes.NewResult(codes.Canceled, "the caller left")
+		return x.describeEnd(ctx)
 	case result.Code == codes.Canceled:
 		return codes.NewResult(codes.DeadlineUnmeetable, "its time ran out before it was sent to an engine")
 	default:
@@ -155,8 +155,11 @@
 	if len(r.route.Stages) == 0 || r.results != nil {
 		return nil
 	}
-	ctx, release := r.server.unsent.track(ctx)
-	defer release()
+	if r.runs == 0 {
+		var unsent *lifetime
+		ctx, unsent = newLifetime(ctx, r.server.options.Stop.Sends())
+		defer unsent.close()
+	}
 	results, failed := r.server.options.StageRunner.ProduceChain(ctx, stages.Chain{
 		AttemptID:     r.AttemptID,
 		RequestDigest: string(r.identity.Request),
@@ -174,11 +177,11 @@
 		IsStopping:    r.server.isStopping,
 		Log:           r.log,
 	})
-	if stopping := r.refuseStopping(ctx); stopping != nil && r.runs == 0 {
+	if refused := r.refuseSend(); refused != nil {
 		if failed == nil {
 			results.Release()
 		}
-		return stopping
+		return refused
 	}
 	if failed != nil {
 		return failed
@@ -235,6 +238,9 @@
 		if quarantined := r.refuseQuarantined(); quarantined != nil {
 			return r.endStream(quarantined)
 		}
+		if refused := r.refuseSend(); refused != nil {
+			return r.endStream(refused)
+		}
 		r.reservation.MarkSent()
 		v := r.try(ctx, r.reservedServer())
 		if !v.retry || r.remaining() <= 0 {
--- a/proofs/hosted/process_test.go
+++ b/proofs/hosted/process_test.go
@@ -92,9 +92,20 @@
 // Another test on the machine may take one of the chosen free ports before the process listens on
 // it. The process then exits at once, and newIngress tries again with other ports.
 func newIngress(t testing.TB, w *hosted.World, name, zone string, storeIndex int, seeds ...netip.AddrPort) *ingress {
+	t.Helper()
+	return newIngressWithStop(t, w, name, zone, storeIndex, defaultStop(), seeds...)
+}
+
+// stopTimes are the settings of a stop.
+type stopTimes struct{ grace, admit time.Duration }
+
+func defaultStop() stopTimes { return stopTimes{grace: 4 * time.Second, admit: 500 * time.Millisecond} }
+
+// newIngressWithStop is newIngress with other times of a stop.
+func newIngressWithStop(t testing.TB, w *hosted.World, name, zone string, storeIndex int, times stopTimes, seeds ...netip.AddrPort) *ingress {
 	t.Helper()
 	for {
-		i := startIngress(t, w, name, zone, storeIndex, seeds)
+		i := startIngress(t, w, name, zone, storeIndex, times, seeds)
 		eventually(t, name+" starts or exits", func() bool {
 			return len(i.output.lines("event=started")) > 0 || i.hasExited()
 		})
@@ -135,7 +146,7 @@
 	}
 }
 
-func startIngress(t testing.TB, w *hosted.World, name, zone string, storeIndex int, seeds []netip.AddrPort) *ingress {
+func startIngress(t testing.TB, w *hosted.World, name, zone string, storeIndex int, times stopTimes, seeds []netip.AddrPort) *ingress {
 	t.Helper()
 	addresses := freeAddresses(t, 4)
 	quotedSeeds := []string{}
@@ -169,11 +180,11 @@
 ratio = 0.2
 slack = 60
 [stop]
-grace = "4s"
-admit = "500ms"
+grace = %q
+admit = %q
 [metrics]
 listen = %q
-`, name, zone, zone[:1], i.callerAddress, i.readyAddress, w.Store.Address(storeIndex), addresses[3], strings.Join(quotedSeeds, ", "), i.metricsAddress)
+`, name, zone, zone[:1], i.callerAddress, i.readyAddress, w.Store.Address(storeIndex), addresses[3], strings.Join(quotedSeeds, ", "), times.grace, times.admit, i.metricsAddress)
 	if err := os.WriteFile(i.configFile, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/proofs/hosted/stops_test.go
@@ -0,0 +1,259 @@
+package hosted_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"verbenaroad.example/fakes/services/hosted"
+)
+
+const (
+	// stopGrace is the time from SIGTERM to SIGKILL.
+	stopGrace = 8 * time.Second
+	// cutAfter is the time from SIGTERM from which on an answer may be cut while its server works on it, if the request
+	// was sent within cutAdmit of SIGTERM.
+	cutAfter = stopGrace * 5 / 6
+	cutAdmit = 3 * time.Second
+	// crossTime is how long after its last byte a request that no server has received may lose its connection.
+	crossTime = 200 * time.Millisecond
+	// rollGap is the time between the stops of two ingresses.
+	rollGap = 2 * time.Second
+)
+
+// stop is one stop of an ingress.
+type stop struct {
+	ingress  int
+	signalAt time.Time
+}
+
+// roll stops ingresses while callers send requests.
+type roll struct {
+	*deployment
+	balancer *balancer
+	callers  []*keptCaller
+	stop     context.CancelFunc
+	ended    sync.WaitGroup
+
+	lock  sync.Mutex
+	stops []stop
+}
+
+// newRoll starts n ingresses with the platform's times of a stop, and servers that have more work than they can do: stages
+// whose queues hold requests, and engines that run a few streams at a time.
+func newRoll(t *testing.T, n int) *roll {
+	t.Helper()
+	d := newDeploymentWithStop(t, n, stopTimes{grace: stopGrace, admit: cutAdmit})
+	for _, s := range d.poolServers {
+		s.WorkTime = 150 * time.Millisecond
+	}
+	changed := services()
+	changed[2]["Segments"].(map[string]any)["CallMs"] = 150 //nolint:forcetypeassert // services writes it so
+	changed[1]["Name"] = "novels"
+	for _, zone := range []string{"a1", "b1"} {
+		d.add(&hosted.Server{Service: "novels", Zone: zone, Events: 20, EventInterval: 120 * time.Millisecond, Slots: 3})
+	}
+	d.addedServices = append(d.addedServices, changed[1])
+	d.addRoute(hosted.Route{
+		"Name": "lookup", "Host": host, "Prefix": "/lookup/", "Type": "streaming", "Service": "novels",
+		"TimeoutMs": 20000, "TargetLatencyMs": 2300, "TargetGapMs": 500, "MaxAttempts": 2, "Resumable": true, "Sticky": true,
+		"Stages": routes()[2]["Stages"],
+	})
+	return &roll{deployment: d, balancer: newBalancer(d.ingresses)}
+}
+
+// newLookup returns a request of the route lookup, whose stream lasts for seconds.
+func newLookup() request {
+	q := newReview()
+	q.target = "/lookup/1"
+	q.callerTimeout = 20 * time.Second
+	return q
+}
+
+func newOrder() request { return newRequest("/order/1") }
+
+func newRead() request { return newRequest("/read/1") }
+
+// startCallers starts n callers that send what newRequest returns.
+func (r *roll) startCallers(ctx context.Context, n int, newRequest func() request, pause, bodyTime time.Duration) {
+	for range n {
+		c := &keptCaller{
+			balancer: r.balancer, random: rand.New(rand.NewPCG(uint64(len(r.callers)), 1)), newRequest: newRequest, pause: pause, bodyTime: bodyTime,
+		}
+		r.callers = append(r.callers, c)
+		r.ended.Add(1)
+		go c.run(ctx, &r.ended)
+	}
+}
+
+// startLoad starts the callers of all kinds of requests and the readiness checks.
+func (r *roll) startLoad() {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go r.balancer.loop(ctx)
+	r.startCallers(ctx, 36, newLookup, 200*time.Millisecond, 0)
+	r.startCallers(ctx, 6, newOrder, 300*time.Millisecond, 0)
+	r.startCallers(ctx, 3, newOrder, 6*time.Second, 0)
+	r.startCallers(ctx, 3, newRead, 100*time.Millisecond, time.Second)
+}
+
+// endLoad lets all callers leave.
+func (r *roll) endLoad() {
+	r.stop()
+	r.ended.Wait()
+}
+
+// restart stops an ingress, waits until it has exited and starts it again.
+func (r *roll) restart(n int, ended *sync.WaitGroup) {
+	defer ended.Done()
+	i := r.ingresses[n]
+	r.lock.Lock()
+	r.stops = append(r.stops, stop{ingress: n, signalAt: time.Now()})
+	r.lock.Unlock()
+	i.signal(syscall.SIGTERM)
+	select {
+	case <-i.exited:
+	case <-time.After(stopGrace):
+		r.t.Errorf("%s had to be killed %v after SIGTERM", i.name, stopGrace)
+		i.kill()
+	}
+	time.Sleep(time.Second)
+	i.start()
+}
+
+// rollAll restarts all ingresses, one after the other, without waiting for the end of the one before.
+func (r *roll) rollAll() {
+	ended := sync.WaitGroup{}
+	for n := range r.ingresses {
+		ended.Add(1)
+		go r.restart(n, &ended)
+		time.Sleep(rollGap)
+	}
+	ended.Wait()
+}
+
+// check compares how the attempts ended with what the servers received.
+func (r *roll) check() {
+	r.t.Helper()
+	ends := map[string]int{}
+	for _, c := range r.callers {
+		for _, a := range c.attempts {
+			end, violation := r.classify(a)
+			ends[end]++
+			if violation {
+				r.report(a, end)
+			}
+		}
+	}
+	r.t.Logf("how attempts ended: %v", ends)
+	for _, violation := range r.Violations() {
+		r.t.Error(violation)
+	}
+	if ends["200"]*2 < ends["503"] {
+		r.t.Errorf("most attempts were refused: %v", ends)
+	}
+}
+
+// classify returns how an attempt ended, and whether that breaks what callers are promised.
+func (r *roll) classify(a attempt) (end string, violation bool) {
+	arrivals, runs := r.CountAttempts(a.request.id), r.Runs(a.request.id)
+	switch {
+	case a.ingress < 0:
+		return "not connected", false
+	case a.left:
+		return "the caller left", false
+	case a.answer.err == nil && a.answer.status == 503 && len(runs) > 0:
+		return "said not to have run, though it had", true
+	case a.answer.err == nil:
+		return fmt.Sprint(a.answer.status), false
+	}
+	stopped, found := r.findStop(a)
+	switch {
+	case a.answer.took >= a.request.callerTimeout:
+		return "its time had passed", false
+	case !found:
+		return "cut without a stop", true
+	case arrivals == 0 && a.endedAt.Sub(a.sentAt) <= crossTime:
+		return "crossed the close", false
+	case arrivals == 0:
+		return "closed without an answer, and not passed on", true
+	case len(runs) == 0:
+		return "closed while it waited at its server", true
+	case a.sentAt.Sub(stopped.signalAt) > cutAdmit:
+		return fmt.Sprintf("cut, sent %.3f s after SIGTERM", a.sentAt.Sub(stopped.signalAt).Seconds()), true
+	case a.endedAt.Sub(stopped.signalAt) < cutAfter && !runs[len(runs)-1].EndedAt.IsZero() && runs[len(runs)-1].EndedAt.Sub(stopped.signalAt) < cutAfter:
+		return fmt.Sprintf("cut %.3f s after SIGTERM", a.endedAt.Sub(stopped.signalAt).Seconds()), true
+	}
+	return "cut at the end of the grace period", false
+}
+
+// findStop returns the last stop of the ingress of an attempt that began before its end.
+func (r *roll) findStop(a attempt) (stop, bool) {
+	last, found := stop{}, false
+	for _, s := range r.stops {
+		if s.ingress == a.ingress && s.signalAt.Before(a.endedAt) && a.endedAt.Sub(s.signalAt) < stopGrace+time.Second {
+			last, found = s, true
+		}
+	}
+	return last, found
+}
+
+// report logs a violation with the lines of the ingress about the request.
+func (r *roll) report(a attempt, end string) {
+	after := ""
+	if s, found := r.findStop(a); found {
+		after = fmt.Sprintf(", sent %.3f s and ended %.3f s after SIGTERM", a.sentAt.Sub(s.signalAt).Seconds(), a.endedAt.Sub(s.signalAt).Seconds())
+	}
+	r.t.Errorf("%s %s at ingress %d: %s%s: %v; %d events\n%s", a.request.id, a.request.target, a.ingress, end, after, a.answer.err,
+		strings.Count(a.answer.body, "id: "), strings.Join(r.ingresses[a.ingress].output.lines(a.request.id), "\n"))
+}
+
+// Guards against requests that a stopping ingress has read and whose connections it closes without a whole answer or a
+// refusal, while the load is held for its stages and waits at its engines.
+func TestRollingStopsEndAllRequests(t *testing.T) {
+	r := newRoll(t, 3)
+	r.startLoad()
+	time.Sleep(3 * time.Second)
+	r.rollAll()
+	time.Sleep(time.Second)
+	r.endLoad()
+	r.check()
+}
+
+const (
+	// allowancePeriod is the period over which a throttled process may use its processor for allowance.
+	allowancePeriod = 100 * time.Millisecond
+	allowance       = 30 * time.Millisecond
+)
+
+// loopThrottle lets a process run for a part of each period only.
+func (i *ingress) loopThrottle(ctx context.Context) {
+	for ctx.Err() == nil {
+		i.signal(syscall.SIGSTOP)
+		time.Sleep(allowancePeriod - allowance)
+		i.signal(syscall.SIGCONT)
+		time.Sleep(allowance)
+	}
+}
+
+// Guards against the same where processes run for a part of the time only, so that they hear signals, read requests and
+// write answers late.
+func TestRollingStopsOfThrottledIngressesEndAllRequests(t *testing.T) {
+	r := newRoll(t, 3)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, i := range r.ingresses {
+		go i.loopThrottle(ctx)
+	}
+	r.startLoad()
+	time.Sleep(3 * time.Second)
+	r.rollAll()
+	time.Sleep(time.Second)
+	r.endLoad()
+	r.check()
+}
--- a/proofs/hosted/world_test.go
+++ b/proofs/hosted/world_test.go
@@ -103,6 +103,12 @@
 // newDeployment starts n ingresses and two backend servers of each service. Each ingress has its
 // own address of the store, so that a test can make the store fail for this ingress alone.
 func newDeployment(t *testing.T, n int) *deployment {
+	t.Helper()
+	return newDeploymentWithStop(t, n, defaultStop())
+}
+
+// newDeploymentWithStop is newDeployment with other times of a stop.
+func newDeploymentWithStop(t *testing.T, n int, times stopTimes) *deployment {
 	t.Helper()
 	w, err := hosted.NewWorld(n)
 	if err != nil {
@@ -120,7 +126,7 @@
 		}))
 	}
 	for i := range n {
-		d.ingresses = append(d.ingresses, newIngress(t, w, fmt.Sprintf("ingress-%d", i), []string{"a1", "b1"}[i%2], i))
+		d.ingresses = append(d.ingresses, newIngressWithStop(t, w, fmt.Sprintf("ingress-%d", i), []string{"a1", "b1"}[i%2], i, times))
 	}
 	t.Cleanup(func() {
 		if !t.Failed() {
--- a/share/decide/drain/drain_test.go
+++ b/share/decide/drain/drain_test.go
@@ -27,7 +27,8 @@
 	ended := drain.WorkEnded{ID: "a"}
 	admit := []drain.Action{drain.Admit{ID: "a"}}
 	announce := []drain.Action{drain.Announce{}}
-	stop := []drain.Action{drain.Stop{Unfinished: []string{}}}
+	stop := []drain.Action{drain.EndSends{}, drain.EndAnswers{}, drain.Stop{Unfinished: []string{}}}
+	cut := []drain.Action{drain.EndSends{}, drain.EndAnswers{}, drain.Stop{Unfinished: []string{"a"}}}
 	for name, steps := range map[string][]step{
 		"idle instance waits for late senders": {
 			{0, drain.StopRequested{}, announce},
@@ -49,14 +50,14 @@
 		"grace period ends with work running": {
 			{0, offered, admit},
 			{1, drain.StopRequested{}, announce},
-			{11, drain.TimerFired{}, []drain.Action{drain.Stop{Unfinished: []string{"a"}}}},
+			{11, drain.TimerFired{}, cut},
 			{12, ended, nil},
 		},
 		"second stop request has no effect": {
 			{0, offered, admit},
 			{1, drain.StopRequested{}, announce},
 			{9, drain.StopRequested{}, nil},
-			{11, drain.TimerFired{}, []drain.Action{drain.Stop{Unfinished: []string{"a"}}}},
+			{11, drain.TimerFired{}, cut},
 			{12, drain.StopRequested{}, nil},
 			{13, offered, []drain.Action{drain.Refuse{ID: "a"}}},
 		},
@@ -71,6 +72,34 @@
 	}
 }
 
+// Guards against closing the connection of work that waits, although it could still be refused or answered: first what was
+// not sent ends, then what has no answer, then the rest, in this order even if the timer is late.
+func TestPhasesOfTheGracePeriodEndInOrder(t *testing.T) {
+	settings := drain.Settings{Grace: 10 * time.Second, Linger: 2 * time.Second, SendReserve: 4 * time.Second, AnswerReserve: time.Second}
+	for name, steps := range map[string][]step{
+		"on time": {
+			{5, drain.TimerFired{}, nil},
+			{6, drain.TimerFired{}, []drain.Action{drain.EndSends{}}},
+			{8, drain.TimerFired{}, nil},
+			{9, drain.TimerFired{}, []drain.Action{drain.EndAnswers{}}},
+			{10, drain.TimerFired{}, []drain.Action{drain.Stop{Unfinished: []string{"a"}}}},
+			{11, drain.TimerFired{}, nil},
+		},
+		"late":           {{12, drain.TimerFired{}, []drain.Action{drain.EndSends{}, drain.EndAnswers{}, drain.Stop{Unfinished: []string{"a"}}}}},
+		"work has ended": {{3, drain.WorkEnded{ID: "a"}, []drain.Action{drain.EndSends{}, drain.EndAnswers{}, drain.Stop{Unfinished: []string{}}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := drain.NewInstance(settings)
+			i.Step(at(0), drain.WorkOffered{ID: "a"})
+			i.Step(at(0), drain.StopRequested{})
+			for _, s := range steps {
+				is.Equal(i.Step(at(s.seconds), s.event), s.want)
+			}
+		})
+	}
+}
+
 // Three instances are asked to stop within two seconds. After 3 s none of them admits new work, and
 // none is back for another 3 s, although a request of at most 1.5 s would end in time on any of
 // them. Such a request is admitted if no other instance takes it and it is certain to end in time.
@@ -86,7 +115,8 @@
 	is.Equal(i.State(), drain.StateDraining) // the request is still running
 	next := drain.LastResortOffered{ID: "next", MaxDuration: time.Second}
 	is.Equal(i.Step(at(6), next), []drain.Action{drain.Refuse{ID: "next"}}) // otherwise the instance might never restart
-	is.Equal(i.Step(at(6), drain.WorkEnded{ID: "request"}), []drain.Action{drain.Stop{Unfinished: []string{}}})
+	stop := []drain.Action{drain.EndSends{}, drain.EndAnswers{}, drain.Stop{Unfinished: []string{}}}
+	is.Equal(i.Step(at(6), drain.WorkEnded{ID: "request"}), stop)
 	is.Equal(i.Step(at(7), request), []drain.Action{drain.Refuse{ID: "request"}})
 }
 
@@ -99,6 +129,12 @@
 	i.Step(at(0), drain.StopRequested{})
 	late := drain.LastResortOffered{ID: "request", MaxDuration: 1500 * time.Millisecond}
 	is.Equal(i.Step(at(7), late), []drain.Action{drain.Refuse{ID: "request"}})
+
+	i = drain.NewInstance(drain.Settings{Grace: 8 * time.Second, Linger: 3 * time.Second, SendReserve: 2 * time.Second, AnswerReserve: time.Second})
+	i.Step(at(0), drain.WorkOffered{ID: "stream"})
+	i.Step(at(0), drain.StopRequested{})
+	late.MaxDuration = 2500 * time.Millisecond
+	is.Equal(i.Step(at(5), late), []drain.Action{drain.Refuse{ID: "request"}}) // its answer would have to begin after EndAnswers
 }
 
 // Guards against requests that fail for seconds after an instance was stopped, or that no longer
--- a/share/decide/drain/instance.go
+++ b/share/decide/drain/instance.go
@@ -51,6 +51,10 @@
 	Admit struct{ ID string }
 	// Refuse answers the work with "not run, draining".
 	Refuse struct{ ID string }
+	// EndSends refuses the work that was not sent to a backend server. It occurs once, before EndAnswers.
+	EndSends struct{}
+	// EndAnswers ends the work whose answer has not begun, with an answer that says so. It occurs once, before Stop.
+	EndAnswers struct{}
 	// Stop ends the process. Unfinished lists the work that was still running, in sorted order.
 	Stop struct{ Unfinished []string }
 )
@@ -61,10 +65,12 @@
 func (WorkEnded) event()         {}
 func (TimerFired) event()        {}
 
-func (Announce) action() {}
-func (Admit) action()    {}
-func (Refuse) action()   {}
-func (Stop) action()     {}
+func (Announce) action()   {}
+func (Admit) action()      {}
+func (Refuse) action()     {}
+func (EndSends) action()   {}
+func (EndAnswers) action() {}
+func (Stop) action()       {}
 
 // Settings limit the phases of a graceful stop.
 type Settings struct {
@@ -83,6 +89,13 @@
 	// the announcement only after some failed readiness checks, and a caller whose connection was
 	// opened before that has no other instance to use.
 	AdmitPeriod time.Duration
+	// SendReserve is how long before the end of the grace period EndSends occurs, AnswerReserve the same for EndAnswers.
+	// AnswerReserve is at most SendReserve.
+	//
+	// They guard against closing the connection of work that waits: its caller would get neither an answer nor a
+	// refusal, although both were possible until then.
+	SendReserve   time.Duration
+	AnswerReserve time.Duration
 }
 
 // Instance decides the graceful stop of the process it runs in.
@@ -91,6 +104,9 @@
 	state    State
 	// drainStart is when draining began; it is set once.
 	drainStart time.Time
+	// sendsEnded and answersEnded are set once EndSends and EndAnswers have occurred.
+	sendsEnded   bool
+	answersEnded bool
 	// running holds the admitted work that has not ended, by id. The value is false for work admitted
 	// by LastResortOffered and true for all other work.
 	running map[string]bool
@@ -109,10 +125,16 @@
 	if i.state != StateDraining {
 		return time.Time{}, false
 	}
-	if len(i.running) == 0 {
+	graceEnd := i.drainStart.Add(i.settings.Grace)
+	switch {
+	case len(i.running) == 0:
 		return i.drainStart.Add(i.settings.Linger), true
+	case !i.sendsEnded:
+		return graceEnd.Add(-i.settings.SendReserve), true
+	case !i.answersEnded:
+		return graceEnd.Add(-i.settings.AnswerReserve), true
 	}
-	return i.drainStart.Add(i.settings.Grace), true
+	return graceEnd, true
 }
 
 // GraceEnd returns when the instance stops at the latest, or false while it is serving.
@@ -123,6 +145,9 @@
 	return i.drainStart.Add(i.settings.Grace), true
 }
 
+// CountRunning returns how much of the admitted work has not ended.
+func (i *Instance) CountRunning() int { return len(i.running) }
+
 // Step processes one event and returns the actions that follow from it, in order.
 func (i *Instance) Step(now time.Time, e Event) []Action {
 	switch v := e.(type) {
@@ -134,9 +159,9 @@
 		return i.lastResortOffered(now, v)
 	case WorkEnded:
 		delete(i.running, v.ID)
-		return i.stopIfDue(now)
+		return i.advance(now)
 	case TimerFired:
-		return i.stopIfDue(now)
+		return i.advance(now)
 	}
 	return nil
 }
@@ -153,7 +178,7 @@
 	}
 	i.state = StateDraining
 	i.drainStart = now
-	return append([]Action{Announce{}}, i.stopIfDue(now)...)
+	return append([]Action{Announce{}}, i.advance(now)...)
 }
 
 func (i *Instance) workOffered(now time.Time, e WorkOffered) []Action {
@@ -173,8 +198,8 @@
 // AdmitPeriod has passed on each, no instance would take a request for seconds, not even one that
 // ends in 60 ms.
 func (i *Instance) lastResortOffered(now time.Time, e LastResortOffered) []Action {
-	graceEnd := i.drainStart.Add(i.settings.Grace)
-	if i.state != StateDraining || !i.hasRegularWork() || now.Add(e.MaxDuration).After(graceEnd) {
+	answersEnd := i.drainStart.Add(i.settings.Grace - i.settings.AnswerReserve)
+	if i.state != StateDraining || !i.hasRegularWork() || now.Add(e.MaxDuration).After(answersEnd) {
 		return []Action{Refuse{ID: e.ID}}
 	}
 	i.running[e.ID] = false
@@ -191,18 +216,35 @@
 	return false
 }
 
-// stopIfDue stops the instance when the grace period has ended, or when no work is running and the
-// linger period has ended.
-func (i *Instance) stopIfDue(now time.Time) []Action {
-	due, draining := i.NextTimer()
-	if !draining || now.Before(due) {
+// advance returns the actions that are due, however late it is called, in their order. It stops the instance when the grace
+// period has ended, or when no work is running and the linger period has ended.
+func (i *Instance) advance(now time.Time) []Action {
+	if i.state != StateDraining {
 		return nil
 	}
+	graceEnd := i.drainStart.Add(i.settings.Grace)
+	isIdle := len(i.running) == 0 && !now.Before(i.drainStart.Add(i.settings.Linger))
+	var actions []Action
+	if !i.sendsEnded && (isIdle || !now.Before(graceEnd.Add(-i.settings.SendReserve))) {
+		i.sendsEnded = true
+		actions = append(actions, EndSends{})
+	}
+	if !i.answersEnded && (isIdle || !now.Before(graceEnd.Add(-i.settings.AnswerReserve))) {
+		i.answersEnded = true
+		actions = append(actions, EndAnswers{})
+	}
+	if isIdle || !now.Before(graceEnd) {
+		actions = append(actions, i.stop())
+	}
+	return actions
+}
+
+func (i *Instance) stop() Stop {
 	i.state = StateStopped
 	unfinished := make([]string, 0, len(i.running))
 	for id := range i.running {
 		unfinished = append(unfinished, id)
 	}
 	sort.Strings(unfinished)
-	return []Action{Stop{Unfinished: unfinished}}
+	return Stop{Unfinished: unfinished}
 }
--- a/share/services/stops/stopper.go
+++ b/share/services/stops/stopper.go
@@ -16,22 +16,36 @@
 
 // Stopper runs a drain.Instance. It is safe for concurrent use.
 type Stopper struct {
-	// announced is closed when the drain begins, stopped when the process may exit.
+	// announced is closed when the drain begins.
 	announced chan struct{}
-	stopped   chan struct{}
+	// sends, answers and work end in this order.
+	sends, answers, work phase
 
 	lock     sync.Mutex
 	instance *drain.Instance
 	// unfinished holds the ids of the work that had not ended when the process was allowed to exit.
-	// It is set before stopped is closed.
+	// It is set before the context of work ends.
 	unfinished []string
 }
 
+// phase is a context that ends when a phase of the drain does.
+type phase struct {
+	context.Context
+	end context.CancelFunc
+}
+
+func newPhase() phase {
+	ctx, end := context.WithCancel(context.Background())
+	return phase{Context: ctx, end: end}
+}
+
 // NewStopper returns a Stopper whose instance is serving.
 func NewStopper(settings drain.Settings) *Stopper {
 	return &Stopper{
 		announced: make(chan struct{}),
-		stopped:   make(chan struct{}),
+		sends:     newPhase(),
+		answers:   newPhase(),
+		work:      newPhase(),
 		instance:  drain.NewInstance(settings),
 	}
 }
@@ -78,6 +92,13 @@
 	return s.instance.State() != drain.StateServing
 }
 
+// CountRunning returns the number of requests that were admitted and have not ended.
+func (s *Stopper) CountRunning() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.instance.CountRunning()
+}
+
 // EndsAt returns when the process exits at the latest, or false while the drain has not begun.
 func (s *Stopper) EndsAt() (time.Time, bool) {
 	s.lock.Lock()
@@ -88,18 +109,25 @@
 // Announced returns a channel that is closed when the drain begins.
 func (s *Stopper) Announced() <-chan struct{} { return s.announced }
 
-// Stopped returns a channel that is closed when the process may exit.
-func (s *Stopper) Stopped() <-chan struct{} { return s.stopped }
+// Sends returns a context that ends when work is no longer sent to backend servers, Answers one that ends when
+// answers no longer begin, and Work one that ends when the process may exit.
+func (s *Stopper) Sends() context.Context { return s.sends }
+
+// Answers is described at Sends.
+func (s *Stopper) Answers() context.Context { return s.answers }
+
+// Work is described at Sends.
+func (s *Stopper) Work() context.Context { return s.work }
 
 // FindUnfinished returns the ids of the work that was still running when the grace period ended. It
-// returns nil until Stopped is closed.
+// returns nil until the context of Work has ended.
 func (s *Stopper) FindUnfinished() []string {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	return s.unfinished
 }
 
-// step applies an event to the instance and carries out the actions Announce and Stop.
+// step applies an event to the instance and carries out the actions that concern the whole process.
 func (s *Stopper) step(e drain.Event) []drain.Action {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -108,9 +136,13 @@
 		switch a := action.(type) {
 		case drain.Announce:
 			close(s.announced)
+		case drain.EndSends:
+			s.sends.end()
+		case drain.EndAnswers:
+			s.answers.end()
 		case drain.Stop:
 			s.unfinished = a.Unfinished
-			close(s.stopped)
+			s.work.end()
 		}
 	}
 	return actions
@@ -124,7 +156,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.stopped:
+		case <-s.work.Done():
 			return
 		case <-ticker.C:
 			s.step(drain.TimerFired{})
--- a/share/services/stops/wait.go
+++ b/share/services/stops/wait.go
@@ -16,12 +16,19 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	sends, answers := stopper.Sends().Done(), stopper.Answers().Done()
 	for {
 		select {
 		case got := <-signals:
 			log.Info("stop-requested", zap.Stringer("signal", got))
 			stopper.RequestStop(ctx)
-		case <-stopper.Stopped():
+		case <-sends:
+			sends = nil
+			log.Info("sends-ended", zap.Int("running", stopper.CountRunning()))
+		case <-answers:
+			answers = nil
+			log.Info("answers-ended", zap.Int("running", stopper.CountRunning()))
+		case <-stopper.Work().Done():
 			unfinished := stopper.FindUnfinished()
 			log.Info("stopped", zap.Int("cut", len(unfinished)), zap.String("requests", strings.Join(unfinished, ",")))
 			return
