flow: the head of a stream is passed on with its first event

What callers saw: where an engine sends the head of its answer before its first event, a request that the ingress then ends (the end of the grace period, an engine that breaks, a route without resumption) is a 200 that is broken off, though nothing of the stream had been made.

Cause: the head was written to the caller when the engine's head arrived. From then on no error could be written.

Evidence: TestStreamWhoseEngineBreaksBeforeItsFirstEventEndsWithAnError gets an EOF in place of the 502 on the code before.

Fix: the head is written with the first whole event, or with the end of an empty stream. Until then the request may go on at another engine, also of another software version, and ends with an error otherwise.

--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -27,12 +27,6 @@
 
 // forward relays the answer to the caller. Events are only written complete.
 func (r *relay) forward(server site.Server, reply *reach.Reply) error {
-	if !r.headSent {
-		r.recordBegun(&server)
-		copyHeader(r.writer.Header(), reply.Header)
-		r.writer.WriteHeader(reply.Status)
-		r.headSent = true
-	}
 	buffer := make([]byte, relayBufferBytes)
 	pending := []byte{}
 	started := false
@@ -45,6 +39,7 @@
 		pending = append(pending, buffer[:n]...)
 		complete := completeLength(pending)
 		if complete > 0 {
+			r.sendHead(&server, reply)
 			if failed := r.write(pending[:complete]); failed != nil {
 				return failed
 			}
@@ -52,6 +47,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) == 0:
+			r.sendHead(&server, reply)
 			return nil
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF // the stream ended in the middle of an event
@@ -63,6 +59,21 @@
 	}
 }
 
+// sendHead writes the status and headers of the answer, unless that has been done.
+//
+// Guards against an engine that begins its answer before its first event, which may be seconds later: until then the
+// request may still be sent to another engine, or end with an error, which is a whole answer.
+func (r *relay) sendHead(server *site.Server, reply *reach.Reply) {
+	if r.headSent {
+		return
+	}
+	r.headSent = true
+	r.beginAnswer()
+	r.recordBegun(server)
+	copyHeader(r.writer.Header(), reply.Header)
+	r.writer.WriteHeader(reply.Status)
+}
+
 // observeFirstEvent records that the engine has begun to send events.
 func (r *relay) observeFirstEvent(server site.Server, reply *reach.Reply) {
 	r.releaseResults() // the engine has fetched the results of the stages
--- a/proofs/hosted/faults_test.go
+++ b/proofs/hosted/faults_test.go
@@ -367,6 +367,25 @@
 	is.Equal(eventIDs(got.body), "1,2")
 }
 
+// Guards against passing on the head of an answer before its first event: if the engine then breaks, or the ingress stops,
+// the caller gets a broken answer in place of an error.
+func TestStreamWhoseEngineBreaksBeforeItsFirstEventEndsWithAnError(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	for _, e := range d.engines {
+		e.EarlyHead = true
+		e.SetFaults(hosted.CutBeforeAnswer)
+	}
+	got := d.ingresses[0].send(context.Background(), newRequest("/advice/1"))
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusBadGateway)
+	is.True(strings.Contains(got.body, `"name":"backend-lost"`))
+
+	got = d.ingresses[0].send(context.Background(), newReview())
+	is.NoErr(got.err) // the other engine
+	is.Equal(eventIDs(got.body), "1,2,3,4,5,6")
+}
+
 // Guards against a request that ends the process of an ingress, since it asks for more results than any memory holds,
 // and with it all other requests there.
 func TestRequestOfTooManyResultsIsRefusedAtOnce(t *testing.T) {
--- a/proofs/hosted/stops_test.go
+++ b/proofs/hosted/stops_test.go
@@ -55,8 +55,8 @@
 	changed := services()
 	changed[2]["Segments"].(map[string]any)["CallMs"] = 150 //nolint:forcetypeassert // services writes it so
 	changed[1]["Name"] = "novels"
-	for _, zone := range []string{"a1", "b1"} {
-		d.add(&hosted.Server{Service: "novels", Zone: zone, Events: 20, EventInterval: 120 * time.Millisecond, Slots: 3})
+	for i, zone := range []string{"a1", "b1"} {
+		d.add(&hosted.Server{Service: "novels", Zone: zone, Events: 20, EventInterval: 120 * time.Millisecond, Slots: 3, EarlyHead: i == 0})
 	}
 	d.addedServices = append(d.addedServices, changed[1])
 	d.addRoute(hosted.Route{
