flow, stages: a stopping ingress refuses streams that would be cut

What callers saw: requests that an ingress took after its SIGTERM began their streams and were cut at the end of the grace period, though nobody expected them to end: one was admitted 2.4 s after the stop began, began its stream 3 s later and was cut after 65 events.

Cause: admission asked only whether the ingress stops, and refused what it would have held. The plan of the stages and the length of a stream were not held against the end of the process; what had its stages made was sent up to a second before it.

In TestRollingStopsEndAllRequests two streams that were sent after the SIGTERM were cut.

Fix: the time in which most streams of a route are answered (mean and mean deviation of the last ones, package usual) before the end of the grace period is when a request must be sent to its engine. A request whose stages would end later, or that would be held, is refused on arrival, one whose stages take longer than planned at that moment, and one that is about to be sent just then: each as not run, with 50 ms to return in, or 2 s where no other ingress takes requests. A route of which nothing is known is served as before.

--- a/ingress/routers/public/public.go
+++ b/ingress/routers/public/public.go
@@ -105,15 +105,9 @@
 	// a third of their remaining time.
 	outageRetryAfter = 2 * time.Second
 	outageThreshold  = 400 * time.Millisecond
-	// drainingRetryAfter is the Retry-After of a stopping ingress if another ingress takes new
-	// requests: that one can take the request at once.
-	drainingRetryAfter = 50 * time.Millisecond
 	// memoryRetryAfter is the Retry-After of an ingress without memory for the body of a request. Most
 	// requests end within a second, and another ingress may take the next attempt.
 	memoryRetryAfter = 300 * time.Millisecond
-	// aloneRetryAfter is the Retry-After of a stopping ingress if no other ingress takes new requests:
-	// a restart takes seconds. Callers respect a Retry-After of up to a third of their remaining time.
-	aloneRetryAfter = 2 * time.Second
 )
 
 // ServeHTTP serves or refuses one request.
@@ -126,7 +120,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if !admitted && !t.options.Peers.IsAlone() {
-		t.refuse(w, r, request, access.Decision{}, codes.NewResult(codes.Draining, "stopping").WithRetryAfter(drainingRetryAfter))
+		t.refuse(w, r, request, access.Decision{}, codes.NewResult(codes.Draining, "stopping").WithRetryAfter(flow.StoppingRetryAfter(false)))
 		return
 	}
 	defer t.options.Admission.EndWork(workID)
@@ -134,7 +128,7 @@
 	defer account.Close()
 	q, decision, result := t.read(w, r, request, arrived, account)
 	if result == nil && !admitted && !t.admitLastResort(workID, q) {
-		result = codes.NewResult(codes.Draining, "stopping, as all others").WithRetryAfter(aloneRetryAfter)
+		result = codes.NewResult(codes.Draining, "stopping, as all others").WithRetryAfter(flow.StoppingRetryAfter(true))
 	}
 	if result != nil {
 		t.refuse(w, r, request, decision, result)
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -21,6 +21,7 @@
 	"verbenaroad.example/share/decide/cold"
 	"verbenaroad.example/share/decide/place"
 	"verbenaroad.example/share/decide/poison"
+	"verbenaroad.example/share/decide/usual"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/codes"
 )
@@ -58,6 +59,8 @@
 	lock sync.Mutex
 	// services is keyed by the name of the service.
 	services map[string]*serviceState
+	// answers holds how long engines take to answer requests that are sent to them, by route.
+	answers *usual.Durations
 }
 
 // serviceState is what this ingress tracks about one service.
@@ -72,7 +75,7 @@
 	if options.Stop == nil {
 		options.Stop = neverStops{}
 	}
-	return &Server{options: options, services: map[string]*serviceState{}}
+	return &Server{options: options, services: map[string]*serviceState{}, answers: usual.NewDurations()}
 }
 
 // SetView updates the backend servers from a new view.
@@ -85,6 +88,9 @@
 	for name, p := range s.services {
 		p.chooser.SetServers(v.Servers[name])
 	}
+	if v.Table != nil {
+		s.answers.Keep(v.Table.HasRoute)
+	}
 }
 
 // getService returns the state of a service and creates it if necessary. The caller holds the lock.
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -75,6 +75,8 @@
 	Rank(key string) []string
 	// Self returns the name of this ingress.
 	Self() string
+	// IsAlone reports whether no other ingress takes new requests.
+	IsAlone() bool
 }
 
 // Screen quarantines requests that crash the servers that run them.
--- a/ingress/services/flow/stopping.go
+++ b/ingress/services/flow/stopping.go
@@ -7,22 +7,39 @@
 	"time"
 
 	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/pauses"
 )
 
 // Stop reports whether and when the process stops.
 type Stop interface {
 	// EndsAt returns when the process cuts the answers that have not ended, or false while it is not stopping.
 	EndsAt() (at time.Time, isStopping bool)
-	// Sends returns a context that ends when requests are no longer sent to backend servers, Answers one that ends
-	// when answers no longer begin, and Work one that ends when those that have begun are cut.
+	// Serving returns a context that ends when the stop begins, Sends one that ends when requests are no longer sent
+	// to backend servers, Answers one that ends when answers no longer begin, and Work one that ends when those that
+	// have begun are cut.
+	Serving() context.Context
 	Sends() context.Context
 	Answers() context.Context
 	Work() context.Context
 }
 
-// stoppingRetryAfter is the Retry-After of a request that a stopping ingress has not sent: another one can
-// take it at once.
-const stoppingRetryAfter = 50 * time.Millisecond
+const (
+	// stoppingRetryAfter is the Retry-After of a stopping ingress if another ingress takes new requests: that one can
+	// take the request at once.
+	stoppingRetryAfter = 50 * time.Millisecond
+	// aloneRetryAfter is the Retry-After of a stopping ingress if no other ingress takes new requests: a restart takes
+	// seconds. Callers respect a Retry-After of up to a third of their remaining time.
+	aloneRetryAfter = 2 * time.Second
+)
+
+// StoppingRetryAfter returns the Retry-After of a request that a stopping ingress refuses. The ingress is alone if no
+// other one takes new requests.
+func StoppingRetryAfter(isAlone bool) time.Duration {
+	if isAlone {
+		return aloneRetryAfter
+	}
+	return stoppingRetryAfter
+}
 
 // errStopping is the cause of the end of a request that the process no longer serves.
 var errStopping = errors.New("the ingress stops")
@@ -31,6 +48,7 @@
 type neverStops struct{}
 
 func (neverStops) EndsAt() (time.Time, bool) { return time.Time{}, false }
+func (neverStops) Serving() context.Context  { return context.Background() }
 func (neverStops) Sends() context.Context    { return context.Background() }
 func (neverStops) Answers() context.Context  { return context.Background() }
 func (neverStops) Work() context.Context     { return context.Background() }
@@ -65,22 +83,71 @@
 	l.cancel(nil)
 }
 
+// newUnsentLifetime returns a context for the stages of a request. It ends, with the cause errStopping, once the request is
+// no longer sent to an engine because the process stops.
+func (x *exchange) newUnsentLifetime(ctx context.Context) (context.Context, func()) {
+	stop := x.server.options.Stop
+	ctx, l := newLifetime(ctx, stop.Sends())
+	leave := context.AfterFunc(stop.Serving(), func() { x.runUnsent(ctx, l) })
+	return ctx, func() {
+		leave()
+		l.close()
+	}
+}
+
+// runUnsent ends the context l once the request must have been sent.
+func (x *exchange) runUnsent(ctx context.Context, l *lifetime) {
+	by, _ := x.sendBy()
+	if !pauses.Wait(ctx, time.Until(by)) {
+		return
+	}
+	l.stop()
+}
+
 // beginAnswer lets the request go on until the answers that have begun are cut.
 func (x *exchange) beginAnswer() { x.lifetime.endWith(x.server.options.Stop.Work()) }
 
-// isStopping reports whether the process is stopping. Requests that would wait for their first stage go to another
-// ingress.
-func (s *Server) isStopping() bool {
-	_, isStopping := s.options.Stop.EndsAt()
-	return isStopping
+// sendBy returns when the request must be sent to its engine, so that its answer ends before the process does; false: the
+// process does not stop.
+func (x *exchange) sendBy() (at time.Time, isStopping bool) {
+	endsAt, isStopping := x.server.options.Stop.EndsAt()
+	if !isStopping {
+		return time.Time{}, false
+	}
+	return endsAt.Add(-x.server.estimateAnswer(x.route.Name)), true
+}
+
+// estimateAnswer returns the time in which most requests of a route that were sent to an engine are answered.
+func (s *Server) estimateAnswer(route string) time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.answers.Longest(route)
+}
+
+func (s *Server) observeAnswer(route string, took time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.answers.Observe(route, took)
 }
 
-// refuseSend returns the refusal of a request that was not sent to a backend server before the process exits, or nil.
+// refuseSend returns the refusal of a request that a stopping process does not send to a backend server any more, or nil:
+// no request is sent shortly before the process exits, and none whose answer would probably be cut. A request that may have
+// run is sent in any case.
 func (x *exchange) refuseSend() *codes.Result {
-	if x.runs > 0 || x.server.options.Stop.Sends().Err() == nil {
+	by, isStopping := x.sendBy()
+	if !isStopping || x.runs > 0 {
 		return nil
 	}
-	return codes.NewResult(codes.Draining, "stopping").WithRetryAfter(stoppingRetryAfter)
+	left := time.Until(by)
+	if x.server.options.Stop.Sends().Err() == nil && left >= 0 {
+		return nil
+	}
+	return x.refuseStopping(fmt.Sprintf("stopping; it should have been sent %v ago", -left.Round(time.Millisecond)))
+}
+
+// refuseStopping returns the refusal of a request because the process stops.
+func (x *exchange) refuseStopping(detail string) *codes.Result {
+	return codes.NewResult(codes.Draining, detail).WithRetryAfter(StoppingRetryAfter(x.server.options.Peers.IsAlone()))
 }
 
 // describeEnd returns the result of a request whose context was canceled: the caller left, or the process stops.
@@ -90,5 +157,5 @@
 	}
 	endsAt, _ := x.server.options.Stop.EndsAt()
 	detail := fmt.Sprintf("stopping; it arrived %v before the end of the grace period", endsAt.Sub(x.Arrived).Round(time.Millisecond))
-	return codes.NewResult(codes.Draining, detail).WithRetryAfter(stoppingRetryAfter)
+	return x.refuseStopping(detail)
 }
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -156,9 +156,9 @@
 		return nil
 	}
 	if r.runs == 0 {
-		var unsent *lifetime
-		ctx, unsent = newLifetime(ctx, r.server.options.Stop.Sends())
-		defer unsent.close()
+		var release func()
+		ctx, release = r.newUnsentLifetime(ctx)
+		defer release()
 	}
 	results, failed := r.server.options.StageRunner.ProduceChain(ctx, stages.Chain{
 		AttemptID:     r.AttemptID,
@@ -172,22 +172,29 @@
 		Deadline:      r.route.FirstEventDeadline(r.Arrived, r.deadline),
 		Domain:        r.reservation.Server().Domain,
 		Residency:     r.residency(),
-		Refuse:        r.refuseQuarantined,
+		Refuse:        r.refuseStage,
 		OnLastStage:   r.preconnect,
-		IsStopping:    r.server.isStopping,
+		EndBy:         r.sendBy,
 		Log:           r.log,
 	})
-	if refused := r.refuseSend(); refused != nil {
-		if failed == nil {
-			results.Release()
-		}
-		return refused
+	switch {
+	case failed == nil:
+		r.results = results
+		return nil
+	case failed.Code == codes.Draining:
+		return r.refuseStopping(failed.Detail)
+	case failed.Code == codes.Canceled && r.runs == 0 && errors.Is(context.Cause(ctx), errStopping):
+		return r.refuseStopping("stopping; the stages have not ended in time")
 	}
-	if failed != nil {
-		return failed
+	return failed
+}
+
+// refuseStage returns the refusal of a request for which no further stage may start, or nil.
+func (r *relay) refuseStage() *codes.Result {
+	if quarantined := r.refuseQuarantined(); quarantined != nil {
+		return quarantined
 	}
-	r.results = results
-	return nil
+	return r.refuseSend()
 }
 
 // fetchTime is the time after which an engine is expected to have fetched the results of a request
@@ -327,6 +334,9 @@
 		return r.handleBreak(ctx, server, err, took)
 	}
 	r.end(server, place.ResultServed, took, reply.Load)
+	if len(r.tried) == 1 && r.LastEventID == "" {
+		r.server.observeAnswer(r.route.Name, took)
+	}
 	r.recordComplete()
 	r.server.options.Screen.RecordServed(r.identity.Request, server.Version)
 	r.server.options.Screen.RecordAnswered(r.identity, server.Software())
--- a/ingress/services/stages/admit.go
+++ b/ingress/services/stages/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,9 +15,6 @@
 const (
 	// heldCheckInterval is how often a held request checks whether it can be admitted now.
 	heldCheckInterval = 50 * time.Millisecond
-	// stoppingRetryAfter is the Retry-After of a request that a stopping ingress does not hold: another one can
-	// take it at once.
-	stoppingRetryAfter = 50 * time.Millisecond
 	// heldAdmitInterval is the minimum time between two held requests that one ingress admits. All
 	// held requests see the same backlog; if they were admitted together, they would fill the
 	// queue at once.
@@ -31,19 +29,18 @@
 	for {
 		plan := p.newPlan(c)
 		verdict, retryAfter := plan.Admit(time.Now(), c.Target, c.Deadline)
-		switch {
-		case verdict == chain.Refuse:
+		if verdict == chain.Refuse {
 			return plan, codes.NewResult(codes.DeadlineUnmeetable, "the stages would take "+plan.LateTotal.Round(time.Millisecond).String()).
 				WithRetryAfter(max(retryAfter, minRetryAfter))
-		case verdict == chain.Admit && (!held || p.tryAdmitHeld()):
+		}
+		if refused := c.refuseStopping(&plan, held || verdict == chain.Hold); refused != nil {
+			return plan, refused
+		}
+		if verdict == chain.Admit && (!held || p.tryAdmitHeld()) {
 			c.Log.Info("admitted", zap.String("team", c.Team), zap.Int("rank", int(c.Rank)), zap.Duration("held", time.Since(start)), zap.Duration("on-time", plan.Total),
 				zap.Duration("late", plan.LateTotal), zap.Duration("target", time.Until(c.Target)), zap.Duration("ends", time.Until(c.Deadline)))
 			return plan, nil
 		}
-		if c.IsStopping != nil && c.IsStopping() {
-			return plan, codes.NewResult(codes.Draining, "stopping, and the stages would take "+plan.Total.Round(time.Millisecond).String()).
-				WithRetryAfter(stoppingRetryAfter)
-		}
 		if !held {
 			held = true
 			c.Log.Info("held", zap.Duration("on-time", plan.Total), zap.Duration("late", plan.LateTotal))
@@ -66,3 +63,17 @@
 	p.lastHeldAdmit = now
 	return true
 }
+
+// refuseStopping returns the refusal of a request that a stopping process does not admit, or nil.
+func (c *Chain) refuseStopping(plan *chain.Plan, held bool) *codes.Result {
+	if c.EndBy == nil {
+		return nil
+	}
+	now := time.Now()
+	by, isStopping := c.EndBy()
+	if !isStopping || !held && plan.CanEndBy(now, c.Target, by) {
+		return nil
+	}
+	return codes.NewResult(codes.Draining, fmt.Sprintf("stopping; the stages would take %v, or %v if late, and must end within %v",
+		plan.Total.Round(time.Millisecond), plan.LateTotal.Round(time.Millisecond), by.Sub(now).Round(time.Millisecond)))
+}
--- a/ingress/services/stages/chain.go
+++ b/ingress/services/stages/chain.go
@@ -40,9 +40,10 @@
 	// Refuse returns the refusal of the request if no further stage may start, and nil otherwise.
 	// It is called before the first stage and after each stage. The field may be nil.
 	Refuse func() *codes.Result
-	// IsStopping reports whether the process is stopping. A request that would be held for its first stage is then
-	// refused, so that another ingress takes it. The field may be nil.
-	IsStopping func() bool
+	// EndBy returns when the stages must have ended because the process stops; false: it does not stop. A request that
+	// would be held for its first stage, or whose stages would end later, is then refused, so that another ingress takes
+	// it. The field may be nil.
+	EndBy func() (at time.Time, isStopping bool)
 	// OnLastStage is called when the last stage starts. If the chain is restarted, it may be called
 	// again. The field may be nil.
 	OnLastStage func()
--- a/ingress/services/stages/producer_test.go
+++ b/ingress/services/stages/producer_test.go
@@ -19,6 +19,7 @@
 	"verbenaroad.example/share/decide/budget"
 	"verbenaroad.example/share/decide/quota"
 	"verbenaroad.example/share/models/site"
+	"verbenaroad.example/share/modules/codes"
 	"verbenaroad.example/share/modules/wire"
 )
 
@@ -157,3 +158,43 @@
 	is.Equal(answer.GetOutcome(), "no-server")
 	is.Equal(answer.GetOutlook(), nil)
 }
+
+// Guards against a stopping ingress that has stages made of which it can't use the results, and against one that refuses
+// what it could still serve.
+func TestStoppingIngressRefusesStagesThatCannotEndInTime(t *testing.T) {
+	is := is.New(t)
+	log := zap.NewNop()
+	batcher := stages.NewBatcher(stages.BatcherOptions{
+		Limits: quota.NewLimiter(), Pauses: avail.NewTable(),
+		Pools: instantPool{}, Meter: noMeter{}, Log: log, Retries: newLedger(budget.Settings{Ratio: 1, Slack: 10, Window: time.Second}),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	batcher.Start(ctx)
+	producer := stages.NewProducer(&stoppingPeer{}, batcher, log)
+	view := &state.View{
+		Table: access.NewTable(&site.Config{Version: 1, Services: []site.Service{{Name: "encoders", Pool: &site.Pool{
+			Slots: 1, MaxBatch: 8, CallTime: time.Second, ItemTime: time.Millisecond, ResultMemoryBytes: 1000, ResultTTL: time.Second,
+		}}}}),
+		Servers: map[string][]site.Server{"encoders": {{ID: "p", Address: netip.MustParseAddrPort("127.0.0.1:1"), State: site.ServerReady}}},
+	}
+	batcher.SetView(view)
+	producer.SetView(view)
+	for _, c := range []struct {
+		left        time.Duration
+		isStopping  bool
+		wantRefusal bool
+	}{{500 * time.Millisecond, true, true}, {3 * time.Second, true, false}, {0, false, false}} {
+		started := time.Now()
+		_, failed := producer.ProduceChain(ctx, stages.Chain{
+			AttemptID: "a", ItemCounts: []int{2}, Stages: []site.Stage{{Service: "encoders", ResultBytes: 10}},
+			Target: time.Now().Add(10 * time.Second), Deadline: time.Now().Add(20 * time.Second), Log: log,
+			EndBy: func() (time.Time, bool) { return started.Add(c.left), c.isStopping },
+		})
+		is.Equal(failed != nil, c.wantRefusal)
+		if failed != nil {
+			is.Equal(failed.Code, codes.Draining)
+			is.True(time.Since(started) < 100*time.Millisecond)
+		}
+	}
+}
--- a/proofs/hosted/stops_test.go
+++ b/proofs/hosted/stops_test.go
@@ -189,7 +189,10 @@
 	case a.endedAt.Sub(stopped.signalAt) < cutAfter && !runs[len(runs)-1].EndedAt.IsZero() && runs[len(runs)-1].EndedAt.Sub(stopped.signalAt) < cutAfter:
 		return fmt.Sprintf("cut %.3f s after SIGTERM", a.endedAt.Sub(stopped.signalAt).Seconds()), true
 	}
-	return "cut at the end of the grace period", false
+	if a.sentAt.After(stopped.signalAt) {
+		return "cut at the end of the grace period, sent after SIGTERM", false
+	}
+	return "cut at the end of the grace period, sent before SIGTERM", false
 }
 
 // findStop returns the last stop of the ingress of an attempt that began before its end.
--- a/share/decide/access/access.go
+++ b/share/decide/access/access.go
@@ -71,6 +71,9 @@
 	return t
 }
 
+// HasRoute reports whether the configuration has a route with the given name.
+func (t *Table) HasRoute(name string) bool { return t.routesByName[name] != nil }
+
 // Config returns the indexed configuration.
 func (t *Table) Config() *site.Config { return t.config }
 
--- a/share/decide/chain/chain.go
+++ b/share/decide/chain/chain.go
@@ -223,6 +223,15 @@
 	return Admit, 0
 }
 
+// CanEndBy reports whether the stages of an admitted request are expected to end by a point in time.
+func (p Plan) CanEndBy(now, target, by time.Time) bool {
+	expected := p.Total
+	if now.Add(p.Total).After(target) {
+		expected = p.LateTotal
+	}
+	return !now.Add(expected - engineStartTime).After(by)
+}
+
 // Deadlines returns the time by which a stage must end for the request to meet its target,
 // and the time after which its results are useless.
 func (p Plan) Deadlines(stage int, target, deadline time.Time) (onTime, expires time.Time) {
--- a/share/decide/chain/chain_test.go
+++ b/share/decide/chain/chain_test.go
@@ -210,3 +210,15 @@
 		is.True(retryAfter > 0)
 	}
 }
+
+// The stages of a request that is late are served after those of the others, so that they end later.
+func TestCanEndBy(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	p := chain.Plan{Total: 1700 * ms, LateTotal: 4200 * ms} // with 200 ms for the start of the answer
+	onTime, late := now.Add(2*time.Second), now.Add(time.Second)
+	is.True(p.CanEndBy(now, onTime, now.Add(1500*ms)))
+	is.True(!p.CanEndBy(now, onTime, now.Add(1400*ms)))
+	is.True(!p.CanEndBy(now, late, now.Add(1500*ms)))
+	is.True(p.CanEndBy(now, late, now.Add(4*time.Second)))
+}
--- a/share/services/stops/stopper.go
+++ b/share/services/stops/stopper.go
@@ -16,10 +16,8 @@
 
 // Stopper runs a drain.Instance. It is safe for concurrent use.
 type Stopper struct {
-	// announced is closed when the drain begins.
-	announced chan struct{}
-	// sends, answers and work end in this order.
-	sends, answers, work phase
+	// serving, sends, answers and work end in this order.
+	serving, sends, answers, work phase
 
 	lock     sync.Mutex
 	instance *drain.Instance
@@ -42,11 +40,11 @@
 // NewStopper returns a Stopper whose instance is serving.
 func NewStopper(settings drain.Settings) *Stopper {
 	return &Stopper{
-		announced: make(chan struct{}),
-		sends:     newPhase(),
-		answers:   newPhase(),
-		work:      newPhase(),
-		instance:  drain.NewInstance(settings),
+		serving:  newPhase(),
+		sends:    newPhase(),
+		answers:  newPhase(),
+		work:     newPhase(),
+		instance: drain.NewInstance(settings),
 	}
 }
 
@@ -106,17 +104,17 @@
 	return s.instance.GraceEnd()
 }
 
-// Announced returns a channel that is closed when the drain begins.
-func (s *Stopper) Announced() <-chan struct{} { return s.announced }
+// Serving returns a context that ends when the drain begins, Sends one that ends when work is no longer sent to backend
+// servers, Answers one that ends when answers no longer begin, and Work one that ends when the process may exit.
+func (s *Stopper) Serving() context.Context { return s.serving }
 
-// Sends returns a context that ends when work is no longer sent to backend servers, Answers one that ends when
-// answers no longer begin, and Work one that ends when the process may exit.
+// Sends is described at Serving.
 func (s *Stopper) Sends() context.Context { return s.sends }
 
-// Answers is described at Sends.
+// Answers is described at Serving.
 func (s *Stopper) Answers() context.Context { return s.answers }
 
-// Work is described at Sends.
+// Work is described at Serving.
 func (s *Stopper) Work() context.Context { return s.work }
 
 // FindUnfinished returns the ids of the work that was still running when the grace period ended. It
@@ -135,7 +133,7 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case drain.Announce:
-			close(s.announced)
+			s.serving.end()
 		case drain.EndSends:
 			s.sends.end()
 		case drain.EndAnswers:
