public: answers during a stop ask the caller to close its connection

What callers saw: a request from before the SIGTERM that was answered after it left its connection open, and the caller's next request could meet the close.

Cause: the header was set when a request arrived, by whether the process was stopping then.

Evidence: TestAnswerDuringAStopAsksForTheClose, an order that is under way when the SIGTERM comes: its answer had no Connection header on the code before.

Fix: the header is set when the answer begins.

--- a/ingress/routers/public/public.go
+++ b/ingress/routers/public/public.go
@@ -116,11 +116,9 @@
 	request := t.options.Codec.ReadRequest(r.Header)
 	workID := fmt.Sprintf("%s/%d", request.AttemptID, t.count.Add(1))
 	admitted := t.options.Admission.AdmitWork(workID)
-	if t.options.Admission.IsLeaving() {
-		w.Header().Set("Connection", "close")
-	}
+	answer := &leavingWriter{ResponseWriter: w, admission: t.options.Admission}
 	if !admitted && !t.options.Peers.IsAlone() {
-		t.refuse(w, r, request, access.Decision{}, codes.NewResult(codes.Draining, "stopping").WithRetryAfter(flow.StoppingRetryAfter(false)))
+		t.refuse(answer, r, request, access.Decision{}, codes.NewResult(codes.Draining, "stopping").WithRetryAfter(flow.StoppingRetryAfter(false)))
 		return
 	}
 	defer t.options.Admission.EndWork(workID)
@@ -131,12 +129,32 @@
 		result = codes.NewResult(codes.Draining, "stopping, as all others").WithRetryAfter(flow.StoppingRetryAfter(true))
 	}
 	if result != nil {
-		t.refuse(w, r, request, decision, result)
+		t.refuse(answer, r, request, decision, result)
 		return
 	}
-	t.options.Flow.Serve(r.Context(), w, q)
+	t.options.Flow.Serve(r.Context(), answer, q)
 }
 
+// leavingWriter asks the caller to close its connection if the process is stopping when the answer begins.
+//
+// Guards against a caller that keeps its connection after an answer to a request from before the stop, and sends the next
+// one when the connection is closed.
+type leavingWriter struct {
+	http.ResponseWriter
+	admission Admission
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *leavingWriter) WriteHeader(status int) {
+	if w.admission.IsLeaving() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap is for http.ResponseController.
+func (w *leavingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // admitLastResort reports whether a request may run although all ingresses are stopping. Only
 // requests with a time limit can be admitted: such a request has its final answer within the timeout
 // of its route or of its caller. A stream that has begun has no such limit.
@@ -204,7 +222,8 @@
 	return codes.NewResult(codes.NotReady, "no configuration yet").WithRetryAfter(startRetryAfter)
 }
 
-// readBody reads the body of a request, of up to limit bytes, until the given time.
+// readBody reads the body of a request, of up to limit bytes, until the given time. The writer w must be that of the HTTP
+// server, which closes the connection of a body that is too long only after the answer was read.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, until time.Time, account *memory.Account) ([]byte, error) {
 	if r.Body == http.NoBody {
 		return []byte{}, nil
--- a/proofs/hosted/stops_test.go
+++ b/proofs/hosted/stops_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"verbenaroad.example/fakes/services/hosted"
 )
 
@@ -226,6 +229,11 @@
 	if ends := r.check(); ends["200"] < 2*ends["503"] {
 		t.Errorf("many attempts were refused: %v", ends)
 	}
+	for _, i := range r.ingresses {
+		for _, line := range i.output.lines("event=registration-not-ended") {
+			t.Error(line)
+		}
+	}
 }
 
 const (
@@ -261,6 +269,11 @@
 	if ends := r.check(); ends["200"] < 2*ends["503"] {
 		t.Errorf("many attempts were refused: %v", ends)
 	}
+	for _, i := range r.ingresses {
+		for _, line := range i.output.lines("event=registration-not-ended") {
+			t.Error(line)
+		}
+	}
 }
 
 // Guards against beginning an answer to a request that was sent after the admission time, and cutting it at the end of the grace
@@ -322,3 +335,25 @@
 	r.ended.Wait()
 	r.check()
 }
+
+// Guards against a caller that keeps its connection since its answer, to a request from before the stop, did not ask it to
+// close the connection.
+func TestAnswerDuringAStopAsksForTheClose(t *testing.T) {
+	is := is.New(t)
+	r := newRoll(t, 2)
+	for _, s := range r.plainServers {
+		s.WorkTime = 700 * time.Millisecond
+	}
+	r.balancer = newBalancer(r.ingresses[:1])
+	ctx, cancel := context.WithCancel(context.Background())
+	r.startCallers(ctx, 1, newOrder, time.Hour, 0)
+	eventually(t, "the order is under way", func() bool { return r.plainServers[0].Running()+r.plainServers[1].Running() == 1 })
+	r.ingresses[0].signal(syscall.SIGTERM)
+	<-r.ingresses[0].exited
+	cancel()
+	r.ended.Wait()
+	a := r.callers[0].attempts[0].answer
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(a.header.Get("Connection"), "close")
+}
