stops: no signal ends a process that starts or that closes its connections

Cause: the signals were received from the start of the wait for them to its end. Before and after, their default applies.

Fix: the signals are received from the first statement of the program until its end. One that comes before the process waits for it is kept.

The same cause elsewhere: entry and agent receive the stop signals as early, and until their end.

--- a/agent/cmds/serve.go
+++ b/agent/cmds/serve.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"io"
 	"net/netip"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,18 +45,19 @@
 
 // Agent is an agent process with all its services.
 type Agent struct {
-	settings   *Settings
-	log        *zap.Logger
-	tracer     *spans.Tracer
-	store      *kvapi.Client
-	follower   *follow.Follower
-	claims     *claims.Manager
-	gate       *gate.Gate
-	intake     *intake.Intake
-	stopper    *stops.Stopper
-	server     *peers.Server
-	metrics    *stats.Server
-	listPoller *procs.ListPoller
+	settings    *Settings
+	log         *zap.Logger
+	tracer      *spans.Tracer
+	store       *kvapi.Client
+	follower    *follow.Follower
+	claims      *claims.Manager
+	gate        *gate.Gate
+	intake      *intake.Intake
+	stopSignals <-chan os.Signal
+	stopper     *stops.Stopper
+	server      *peers.Server
+	metrics     *stats.Server
+	listPoller  *procs.ListPoller
 }
 
 // Serve runs the agent until a signal has stopped it or ctx ends. It returns an error if the agent
@@ -69,11 +71,12 @@
 }
 
 func newAgent(ctx context.Context, settings *Settings, output io.Writer) (*Agent, error) {
+	stopSignals := stops.ReceiveStops()
 	log, err := logs.NewLogger(output, settings.Log.Level)
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{settings: settings, log: log.With(zap.String("instance", settings.Instance.Name))}
+	a := &Agent{settings: settings, stopSignals: stopSignals, log: log.With(zap.String("instance", settings.Instance.Name))}
 	a.tracer, err = spans.NewTracer(ctx, spans.Options{
 		Program:     "agent",
 		Instance:    settings.Instance.Name,
@@ -201,7 +204,7 @@
 	a.listPoller.Start(ctx)
 	a.server.Start(ctx)
 	a.log.Info("started", zap.Stringer("peers", a.server.Address()), zap.Stringer("metrics", a.metrics.Address()))
-	stops.Wait(ctx, a.stopper, a.log)
+	stops.Wait(ctx, a.stopper, a.stopSignals, a.log)
 	a.waitForWrites()
 	a.server.Close()
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"io"
 	"net/netip"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,6 +63,7 @@
 	fleet         *fleet.Fleet
 	policy        *policy.Policy
 	runner        *calls.Runner
+	stopSignals   <-chan os.Signal
 	stopper       *stops.Stopper
 	callerRouter  *caller.Router
 	callerServer  *httpd.Server
@@ -71,11 +73,12 @@
 
 // Serve runs the entry until a signal stops it and the drain has ended.
 func Serve(ctx context.Context, settings *Settings, output io.Writer) error {
+	stopSignals := stops.ReceiveStops()
 	log, err := logs.NewLogger(output, settings.Log.Level)
 	if err != nil {
 		return err
 	}
-	e := &Entry{settings: settings, log: log.With(zap.String("instance", settings.Instance.Name))}
+	e := &Entry{settings: settings, stopSignals: stopSignals, log: log.With(zap.String("instance", settings.Instance.Name))}
 	e.tracer, err = spans.NewTracer(ctx, spans.Options{
 		Program:     "entry",
 		Instance:    settings.Instance.Name,
@@ -257,7 +260,7 @@
 		zap.Stringer("admin", e.adminServer.Address()),
 		zap.Stringer("metrics", e.metricsServer.Address()),
 	)
-	stops.Wait(ctx, e.stopper, e.log)
+	stops.Wait(ctx, e.stopper, e.stopSignals, e.log)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
 	return errors.Join(
--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -9,9 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -68,10 +66,21 @@
 	flushTimeout = 200 * time.Millisecond
 )
 
+// Process is what the ingress gets from the process that it runs in.
+type Process struct {
+	// Reload loads the settings again from the same sources.
+	Reload func() (*Settings, error)
+	// Stops and Reloads receive the signals to stop and to load the settings again.
+	Stops   <-chan os.Signal
+	Reloads <-chan os.Signal
+	// Output receives the log.
+	Output io.Writer
+}
+
 // Ingress is the assembled process.
 type Ingress struct {
 	settings  *Settings
-	reload    ReloadFunc
+	process   Process
 	log       *zap.Logger
 	logOutput *logs.AsyncWriter
 	// linkTLS is used at both ends of the links between ingresses; nil: links without TLS.
@@ -106,15 +115,12 @@
 	peerServer    *peers.Server
 }
 
-// ReloadFunc loads the settings again from the same sources.
-type ReloadFunc func() (*Settings, error)
-
 // Serve runs the ingress until a signal stops it and the drain has ended.
-func Serve(ctx context.Context, settings *Settings, reload ReloadFunc, output io.Writer) error {
-	i := &Ingress{settings: settings, reload: reload}
+func Serve(ctx context.Context, settings *Settings, process Process) error {
+	i := &Ingress{settings: settings, process: process}
 	i.memory = memory.NewBudget(settings.Callers.RequestMemory())
 	i.meters = meters.NewMeters(func() time.Duration { return i.book.Age() }, i.memory.Used)
-	log, logOutput, err := logs.NewAsyncLogger(output, settings.Log.Level, i.meters.CountDroppedLines)
+	log, logOutput, err := logs.NewAsyncLogger(process.Output, settings.Log.Level, i.meters.CountDroppedLines)
 	if err != nil {
 		return err
 	}
@@ -335,15 +341,12 @@
 // waitForStop waits for the stop signal and the end of the drain. Until then, SIGHUP reloads the
 // settings.
 func (i *Ingress) waitForStop(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	stopped := make(chan struct{})
-	w := stopWaiter{stopper: i.stopper, log: i.log, stopped: stopped}
+	w := stopWaiter{stopper: i.stopper, signals: i.process.Stops, log: i.log, stopped: stopped}
 	go w.run(ctx)
 	for {
 		select {
-		case <-signals:
+		case <-i.process.Reloads:
 			i.reloadSettings()
 		case <-stopped:
 			return
@@ -354,7 +357,7 @@
 // reloadSettings loads the settings again and applies those that can change while the process runs:
 // the log level and the retry budget. Settings with any fault change nothing.
 func (i *Ingress) reloadSettings() {
-	s, err := i.reload()
+	s, err := i.process.Reload()
 	if err != nil {
 		i.meters.CountReload("kept")
 		i.log.Error("reload", zap.String("outcome", "kept"), logs.Err(err))
@@ -370,11 +373,12 @@
 // stopWaiter waits for the stop signal and the drain while waitForStop handles SIGHUP.
 type stopWaiter struct {
 	stopper *stops.Stopper
+	signals <-chan os.Signal
 	log     *zap.Logger
 	stopped chan struct{}
 }
 
 func (w stopWaiter) run(ctx context.Context) {
-	stops.Wait(ctx, w.stopper, w.log)
+	stops.Wait(ctx, w.stopper, w.signals, w.log)
 	close(w.stopped)
 }
--- a/proofs/hosted/stops_test.go
+++ b/proofs/hosted/stops_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -305,12 +306,37 @@
 // callers have sent whole requests long before the close.
 func TestRequestsOnKeptConnectionsAreAnsweredDuringTheClose(t *testing.T) {
 	r := newRoll(t, 2)
+	i := r.ingresses[0]
+	r.sendDuringClose(30, func() {
+		i.signal(syscall.SIGSTOP)
+		time.AfterFunc(300*time.Millisecond, func() { i.signal(syscall.SIGCONT) })
+	})
+	r.check()
+}
+
+// Guards against a process that a further signal ends while it closes its connections, before it has answered the requests
+// that have arrived.
+func TestSignalsDuringTheCloseEndNoRequests(t *testing.T) {
+	is := is.New(t)
+	r := newRoll(t, 2)
+	i := r.ingresses[0]
+	r.sendDuringClose(30, func() {
+		i.signal(syscall.SIGHUP)
+		i.signal(syscall.SIGTERM)
+	})
+	is.Equal(i.command.ProcessState.ExitCode(), 0)
+	is.True(r.check()["503"] > 0)
+}
+
+// sendDuringClose lets n callers keep connections to the first ingress, stops it, calls disturb when it begins to close them,
+// and lets the callers send then.
+func (r *roll) sendDuringClose(n int, disturb func()) {
 	i := r.ingresses[0]
 	r.balancer = newBalancer(r.ingresses[:1])
 	sends := make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
 	first := sync.WaitGroup{}
-	for range 30 {
+	for range n {
 		first.Add(1)
 		sent := 0
 		r.startCallers(ctx, 1, func() request {
@@ -325,15 +351,32 @@
 	first.Wait() // each caller has had an answer and keeps its connection
 	r.stops = append(r.stops, stop{ingress: 0, signalAt: time.Now()})
 	i.signal(syscall.SIGTERM)
-	eventually(t, "the process closes its connections", func() bool { return len(i.output.lines("event=stopped")) == 1 })
-	i.signal(syscall.SIGSTOP)
+	eventually(r.t, "the process closes its connections", func() bool { return len(i.output.lines("event=stopped")) == 1 })
+	disturb()
 	close(sends)
-	time.Sleep(300 * time.Millisecond)
-	i.signal(syscall.SIGCONT)
 	<-i.exited
 	cancel()
 	r.ended.Wait()
-	r.check()
+}
+
+// Guards against a signal that ends a process which has begun to take requests and does not wait for signals yet.
+func TestSignalsDuringTheStartEndNoRequests(t *testing.T) {
+	is := is.New(t)
+	r := newRoll(t, 2)
+	i := r.ingresses[0]
+	for n := range 20 {
+		i.kill()
+		i.start()
+		for deadline := time.Now().Add(conditionTimeout); time.Now().Before(deadline); {
+			if conn, err := net.Dial("tcp", i.callerAddress.String()); err == nil {
+				_ = conn.Close()
+				break
+			}
+		}
+		i.signal([]syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}[n%2])
+		got := i.send(context.Background(), newOrder())
+		is.NoErr(got.err)
+	}
 }
 
 // Guards against a caller that keeps its connection since its answer, to a request from before the stop, did not ask it to
--- a/share/services/stops/wait.go
+++ b/share/services/stops/wait.go
@@ -10,12 +10,22 @@
 	"go.uber.org/zap"
 )
 
-// Wait requests a stop at the first SIGTERM or SIGINT and returns when the process may exit, or
+// ReceiveStops returns a channel that receives SIGTERM and SIGINT. From then on they never end the process by themselves:
+// not before it waits for them, and not while it closes its connections.
+func ReceiveStops() <-chan os.Signal { return receive(syscall.SIGTERM, syscall.SIGINT) }
+
+// ReceiveReloads returns a channel that receives SIGHUP, as ReceiveStops does for stops.
+func ReceiveReloads() <-chan os.Signal { return receive(syscall.SIGHUP) }
+
+func receive(signals ...os.Signal) <-chan os.Signal {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, signals...)
+	return received
+}
+
+// Wait requests a stop at the first stop signal and returns when the process may exit, or
 // when ctx ends. Further signals have no effect.
-func Wait(ctx context.Context, stopper *Stopper, log *zap.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
+func Wait(ctx context.Context, stopper *Stopper, signals <-chan os.Signal, log *zap.Logger) {
 	sends, answers := stopper.Sends().Done(), stopper.Answers().Done()
 	for {
 		select {
