flow: a caller that closes its side of the connection gets no empty success

What callers saw: a caller that sends its request, closes its side of the connection and reads on got a 200 with an empty body, framed as whole by a length of 0, without a server's signature (MIXED).

Cause: the end of the caller's side ends the request's context, as if the caller had left. Nothing was written then, and the HTTP server sends an empty success for a handler that writes nothing.

Evidence: TestCallerThatClosesItsSideGetsNoEmptySuccess, orders and streams: 200 with Content-Length 0 on the code before. Found in the search for answers that stop in their head; no server has a part in it.

Fix: the result is written in each case, 502 with the code canceled and its outcome. The request's work ends as before, since a caller that has left and one that reads on can't be told apart by then. 502 in place of the table's 499, since a 4xx says that the request is at fault.

--- a/ingress/services/flow/answer.go
+++ b/ingress/services/flow/answer.go
@@ -36,8 +36,12 @@
 }
 
 // statusOf returns the HTTP status for a result. It uses 429 and 503 only for requests that did not
-// run and never will, because callers retry after these statuses.
+// run and never will, because callers retry after these statuses. A caller whose connection ended is told that its request
+// was given up by a status that puts no blame on the request.
 func statusOf(r *codes.Result) int {
+	if r.Code == codes.Canceled {
+		return http.StatusBadGateway
+	}
 	status := codes.GetEntry(r.Code).Status
 	notRun := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 	if notRun && r.Outcome != codes.OutcomeNotRun {
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -234,7 +234,8 @@
 }
 
 // finish logs the outcome of the request. If no backend server's answer was delivered, it writes
-// result as the answer.
+// result as the answer, also to a caller that left: one that has closed only its side of the connection
+// would otherwise get the empty success that the HTTP server sends for a handler that writes nothing.
 func (x *exchange) finish(ctx context.Context, w http.ResponseWriter, result *codes.Result) {
 	took := time.Since(x.Arrived)
 	result = x.correctOutcome(result)
@@ -246,6 +247,7 @@
 	if ctx.Err() != nil && result.Code == codes.Canceled {
 		x.log.Info("caller-left", zap.Duration("took", took), zap.Int("sends", x.sends), zap.Strings("servers", x.tried))
 		x.server.options.Meter.CountAnswer(x.route.Name, "caller-left", took)
+		WriteResult(w, result)
 		return
 	}
 	x.log.Warn("failed", zap.String("team", x.Decision.Team), zap.Int("rank", int(x.Decision.Rank)), zap.String("code", result.Code.Name()), zap.String("outcome", string(result.Outcome)),
--- a/proofs/hosted/heads_test.go
+++ b/proofs/hosted/heads_test.go
@@ -1,14 +1,20 @@
 package hosted_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
 
 	"verbenaroad.example/fakes/services/cutter"
 	"verbenaroad.example/fakes/services/hosted"
@@ -267,3 +273,25 @@
 	}
 	c.t.Logf("cutstaged: %v", ends)
 }
+
+// Guards against an empty success for a caller that closes its side of the connection after its request: to the HTTP server it
+// has left, but it still reads.
+func TestCallerThatClosesItsSideGetsNoEmptySuccess(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	for _, target := range []string{"/order/1", "/advice/1"} {
+		conn, err := net.Dial("tcp", d.ingresses[0].callerAddress.String())
+		is.NoErr(err)
+		q := newRequest(target)
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Verbenaroad-Attempt-Id: %s\r\nX-Verbenaroad-Key: key-1\r\nContent-Length: 1\r\n\r\nx", target, host, q.id)
+		is.NoErr(err)
+		time.Sleep(5 * time.Millisecond)
+		is.NoErr(conn.(*net.TCPConn).CloseWrite())
+		got, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(got.Body)
+		is.NoErr(err)
+		is.Equal(got.StatusCode, http.StatusBadGateway)
+		is.True(strings.Contains(string(body), `"name":"canceled"`))
+	}
+}
