public: a broken answer to a caller of HTTP/1.0 is reset

Cause: such an answer has neither chunks nor a length and ends with its connection, which the ingress closed as after a whole answer.

Evidence: TestBrokenAnswerToACallerOfHTTP10IsReset reads to a clean end on the code before, after two of six events. Found in the search for answers that stop in their head: "an answer that ends early must not look complete" holds for the ingress's own side, too.

Fix: an answer that breaks off is ended by a reset if its caller speaks HTTP/1.0. To others an answer without its last chunk or length is incomplete in any case, and a reset could take away events that are still on their way.

What remains: such a caller that does not read while the process exits may still see a clean end.

--- a/ingress/cmds/callers.go
+++ b/ingress/cmds/callers.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/routers/public"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/modules/listen"
 	"verbenaroad.example/share/modules/logs"
@@ -91,6 +92,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         c.trackState,
+		ConnContext:       public.WithConn,
 		ErrorLog:          zap.NewStdLog(options.Log.With(zap.String("part", "callers"))),
 		IdleTimeout:       -1, // no timeout here: loop closes idle connections
 	}
--- a/ingress/cmds/conns.go
+++ b/ingress/cmds/conns.go
@@ -117,3 +117,6 @@
 	}
 	return closed
 }
+
+// Reset closes the connection so that its caller sees that the answer is broken, however it is framed.
+func (c *callerConn) Reset() error { return errors.Join(c.SetLinger(0), c.Close()) }
--- a/ingress/routers/public/public.go
+++ b/ingress/routers/public/public.go
@@ -112,6 +112,7 @@
 
 // ServeHTTP serves or refuses one request.
 func (t *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer abort(r)
 	arrived := time.Now()
 	request := t.options.Codec.ReadRequest(r.Header)
 	workID := fmt.Sprintf("%s/%d", request.AttemptID, t.count.Add(1))
--- a/proofs/hosted/heads_test.go
+++ b/proofs/hosted/heads_test.go
@@ -295,3 +295,23 @@
 		is.True(strings.Contains(string(body), `"name":"canceled"`))
 	}
 }
+
+// Guards against a broken answer that looks whole to a caller of HTTP/1.0, for which an answer without a length ends with its
+// connection.
+func TestBrokenAnswerToACallerOfHTTP10IsReset(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	for _, fault := range []hosted.Fault{hosted.NoFault, hosted.CutStream} {
+		for _, e := range d.engines {
+			e.SetFaults(fault)
+		}
+		conn, err := net.Dial("tcp", d.ingresses[0].callerAddress.String())
+		is.NoErr(err)
+		_, err = fmt.Fprintf(conn, "POST /advice/1 HTTP/1.0\r\nHost: %s\r\nX-Verbenaroad-Attempt-Id: %s\r\nX-Verbenaroad-Key: key-1\r\nContent-Length: 1\r\n\r\nx", host, newRequest("").id)
+		is.NoErr(err)
+		text, err := io.ReadAll(conn)
+		is.True(strings.HasPrefix(string(text), "HTTP/1.0 200 OK\r\n"))
+		is.Equal(err == nil, fault == hosted.NoFault)
+		is.Equal(strings.HasSuffix(eventIDs(string(text)), "6"), fault == hosted.NoFault)
+	}
+}
