entry: requests that outlast the grace period end with an answer

What callers saw: at the end of the grace period of an entry, requests that waited for an agent, and streams, lost their connections without an answer, 2 s after the process should have ended.

The test demanded "cut=1" and a stream that is not whole; now it demands that nothing is cut, an end event with the code backend-lost and the outcome unknown, and the request in the log before the stop.

Fix: an eighth of the grace period is kept to end what is left: not run with the code draining, if the request was not sent, else backend-lost with the outcome unknown. An agent ends its sessions as before: its entries turn that into an answer or another attempt.

--- a/entry/cmds/serve.go
+++ b/entry/cmds/serve.go
@@ -44,6 +44,9 @@
 	silenceFactor = 3.5
 	// closeTimeout limits the time to close the servers and the tracer after the drain.
 	closeTimeout = 2 * time.Second
+	// answerReserveShare is the part of the grace period that is kept to end requests whose answers have not ended, with an
+	// answer that says so.
+	answerReserveShare = 8
 	// entryCountInterval is the interval at which the limits are divided among the live entries.
 	entryCountInterval = time.Second
 	// adminWriteBuffer is the size limit in bytes of the data that waits for one client of the
@@ -108,7 +111,9 @@
 	}
 	e.store = kvapi.NewClient(kvapi.Options{Address: s.Platform.Store, CallTimeout: s.Platform.StoreTimeout})
 	e.port = kvport.NewPort(e.store)
-	e.stopper = stops.NewStopper(drain.Settings{Grace: s.Stop.Grace, Linger: min(s.Admin.Linger, s.Stop.Grace)})
+	e.stopper = stops.NewStopper(drain.Settings{
+		Grace: s.Stop.Grace, Linger: min(s.Admin.Linger, s.Stop.Grace), SendReserve: s.Stop.Grace / answerReserveShare, AnswerReserve: s.Stop.Grace / answerReserveShare,
+	})
 	e.policy = policy.NewPolicy(policy.Admission(s.Admission.Mode))
 	e.follower = procs.NewFollower(s.Instance.Name, s.Instance.Domain, e.port, e, e.log)
 	e.instanceView = status.NewInstanceView(e.follower)
--- a/entry/routers/caller/caller.go
+++ b/entry/routers/caller/caller.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"path"
@@ -51,6 +52,8 @@
 	// EndWork is called with its id.
 	AdmitWork(id string) bool
 	EndWork(id string)
+	// Answers returns a context that ends when answers must end, shortly before the process does.
+	Answers() context.Context
 }
 
 // Options are the dependencies and settings of a Router.
@@ -157,9 +160,12 @@
 		ctx := r.options.Tracer.Extract(request.Context(), request.Header.Get("traceparent"))
 		ctx, span := r.options.Tracer.Start(ctx, "entry.request", attribute.String("request-id", x.id))
 		defer span.End()
+		ctx, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		defer context.AfterFunc(r.options.Admission.Answers(), func() { cancel(errStopping) })()
 		result := r.prepare(ctx, x)
 		if result == nil {
-			result = next(ctx, x)
+			result = describeStop(ctx, next(ctx, x))
 		}
 		r.finish(x, result)
 		if result != nil {
@@ -168,6 +174,21 @@
 	}
 }
 
+// errStopping is the cause of the end of a request that the process can't serve to its end.
+var errStopping = errors.New("the instance stops")
+
+// describeStop replaces the result of a request that was canceled because the process stops: its caller is still waiting. It
+// returns any other result unchanged.
+func describeStop(ctx context.Context, result *codes.Result) *codes.Result {
+	if result == nil || result.Code != codes.Canceled || !errors.Is(context.Cause(ctx), errStopping) {
+		return result
+	}
+	if result.Outcome == codes.OutcomeNotRun {
+		return codes.NewResult(codes.Draining, "the instance stopped before the request ran")
+	}
+	return codes.NewResult(codes.BackendLost, "the instance stopped before the answer was complete")
+}
+
 // prepare authenticates the team and reads the priority, the deadline and the body. It returns a
 // result if the request is refused.
 func (r *Router) prepare(ctx context.Context, x *exchange) *codes.Result {
--- a/entry/routers/caller/routes.go
+++ b/entry/routers/caller/routes.go
@@ -70,6 +70,7 @@
 	stream := &eventWriter{exchange: x}
 	q.Sink = stream
 	_, result := r.options.Walker.Run(ctx, q)
+	result = describeStop(ctx, result)
 	if result != nil && !stream.started {
 		return result
 	}
--- a/entry/routers/caller/world_test.go
+++ b/entry/routers/caller/world_test.go
@@ -215,6 +215,8 @@
 
 func (w *world) EndWork(string) {}
 
+func (w *world) Answers() context.Context { return context.Background() }
+
 func (w *world) WaitRevision(context.Context, uint64) error { return nil }
 
 func (w *world) OnPeerRevision(string, uint64) {}
--- a/proofs/harns/drain_test.go
+++ b/proofs/harns/drain_test.go
@@ -232,9 +232,9 @@
 	is.Equal(d.countRuns("last"), 1)
 }
 
-// Guards against a false outcome when the grace period of a stop is too short for the stream and
-// the order in flight. The processes still stop, and their logs name the cut requests. The stream
-// is visibly incomplete, and the order is not reported as not run.
+// Guards against a false outcome, and against a connection that is closed without an answer, when the grace period of a stop is
+// too short for the stream and the order in flight. The processes still stop, and their logs name the requests. The stream
+// ends with an event that says that it is incomplete, and the order is not reported as not run.
 func TestGracePeriodTooShort(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -254,11 +254,13 @@
 	is.True(strings.Contains(d.agents["ord-1"].logText(), "orders-1"))
 	d.entries[0].stop()
 	text := d.entries[0].logText()
-	is.True(strings.Contains(text, "cut=1"))
+	is.True(reportsNoCuts(text))
 	got := stream.wait()
-	is.True(!got.hasEnd || got.failure.Code != codes.OK)
-	_, stopped, _ := strings.Cut(text, "event=stopped")
-	is.True(got.requestID != "" && strings.Contains(stopped, got.requestID))
+	is.True(got.hasEnd)
+	is.Equal(got.failure.Code, codes.BackendLost)
+	is.Equal(got.failure.Outcome, codes.OutcomeUnknown)
+	before, _, _ := strings.Cut(text, "event=stopped")
+	is.True(got.requestID != "" && strings.Contains(before, "request-id="+got.requestID))
 }
 
 // Guards against new work at a backend server that is leaving. The leave is announced by the list
