proofs: the soak stops ingresses in overlapping series, beside callers that keep their connections

Planned work only: stops that overlap, further SIGTERM and SIGHUP, changes of the configuration and drained servers.

--- a/proofs/hosted/soak_check_test.go
+++ b/proofs/hosted/soak_check_test.go
@@ -113,6 +113,7 @@
 			s.t.Errorf("%s: a request with a removed key was answered with status %d", i.name, a.status)
 		}
 	}
+	s.checkStops()
 	s.checkTakeUps()
 	s.drainOtherEngines()
 	s.checkRestore()
--- a/proofs/hosted/soak_test.go
+++ b/proofs/hosted/soak_test.go
@@ -40,7 +40,8 @@
 // cut in one or both directions; the store fails, or is restored from a copy some seconds old; servers crash, drain, leave, refuse requests, answer wrongly, ask for
 // pauses, state how many requests they take, whatever kind these are of, and are updated to another software version,
 // with or without a drain; the configuration changes. Callers take broken streams up at any ingress. The checks on runs and answers in checkCall and checkAnswer must hold
-// throughout, and everything must be served again when the faults have ended.
+// throughout, and everything must be served again when the faults have ended. Then the ingresses are stopped, one while the other still
+// stops, with further signals and changes; no request that was read may be lost.
 //
 //	VERBENA_SOAK_SEEDS=50 VERBENA_SOAK_SEED=1000 go test ./proofs/hosted -run TestSoak -timeout 2h
 func TestSoak(t *testing.T) {
--- a/proofs/hosted/stops_test.go
+++ b/proofs/hosted/stops_test.go
@@ -20,18 +20,19 @@
 )
 
 const (
-	// stopGrace is the time from SIGTERM to SIGKILL.
-	stopGrace = 8 * time.Second
-	// cutAfter is the time from SIGTERM from which on an answer may be cut while its server works on it, if the request
-	// was sent within cutAdmit of SIGTERM.
-	cutAfter = stopGrace * 5 / 6
-	cutAdmit = 3 * time.Second
 	// crossTime is how long after its last byte a request that no server has received may lose its connection.
 	crossTime = 200 * time.Millisecond
 	// rollGap is the time between the stops of two ingresses.
 	rollGap = 2 * time.Second
 )
 
+// platformStop returns the times of a stop on the platform: the time from SIGTERM to SIGKILL, and the one within which
+// requests must have been sent whose answers are cut.
+func platformStop() stopTimes { return stopTimes{grace: 8 * time.Second, admit: 3 * time.Second} }
+
+// cutAfter returns the time from SIGTERM from which on an answer may be cut while its server works on it.
+func (s stopTimes) cutAfter() time.Duration { return s.grace * 5 / 6 }
+
 // stop is one stop of an ingress.
 type stop struct {
 	ingress  int
@@ -41,6 +42,7 @@
 // roll stops ingresses while callers send requests.
 type roll struct {
 	*deployment
+	times    stopTimes
 	balancer *balancer
 	callers  []*keptCaller
 	stop     context.CancelFunc
@@ -48,13 +50,15 @@
 
 	lock  sync.Mutex
 	stops []stop
+	// kills is how many ingresses had to be killed at the end of their grace period.
+	kills int
 }
 
 // newRoll starts n ingresses with the platform's times of a stop, and servers that have more work than they can do: stages
 // whose queues hold requests, and engines that run a few streams at a time.
 func newRoll(t *testing.T, n int) *roll {
 	t.Helper()
-	d := newDeploymentWithStop(t, n, stopTimes{grace: stopGrace, admit: cutAdmit})
+	d := newDeploymentWithStop(t, n, platformStop())
 	for _, s := range d.poolServers {
 		s.WorkTime = 150 * time.Millisecond
 	}
@@ -70,7 +74,7 @@
 		"TimeoutMs": 20000, "TargetLatencyMs": 2300, "TargetGapMs": 500, "MaxAttempts": 2, "Resumable": true, "Sticky": true,
 		"Stages": routes()[2]["Stages"],
 	})
-	return &roll{deployment: d, balancer: newBalancer(d.ingresses)}
+	return &roll{deployment: d, times: platformStop(), balancer: newBalancer(d.ingresses)}
 }
 
 // newLookup returns a request of the route lookup, whose stream lasts for seconds.
@@ -124,8 +128,10 @@
 	i.signal(syscall.SIGTERM)
 	select {
 	case <-i.exited:
-	case <-time.After(stopGrace):
-		r.t.Errorf("%s had to be killed %v after SIGTERM", i.name, stopGrace)
+	case <-time.After(r.times.grace):
+		r.lock.Lock()
+		r.kills++
+		r.lock.Unlock()
 		i.kill()
 	}
 	time.Sleep(time.Second)
@@ -188,9 +194,9 @@
 		return "closed without an answer, and not passed on", true
 	case len(runs) == 0:
 		return "closed while it waited at its server", true
-	case a.sentAt.Sub(stopped.signalAt) > cutAdmit:
+	case a.sentAt.Sub(stopped.signalAt) > r.times.admit:
 		return "cut, sent after the admission time", true
-	case a.endedAt.Sub(stopped.signalAt) < cutAfter && !runs[len(runs)-1].EndedAt.IsZero() && runs[len(runs)-1].EndedAt.Sub(stopped.signalAt) < cutAfter:
+	case a.endedAt.Sub(stopped.signalAt) < r.times.cutAfter() && !runs[len(runs)-1].EndedAt.IsZero() && runs[len(runs)-1].EndedAt.Sub(stopped.signalAt) < r.times.cutAfter():
 		return "cut before the end of the grace period", true
 	}
 	if a.sentAt.After(stopped.signalAt) {
@@ -203,7 +209,7 @@
 func (r *roll) findStop(a attempt) (stop, bool) {
 	last, found := stop{}, false
 	for _, s := range r.stops {
-		if s.ingress == a.ingress && s.signalAt.Before(a.endedAt) && a.endedAt.Sub(s.signalAt) < stopGrace+time.Second {
+		if s.ingress == a.ingress && s.signalAt.Before(a.endedAt) && a.endedAt.Sub(s.signalAt) < r.times.grace+time.Second {
 			last, found = s, true
 		}
 	}
@@ -232,6 +238,9 @@
 	if ends := r.check(); ends["200"] < 2*ends["503"] {
 		t.Errorf("many attempts were refused: %v", ends)
 	}
+	if r.kills > 0 {
+		t.Errorf("%d ingresses had to be killed", r.kills)
+	}
 	for _, i := range r.ingresses {
 		for _, line := range i.output.lines("event=registration-not-ended") {
 			t.Error(line)
@@ -272,6 +281,9 @@
 	if ends := r.check(); ends["200"] < 2*ends["503"] {
 		t.Errorf("many attempts were refused: %v", ends)
 	}
+	if r.kills > 0 {
+		t.Errorf("%d ingresses had to be killed", r.kills)
+	}
 	for _, i := range r.ingresses {
 		for _, line := range i.output.lines("event=registration-not-ended") {
 			t.Error(line)
@@ -295,7 +307,7 @@
 	i.signal(syscall.SIGCONT)
 	ctx, cancel := context.WithCancel(context.Background())
 	for n := range 20 {
-		time.Sleep(time.Until(r.stops[0].signalAt.Add(cutAdmit + time.Duration(10*n)*time.Millisecond)))
+		time.Sleep(time.Until(r.stops[0].signalAt.Add(r.times.admit + time.Duration(10*n)*time.Millisecond)))
 		r.startCallers(ctx, 1, func() request { return newRequest("/advice/1") }, time.Hour, 0)
 	}
 	<-i.exited
