--- a/proofs/hosted/soak_faults_test.go
+++ b/proofs/hosted/soak_faults_test.go
@@ -267,8 +267,10 @@
 
 // drainServer drains the first plain server and registers it as ready again. The second plain
 // server is never drained.
-func (s *soak) drainServer() {
-	server := s.plainServers[0]
+func (s *soak) drainServer() { s.drain(s.plainServers[0]) }
+
+// drain drains a server and registers it as ready again, unless it drains already.
+func (s *soak) drain(server *hosted.Server) {
 	s.lock.Lock()
 	isDraining := !s.draining[server.ID].IsZero()
 	s.draining[server.ID] = time.Now()
--- a/proofs/hosted/soak_stops_test.go
+++ b/proofs/hosted/soak_stops_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"verbenaroad.example/fakes/services/hosted"
 )
 
 // envRolls sets how often checkStops stops each ingress; 1 if it is unset.
@@ -71,5 +73,5 @@
 		s.changeConfig()
 		return
 	}
-	s.drainServer()
+	s.drain([]*hosted.Server{s.plainServers[0], s.engines[0], s.poolServers[0]}[s.randomInt(3)])
 }
