ingress: connections with slow heads make room for new ones again

A connection on which a request has begun no longer counted as idle since the close answers what has arrived, so that callers that begin requests and do not go on could hold all connections for five seconds. TestConnectionsWithSlowHeadsMakeRoom fails on the code before: none of four was closed. If there are too many connections, the head of a request may take a second.

Errors of a read are passed on as the HTTP server knows them.

--- a/ingress/cmds/callers.go
+++ b/ingress/cmds/callers.go
@@ -152,7 +152,7 @@
 	if longest == nil {
 		return
 	}
-	if closeIdle(longest) {
+	if idle, ok := longest.(*callerConn); ok && (idle.closeIdle() || idle.closeSlow()) {
 		delete(c.idleSince, longest)
 		c.options.Log.Warn("connection-closed", zap.String("reason", "too many open connections"), zap.Int("open", c.open))
 	}
--- a/ingress/cmds/callers_test.go
+++ b/ingress/cmds/callers_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"os"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -63,3 +67,40 @@
 	g.open.Store(true)
 	is.NoErr(send(&http.Client{Transport: &http.Transport{}}))
 }
+
+// Guards against callers that begin requests and do not go on: their connections must not keep out those of others.
+func TestConnectionsWithSlowHeadsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	const most = 4
+	g := &gate{}
+	g.open.Store(true)
+	server, err := cmds.NewCallerServer(t.Context(), cmds.CallerServerOptions{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Views: emptyViews{}, Log: zap.NewNop(), MaxConnections: most, Gate: g,
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+	})
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	defer func() { is.NoErr(server.Close(ctx)) }()
+	slow := []net.Conn{}
+	for range most {
+		conn, err := net.Dial("tcp", server.Address().String())
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Write([]byte("POST / HTTP/1.1\r\n"))
+		is.NoErr(err)
+		slow = append(slow, conn)
+	}
+	time.Sleep(1200 * time.Millisecond)
+	conn, err := net.Dial("tcp", server.Address().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	closed := 0
+	for _, c := range slow {
+		_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			closed++
+		}
+	}
+	is.Equal(closed, 1)
+}
--- a/ingress/cmds/conns.go
+++ b/ingress/cmds/conns.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -34,7 +35,9 @@
 			return conn, err
 		}
 		if l.gate.TakeConnection() {
-			return newCallerConn(tcp)
+			if c, err := newCallerConn(tcp); err == nil {
+				return c, nil
+			}
 		}
 		_ = tcp.SetLinger(0) // Close sends a reset instead of a FIN
 		_ = conn.Close()
@@ -48,13 +51,16 @@
 	raw syscall.RawConn
 
 	lock sync.Mutex
-	// hasRead is set if bytes were read since the connection became idle. They may be a request that the HTTP server has
-	// not reported yet, since the process waits for a processor.
-	hasRead bool
+	// firstRead is when bytes were first read since the connection became idle; zero: none were. They may be a request
+	// that the HTTP server has not reported yet, since the process waits for a processor.
+	firstRead time.Time
 	// isClosed is set once the connection was closed as idle.
 	isClosed bool
 }
 
+// slowHeadTime is how long the head of a request may take to arrive if there are too many connections.
+const slowHeadTime = time.Second
+
 func newCallerConn(conn *net.TCPConn) (*callerConn, error) {
 	raw, err := conn.SyscallConn()
 	return &callerConn{TCPConn: conn, raw: raw}, err
@@ -72,15 +78,24 @@
 	})
 	switch {
 	case err != nil:
-		return 0, err
+		return 0, c.newReadError(err)
 	case failed != nil:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: failed}
+		return 0, c.newReadError(failed)
 	case n == 0:
 		return 0, io.EOF
 	}
 	return n, nil
 }
 
+// newReadError returns an error that the HTTP server takes for one of the connection.
+func (c *callerConn) newReadError(cause error) error {
+	var raw *net.OpError
+	if errors.As(cause, &raw) {
+		cause = raw.Err
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: cause}
+}
+
 // readOnce reads what has been received. It returns EAGAIN if that is nothing.
 func (c *callerConn) readOnce(fd int, p []byte) (int, error) {
 	c.lock.Lock()
@@ -93,7 +108,9 @@
 		if errors.Is(err, unix.EINTR) {
 			continue
 		}
-		c.hasRead = c.hasRead || n > 0
+		if n > 0 && c.firstRead.IsZero() {
+			c.firstRead = time.Now()
+		}
 		return max(n, 0), err
 	}
 }
@@ -102,20 +119,36 @@
 func (c *callerConn) setIdle() {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.hasRead = false
+	c.firstRead = time.Time{}
 }
 
 // closeIdle closes the connection unless something has arrived since it became idle.
 func (c *callerConn) closeIdle() (closed bool) {
 	c.lock.Lock()
+	defer c.lock.Unlock()
 	hasInput, err := socket.HasInput(c.TCPConn)
-	c.isClosed = !c.hasRead && (err != nil || !hasInput)
-	closed = c.isClosed
-	c.lock.Unlock()
-	if closed {
-		_ = c.Close() // the HTTP server reports StateClosed for it
+	if !c.firstRead.IsZero() || err == nil && hasInput {
+		return false
 	}
-	return closed
+	c.closeLocked()
+	return true
+}
+
+// closeSlow closes the connection if the head of its request has been arriving for slowHeadTime.
+func (c *callerConn) closeSlow() (closed bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.firstRead.IsZero() || time.Since(c.firstRead) < slowHeadTime {
+		return false
+	}
+	c.closeLocked()
+	return true
+}
+
+// closeLocked closes the connection. It is called under the lock.
+func (c *callerConn) closeLocked() {
+	c.isClosed = true
+	_ = c.Close() // the HTTP server reports StateClosed for it
 }
 
 // Reset closes the connection so that its caller sees that the answer is broken, however it is framed.
