--- a/agent/services/target/cut_test.go
+++ b/agent/services/target/cut_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -15,10 +16,10 @@
 	"verbenaroad.example/agent/services/target"
 )
 
-// cutBackend answers each call with the first bytes of a text and closes the connection.
+// cutBackend answers each call with a text and closes the connection.
 type cutBackend struct {
 	listener net.Listener
-	texts    chan string
+	text     atomic.Value
 }
 
 func (b *cutBackend) run() {
@@ -27,11 +28,15 @@
 		if err != nil {
 			return
 		}
-		if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			_, _ = io.Copy(io.Discard, r.Body)
-			_, _ = io.WriteString(conn, <-b.texts)
-		}
-		_ = conn.Close()
+		go b.runConn(conn)
+	}
+}
+
+func (b *cutBackend) runConn(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, b.text.Load().(string)) //nolint:forcetypeassert // only strings are stored
 	}
 }
 
@@ -42,7 +47,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { _ = listener.Close() }()
-	b := &cutBackend{listener: listener, texts: make(chan string, 1)}
+	b := &cutBackend{listener: listener}
 	go b.run()
 	s := target.NewServer(netip.MustParseAddrPort(listener.Addr().String()))
 	const head, stream = "HTTP/1.1 200 OK\r\n", "data: a\n\ndata: [DONE]\n\n"
@@ -63,7 +68,7 @@
 			c.whole = len(c.text)
 		}
 		for sent := range len(c.text) + 1 {
-			b.texts <- c.text[:sent]
+			b.text.Store(c.text[:sent])
 			result := s.Send(context.Background(), target.Call{Method: http.MethodPost, Path: "/", Idempotent: true, Stream: c.isStream}, io.Discard)
 			if (result.Failure == nil) != (sent >= c.whole) {
 				t.Errorf("%s, cut after %d of %d bytes: %v", name, sent, len(c.text), result.Failure)
