--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,7 +14,6 @@
 
 	"verbenaroad.example/ingress/modules/memory"
 	"verbenaroad.example/ingress/services/assign"
-	"verbenaroad.example/ingress/services/ledger"
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/decide/access"
 	"verbenaroad.example/share/decide/cold"
@@ -221,18 +219,6 @@
 	}
 }
 
-// maxIdentityParts limits the prompt parts by which a request is known.
-const maxIdentityParts = 16
-
-func newIdentity(q *Request, service string) poison.Identity {
-	path, _, _ := strings.Cut(q.Target, "?")
-	i := poison.Identity{Request: poison.NewID(q.Decision.Team, q.Host, path, q.Body), Service: poison.NewPartID(service, "")}
-	for n := range min(len(q.Parts)-1, maxIdentityParts) {
-		i.Parts = append(i.Parts, poison.NewPartID(service, q.Parts[n].ID))
-	}
-	return i
-}
-
 // finish logs the outcome of the request. If no backend server's answer was delivered, it writes
 // result as the answer, also to a caller that left: one that has closed only its side of the connection
 // would otherwise get the empty success that the HTTP server sends for a handler that writes nothing.
@@ -291,16 +277,6 @@
 	}
 }
 
-// describeParts returns the prompt parts that other requests may share, all but the last one, each with the
-// ID under which it may be quarantined.
-func (x *exchange) describeParts() []string {
-	described := []string{}
-	for n, id := range x.identity.Parts {
-		described = append(described, x.Parts[n].ID+"="+string(id))
-	}
-	return described
-}
-
 // isStaged reports whether the request needs results of stages.
 func (x *exchange) isStaged() bool {
 	for i := range min(len(x.route.Stages), len(x.ItemCounts)) {
@@ -311,38 +287,6 @@
 	return false
 }
 
-// mayRetry takes one retry from this ingress's part of the service's retry budget. It returns false
-// if the budget is exhausted.
-func (x *exchange) mayRetry(reason string) bool {
-	d := x.server.options.Retries.TakeRetry(x.service)
-	ledger.LogDecision(x.log, reason, d)
-	if d.Granted {
-		x.retryGrantedAt = time.Now()
-		x.server.options.Meter.CountRetry(x.service, reason)
-	}
-	return d.Granted
-}
-
-// recordSend counts a granted retry that is sent now, if this is one.
-func (x *exchange) recordSend(server *site.Server) {
-	if x.retryGrantedAt.IsZero() {
-		return
-	}
-	x.log.Info("repeat-sent", zap.String("server", server.ID), zap.Duration("granted-ago", time.Since(x.retryGrantedAt)))
-	x.server.options.Retries.RecordSent(x.service)
-	x.retryGrantedAt = time.Time{}
-}
-
-// returnRetry gives back a retry that was granted and not sent.
-func (x *exchange) returnRetry() {
-	if !x.retryGrantedAt.IsZero() {
-		x.server.options.Retries.ReturnRetry(x.service)
-		x.retryGrantedAt = time.Time{}
-	}
-}
-
-func (x *exchange) countRequest() { x.server.options.Retries.CountRequest(x.service) }
-
 // end records the result of an attempt at its server.
 func (x *exchange) end(server site.Server, result place.Result, took time.Duration, load *site.Load) {
 	if x.reservation != nil {
