--- a/proofs/hosted/process_test.go
+++ b/proofs/hosted/process_test.go
@@ -66,6 +66,8 @@
 	peerAddress    netip.AddrPort
 	output         *output
 
+	// lock guards command and exited while the process is started again.
+	lock    sync.Mutex
 	command *exec.Cmd
 	// exited is closed when the process has exited.
 	exited chan struct{}
@@ -195,6 +197,8 @@
 
 func (i *ingress) start() {
 	i.t.Helper()
+	i.lock.Lock()
+	defer i.lock.Unlock()
 	i.command = exec.Command(i.program(), "--config", i.configFile)
 	i.command.Stdout, i.command.Stderr = i.output, i.output
 	if err := i.command.Start(); err != nil {
@@ -210,6 +214,8 @@
 }
 
 func (i *ingress) signal(s syscall.Signal) {
+	i.lock.Lock()
+	defer i.lock.Unlock()
 	select {
 	case <-i.exited:
 	default:
