--- /dev/null
+++ b/share/modules/uptime/uptime_test.go
@@ -0,0 +1,52 @@
+package uptime_test
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenaroad.example/share/modules/uptime"
+)
+
+// Guards against an age that leaves out the time for which the machine was suspended, and against one that counts the
+// time between two readings of the clocks as a suspension.
+func TestSuspensionsCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		readings := []uptime.Reading{
+			{Before: 0, Total: 5 * time.Second, After: 0},
+			{Before: time.Second, Total: 9 * time.Second, After: 4 * time.Second}, // stopped for 3 s while they were read
+			{Before: 4 * time.Second, Total: 15 * time.Second, After: 4 * time.Second},
+		}
+		c := uptime.NewClock(func() (uptime.Reading, error) {
+			r := readings[0]
+			readings = readings[1:]
+			return r, nil
+		})
+		before := c.Now()
+		time.Sleep(4 * time.Second)
+		is.Equal(c.Now().Sub(before), 10*time.Second)
+	})
+}
+
+// Guards against a clock that stands still or goes back where the machine cannot tell its suspensions.
+func TestClockRunsWithoutTheMachinesClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := uptime.NewClock(func() (uptime.Reading, error) { return uptime.Reading{}, errors.New("no such clock") })
+		before := c.Now()
+		time.Sleep(time.Second)
+		is.New(t).Equal(c.Now().Sub(before), time.Second)
+	})
+}
+
+// Guards against a reading of the machine's clocks that fails or jumps.
+func TestSystemClockRunsWithTheMonotonicClock(t *testing.T) {
+	before, began := uptime.Now(), time.Now()
+	time.Sleep(20 * time.Millisecond)
+	if difference := uptime.Since(before) - time.Since(began); difference.Abs() > 10*time.Millisecond {
+		t.Errorf("the clocks differ by %v", difference)
+	}
+}
