state, link, flow: streams that are taken up log what their version is taken from, and how old that is

The age of news counted from when an answer was read, so that no line told a late answer from a new one. An ingress now also keeps when the store was asked for what last confirmed its records: by itself, or by another ingress, whose heartbeat states it and is dated by its echo. The clock includes suspensions. resume-requested names the basis, this age and the revision of the inventory. Nothing decides on it yet.

--- a/ingress/cmds/serve.go
+++ b/ingress/cmds/serve.go
@@ -159,9 +159,11 @@
 	i.book = state.NewBook(state.Options{Codec: record.Codec{}, Log: i.log, OnChange: i.setView, IsLeaving: i.limits.IsLeaving})
 	i.mesh = mesh.NewMesh(mesh.Options{
 		Self: i.self, Regions: s.Place.Regions, IsLeaving: i.stopper.IsLeaving, Link: i.newLinkOptions(), Log: i.log,
-		OnBacklog:     func(backlog *wire.Outlook) { i.producer.RecordBacklog(backlog) },
-		OnStoreStatus: func(name string, status *wire.Reading) { i.feeder.ObserveStoreStatus(name, status) },
-		OnStatements:  i.mergeStatements,
+		OnBacklog: func(backlog *wire.Outlook) { i.producer.RecordBacklog(backlog) },
+		OnStoreStatus: func(name string, status *wire.Reading, notBefore time.Time) {
+			i.feeder.ObserveStoreStatus(name, status, notBefore)
+		},
+		OnStatements: i.mergeStatements,
 	})
 	i.puller = &mesh.Puller{Mesh: i.mesh, Book: i.book, Seeds: s.Peers.Seeds, Log: i.log}
 	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
--- a/ingress/services/flow/origin.go
+++ b/ingress/services/flow/origin.go
@@ -22,7 +22,8 @@
 	o := x.server.options.Origins.Find(ctx, x.Resumes, x.listServices())
 	x.log.Info("resume-requested", zap.String("resumes", x.Resumes), zap.String("last-event", x.LastEventID),
 		zap.String("began-at", o.Software.Version), zap.String("known-by", string(o.Source)), zap.String("held-by", o.HeldBy),
-		zap.Bool("may-be-held", o.MayBeHeld), zap.Duration("age", o.Age), zap.Duration("took", time.Since(began)))
+		zap.Bool("may-be-held", o.MayBeHeld), zap.String("basis", string(o.Evidence.Basis)), zap.Duration("age", o.Evidence.Age), zap.Duration("records-age", o.Evidence.RecordsAge),
+		zap.Stringer("inventory", o.Evidence.Inventory), zap.Duration("took", time.Since(began)))
 	if o.Source == origin.SourceNone {
 		result := codes.NewResult(codes.OriginUnknown, "no ingress that answered knows the origin of the stream")
 		if o.MayBeHeld {
--- a/ingress/services/mesh/deltas.go
+++ b/ingress/services/mesh/deltas.go
@@ -109,9 +109,11 @@
 // EncodeStoreStatus encodes the status of this ingress's connection to the store and the extent of
 // its copy of the records, for its heartbeats.
 func EncodeStoreStatus(b *state.Book) *wire.Reading {
+	recordsAge := b.RecordsAge() // before the extent: the records may be newer than stated, and never older
 	e := b.Extent()
 	return &wire.Reading{
-		Direct: b.IsDirect(), AgeNanos: int64(b.Age()), Newest: e.NewestRevision.Number, NewestEra: e.NewestRevision.Era,
+		RecordsAgeNanos: int64(recordsAge),
+		Direct:          b.IsDirect(), AgeNanos: int64(b.Age()), Newest: e.NewestRevision.Number, NewestEra: e.NewestRevision.Era,
 		At: e.CompleteRevision.Number, Era: e.CompleteRevision.Era, Earlier: e.EarlierRevision.Number, EarlierEra: e.EarlierRevision.Era,
 	}
 }
--- a/ingress/services/mesh/feeder.go
+++ b/ingress/services/mesh/feeder.go
@@ -285,15 +285,20 @@
 	f.options.Log.Info("source-followed", zap.String("ingress", s.name))
 }
 
-// ObserveStoreStatus processes the store status in a heartbeat of another ingress.
+// ObserveStoreStatus processes the store status in a heartbeat of another ingress, which is not older than the given
+// time, a result of uptime.Now; zero: not known.
 //
 // A status of the fresh source confirms the records here if they are complete up to its newest
 // change. If another ingress stays ahead of the records here, it is asked for the missing ones.
-func (f *Feeder) ObserveStoreStatus(name string, reading *wire.Reading) {
+func (f *Feeder) ObserveStoreStatus(name string, reading *wire.Reading, notBefore time.Time) {
 	now := time.Now()
 	theirs := decodeExtent(reading)
 	f.options.Book.Advance(theirs)
 	own := f.options.Book.Extent()
+	// Records that are complete up to another ingress's revision are confirmed by what confirmed those.
+	if age := reading.GetRecordsAgeNanos(); age > 0 && !notBefore.IsZero() && !theirs.CompleteRevision.IsZero() && !theirs.CompleteRevision.IsAfter(own.CompleteRevision) {
+		f.options.Book.ConfirmRecords(notBefore.Add(-time.Duration(age)))
+	}
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	status := decodeStatus(reading)
--- a/ingress/services/mesh/fleet_test.go
+++ b/ingress/services/mesh/fleet_test.go
@@ -361,8 +361,10 @@
 	isLeaving := func() bool { return false }
 	i.mesh = mesh.NewMesh(mesh.Options{
 		Self: i.self, Regions: f.regions, IsLeaving: isLeaving, Link: options, Log: log,
-		OnBacklog:     func(*wire.Outlook) {},
-		OnStoreStatus: func(name string, status *wire.Reading) { i.feeder.ObserveStoreStatus(name, status) },
+		OnBacklog: func(*wire.Outlook) {},
+		OnStoreStatus: func(name string, status *wire.Reading, notBefore time.Time) {
+			i.feeder.ObserveStoreStatus(name, status, notBefore)
+		},
 	})
 	i.puller = &mesh.Puller{Mesh: i.mesh, Book: i.book, Log: log}
 	i.feeder = mesh.NewFeeder(mesh.FeederOptions{
--- a/ingress/services/mesh/mesh.go
+++ b/ingress/services/mesh/mesh.go
@@ -54,7 +54,8 @@
 	OnBacklog func(backlog *wire.Outlook)
 	// OnStoreStatus is called with the state of another ingress's connection to the store and of
 	// its copy of the records, as reported in its heartbeats.
-	OnStoreStatus func(name string, status *wire.Reading)
+	// NotBefore is the earliest time of the status, as uptime.Now tells it; zero: not known.
+	OnStoreStatus func(name string, status *wire.Reading, notBefore time.Time)
 	// OnStatements is called with each heartbeat of another ingress for what backend servers have
 	// stated. It may be nil.
 	OnStatements func(name string, beat *wire.Beat)
@@ -348,7 +349,9 @@
 		return p.session, nil
 	}
 	options := m.options.Link
-	options.OnHeartbeat = func(_ *link.Session, beat *wire.Beat, _ time.Time) { m.observeHeartbeat(name, beat) }
+	options.OnHeartbeat = func(s *link.Session, beat *wire.Beat, _ time.Time) {
+		m.observeHeartbeat(name, beat, s.EarliestWrite(beat))
+	}
 	options.OnDown = func(_ *link.Session, reason error) { m.markFailed(name, reason) }
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -370,12 +373,12 @@
 	return session, nil
 }
 
-func (m *Mesh) observeHeartbeat(name string, beat *wire.Beat) {
+func (m *Mesh) observeHeartbeat(name string, beat *wire.Beat, notBefore time.Time) {
 	for _, o := range beat.GetOutlooks() {
 		m.options.OnBacklog(o)
 	}
 	if beat.GetReading() != nil {
-		m.options.OnStoreStatus(name, beat.GetReading())
+		m.options.OnStoreStatus(name, beat.GetReading(), notBefore)
 	}
 	if m.options.OnStatements != nil {
 		m.options.OnStatements(name, beat)
--- a/ingress/services/origin/origin.go
+++ b/ingress/services/origin/origin.go
@@ -53,6 +53,8 @@
 type News interface {
 	// Age returns the time since the store last confirmed the view of the deployment.
 	Age() time.Duration
+	// RecordsAge returns for how long the records may have lacked a change that the store holds.
+	RecordsAge() time.Duration
 	// IsRegistered reports whether this ingress has been registered in the store.
 	IsRegistered() bool
 }
@@ -167,18 +169,41 @@
 	SourceOnly Source = "only-version"
 )
 
+// Basis is why a version is taken for the only one.
+type Basis string
+
+// The bases.
+const (
+	// BasisNone means that no version is.
+	BasisNone Basis = ""
+	// BasisNews means that the store has confirmed the view lately.
+	BasisNews Basis = "news"
+	// BasisLookup means that all ingresses that may hold a memo have answered that they do not.
+	BasisLookup Basis = "lookup"
+)
+
 // Origin is what is known of the software that began a stream.
 type Origin struct {
 	Software site.Software
 	Source   Source
 	// HeldBy is the ingress that held the memo.
 	HeldBy string
-	// Age is the time since the store last confirmed that there was one version only.
-	Age time.Duration
+	// Evidence is what was known of the versions of the service; it is not set where a memo was found.
+	Evidence Evidence
 	// MayBeHeld is set if an ingress that did not answer may know the origin.
 	MayBeHeld bool
 }
 
+// Evidence is what a lookup without a memo rests on.
+type Evidence struct {
+	// Basis is why a version is taken for the only one.
+	Basis Basis
+	// Age is the time since the store last answered, RecordsAge for how long the records may have lacked a change.
+	Age, RecordsAge time.Duration
+	// Inventory is the revision of the inventory; zero: there was none.
+	Inventory site.Revision
+}
+
 // Find returns the software that began a stream. Attempt is the attempt that brought its first event;
 // empty: the caller did not state it. Services are those of the stream's route; if the stream may go on at
 // any of them, the first one is chosen.
@@ -194,12 +219,30 @@
 		}
 		o.options.Log.Warn("origin-unreadable", zap.String("resumes", attempt), zap.String("ingress", finding.HeldBy), logs.Err(err))
 	}
-	age := o.options.News.Age()
+	found := Origin{Evidence: Evidence{Age: o.options.News.Age(), RecordsAge: o.options.News.RecordsAge()}}
 	only, isComplete := o.findOnlyVersion(services)
-	if only != nil && (finding.Conclusive || age <= maxNewsAge) {
-		return Origin{Software: *only, Source: SourceOnly, Age: age}
+	found.Evidence.Inventory = o.inventoryRevision()
+	switch {
+	case only != nil && found.Evidence.Age <= maxNewsAge:
+		found.Evidence.Basis = BasisNews
+	case only != nil && finding.Conclusive:
+		found.Evidence.Basis = BasisLookup
+	default:
+		found.MayBeHeld = !isComplete || !finding.Conclusive
+		return found
+	}
+	found.Software, found.Source = *only, SourceOnly
+	return found
+}
+
+// inventoryRevision returns the revision of the inventory as it is known here; zero: there is none.
+func (o *Registry) inventoryRevision() site.Revision {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	if o.view.Inventory == nil {
+		return site.Revision{}
 	}
-	return Origin{MayBeHeld: !isComplete || !finding.Conclusive}
+	return o.view.Inventory.Revision
 }
 
 // findOnlyVersion returns the software of the first service if each of the services has had one version
--- a/ingress/services/origin/origin_test.go
+++ b/ingress/services/origin/origin_test.go
@@ -77,6 +77,9 @@
 	return w.age
 }
 
+// RecordsAge returns the same: nothing waits unread in this world.
+func (w *world) RecordsAge() time.Duration { return w.Age() }
+
 // set sets the age of the news, and whether others are silent.
 func (w *world) set(age time.Duration, isSilent bool) {
 	w.lock.Lock()
@@ -141,6 +144,18 @@
 
 var engines = []string{"engines"} //nolint:gochecknoglobals // a constant in all but syntax
 
+// find looks up the origin of a stream. Of the evidence it leaves the age of the news where it tells the version.
+func find(t *testing.T, r *origin.Registry, attempt string, services []string) origin.Origin {
+	t.Helper()
+	o := r.Find(t.Context(), attempt, services)
+	age := o.Evidence.Age
+	o.Evidence = origin.Evidence{}
+	if o.Source == origin.SourceOnly {
+		o.Evidence.Age = age
+	}
+	return o
+}
+
 // Guards against a stream whose origin is guessed, that is not found although it was recorded, or that is
 // refused although its service has had one version only.
 func TestOriginOfAStream(t *testing.T) {
@@ -174,7 +189,7 @@
 			start(t, r)
 			r.RecordBegun("recorded", v1, time.Now().Add(time.Minute))
 			t.Log(name)
-			is.Equal(r.Find(t.Context(), c.attempt, c.services), c.want)
+			is.Equal(find(t, r, c.attempt, c.services), c.want)
 		})
 	}
 }
@@ -190,11 +205,11 @@
 		isSilent bool
 		want     origin.Origin
 	}{
-		"new, not all other ingresses answer": {time.Second, "other", true, origin.Origin{Software: only, Source: origin.SourceOnly, Age: time.Second}},
-		"old, all other ingresses answer":     {time.Minute, "other", false, origin.Origin{Software: only, Source: origin.SourceOnly, Age: time.Minute}},
+		"new, not all other ingresses answer": {time.Second, "other", true, origin.Origin{Software: only, Source: origin.SourceOnly, Evidence: origin.Evidence{Age: time.Second}}},
+		"old, all other ingresses answer":     {time.Minute, "other", false, origin.Origin{Software: only, Source: origin.SourceOnly, Evidence: origin.Evidence{Age: time.Minute}}},
 		"old, not all other ingresses answer": {time.Minute, "other", true, origin.Origin{MayBeHeld: true}},
 		"old, attempt not stated":             {time.Minute, "", false, origin.Origin{MayBeHeld: true}},
-		"new, attempt not stated":             {time.Second, "", false, origin.Origin{Software: only, Source: origin.SourceOnly, Age: time.Second}},
+		"new, attempt not stated":             {time.Second, "", false, origin.Origin{Software: only, Source: origin.SourceOnly, Evidence: origin.Evidence{Age: time.Second}}},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
@@ -204,7 +219,7 @@
 			start(t, r)
 			t.Log(name)
 			w.set(c.age, c.isSilent)
-			is.Equal(r.Find(t.Context(), c.attempt, engines), c.want)
+			is.Equal(find(t, r, c.attempt, engines), c.want)
 		})
 	}
 }
--- a/ingress/services/state/reader.go
+++ b/ingress/services/state/reader.go
@@ -9,6 +9,7 @@
 
 	"verbenaroad.example/share/modules/logs"
 	"verbenaroad.example/share/modules/pauses"
+	"verbenaroad.example/share/modules/uptime"
 )
 
 // Reader starts and stops the watch of the store, and discovers the other ingresses at the start.
@@ -131,12 +132,14 @@
 	if count > smallDomain || r.Book.IsListed() {
 		return nil
 	}
+	asked := uptime.Now()
 	records, revision, err := r.Store.List(ctx, allKeys)
 	if err != nil {
 		r.Log.Warn("first-look-failed", logs.Err(err))
 		return err
 	}
 	r.Book.ApplyListing(records, revision)
+	r.Book.ConfirmRecords(asked)
 	r.Book.ObserveOwnAnswer(time.Now())
 	return nil
 }
--- a/ingress/services/state/state.go
+++ b/ingress/services/state/state.go
@@ -19,6 +19,7 @@
 	"verbenaroad.example/share/decide/poison"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/uptime"
 )
 
 // Codec encodes and decodes the records of the store and their keys.
@@ -101,6 +102,10 @@
 	// started.
 	lastOwnAnswer atomic.Int64
 	started       time.Time
+	// confirmedAt is when the store was asked for what last confirmed the records here, in nanoseconds since
+	// startedUptime.
+	confirmedAt   atomic.Int64
+	startedUptime time.Time
 	// lookFailed is set once a first listing has failed.
 	lookFailed atomic.Bool
 
@@ -148,7 +153,7 @@
 func NewBook(options Options) *Book {
 	b := &Book{
 		options: options,
-		started: time.Now(),
+		started: time.Now(), startedUptime: uptime.Now(),
 		records: mirror.NewMirror(mirror.Options{
 			IsWanted: func(key string) bool { return isWanted(options.Codec, key) }, Policy: holdPolicy{options.Codec},
 		}),
@@ -163,6 +168,7 @@
 		leases:       map[string]registration{},
 	}
 	b.lastAnswer.Store(-int64(time.Hour))
+	b.confirmedAt.Store(-int64(time.Hour))
 	b.view.Store(&View{})
 	return b
 }
@@ -187,6 +193,22 @@
 	return time.Since(b.started) - time.Duration(b.lastAnswer.Load())
 }
 
+// RecordsAge returns for how long the records here may have lacked a change that the store holds. Unlike Age it counts
+// from when the store was asked and not from when its answer was read, includes suspensions of the machine, and
+// counts answers that tell the records only. Before the first of them it is an hour or more.
+func (b *Book) RecordsAge() time.Duration {
+	return uptime.Since(b.startedUptime) - time.Duration(b.confirmedAt.Load())
+}
+
+// ConfirmRecords records that the records here contain each change that the store had made at the given time, a result
+// of uptime.Now.
+func (b *Book) ConfirmRecords(at time.Time) {
+	if now := uptime.Now(); at.After(now) {
+		at = now
+	}
+	raise(&b.confirmedAt, int64(at.Sub(b.startedUptime)))
+}
+
 // ObserveSourceAnswer records that the store answered the followed ingress at the given time.
 func (b *Book) ObserveSourceAnswer(at time.Time) { b.setIfLater(&b.lastAnswer, at) }
 
@@ -201,10 +223,14 @@
 
 // setIfLater sets value to the time at, unless value is already later.
 func (b *Book) setIfLater(value *atomic.Int64, at time.Time) {
-	nanos := int64(at.Sub(b.started))
+	raise(value, int64(at.Sub(b.started)))
+}
+
+// raise sets value to a number, unless value is already higher.
+func raise(value *atomic.Int64, number int64) {
 	for {
 		current := value.Load()
-		if nanos <= current || value.CompareAndSwap(current, nanos) {
+		if number <= current || value.CompareAndSwap(current, number) {
 			return
 		}
 	}
--- a/ingress/services/state/watch.go
+++ b/ingress/services/state/watch.go
@@ -7,6 +7,7 @@
 
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/pauses"
+	"verbenaroad.example/share/modules/uptime"
 )
 
 // Store reads the records of the platform's store.
@@ -148,12 +149,14 @@
 
 // listOrWatch lists all records if listed is not set, and otherwise runs one watch.
 func (w *Watcher) listOrWatch(ctx context.Context, listed *bool, wait time.Duration) error {
+	asked := uptime.Now()
 	if !*listed {
 		records, revision, err := w.Store.List(ctx, allKeys)
 		if err != nil {
 			return err
 		}
 		w.Book.ApplyListing(records, revision)
+		w.Book.ConfirmRecords(asked)
 		*listed = true
 		return nil
 	}
@@ -162,6 +165,7 @@
 		return err
 	}
 	w.Book.Apply(changes, revision)
+	w.Book.ConfirmRecords(asked)
 	if len(changes) > 0 {
 		pauses.Wait(ctx, coalesceTime)
 	}
--- a/ingress/services/state/watch_test.go
+++ b/ingress/services/state/watch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -72,3 +73,47 @@
 	is.Equal(s.watchedInEffect.Load(), int64(1))
 	is.Equal(s.lists.Load(), int64(2))
 }
+
+// lateStore answers each watch at once, and the answer is read only after a while.
+type lateStore struct {
+	stubStore
+	answers chan struct{}
+}
+
+func (*lateStore) List(context.Context, string) ([]site.Record, site.Revision, error) {
+	return nil, at(1), nil
+}
+
+func (s *lateStore) Watch(ctx context.Context, _ string, after site.Revision, _ time.Duration) ([]site.Record, site.Revision, error) {
+	select {
+	case <-s.answers:
+		return nil, after, nil
+	case <-ctx.Done():
+		return nil, after, ctx.Err()
+	}
+}
+
+// Guards against records that count as new since an answer was read which had waited for seconds, and against an answer
+// about something else that confirms them.
+func TestRecordsAreAsOldAsTheQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b, s := newBook(), &lateStore{answers: make(chan struct{})}
+		is.True(b.RecordsAge() >= time.Hour)
+		b.SetDirect(true)
+		(&state.Watcher{Book: b, Store: s, Wait: time.Minute, HistoryGone: errHistoryGone}).Start(t.Context())
+		synctest.Wait()
+		is.Equal(b.RecordsAge(), time.Duration(0)) // the listing
+		time.Sleep(6 * time.Second)
+		b.ObserveOwnAnswer(time.Now())
+		is.Equal(b.Age(), time.Duration(0))
+		is.Equal(b.RecordsAge(), 6*time.Second)
+		s.answers <- struct{}{}
+		synctest.Wait()
+		is.Equal(b.RecordsAge(), 6*time.Second) // the watch had begun then
+		time.Sleep(time.Second)
+		s.answers <- struct{}{}
+		synctest.Wait()
+		is.Equal(b.RecordsAge(), time.Second)
+	})
+}
--- a/share/modules/link/beat.go
+++ b/share/modules/link/beat.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenaroad.example/share/modules/uptime"
 	"verbenaroad.example/share/modules/wire"
 )
 
@@ -35,14 +36,13 @@
 }
 
 func (s *Session) sendHeartbeat(sequence uint64) error {
+	// The echo is read first: what the heartbeat states is then no older than the receiver computes from it.
+	echo, hold := s.GetEcho()
 	beat := s.options.NewHeartbeat()
-	beat.Sequence = sequence
-	beat.Echo = s.peerSequence.Load()
-	if beat.Echo != 0 {
-		beat.EchoHoldNanos = int64(time.Since(s.started)) - s.receivedAt.Load()
-	}
+	beat.Sequence, beat.Echo, beat.EchoHoldNanos = sequence, echo, int64(hold)
 	s.sentLock.Lock()
 	s.sentAt[sequence%uint64(len(s.sentAt))] = time.Now()
+	s.sentUptime[sequence%uint64(len(s.sentUptime))] = uptime.Now()
 	s.lastSequence = sequence
 	s.sentLock.Unlock()
 	return wire.WriteFrame(s.control, &wire.Frame{Body: &wire.Frame_Beat{Beat: beat}})
@@ -101,12 +101,28 @@
 	return sent.Add(hold)
 }
 
+// EarliestWrite returns the earliest time, as uptime.Now tells it, of what the peer states in a heartbeat. It is zero if the heartbeat echoes none of this end whose send time is still known.
+func (s *Session) EarliestWrite(beat *wire.Beat) time.Time {
+	s.sentLock.Lock()
+	defer s.sentLock.Unlock()
+	if !s.isSendTimeKnown(beat.GetEcho()) {
+		return time.Time{}
+	}
+	return s.sentUptime[beat.GetEcho()%uint64(len(s.sentUptime))].Add(max(time.Duration(beat.GetEchoHoldNanos()), 0))
+}
+
+// isSendTimeKnown reports whether the send time of the heartbeat with this sequence is known. The caller holds the
+// lock.
+func (s *Session) isSendTimeKnown(sequence uint64) bool {
+	return sequence != 0 && sequence <= s.lastSequence && s.lastSequence-sequence < uint64(len(s.sentAt))
+}
+
 // findSendTime returns the time at which the heartbeat with this sequence was sent. It is zero if
 // there is no such heartbeat or it is older than the ones in sentAt.
 func (s *Session) findSendTime(sequence uint64) time.Time {
 	s.sentLock.Lock()
 	defer s.sentLock.Unlock()
-	if sequence == 0 || sequence > s.lastSequence || s.lastSequence-sequence >= uint64(len(s.sentAt)) {
+	if !s.isSendTimeKnown(sequence) {
 		return time.Time{}
 	}
 	return s.sentAt[sequence%uint64(len(s.sentAt))]
--- a/share/modules/link/link_test.go
+++ b/share/modules/link/link_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"verbenaroad.example/share/modules/codes"
 	"verbenaroad.example/share/modules/link"
+	"verbenaroad.example/share/modules/uptime"
 	"verbenaroad.example/share/modules/wire"
 )
 
@@ -140,3 +142,26 @@
 	is.True(<-down != nil)
 	is.True(s.IsClosed())
 }
+
+// Guards against an age of what a peer states that counts from when its heartbeat was read: the heartbeat may have waited
+// unread for any time.
+func TestHeartbeatThatWaitedIsAsOldAsItsEcho(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, newOptions("ingress-1"))
+	options := newOptions("ingress-0")
+	earliest := make(chan time.Duration, 100)
+	waited := atomic.Bool{}
+	options.OnHeartbeat = func(s *link.Session, beat *wire.Beat, _ time.Time) {
+		if written := s.EarliestWrite(beat); !written.IsZero() {
+			earliest <- uptime.Since(written)
+			if waited.CompareAndSwap(false, true) {
+				time.Sleep(100 * time.Millisecond) // the heartbeats after this one wait
+			}
+		}
+	}
+	s, err := link.Dial(context.Background(), p.address(), options)
+	is.NoErr(err)
+	defer func() { _ = s.Close() }()
+	<-earliest
+	is.True(<-earliest >= 80*time.Millisecond)
+}
--- a/share/modules/link/session.go
+++ b/share/modules/link/session.go
@@ -16,6 +16,9 @@
 	"verbenaroad.example/share/modules/wire"
 )
 
+// sentTimes is the number of heartbeats whose send times are kept.
+const sentTimes = 16
+
 // Session is a connection to a peer with a control stream and the streams of calls.
 type Session struct {
 	options Options
@@ -37,8 +40,10 @@
 	started      time.Time
 
 	sentLock sync.Mutex
-	// sentAt holds the send times of the last heartbeats. The index is the sequence modulo its length.
-	sentAt       [16]time.Time
+	// sentAt holds the send times of the last heartbeats, sentUptime the same as uptime.Now tells it. The index is the
+	// sequence modulo the length.
+	sentAt       [sentTimes]time.Time
+	sentUptime   [sentTimes]time.Time
 	lastSequence uint64
 
 	idleLock sync.Mutex
--- a/share/modules/uptime/uptime_test.go
+++ b/share/modules/uptime/uptime_test.go
@@ -44,9 +44,14 @@
 
 // Guards against a reading of the machine's clocks that fails or jumps.
 func TestSystemClockRunsWithTheMonotonicClock(t *testing.T) {
-	before, began := uptime.Now(), time.Now()
+	const allowed = time.Millisecond
+	beforeFirst := time.Now()
+	first := uptime.Now()
+	afterFirst := time.Now()
 	time.Sleep(20 * time.Millisecond)
-	if difference := uptime.Since(before) - time.Since(began); difference.Abs() > 10*time.Millisecond {
-		t.Errorf("the clocks differ by %v", difference)
+	beforeSecond := time.Now()
+	elapsed := uptime.Since(first)
+	if least, most := beforeSecond.Sub(afterFirst), time.Since(beforeFirst); elapsed < least-allowed || elapsed > most+allowed {
+		t.Errorf("%v elapsed, not %v to %v", elapsed, least, most)
 	}
 }
