--- /dev/null
+++ b/proofs/hosted/late_test.go
@@ -0,0 +1,70 @@
+package hosted_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"verbenaroad.example/fakes/services/hosted"
+)
+
+// joinOthers adds an engine of otherVersion in each zone and waits until these ingresses know that their service has two
+// versions. The others may know of neither.
+func (d *deployment) joinOthers(informed ...*ingress) {
+	d.t.Helper()
+	for _, zone := range []string{"a1", "b1"} {
+		model := d.engines[0]
+		d.engines = append(d.engines, d.add(&hosted.Server{
+			Service: "models", Zone: zone, Events: model.Events, EventInterval: model.EventInterval, Version: otherVersion,
+		}))
+	}
+	for _, i := range informed {
+		eventually(d.t, i.name+" has the other version in its inventory", func() bool { return i.hasInventory("models", otherVersion) })
+	}
+}
+
+// Guards against a stream that goes on at another software version, or not at all, at an ingress that stood still
+// while engines of that version joined, and that can ask no other ingress.
+func TestStreamsTakenUpAtAnIngressThatStoodStill(t *testing.T) {
+	// queueTime is how long the callers' next requests wait at the ingress that stands still.
+	const queueTime = resumePause + 200*time.Millisecond
+	for name, c := range map[string]struct {
+		// joinedFor is how long the engines have been there when the streams begin.
+		joinedFor time.Duration
+		unnamed   bool
+		fault     hosted.StoreFault
+	}{
+		"over the joining":                {},
+		"over the joining, unnamed":       {unnamed: true},
+		"over the joining, store silent":  {fault: hosted.StoreSilent},
+		"for seconds after":               {joinedFor: 6 * time.Second},
+		"for seconds after, store silent": {joinedFor: 6 * time.Second, fault: hosted.StoreSilent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, 3)
+			d.slowStreams()
+			for _, e := range d.engines {
+				e.EventInterval = 200 * time.Millisecond
+			}
+			first, holder, late := d.ingresses[0], d.ingresses[1], d.ingresses[2]
+			d.Store.SetFault(2, c.fault)
+			late.signal(syscall.SIGSTOP)
+			d.joinOthers(first, holder)
+			time.Sleep(c.joinedFor)
+			streams, done := startStreams(testedStreams, c.unnamed, first, []*ingress{late})
+			eventually(t, "all streams have begun", func() bool { return len(first.output.lines("event=stream-begun")) >= testedStreams })
+			time.Sleep(d.engines[0].EventInterval)
+			first.kill()
+			holder.signal(syscall.SIGSTOP)
+			defer holder.signal(syscall.SIGCONT)
+			time.Sleep(queueTime)
+			late.signal(syscall.SIGCONT)
+			done.Wait()
+			complete := checkVersions(t, streams)
+			if c.fault == hosted.NoStoreFault || c.joinedFor == 0 { // else nobody can tell the ingress
+				checkShare(t, complete, streams)
+			}
+		})
+	}
+}
--- a/share/decide/builds/history_test.go
+++ b/share/decide/builds/history_test.go
@@ -276,6 +276,37 @@
 	})
 }
 
+// Guards against a version being reported as the only one by an ingress that has not heard of another one yet, at which
+// a stream has begun: it was cut off, or stood still, while that one was added.
+func TestLateIngressKnowsTheOnlyVersion(t *testing.T) {
+	const newsAge = 3
+	rapid.Check(t, func(t *rapid.T) {
+		first := builds.NewHistory()
+		first.MarkFirstRun()
+		f := &fleet{t: t, begunAt: map[string]int{}, present: []string{"v1"}, histories: []*builds.History{first, builds.NewHistory()}}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			f.now += rapid.SampledFrom([]int{0, 1, 1, 2}).Draw(t, "pause")
+			if rapid.IntRange(0, 3).Draw(t, "update") == 0 {
+				f.present = rapid.SliceOfDistinct(rapid.SampledFrom([]string{"v1", "v2", "v3"}), rapid.ID).Draw(t, "present")
+			}
+			for i, h := range f.histories {
+				switch rapid.SampledFrom([]string{"observe", "begin", "late", "late"}).Draw(t, "event") {
+				case "observe":
+					f.observe(i)
+				case "begin":
+					f.begin(i)
+				}
+				only, known := h.Sole(at(f.now), "engines")
+				for v, begun := range f.begunAt {
+					if known && at(f.now).Sub(h.ConfirmedAt()) <= newsAge*time.Second && v != only {
+						t.Fatalf("%s is reported as the only version at %d s, a stream began at %s at %d s", only, f.now, v, begun)
+					}
+				}
+			}
+		}
+	})
+}
+
 // Guards against a version that is forgotten while streams that began there may still be taken up.
 func TestVersionCountsAsLongAsStreamsMayLast(t *testing.T) {
 	is := is.New(t)
