origin, builds, flow: a version is announced before streams begin there, and what the store confirmed is relied on for less

The answers were complete.

Cause: a lease with one side. An ingress took the only version that it knew for the only one there was while its news were less than 3 s old. Nothing made those who begin streams at a new version wait until everybody either knows of it or does not rely on what it knows. And the age of the news counted from when an answer was read, so that an answer which had waited in a socket made seconds-old records new.

Evidence: resume-requested of the lines before this commit: basis=news with records of 2.6 s, within the bound, and with an age of 0.1 ms at records of 6.1 s; the inventory of revision 12 in each, while revision 15 had named both versions for 2 to 6 s.

Fix: the inventory announces a version for a notice of 4.5 s, and streams that may be taken up begin there only after that. An ingress relies on the only version for a lease of 4 s from when the store was asked for what confirmed it. So it has read the announcement, or its lease has ended; what it hears within its lease changes nothing. A second write ends the notice, for those that start later. Requests are placed at other versions meanwhile (a constraint of the placement), and are refused at once, with the time until then, if there is none. That all ingresses which an ingress knows have no memo shows nothing any more: those that it knows need not be all there are. An ingress whose lease has ended waits up to 0.3 s for the store.

Also closed: between the last check of the reserved engine and the send a new registration was not looked at; a watch lasts half a lease at most, whatever store.wait is; completeness of an earlier era of a store counts only once the record is confirmed in the present one.

TestOnlyVersionIsTheOnlyOne does not let the ingress observe before it is asked any more. TestOldNewsDoNotTellTheOnlyVersion: the row in which all others answer is refused now (above); one more row within the lease. TestOwnObservationIsNotEnoughAfterAStart: observation alone does not tell before it is written, since the first versions that a record names get no notice. Tests of AwaitRecorded become tests of what replaced it. The process tests wait until a version is used, not only named.

--- a/ingress/cmds/settings.go
+++ b/ingress/cmds/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/errs"
 
+	"verbenaroad.example/ingress/services/origin"
 	"verbenaroad.example/share/decide/budget"
 	"verbenaroad.example/share/decide/cold"
 	"verbenaroad.example/share/modules/setup"
@@ -104,8 +105,9 @@
 }
 
 // WatchTime returns the longest time of one watch. The rest of Wait is for noticing that the watch has gone silent, and
-// for the listing after it.
-func (s *Store) WatchTime() time.Duration { return s.Wait / 2 }
+// for the listing after it. Each answer to a watch confirms the records, which is needed more often than once in a
+// lease.
+func (s *Store) WatchTime() time.Duration { return min(s.Wait, origin.Lease) / 2 }
 
 // Place is the table [place]: the name, location and capacity of this process.
 type Place struct {
--- a/ingress/services/assign/dispatcher.go
+++ b/ingress/services/assign/dispatcher.go
@@ -143,7 +143,7 @@
 func (d *Dispatcher) placeAtPeer(ctx context.Context, name, service string, q place.Query) (*Reservation, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, assignTimeout)
 	defer cancel()
-	request := &wire.Assign{Service: service, Domain: q.Domain, Region: q.Region, Exclude: q.Exclude, Residency: encode.Residency(q.Constraints.Residency), Software: encode.Software(q.Constraints.Software)}
+	request := &wire.Assign{Service: service, Domain: q.Domain, Region: q.Region, Exclude: q.Exclude, Residency: encode.Residency(q.Constraints.Residency), Software: encode.Software(q.Constraints.Software), Withheld: q.Constraints.Withheld}
 	if g := q.Generation; g != nil {
 		request.PromptTokens = uint32(g.PromptTokens)       //nolint:gosec // read as a small number
 		request.MaxOutputTokens = uint32(g.MaxOutputTokens) //nolint:gosec // read as a small number
@@ -247,6 +247,6 @@
 	}
 	return place.Query{
 		Domain: a.GetDomain(), Region: a.GetRegion(), Exclude: a.GetExclude(), Generation: g,
-		Constraints: site.Constraints{Residency: encode.ReadResidency(a.GetResidency()), Software: encode.ReadSoftware(a.GetSoftware())},
+		Constraints: site.Constraints{Residency: encode.ReadResidency(a.GetResidency()), Software: encode.ReadSoftware(a.GetSoftware()), Withheld: a.GetWithheld()},
 	}
 }
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -136,6 +136,8 @@
 	deadline time.Time
 	// software has begun the stream, which may go on only there; nil before the answer has begun.
 	software *site.Software
+	// versionWaitEnd is until when the request waits for a version of the service; zero if it has not waited.
+	versionWaitEnd time.Time
 	// reservation is the reserved place at an engine; nil for plain services.
 	reservation *assign.Reservation
 	// limitWait is how long the caller is to wait if no server takes the request because of rate
--- a/ingress/services/flow/origin.go
+++ b/ingress/services/flow/origin.go
@@ -22,7 +22,7 @@
 	o := x.server.options.Origins.Find(ctx, x.Resumes, x.listServices())
 	x.log.Info("resume-requested", zap.String("resumes", x.Resumes), zap.String("last-event", x.LastEventID),
 		zap.String("began-at", o.Software.Version), zap.String("known-by", string(o.Source)), zap.String("held-by", o.HeldBy),
-		zap.Bool("may-be-held", o.MayBeHeld), zap.String("basis", string(o.Evidence.Basis)), zap.Duration("age", o.Evidence.Age), zap.Duration("records-age", o.Evidence.RecordsAge),
+		zap.Bool("may-be-held", o.MayBeHeld), zap.Duration("age", o.Evidence.Age), zap.Duration("records-age", o.Evidence.RecordsAge),
 		zap.Stringer("inventory", o.Evidence.Inventory), zap.Duration("took", time.Since(began)))
 	if o.Source == origin.SourceNone {
 		result := codes.NewResult(codes.OriginUnknown, "no ingress that answered knows the origin of the stream")
@@ -58,18 +58,47 @@
 	return x.AttemptID
 }
 
-// awaitRecorded waits until the version of the reserved engine is recorded, if the stream may be taken up. It
-// returns the result with which the request ends if the stream may not begin there.
-func (x *exchange) awaitRecorded(ctx context.Context) (waited bool, result *codes.Result) {
-	if !x.route.Resumable {
-		return false, nil
+// findWithheld returns which versions of the service the request must not be sent to, since it begins a stream that may be
+// taken up.
+func (x *exchange) findWithheld(versions []string) origin.Withheld {
+	if x.software != nil || !x.route.Resumable {
+		return origin.Withheld{}
 	}
-	server := x.reservedServer()
-	waited, err := x.server.options.Origins.AwaitRecorded(ctx, server.Software())
-	if err != nil {
-		result = codes.NewResult(codes.NoBackend, err.Error()).WithRetryAfter(originRetryAfter)
+	return x.server.options.Origins.FindWithheld(x.service, versions)
+}
+
+// listVersions returns the registered versions of the service.
+func (x *exchange) listVersions() []string {
+	return x.server.options.Views.View().Versions[x.service]
+}
+
+// maxVersionWait is how long a request waits at most until streams may begin at a software version.
+const maxVersionWait = time.Second
+
+// awaitVersion waits until streams may begin at a further version of the service. It returns false if there is none, or if
+// that takes too long: the request is refused at once then.
+func (x *exchange) awaitVersion(ctx context.Context) bool {
+	withheld := x.findWithheld(x.listVersions())
+	if len(withheld.Versions) == 0 {
+		return false
+	}
+	if x.versionWaitEnd.IsZero() {
+		x.versionWaitEnd = time.Now().Add(maxVersionWait)
+		x.log.Info("version-awaited", zap.Strings("withheld", withheld.Versions), zap.Duration("wait", withheld.Wait), zap.Bool("unnamed", withheld.IsUnnamed))
+	}
+	left := min(time.Until(x.versionWaitEnd), x.remaining())
+	if left <= 0 || withheld.Wait > left && !withheld.IsUnnamed {
+		return false
+	}
+	timer := time.NewTimer(min(left, withheld.Wait))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-withheld.Changed:
+	case <-timer.C:
 	}
-	return waited, result
+	return true
 }
 
 // recordBegun records that a server begins the answer. The stream may go on only at its software.
--- a/ingress/services/flow/places.go
+++ b/ingress/services/flow/places.go
@@ -22,13 +22,16 @@
 }
 
 // constraints returns which servers may receive the request now.
-func (x *exchange) constraints() site.Constraints {
-	return site.Constraints{Residency: x.residency(), Software: x.software}
+func (x *exchange) constraints() site.Constraints { return x.constrain(x.listVersions()) }
+
+// constrain returns which servers may receive the request now, of those with the given software versions.
+func (x *exchange) constrain(versions []string) site.Constraints {
+	return site.Constraints{Residency: x.residency(), Software: x.software, Withheld: x.findWithheld(versions).Versions}
 }
 
 // isAllowed reports whether a server may receive the request, whatever its load.
 func (x *exchange) isAllowed(server *site.Server) bool {
-	return x.constraints().Allow(server, x.server.options.Regions[server.Domain])
+	return x.constrain([]string{server.Version}).Allow(server, x.server.options.Regions[server.Domain])
 }
 
 // coldLimit returns this ingress's share of the rate limit of a cold server, as a function of the
@@ -108,11 +111,14 @@
 // refuseNoServer returns the result for a request that no server may receive now.
 func (x *exchange) refuseNoServer() *codes.Result {
 	pause := x.pauseWait()
+	withheld := x.findWithheld(x.listVersions())
 	switch {
 	case x.limitWait > 0:
 		return codes.NewResult(codes.Overloaded, x.describeNoServer()).WithRetryAfter(max(x.limitWait, shortRetryAfter))
 	case pause > 0:
 		return codes.NewResult(codes.Overloaded, x.describeNoServer()).WithRetryAfter(max(spreadReturn(pause), shortRetryAfter))
+	case x.sends == 0 && len(withheld.Versions) > 0:
+		return codes.NewResult(codes.NoBackend, x.describeNoServer()).WithRetryAfter(max(withheld.Wait, shortRetryAfter))
 	case x.sends > 0:
 		return codes.NewResult(codes.Overloaded, "every server that may take it refused").WithRetryAfter(shortRetryAfter)
 	default:
@@ -130,6 +136,9 @@
 	if x.software != nil {
 		detail += fmt.Sprintf("; the stream began at version %s of %s", x.software.Version, x.software.Service)
 	}
+	if withheld := x.findWithheld(x.listVersions()).Versions; len(withheld) > 0 {
+		detail += fmt.Sprintf("; no stream begins yet at version %s", joinShown(withheld))
+	}
 	if len(v.Evacuated) > 0 {
 		detail += fmt.Sprintf("; evacuated: %s", strings.Join(v.Evacuated, ","))
 	}
--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -159,7 +159,12 @@
 }
 
 func newView(version uint64, route site.Route, servers ...site.Server) *state.View {
+	versions := map[string][]string{}
+	for _, s := range servers {
+		versions["engines"] = append(versions["engines"], s.Version)
+	}
 	return &state.View{
+		Versions: versions,
 		Table: access.NewTable(&site.Config{Version: version, Routes: []site.Route{route}, Services: []site.Service{
 			{Name: "engines", Engine: &site.Engine{Slots: 8, CacheTokens: 1000}, ColdRate: 9, ColdTime: 3 * time.Second},
 		}}),
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -47,9 +47,8 @@
 	RecordBegun(attempt string, software site.Software, deadline time.Time)
 	RecordComplete(attempt string)
 	Find(ctx context.Context, attempt string, services []string) origin.Origin
-	// AwaitRecorded waits for a short time until the software version is recorded, so that a stream may begin
-	// there.
-	AwaitRecorded(ctx context.Context, software site.Software) (waited bool, err error)
+	// FindWithheld returns which versions of a service no stream may begin at now.
+	FindWithheld(service string, versions []string) origin.Withheld
 }
 
 // Statements holds what servers state about the requests that they take.
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -45,9 +45,14 @@
 // engine is eligible.
 func (x *exchange) reserveEngine(ctx context.Context) bool {
 	x.cancelReservation()
-	x.reservation, x.limitWait = x.server.options.EnginePlacer.Place(ctx, x.service, x.newQuery())
-	if x.reservation == nil {
-		return false
+	for {
+		x.reservation, x.limitWait = x.server.options.EnginePlacer.Place(ctx, x.service, x.newQuery())
+		if x.reservation != nil {
+			break
+		}
+		if !x.awaitVersion(ctx) {
+			return false
+		}
 	}
 	x.log.Info("placed", zap.String("team", x.Decision.Team), zap.Int("rank", int(x.Decision.Rank)), zap.String("server", x.reservation.Server().ID), zap.String("version", x.reservation.Server().Version), zap.String("by", x.reservation.PlacedBy),
 		zap.Duration("predicted-wait", x.reservation.Wait), zap.String("fetch-from", x.reservation.FetchFrom))
@@ -84,10 +89,7 @@
 // placed there before were not counted against it, or have asked for a pause.
 func (x *exchange) isReservationUsable() bool {
 	server, found := assign.FindServer(x.server.options.Views.View(), x.service, x.reservation.Server().ID)
-	if !found || !x.isAllowed(&server) {
-		return false
-	}
-	if x.isPaused(&server) {
+	if !found || !x.isAllowed(&server) || x.isPaused(&server) {
 		return false
 	}
 	_, limited := x.server.options.Limits.Find(&server)
@@ -157,12 +159,9 @@
 		if result := r.prepare(ctx); result != nil {
 			return r.endStream(result)
 		}
-		waited, result := r.awaitRecorded(ctx)
-		if result != nil {
-			return r.endStream(result)
-		}
-		if waited && !r.isReservationUsable() {
-			continue
+		server := r.reservedServer()
+		if !r.isAllowed(&server) {
+			continue // its registration has changed since it was reserved
 		}
 		// The request may have been quarantined while the results were produced, because it
 		// crashed servers when sent by other ingresses.
@@ -173,7 +172,7 @@
 			return r.endStream(refused)
 		}
 		r.reservation.MarkSent()
-		v := r.try(ctx, r.reservedServer())
+		v := r.try(ctx, server)
 		if !v.retry || r.remaining() <= 0 {
 			return r.endStream(v.result)
 		}
--- a/ingress/services/origin/inventory.go
+++ b/ingress/services/origin/inventory.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,6 +12,7 @@
 	"verbenaroad.example/share/decide/turn"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/uptime"
 )
 
 const (
@@ -26,16 +27,12 @@
 	// at the first start no ingress knows the rank of the others. maxCreationSpread limits the range.
 	creationSpread    = 10 * time.Millisecond
 	maxCreationSpread = time.Second
-	// recordTimeout is how long a version that the inventory does not name gets no streams.
-	recordTimeout = time.Second
+	// incompleteDelay is how much later an ingress makes the first write if it does not know all versions.
+	incompleteDelay = 2 * time.Second
 	// inventoryRankKey makes the ingress that writes the inventory independent of those that work for services.
 	inventoryRankKey = "inventory"
 )
 
-// ErrNotRecorded means that no stream may begin at a software version, since the inventory does not name it
-// and nothing else would tell after a restart that ingresses ran before.
-var ErrNotRecorded = errors.New("the software version is not in the inventory")
-
 // Start keeps the inventory in the store up to date until the context ends.
 func (o *Registry) Start(ctx context.Context) { go o.loop(ctx) }
 
@@ -50,7 +47,7 @@
 		case <-o.wakeUnless(pause > 0):
 		}
 		pause = 0
-		if updated, isDue := o.confirm(time.Now()); isDue && o.isTurn(time.Now(), order) {
+		if updated, isDue := o.confirm(); isDue && o.isTurn(time.Now(), order) {
 			if o.write(ctx, updated) != nil {
 				pause = retryPause
 			}
@@ -69,26 +66,37 @@
 }
 
 // confirm records up to when the store has confirmed the view, and returns the inventory as it should be.
-func (o *Registry) confirm(now time.Time) (updated site.Inventory, isDue bool) {
-	age := o.options.News.Age()
+func (o *Registry) confirm() (updated site.Inventory, isDue bool) {
+	now := uptime.Now() // before the age: the process may be stopped between the two
+	age := o.options.News.RecordsAge()
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	if !o.view.IsComplete || age > maxNewsAge {
+	if !o.view.IsComplete || age > Lease {
 		return site.Inventory{}, false
 	}
-	o.history.Confirm(now.Add(-age), o.view.Era)
+	o.confirmAt(now.Add(-age))
 	updated, isDue = o.history.Update(now, o.view.Era)
 	if updated.Revision.IsZero() {
 		updated.Revision.Era = o.view.Era // the condition that there is none yet
-		if o.createAt.IsZero() {
-			spread := min(time.Duration(len(o.view.Ingresses))*creationSpread, maxCreationSpread)
-			o.createAt = now.Add(rand.N(spread + 1))
-		}
-		isDue = isDue && !now.Before(o.createAt)
+		isDue = isDue && o.mayCreate(now)
 	}
 	return updated, isDue
 }
 
+// mayCreate reports whether this ingress makes the first write. One that does not know all versions leaves it to those
+// that do for a while: what it writes is not complete, and announces versions that may be in use. The caller holds
+// the lock.
+func (o *Registry) mayCreate(now time.Time) bool {
+	if o.createAt.IsZero() {
+		spread := min(time.Duration(len(o.view.Ingresses))*creationSpread, maxCreationSpread)
+		o.createAt = now.Add(rand.N(spread + 1)) //nolint:gosec // a delay, no secret
+	}
+	if !o.history.IsComplete() {
+		return !now.Before(o.createAt.Add(incompleteDelay))
+	}
+	return !now.Before(o.createAt)
+}
+
 // isTurn reports whether this ingress makes a write that is due.
 func (o *Registry) isTurn(now time.Time, order *turn.Order) bool {
 	place := slices.Index(o.options.Peers.Rank(inventoryRankKey), o.options.Peers.Self())
@@ -102,52 +110,81 @@
 		defer cancel()
 		_, err = o.options.Store.PutIf(ctx, o.options.Codec.InventoryKey(), value, updated.Revision)
 	}
-	o.options.Log.Info("inventory-written", zap.Stringers("software", updated.ListSoftware()), zap.Bool("complete", updated.IsComplete),
+	o.options.Log.Info("inventory-written", zap.Stringers("software", updated.ListSoftware()), zap.Stringers("announced", updated.ListPending()), zap.Bool("complete", updated.IsComplete),
 		zap.Uint64("era", updated.Era), zap.Stringer("revision-before", updated.Revision), logs.Err(err))
 	return err
 }
 
-// AwaitRecorded waits until the inventory names a software version, so that after the loss of all ingresses
-// those that start know of it. A version that nobody could record in time is used nevertheless, unless this
-// ingress is not registered either: then nothing would tell those that start that one has run before.
-func (o *Registry) AwaitRecorded(ctx context.Context, software site.Software) (waited bool, err error) {
-	for ; ; waited = true {
-		isRecorded, wait, changed := o.checkRecorded(time.Now(), software)
-		switch {
-		case isRecorded:
-			return waited, nil
-		case wait <= 0 && o.options.News.IsRegistered():
-			return waited, nil
-		case wait <= 0:
-			return waited, ErrNotRecorded
-		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return true, ctx.Err()
-		case <-changed:
-			timer.Stop()
-		case <-timer.C:
-			o.options.Log.Warn("software-not-recorded", zap.Stringer("software", software),
-				zap.Duration("age", o.options.News.Age()))
-		}
-	}
+// Withheld are software versions of a service at which no stream may begin now.
+type Withheld struct {
+	Versions []string
+	// Wait is the time until the first stream may begin at one of them. If IsUnnamed is set it may be shorter: the
+	// inventory does not name one of them yet.
+	Wait      time.Duration
+	IsUnnamed bool
+	// Changed is closed when this has to be looked at again before that.
+	Changed <-chan struct{}
 }
 
-// checkRecorded reports whether the inventory names a software version. If it does not, checkRecorded returns how
-// much longer streams wait for that, not positive: no longer, and a channel that is closed once the view changes.
-func (o *Registry) checkRecorded(now time.Time, software site.Software) (isRecorded bool, wait time.Duration, changed <-chan struct{}) {
+// FindWithheld returns which of the registered versions of a service no stream that may be taken up may begin at now,
+// since the inventory does not name them, or announces them. A version that the inventory has not named for the whole
+// notice, since the store takes no writes, is used nevertheless, unless this ingress is not registered either: then
+// nothing would tell those that start later that one has run before.
+func (o *Registry) FindWithheld(service string, versions []string) Withheld {
+	now := uptime.Now()
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	if o.history.IsRecorded(software) {
-		delete(o.unrecordedSince, software)
-		return true, 0, nil
+	withheld := Withheld{Wait: notice, Changed: o.changed}
+	for _, version := range versions {
+		s := site.Software{Service: service, Version: version}
+		left := o.findNoticeLeft(now, s)
+		if left <= 0 {
+			continue
+		}
+		withheld.Versions = append(withheld.Versions, version)
+		withheld.Wait = min(withheld.Wait, left)
+		withheld.IsUnnamed = withheld.IsUnnamed || !o.history.IsNamed(s)
+	}
+	return withheld
+}
+
+// findNoticeLeft returns how much longer no stream may begin at a software; 0: it may begin. The caller holds the lock.
+func (o *Registry) findNoticeLeft(now time.Time, s site.Software) time.Duration {
+	if o.history.IsNamed(s) {
+		return o.history.NoticeLeft(now, s)
 	}
-	since, isKnown := o.unrecordedSince[software]
+	since, isKnown := o.unnamedSince[s]
 	if !isKnown {
-		since = now
-		o.unrecordedSince[software] = now
+		return notice // it has registered since the last view
+	}
+	left := since.Add(notice).Sub(now)
+	switch {
+	case left > 0:
+		return left
+	case !o.options.News.IsRegistered():
+		return checkInterval
+	case !o.reported[s]:
+		o.reported[s] = true
+		o.options.Log.Warn("software-not-recorded", zap.Stringer("software", s), zap.Duration("age", o.options.News.Age()))
+	}
+	return 0
+}
+
+// observeUnnamed records which registered versions the inventory does not name. The caller holds the lock.
+func (o *Registry) observeUnnamed(now time.Time) {
+	unnamed := map[site.Software]bool{}
+	for service, versions := range o.view.Versions {
+		for _, version := range versions {
+			s := site.Software{Service: service, Version: version}
+			if o.history.IsNamed(s) {
+				continue
+			}
+			unnamed[s] = true
+			if _, isKnown := o.unnamedSince[s]; !isKnown {
+				o.unnamedSince[s] = now
+			}
+		}
 	}
-	return false, since.Add(recordTimeout).Sub(now), o.changed
+	maps.DeleteFunc(o.unnamedSince, func(s site.Software, _ time.Time) bool { return !unnamed[s] })
+	maps.DeleteFunc(o.reported, func(s site.Software, _ bool) bool { return !unnamed[s] })
 }
--- a/ingress/services/origin/origin.go
+++ b/ingress/services/origin/origin.go
@@ -19,6 +19,8 @@
 	"verbenaroad.example/share/decide/memo"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/logs"
+	"verbenaroad.example/share/modules/pauses"
+	"verbenaroad.example/share/modules/uptime"
 	"verbenaroad.example/share/modules/wire"
 )
 
@@ -81,9 +83,10 @@
 	view    *state.View
 	// changed is closed and replaced when the view changes.
 	changed chan struct{}
-	// unrecordedSince holds since when streams wait for the inventory to name a software version. A software
-	// version that has left without being recorded stays in it; there are few.
-	unrecordedSince map[site.Software]time.Time
+	// unnamedSince holds since when the inventory has not named a registered software version.
+	unnamedSince map[site.Software]time.Time
+	// reported holds those of them that streams begin at nevertheless.
+	reported map[site.Software]bool
 	// createAt is when this ingress writes the first inventory; zero before it is missed.
 	createAt time.Time
 }
@@ -91,8 +94,8 @@
 // NewRegistry returns a registry that has not observed any service.
 func NewRegistry(options Options) *Registry {
 	return &Registry{
-		options: options, wake: make(chan struct{}, 1), history: builds.NewHistory(), view: &state.View{},
-		changed: make(chan struct{}), unrecordedSince: map[site.Software]time.Time{},
+		options: options, wake: make(chan struct{}, 1), history: builds.NewHistory(builds.Terms{Lease: Lease, Notice: notice}), view: &state.View{},
+		changed: make(chan struct{}), unnamedSince: map[site.Software]time.Time{}, reported: map[site.Software]bool{},
 	}
 }
 
@@ -106,9 +109,15 @@
 const (
 	// MemoPrefix precedes the attempt that brought the first event of a stream in the key of its memo.
 	MemoPrefix = "stream/"
-	// maxNewsAge is how old the news of the store may be at an ingress that does not reach all others, if it
-	// is to know that no further version has been added.
-	maxNewsAge = 3 * time.Second
+	// Lease is how long an ingress may rely on records that the store has confirmed, and notice how long a version is
+	// announced before streams begin there. The ingresses of a deployment must have the same: an ingress that is cut
+	// off, or stands still, cannot miss the announcement within its lease. The difference covers clocks that run
+	// at different rates. While the store answers, records are confirmed more often than once in a lease.
+	Lease  = 4 * time.Second
+	notice = Lease + 500*time.Millisecond
+	// newsWait limits how long a lookup waits for the store to confirm the records, newsInterval is how often it checks.
+	newsWait     = 300 * time.Millisecond
+	newsInterval = 20 * time.Millisecond
 	// returnTime is how long after the time limit of a stream its caller may still take it up.
 	returnTime = 30 * time.Second
 )
@@ -124,7 +133,8 @@
 	if v.Table != nil {
 		o.history.SetRetention(v.Table.LongestStream() + returnTime)
 	}
-	o.history.Observe(time.Now(), v.Versions, v.Inventory)
+	o.history.Observe(uptime.Now(), v.Versions, v.Inventory)
+	o.observeUnnamed(uptime.Now())
 	close(o.changed)
 	o.changed = make(chan struct{})
 	select {
@@ -164,31 +174,18 @@
 	SourceNone Source = ""
 	// SourceMemo means that the ingress that began the stream recorded it.
 	SourceMemo Source = "memo"
-	// SourceOnly means that the servers of the service have had one version only, as the inventory and own
+	// SourceOnly means that streams of the service have begun at one version only, as the inventory and own
 	// observation tell.
 	SourceOnly Source = "only-version"
 )
 
-// Basis is why a version is taken for the only one.
-type Basis string
-
-// The bases.
-const (
-	// BasisNone means that no version is.
-	BasisNone Basis = ""
-	// BasisNews means that the store has confirmed the view lately.
-	BasisNews Basis = "news"
-	// BasisLookup means that all ingresses that may hold a memo have answered that they do not.
-	BasisLookup Basis = "lookup"
-)
-
 // Origin is what is known of the software that began a stream.
 type Origin struct {
 	Software site.Software
 	Source   Source
 	// HeldBy is the ingress that held the memo.
 	HeldBy string
-	// Evidence is what was known of the versions of the service; it is not set where a memo was found.
+	// Evidence is not set where a memo was found.
 	Evidence Evidence
 	// MayBeHeld is set if an ingress that did not answer may know the origin.
 	MayBeHeld bool
@@ -196,8 +193,6 @@
 
 // Evidence is what a lookup without a memo rests on.
 type Evidence struct {
-	// Basis is why a version is taken for the only one.
-	Basis Basis
 	// Age is the time since the store last answered, RecordsAge for how long the records may have lacked a change.
 	Age, RecordsAge time.Duration
 	// Inventory is the revision of the inventory; zero: there was none.
@@ -206,7 +201,7 @@
 
 // Find returns the software that began a stream. Attempt is the attempt that brought its first event;
 // empty: the caller did not state it. Services are those of the stream's route; if the stream may go on at
-// any of them, the first one is chosen.
+// any of them, the first one is chosen. Find waits for a short time for the store if its news are old.
 func (o *Registry) Find(ctx context.Context, attempt string, services []string) Origin {
 	finding := recall.Finding{}
 	if attempt != "" {
@@ -219,48 +214,64 @@
 		}
 		o.options.Log.Warn("origin-unreadable", zap.String("resumes", attempt), zap.String("ingress", finding.HeldBy), logs.Err(err))
 	}
-	found := Origin{Evidence: Evidence{Age: o.options.News.Age(), RecordsAge: o.options.News.RecordsAge()}}
-	only, isComplete := o.findOnlyVersion(services)
-	found.Evidence.Inventory = o.inventoryRevision()
-	switch {
-	case only != nil && found.Evidence.Age <= maxNewsAge:
-		found.Evidence.Basis = BasisNews
-	case only != nil && finding.Conclusive:
-		found.Evidence.Basis = BasisLookup
-	default:
-		found.MayBeHeld = !isComplete || !finding.Conclusive
-		return found
+	found := o.findOnlyVersion(services)
+	if found.Source == SourceNone && o.awaitNews(ctx) {
+		found = o.findOnlyVersion(services)
+	}
+	if found.Source == SourceNone {
+		found.MayBeHeld = found.MayBeHeld || !finding.Conclusive
 	}
-	found.Software, found.Source = *only, SourceOnly
 	return found
 }
 
-// inventoryRevision returns the revision of the inventory as it is known here; zero: there is none.
-func (o *Registry) inventoryRevision() site.Revision {
-	o.lock.Lock()
-	defer o.lock.Unlock()
-	if o.view.Inventory == nil {
-		return site.Revision{}
+// awaitNews waits until the store has confirmed the records within a lease. It returns false if it had before, or if
+// that takes too long.
+func (o *Registry) awaitNews(ctx context.Context) bool {
+	if o.options.News.RecordsAge() <= Lease {
+		return false
 	}
-	return o.view.Inventory.Revision
+	for range newsWait / newsInterval {
+		if !pauses.Wait(ctx, newsInterval) {
+			return false
+		}
+		if o.options.News.RecordsAge() <= Lease {
+			return true
+		}
+	}
+	return false
 }
 
-// findOnlyVersion returns the software of the first service if each of the services has had one version
-// only, or nil. isComplete is false if registrations may be missing.
-func (o *Registry) findOnlyVersion(services []string) (only *site.Software, isComplete bool) {
+// findOnlyVersion returns the software of the first service if streams of each of the services can have begun at one
+// version only. MayBeHeld is set if the records are not complete, or too old to tell.
+func (o *Registry) findOnlyVersion(services []string) Origin {
+	now := uptime.Now() // before the age: the process may be stopped between the two
+	found := Origin{Evidence: Evidence{Age: o.options.News.Age(), RecordsAge: o.options.News.RecordsAge()}}
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	now := time.Now()
+	if o.view.Inventory != nil {
+		found.Evidence.Inventory = o.view.Inventory.Revision
+	}
+	found.MayBeHeld = !o.view.IsComplete || found.Evidence.RecordsAge > Lease
+	o.confirmAt(now.Add(-found.Evidence.RecordsAge))
+	only := site.Software{}
 	for i, service := range services {
 		version, known := o.history.Sole(now, service)
 		if !known {
-			return nil, o.view.IsComplete
+			return found
 		}
 		if i == 0 {
-			only = &site.Software{Service: service, Version: version}
+			only = site.Software{Service: service, Version: version}
 		}
 	}
-	return only, o.view.IsComplete
+	return Origin{Software: only, Source: SourceOnly, Evidence: found.Evidence}
+}
+
+// confirmAt records that the view contains each change that the store had made at the given time. The caller holds the
+// lock, and has read the time before it took it.
+func (o *Registry) confirmAt(at time.Time) {
+	if o.view.IsComplete {
+		o.history.Confirm(at, o.view.Era)
+	}
 }
 
 // Select selects the memos that are kept in the store: those of streams of services that have, or had lately, several
@@ -268,7 +279,7 @@
 func (o *Registry) Select() recall.Selection {
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	mixed := o.history.ListMixed(time.Now())
+	mixed := o.history.ListMixed(uptime.Now())
 	return recall.Selection{
 		IsKnown: o.view.IsComplete, Name: strings.Join(mixed, "\n"), Life: o.history.Retention(),
 		Keeps: func(m memo.Memo) bool {
--- a/ingress/services/state/apply.go
+++ b/ingress/services/state/apply.go
@@ -47,7 +47,7 @@
 	}
 	inventory.Revision = r.Revision
 	b.inventory = &inventory
-	b.options.Log.Info("inventory-seen", zap.Stringers("software", inventory.ListSoftware()), zap.Bool("complete", inventory.IsComplete),
+	b.options.Log.Info("inventory-seen", zap.Stringers("software", inventory.ListSoftware()), zap.Stringers("announced", inventory.ListPending()), zap.Bool("complete", inventory.IsComplete),
 		zap.Uint64("confirmed-in-era", inventory.Era), zap.Stringer("revision", r.Revision), zap.String("source", source))
 }
 
--- a/proofs/hosted/process_test.go
+++ b/proofs/hosted/process_test.go
@@ -139,6 +139,18 @@
 	return len(i.output.lines("event=inventory-seen", service+":"+version)) > 0
 }
 
+// usesVersion reports whether the last inventory that the ingress has seen names a software version of a service and does
+// not only announce it.
+func (i *ingress) usesVersion(service, version string) bool {
+	seen := i.output.lines("event=inventory-seen")
+	if len(seen) == 0 {
+		return false
+	}
+	named, announced, _ := strings.Cut(seen[len(seen)-1], " announced=")
+	announced, _, _ = strings.Cut(announced, " ")
+	return strings.Contains(named, service+":"+version) && !strings.Contains(announced, service+":"+version)
+}
+
 func (i *ingress) hasExited() bool {
 	select {
 	case <-i.exited:
