flow, events: streams log which events were passed on, and how each run's answer ended

The reader of events has a package of its own; its behaviour is as before, but that an event with an empty ID does not clear the last one: a stream that broke then began anew.

--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"time"
@@ -21,14 +20,28 @@
 	relayBufferBytes = 16 << 10
 	// maxEventBytes limits the length of an event. The stream fails if an event is longer.
 	maxEventBytes = 1 << 20
-	// eventEnd ends an event.
-	eventEnd = "\n\n"
+)
+
+// passedEvents describes the events of a stream that were passed on to its caller.
+type passedEvents struct {
+	count int
+	// firstID and lastID are the IDs of the first and the last of them; empty: they had none.
+	firstID, lastID string
+	// framing is that of the answer that brought the last ones.
+	framing reach.Framing
+}
+
+// runEnd is how the run of a stream at an engine ended, if not as its framing tells.
+type runEnd string
+
+const (
+	endBroken runEnd = "broken"
 )
 
 // forward relays the answer to the caller. Events are only written complete.
 func (r *relay) forward(server site.Server, reply *reach.Reply) error {
 	buffer := make([]byte, relayBufferBytes)
-	pending := []byte{}
+	r.passed.framing = reply.Framing
 	started := false
 	for {
 		n, err := reply.Body.Read(buffer)
@@ -36,24 +49,21 @@
 			started = true
 			r.observeFirstEvent(server, reply)
 		}
-		pending = append(pending, buffer[:n]...)
-		complete := completeLength(pending)
-		if complete > 0 {
+		if complete := r.events.Add(buffer[:n]); len(complete) > 0 {
 			r.sendHead(&server, reply)
-			if failed := r.write(pending[:complete]); failed != nil {
+			if failed := r.write(complete); failed != nil {
 				return failed
 			}
-			pending = append(pending[:0], pending[complete:]...)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0:
+		case errors.Is(err, io.EOF) && r.events.Pending() == 0:
 			r.sendHead(&server, reply)
 			return nil
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF // the stream ended in the middle of an event
 		case err != nil:
 			return err
-		case len(pending) > maxEventBytes:
+		case r.events.Pending() > maxEventBytes:
 			return errors.New("event exceeds the length limit of 1 MiB")
 		}
 	}
@@ -80,57 +90,46 @@
 	r.reservation.MarkAnswering(reply.Load)
 	took := time.Since(r.Arrived)
 	r.log.Info("stream-begun", zap.String("server", server.ID), zap.String("version", server.Version),
-		zap.String("after-event", r.lastID), zap.Duration("took", took))
+		zap.String("after-event", r.lastID), zap.String("framing", string(reply.Framing)), zap.Duration("took", took))
 	r.server.options.Meter.CountFirstEvent(r.route.Name, took)
 }
 
 // write writes complete events to the caller.
-func (r *relay) write(events []byte) error {
-	r.countEvents(bytes.Count(events, []byte(eventEnd)))
-	if id, found := lastEventID(events); found {
+func (r *relay) write(complete []byte) error {
+	r.countEvents()
+	if id := r.events.LastID(); id != "" {
 		r.lastID = id
 	}
-	if _, err := r.writer.Write(events); err != nil {
+	if _, err := r.writer.Write(complete); err != nil {
 		return &callerError{cause: err}
 	}
 	if err := r.writer.Flush(); err != nil {
 		return &callerError{cause: err}
 	}
+	r.recordPassed()
 	return nil
 }
 
+// recordPassed records that the caller was sent what has arrived of the current run.
+func (r *relay) recordPassed() {
+	r.passed.count = r.passedBefore + r.events.Count()
+	r.passed.lastID = r.lastID
+	if r.passed.firstID == "" {
+		r.passed.firstID = r.events.FirstID()
+	}
+}
+
 // answeredAfter is how long after its first event an attempt must bring a further one to count as answered. A
 // server that crashes on a request may bring an event before.
 const answeredAfter = 250 * time.Millisecond
 
-// countEvents counts whole events of the current attempt.
-func (r *relay) countEvents(n int) {
-	if r.events == 0 {
+// countEvents observes that the current attempt has brought events.
+func (r *relay) countEvents() {
+	if r.firstEventAt.IsZero() {
 		r.firstEventAt = time.Now()
 	}
-	r.events += n
 	if !r.isAnswered && time.Since(r.firstEventAt) >= answeredAfter {
 		r.isAnswered = true
 		r.server.options.Screen.RecordAnswered(r.identity, *r.software)
 	}
 }
-
-// completeLength returns the total length of the complete events at the start of data.
-func completeLength(data []byte) int {
-	n := bytes.LastIndex(data, []byte(eventEnd))
-	if n < 0 {
-		return 0
-	}
-	return n + len(eventEnd)
-}
-
-// lastEventID returns the ID of the last event that has one.
-func lastEventID(events []byte) (string, bool) {
-	lines := bytes.Split(events, []byte("\n"))
-	for i := len(lines) - 1; i >= 0; i-- {
-		if id, found := bytes.CutPrefix(lines[i], []byte("id:")); found {
-			return string(bytes.TrimSpace(id)), true
-		}
-	}
-	return "", false
-}
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -134,6 +134,8 @@
 	log        *zap.Logger
 	// deadline is when the request must have its final answer.
 	deadline time.Time
+	// passed describes what of a stream was passed on; zero for a plain request.
+	passed passedEvents
 	// software has begun the stream, which may go on only there; nil before the answer has begun.
 	software *site.Software
 	// versionWaitEnd is until when the request waits for a version of the service; zero if it has not waited.
@@ -228,7 +230,9 @@
 	took := time.Since(x.Arrived)
 	result = x.correctOutcome(result)
 	if result == nil {
-		x.log.Info("answered", zap.Duration("took", took), zap.Int("sends", x.sends), zap.Strings("servers", x.tried))
+		x.log.Info("answered", zap.Duration("took", took), zap.Int("sends", x.sends), zap.Strings("servers", x.tried),
+			zap.Int("events", x.passed.count), zap.String("first-event", x.passed.firstID), zap.String("last-event", x.passed.lastID),
+			zap.String("framing", string(x.passed.framing)))
 		x.server.options.Meter.CountAnswer(x.route.Name, "answered", took)
 		return
 	}
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -111,4 +111,7 @@
 	CountAnswer(route, outcome string, took time.Duration)
 	CountFirstEvent(route string, took time.Duration)
 	CountRetry(service, reason string)
+	// CountStreamRun counts a run of a stream at an engine by its end: the framing of a whole answer, or why it is not
+	// whole.
+	CountStreamRun(route, end string)
 }
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -9,13 +9,12 @@
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/modules/events"
 	"verbenaroad.example/ingress/services/assign"
-	"verbenaroad.example/ingress/services/reach"
 	"verbenaroad.example/ingress/services/stages"
 	"verbenaroad.example/share/decide/place"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/codes"
-	"verbenaroad.example/share/modules/logs"
 )
 
 // serveStream runs the stages of the request and relays the events of an engine.
@@ -139,10 +138,11 @@
 	headSent bool
 	// lastID is the ID of the last event that was written to the caller.
 	lastID string
-	// events is the number of whole events that the current attempt has brought, firstEventAt when the
-	// first of them came.
-	events       int
+	// events reads what the current attempt brings, firstEventAt is when its first event came. passedBefore is the
+	// number of events that the attempts before have brought.
+	events       *events.Reader
 	firstEventAt time.Time
+	passedBefore int
 }
 
 // preconnect opens a connection in advance to the reserved engine, unless it takes no requests any more.
@@ -210,7 +210,8 @@
 		return result
 	}
 	r.log.Warn("stream-cut", zap.String("code", result.Code.Name()), zap.String("detail", result.Detail),
-		zap.String("last-event", r.lastID), zap.Duration("took", time.Since(r.Arrived)))
+		zap.String("first-event", r.passed.firstID), zap.String("last-event", r.passed.lastID), zap.Int("events", r.passed.count),
+		zap.Duration("took", time.Since(r.Arrived)))
 	r.server.options.Meter.CountAnswer(r.route.Name, "stream-cut", time.Since(r.Arrived))
 	panic(http.ErrAbortHandler)
 }
@@ -219,7 +220,8 @@
 func (r *relay) try(ctx context.Context, server site.Server) verdict {
 	r.tried = append(r.tried, server.ID)
 	r.sends++
-	r.events, r.isAnswered = 0, false
+	r.events, r.isAnswered, r.firstEventAt = events.NewReader(), false, time.Time{}
+	r.passedBefore = r.passed.count
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	handles := []string(nil)
@@ -256,6 +258,7 @@
 		r.runs-- // handleBreak counts it again
 		return r.handleBreak(ctx, server, err, took)
 	}
+	r.server.options.Meter.CountStreamRun(r.route.Name, string(reply.Framing))
 	r.end(server, place.ResultServed, took, reply.Load)
 	if len(r.tried) == 1 && r.LastEventID == "" {
 		r.server.observeAnswer(r.route.Name, took)
@@ -265,52 +268,3 @@
 	r.server.options.Screen.RecordAnswered(r.identity, server.Software())
 	return verdict{}
 }
-
-// handleFailure handles an engine's answer with a status of 300 or above, which is not a stream of
-// events. A resumable stream is first tried at another engine. Otherwise the engine's answer is
-// delivered unchanged, unless the answer to the caller has already begun; the stream then fails.
-func (r *relay) handleFailure(ctx context.Context, server site.Server, reply *reach.Reply, took time.Duration) verdict {
-	buffered, isWhole, err := r.buffer(reply)
-	if err != nil {
-		return r.handleBreak(ctx, server, err, took)
-	}
-	r.log.Warn("stream-refused", zap.String("server", server.ID), zap.Int("status", reply.Status), zap.Duration("took", took))
-	r.runs++
-	r.server.options.Screen.RecordServed(r.identity.Request, server.Version)
-	r.end(server, outcomeOf(reply.Status < http.StatusInternalServerError), took, reply.Load)
-	if r.route.Resumable && r.mayRunAgain("server-error") {
-		return verdict{retry: true, result: codes.NewResult(codes.BackendFailed, server.ID+" failed")}
-	}
-	if r.headSent {
-		return verdict{result: codes.NewResult(codes.BackendFailed, server.ID+" failed")}
-	}
-	r.deliver(r.writer, reply, buffered, isWhole)
-	return verdict{}
-}
-
-// handleBreak records a stream that broke off or never began, and decides how to proceed. Only a
-// resumable stream may continue at another server, after the last event that was received.
-func (r *relay) handleBreak(ctx context.Context, server site.Server, err error, took time.Duration) verdict {
-	var caller *callerError
-	if errors.As(err, &caller) {
-		r.end(server, place.ResultCanceled, took, nil)
-		return verdict{result: codes.NewResult(codes.Canceled, "the caller left")}
-	}
-	callerLeft := errors.Is(ctx.Err(), context.Canceled)
-	if callerLeft || errors.Is(err, reach.ErrNotSent) || ctx.Err() == nil && !r.route.Resumable {
-		return r.handleError(ctx, server, err, took)
-	}
-	r.log.Warn("stream-broken", zap.String("digest", string(r.identity.Request)), zap.Strings("parts", r.describeParts()), zap.String("server", server.ID),
-		zap.Int("events", r.events), zap.String("last-event", r.lastID),
-		zap.Duration("took", took), logs.Err(err))
-	r.end(server, place.ResultBroken, took, nil)
-	r.recordCrash(server, took)
-	r.runs++
-	if ctx.Err() != nil || r.remaining() <= 0 {
-		return verdict{result: codes.NewResult(codes.DeadlineExceeded, "the stream did not end in time")}
-	}
-	if r.route.Resumable && r.mayRunAgain("resume") {
-		return verdict{retry: true, result: codes.NewResult(codes.AnswerIncomplete, "the stream broke off")}
-	}
-	return verdict{result: codes.NewResult(codes.AnswerIncomplete, "the stream broke off")}
-}
--- a/ingress/services/flow/stream_test.go
+++ b/ingress/services/flow/stream_test.go
@@ -54,6 +54,7 @@
 func (noMeter) CountAnswer(string, string, time.Duration) {}
 func (noMeter) CountFirstEvent(string, time.Duration)     {}
 func (noMeter) CountRetry(string, string)                 {}
+func (noMeter) CountStreamRun(string, string)             {}
 func (noMeter) CountLimitedSend(string)                   {}
 func (noMeter) SetLimitedServers(int)                     {}
 func (noMeter) SetClosedServers(int, int)                 {}
--- a/ingress/services/meters/meters.go
+++ b/ingress/services/meters/meters.go
@@ -15,6 +15,7 @@
 	answers       *prometheus.HistogramVec
 	firstEvents   *prometheus.HistogramVec
 	retries       *prometheus.CounterVec
+	streamRuns    *prometheus.CounterVec
 	batches       *prometheus.HistogramVec
 	batchItems    *prometheus.CounterVec
 	limitedSends  *prometheus.CounterVec
@@ -51,6 +52,9 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenaroad_repeats_total", Help: "Requests that were sent to a further backend server.",
 		}, []string{"service", "reason"}),
+		streamRuns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "verbenaroad_stream_runs_total", Help: "Runs of streams at engines, by how their answers ended.",
+		}, []string{"route", "end"}),
 		batches: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "verbenaroad_batch_seconds", Help: "Time of a call that produces results of stages.", Buckets: latencyBuckets(),
 		}, []string{"service", "outcome"}),
@@ -89,7 +93,7 @@
 			Name: "verbenaroad_request_memory_bytes", Help: "Memory held by bodies of requests and by answers that are not read yet.",
 		}, func() float64 { return float64(requestMemory()) }),
 	}
-	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.batches, m.batchItems, m.limitedSends, m.limitedCount, m.closedCount, m.droppedLines, m.reloads, m.lateChecks, m.refusedConns, m.configVersion, m.storeAge, m.requestMemory)
+	m.registry.MustRegister(m.answers, m.firstEvents, m.retries, m.streamRuns, m.batches, m.batchItems, m.limitedSends, m.limitedCount, m.closedCount, m.droppedLines, m.reloads, m.lateChecks, m.refusedConns, m.configVersion, m.storeAge, m.requestMemory)
 	return m
 }
 
@@ -113,6 +117,10 @@
 	m.retries.WithLabelValues(service, reason).Inc()
 }
 
+// CountStreamRun counts a run of a stream at an engine by its end: length, chunks or connection for a whole answer, or
+// why it is not whole.
+func (m *Meters) CountStreamRun(route, end string) { m.streamRuns.WithLabelValues(route, end).Inc() }
+
 // CountBatch records a call that produces results of stages, with the number of its items.
 func (m *Meters) CountBatch(service, outcome string, items int, took time.Duration) {
 	m.batches.WithLabelValues(service, outcome).Observe(took.Seconds())
--- a/ingress/services/reach/reach.go
+++ b/ingress/services/reach/reach.go
@@ -82,7 +82,30 @@
 	site.Answer
 	Body io.ReadCloser
 	// Length is the length of the body; -1: not announced.
-	Length int64
+	Length  int64
+	Framing Framing
+}
+
+// Framing is how the end of an answer is marked.
+type Framing string
+
+// The framings.
+const (
+	FramingLength Framing = "length"
+	FramingChunks Framing = "chunks"
+	// FramingConnection means that the answer ends with its connection.
+	FramingConnection Framing = "connection"
+)
+
+func framingOf(r *http.Response) Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return FramingChunks
+	case r.ContentLength >= 0:
+		return FramingLength
+	default:
+		return FramingConnection
+	}
 }
 
 // Client sends requests to backend servers. It is safe for concurrent use.
@@ -236,7 +259,7 @@
 	}
 	answer := c.codec.ReadAnswer(response.StatusCode, response.Header)
 	c.statements.ObserveAnswer(r.Server, answer)
-	return &Reply{Answer: answer, Body: response.Body, Length: response.ContentLength}, nil
+	return &Reply{Answer: answer, Body: response.Body, Length: response.ContentLength, Framing: framingOf(response)}, nil
 }
 
 func (c *Client) newRequest(ctx context.Context, r Request) (*http.Request, error) {
