flow, events, proofs: failing tests of events out of order and of ends of streams that are none

The test's engines of package cutter can pause between events, and the fake engines of flow's tests can be given the answers of each run.

--- a/fakes/services/cutter/cutter.go
+++ b/fakes/services/cutter/cutter.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -22,6 +24,8 @@
 	Text string
 	// Sent is how many bytes of it are sent at most before the connection is closed.
 	Sent int
+	// Pause is the time before each event of a stream but the first.
+	Pause time.Duration
 }
 
 // Server answers one request on each connection, with what Handler returns after the body was read.
@@ -53,7 +57,7 @@
 	return address
 }
 
-// Close closes the listener and all connections.
+// Close closes the listener and all connections, as the kernel does for a process that is killed.
 func (s *Server) Close() {
 	_ = s.listener.Close()
 	s.lock.Lock()
@@ -86,7 +90,12 @@
 		return
 	}
 	answer := s.Handler(r)
-	_, _ = io.WriteString(conn, answer.Text[:min(answer.Sent, len(answer.Text))]) // an error means that the caller has left
+	for n, part := range strings.SplitAfter(answer.Text[:min(answer.Sent, len(answer.Text))], "\n\n") {
+		if n > 0 {
+			time.Sleep(answer.Pause)
+		}
+		_, _ = io.WriteString(conn, part) // an error means that the caller has left
+	}
 }
 
 func (s *Server) drop(conn net.Conn) {
--- a/ingress/modules/events/events.go
+++ b/ingress/modules/events/events.go
@@ -47,6 +47,9 @@
 	}
 }
 
+// IsInside reports whether a part of an event has arrived that is not complete.
+func (r *Reader) IsInside() bool { return len(r.pending) > 0 }
+
 // Pending returns the number of bytes that have arrived of an event that is not complete.
 func (r *Reader) Pending() int { return len(r.pending) }
 
--- a/ingress/modules/events/events_test.go
+++ b/ingress/modules/events/events_test.go
@@ -1,6 +1,7 @@
 package events_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -25,3 +26,23 @@
 		is.Equal(r.LastID(), "3")
 	}
 }
+
+// Guards against a stream whose events are held back to its end, and which then counts as broken, because its lines end with a
+// carriage return and a line feed, and against blank lines at its end that count as the start of an event.
+func TestEventsEndWithAnyBlankLine(t *testing.T) {
+	for _, text := range []string{
+		"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", "id: 1\ndata: a\n\r\nid: 2\r\ndata: b\r\n\n", "\n\r\nid: 1\n\n\n\nid: 2\n\n\n", "id: 1\n\nid: 2\n\n\r\n",
+	} {
+		for step := 1; step <= len(text); step++ {
+			is := is.New(t)
+			r := events.NewReader()
+			passed := ""
+			for from := 0; from < len(text); from += step {
+				passed += string(r.Add([]byte(text[from:min(from+step, len(text))])))
+			}
+			is.True(!r.IsInside())
+			is.True(strings.HasPrefix(text, passed) && strings.Trim(text[len(passed):], "\r\n") == "")
+			is.Equal(r.FirstID()+r.LastID(), "12")
+		}
+	}
+}
--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -56,7 +56,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && r.events.Pending() == 0:
+		case errors.Is(err, io.EOF) && !r.events.IsInside():
 			r.sendHead(&server, reply)
 			return nil
 		case errors.Is(err, io.EOF):
--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -55,6 +55,8 @@
 	// body replaces the answers of the engines; nil: it does not. parts are those of the prompt.
 	body  io.ReadCloser
 	parts []site.PromptPart
+	// runs are the answers in the order in which the request is sent; nil: the engines answer by themselves.
+	runs []runAnswer
 	// breaksAt is the ID of an engine that breaks off each stream after two events, avoid that of one
 	// that is excluded from the first placement.
 	breaksAt string
@@ -136,6 +138,9 @@
 	defer s.lock.Unlock()
 	s.sentTo = append(s.sentTo, r.Server.ID)
 	s.fetchSources = append(s.fetchSources, r.UpstreamHeaders.FetchFrom)
+	if s.runs != nil {
+		return s.runs[min(len(s.sentTo), len(s.runs))-1].newReply(r), nil
+	}
 	answer := site.Answer{Status: http.StatusOK, Signed: true, AttemptID: r.UpstreamHeaders.AttemptID, Header: http.Header{}}
 	events := "id: 1\ndata: x\n\n"
 	if r.Server.ID == s.breaksAt {
@@ -177,6 +182,13 @@
 }
 
 func (s *deployment) serve(route site.Route) *httptest.ResponseRecorder {
+	answer := httptest.NewRecorder()
+	s.serveTo(answer, route)
+	return answer
+}
+
+// serveTo serves a request. It panics if the answer is cut off.
+func (s *deployment) serveTo(answer http.ResponseWriter, route site.Route) {
 	if s.limits == nil {
 		s.limits = newLimits()
 	}
@@ -191,22 +203,25 @@
 		Retries: &s.retries, Limits: s.limits,
 	})
 	decision := access.Decision{Verdict: access.Granted, Route: &route, Residency: site.NewResidency(route.AllowedRegions)}
-	answer := httptest.NewRecorder()
 	server.Serve(context.Background(), answer, &flow.Request{
 		Memory:  memory.NewBudget(4 << 20).NewAccount(),
 		Request: site.Request{AttemptID: "a", CallerTimeout: 5 * time.Second, ItemCounts: []int{2}, Parts: s.parts, Resumes: s.resumes, LastEventID: s.lastEventID},
 		Method:  http.MethodPost, Target: "/", Arrived: time.Now(), Header: http.Header{}, Decision: decision, View: s.view,
 	})
-	return answer
 }
 
 // isCut serves a request and reports whether its answer was cut off.
-func (s *deployment) isCut(route site.Route) (cut bool) {
-	defer func() {
-		cut = recover() != nil
-	}()
-	s.serve(route)
-	return false
+func (s *deployment) isCut(route site.Route) bool {
+	_, isCut := s.serveCut(route)
+	return isCut
+}
+
+// serveCut serves a request. It returns what its caller got, and whether that was cut off.
+func (s *deployment) serveCut(route site.Route) (answer *httptest.ResponseRecorder, isCut bool) {
+	answer = httptest.NewRecorder()
+	defer func() { isCut = recover() != nil }()
+	s.serveTo(answer, route)
+	return answer, false
 }
 
 // Guards against a request being sent to an evacuated failure domain because it was placed there
