flow, events: an event whose ID is not after the last one is not passed on

Cause: events were relayed whatever their IDs were. That an engine honours Last-Event-Id was taken for granted; the ID was read only to go on after it.

Fix: the reader of events knows the last ID that the caller has, of an earlier run, or as the caller states it. A run that brings an event which is not after it counts as broken there: what came before is passed on, the stream goes on at another engine if it may, and is cut visibly if not. The runs are counted as out-of-order.

Two fakes of other tests sent the same ID in each event or ignored Last-Event-Id; they send increasing ones now, and what their tests check is unchanged.

--- a/ingress/modules/events/events.go
+++ b/ingress/modules/events/events.go
@@ -1,63 +1,111 @@
 // Package events reads streams of events (text/event-stream).
 package events
 
-import "bytes"
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+)
 
 // eventEnd ends an event.
 const eventEnd = "\n\n"
 
-// Reader splits what arrives of one run of a stream into events.
+// OrderError means that the ID of an event is not after that of an earlier one.
+type OrderError struct{ ID, LastID string }
+
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("event %s came after event %s", e.ID, e.LastID)
+}
+
+// Reader splits what arrives of one run of a stream into events. The IDs of events increase; those that are no numbers
+// are not compared.
 type Reader struct {
-	// pending is what has arrived of the event that is not complete yet.
-	pending []byte
-	// count is the number of complete events, firstID and lastID are the IDs of the first and the last of them that have
-	// one; empty: none has.
-	count           int
-	firstID, lastID string
+	// buffer is what has arrived from the first event that the last call of Add returned. The first complete bytes of it
+	// are these events.
+	buffer   []byte
+	complete int
+	// count is the number of complete events, firstID the ID of the first of them that has one; empty: none has.
+	count   int
+	firstID string
+	// lastID is the ID of the last event of this run, or of the run before if this one has brought no ID yet.
+	lastID string
 }
 
-// NewReader returns a reader of a run that has brought nothing yet.
-func NewReader() *Reader { return &Reader{} }
+// NewReader returns a reader of a run that goes on after the event with the ID lastID; empty: it begins the stream.
+func NewReader(lastID string) *Reader { return &Reader{lastID: lastID} }
+
+// Add returns the events that data completes, which are valid until the next call. It returns an OrderError if an event
+// is out of order, with the events before that one.
+func (r *Reader) Add(data []byte) (complete []byte, err error) {
+	r.buffer = append(append(r.buffer[:0], r.buffer[r.complete:]...), data...)
+	r.complete = 0
+	for {
+		event := firstEvent(r.buffer[r.complete:])
+		if len(event) == 0 {
+			break
+		}
+		if err = r.observe(event); err != nil {
+			break
+		}
+		r.complete += len(event)
+	}
+	return r.buffer[:r.complete], err
+}
 
-// Add returns the events that data completes, which are valid until the next call.
-func (r *Reader) Add(data []byte) (complete []byte) {
-	r.pending = append(r.pending, data...)
-	n := bytes.LastIndex(r.pending, []byte(eventEnd))
+// firstEvent returns the first event of data, or nothing if it is not complete.
+func firstEvent(data []byte) []byte {
+	n := bytes.Index(data, []byte(eventEnd))
 	if n < 0 {
 		return nil
 	}
-	n += len(eventEnd)
-	complete = r.pending[:n]
-	r.pending = append([]byte{}, r.pending[n:]...)
-	r.observe(complete)
-	return complete
+	return data[:n+len(eventEnd)]
 }
 
-func (r *Reader) observe(complete []byte) {
-	r.count += bytes.Count(complete, []byte(eventEnd))
-	for line := range bytes.SplitSeq(complete, []byte("\n")) {
-		id, found := bytes.CutPrefix(line, []byte("id:"))
-		if !found {
-			continue
-		}
-		r.lastID = string(bytes.TrimSpace(id))
-		if r.firstID == "" {
-			r.firstID = r.lastID
+func (r *Reader) observe(event []byte) error {
+	id := eventID(event)
+	if id != "" && !isAfter(id, r.lastID) {
+		return &OrderError{ID: id, LastID: r.lastID}
+	}
+	r.count++
+	if id == "" {
+		return nil
+	}
+	r.lastID = id
+	if r.firstID == "" {
+		r.firstID = id
+	}
+	return nil
+}
+
+// eventID returns the ID of an event; empty: it has none.
+func eventID(event []byte) string {
+	id := []byte{}
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			id = bytes.TrimSpace(value)
 		}
 	}
+	return string(id)
 }
 
-// IsInside reports whether a part of an event has arrived that is not complete.
-func (r *Reader) IsInside() bool { return len(r.pending) > 0 }
+// isAfter reports whether an event may follow the one with the ID lastID.
+func isAfter(id, lastID string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	last, lastErr := strconv.ParseUint(lastID, 10, 64)
+	return err != nil || lastErr != nil || n > last
+}
 
 // Pending returns the number of bytes that have arrived of an event that is not complete.
-func (r *Reader) Pending() int { return len(r.pending) }
+func (r *Reader) Pending() int { return len(r.buffer) - r.complete }
+
+// IsInside reports whether a part of an event has arrived that is not complete.
+func (r *Reader) IsInside() bool { return r.Pending() > 0 }
 
 // Count returns the number of complete events.
 func (r *Reader) Count() int { return r.count }
 
-// FirstID and LastID return the IDs of the first and the last complete event that has one; empty: none has.
+// FirstID returns the ID of the first complete event that has one; empty: none has.
 func (r *Reader) FirstID() string { return r.firstID }
 
-// LastID is described at FirstID.
+// LastID returns the ID of the event after which the stream goes on if this run breaks off now; empty: it begins.
 func (r *Reader) LastID() string { return r.lastID }
--- a/ingress/modules/events/events_test.go
+++ b/ingress/modules/events/events_test.go
@@ -14,10 +14,12 @@
 	const text = "id: 1\ndata: a\n\n: comment\n\nid: 2\nid: 3\ndata: b\n\ndata: c\n\n"
 	for step := 1; step <= len(text); step++ {
 		is := is.New(t)
-		r := events.NewReader()
+		r := events.NewReader("")
 		passed := ""
 		for from := 0; from < len(text); from += step {
-			passed += string(r.Add([]byte(text[from:min(from+step, len(text))])))
+			complete, err := r.Add([]byte(text[from:min(from+step, len(text))]))
+			is.NoErr(err)
+			passed += string(complete)
 			is.Equal(len(passed)+r.Pending(), min(from+step, len(text)))
 		}
 		is.Equal(passed, text)
@@ -35,10 +37,12 @@
 	} {
 		for step := 1; step <= len(text); step++ {
 			is := is.New(t)
-			r := events.NewReader()
+			r := events.NewReader("")
 			passed := ""
 			for from := 0; from < len(text); from += step {
-				passed += string(r.Add([]byte(text[from:min(from+step, len(text))])))
+				complete, err := r.Add([]byte(text[from:min(from+step, len(text))]))
+				is.NoErr(err)
+				passed += string(complete)
 			}
 			is.True(!r.IsInside())
 			is.True(strings.HasPrefix(text, passed) && strings.Trim(text[len(passed):], "\r\n") == "")
--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenaroad.example/ingress/modules/events"
 	"verbenaroad.example/ingress/services/reach"
 	"verbenaroad.example/share/models/site"
 )
@@ -36,8 +37,19 @@
 
 const (
 	endBroken runEnd = "broken"
+	// endOutOfOrder is that of a run that brought an event which is not after the one before.
+	endOutOfOrder runEnd = "out-of-order"
 )
 
+// runEndOf returns how a run ended that failed.
+func runEndOf(err error) runEnd {
+	var order *events.OrderError
+	if errors.As(err, &order) {
+		return endOutOfOrder
+	}
+	return endBroken
+}
+
 // forward relays the answer to the caller. Events are only written complete.
 func (r *relay) forward(server site.Server, reply *reach.Reply) error {
 	buffer := make([]byte, relayBufferBytes)
@@ -49,13 +61,16 @@
 			started = true
 			r.observeFirstEvent(server, reply)
 		}
-		if complete := r.events.Add(buffer[:n]); len(complete) > 0 {
+		complete, outOfOrder := r.events.Add(buffer[:n])
+		if len(complete) > 0 {
 			r.sendHead(&server, reply)
 			if failed := r.write(complete); failed != nil {
 				return failed
 			}
 		}
 		switch {
+		case outOfOrder != nil:
+			return outOfOrder
 		case errors.Is(err, io.EOF) && !r.events.IsInside():
 			r.sendHead(&server, reply)
 			return nil
@@ -97,9 +112,7 @@
 // write writes complete events to the caller.
 func (r *relay) write(complete []byte) error {
 	r.countEvents()
-	if id := r.events.LastID(); id != "" {
-		r.lastID = id
-	}
+	r.lastID = r.events.LastID()
 	if _, err := r.writer.Write(complete); err != nil {
 		return &callerError{cause: err}
 	}
--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -142,9 +143,10 @@
 		return s.runs[min(len(s.sentTo), len(s.runs))-1].newReply(r), nil
 	}
 	answer := site.Answer{Status: http.StatusOK, Signed: true, AttemptID: r.UpstreamHeaders.AttemptID, Header: http.Header{}}
-	events := "id: 1\ndata: x\n\n"
+	after, _ := strconv.Atoi(r.UpstreamHeaders.LastEventID)
+	events := fmt.Sprintf("id: %d\ndata: x\n\n", after+1)
 	if r.Server.ID == s.breaksAt {
-		events += "id: 2\ndata: x\n\nid: 3\nda"
+		events += fmt.Sprintf("id: %d\ndata: x\n\nid: 3\nda", after+2)
 	}
 	body := s.body
 	if body == nil {
--- a/ingress/services/flow/quarantine_test.go
+++ b/ingress/services/flow/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -96,6 +97,7 @@
 type slowBody struct {
 	events int
 	pause  time.Duration
+	lastID int
 }
 
 func (b *slowBody) Read(p []byte) (int, error) {
@@ -103,8 +105,9 @@
 		return 0, io.ErrUnexpectedEOF
 	}
 	b.events--
+	b.lastID++
 	time.Sleep(b.pause)
-	return copy(p, "id: 1\ndata: x\n\n"), nil
+	return copy(p, fmt.Sprintf("id: %d\ndata: x\n\n", b.lastID)), nil
 }
 
 func (*slowBody) Close() error { return nil }
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -220,7 +220,7 @@
 func (r *relay) try(ctx context.Context, server site.Server) verdict {
 	r.tried = append(r.tried, server.ID)
 	r.sends++
-	r.events, r.isAnswered, r.firstEventAt = events.NewReader(), false, time.Time{}
+	r.events, r.isAnswered, r.firstEventAt = events.NewReader(r.lastID), false, time.Time{}
 	r.passedBefore = r.passed.count
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
