events: an event ends with any blank line, also where lines end with a carriage return

What callers saw: no event of a stream whose lines end with a carriage return and a line feed: it was held back to its end, counted as broken in the middle of an event, tried again at other engines and ended with 502. A stream with a blank line too many at its end could count as broken as well, depending on how it arrived.

Cause: the end of an event was searched as two line feeds in a row. Lines of text/event-stream may end either way.

Fix: an event ends with a blank line, whatever its line ends. Line ends behind the last event are no part of an event and are passed on.

--- a/ingress/modules/events/events.go
+++ b/ingress/modules/events/events.go
@@ -7,9 +7,6 @@
 	"strconv"
 )
 
-// eventEnd ends an event.
-const eventEnd = "\n\n"
-
 // OrderError means that the ID of an event is not after that of an earlier one.
 type OrderError struct{ ID, LastID string }
 
@@ -52,13 +49,22 @@
 	return r.buffer[:r.complete], err
 }
 
-// firstEvent returns the first event of data, or nothing if it is not complete.
+// firstEvent returns the first event of data with the blank line that ends it, or nothing if it is not complete. Lines end
+// with a line feed, with or without a carriage return.
 func firstEvent(data []byte) []byte {
-	n := bytes.Index(data, []byte(eventEnd))
-	if n < 0 {
-		return nil
+	for n := 0; ; {
+		i := bytes.IndexByte(data[n:], '\n')
+		if i < 0 {
+			return nil
+		}
+		n += i + 1
+		switch {
+		case bytes.HasPrefix(data[n:], []byte("\n")):
+			return data[:n+1]
+		case bytes.HasPrefix(data[n:], []byte("\r\n")):
+			return data[:n+2]
+		}
 	}
-	return data[:n+len(eventEnd)]
 }
 
 func (r *Reader) observe(event []byte) error {
@@ -98,8 +104,12 @@
 // Pending returns the number of bytes that have arrived of an event that is not complete.
 func (r *Reader) Pending() int { return len(r.buffer) - r.complete }
 
-// IsInside reports whether a part of an event has arrived that is not complete.
-func (r *Reader) IsInside() bool { return r.Pending() > 0 }
+// Rest returns what has arrived behind the last complete event. IsInside reports whether that is a part of an event, and not
+// only line ends.
+func (r *Reader) Rest() []byte { return r.buffer[r.complete:] }
+
+// IsInside is described at Rest.
+func (r *Reader) IsInside() bool { return len(bytes.Trim(r.Rest(), "\r\n")) > 0 }
 
 // Count returns the number of complete events.
 func (r *Reader) Count() int { return r.count }
--- a/ingress/modules/events/events_test.go
+++ b/ingress/modules/events/events_test.go
@@ -1,7 +1,6 @@
 package events_test
 
 import (
-	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -45,7 +44,7 @@
 				passed += string(complete)
 			}
 			is.True(!r.IsInside())
-			is.True(strings.HasPrefix(text, passed) && strings.Trim(text[len(passed):], "\r\n") == "")
+			is.Equal(passed+string(r.Rest()), text)
 			is.Equal(r.FirstID()+r.LastID(), "12")
 		}
 	}
--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -73,7 +73,7 @@
 			return outOfOrder
 		case errors.Is(err, io.EOF) && !r.events.IsInside():
 			r.sendHead(&server, reply)
-			return nil
+			return r.writeRest()
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF // the stream ended in the middle of an event
 		case err != nil:
@@ -123,6 +123,14 @@
 	return nil
 }
 
+// writeRest writes the line ends behind the last event.
+func (r *relay) writeRest() error {
+	if rest := r.events.Rest(); len(rest) > 0 {
+		return r.write(rest)
+	}
+	return nil
+}
+
 // recordPassed records that the caller was sent what has arrived of the current run.
 func (r *relay) recordPassed() {
 	r.passed.count = r.passedBefore + r.events.Count()
