flow: a further run of a stream must be answered as the first one was

Cause: of the status of a further run only its class was checked, and its media type not at all. An answer without a body has no event that is broken off, so that its end was that of the stream.

Fix: the status and the media type of a further run must be those that the caller was sent; otherwise the run counts as broken. Engines of one software version, the only ones at which a stream goes on, answer alike.

Not seen in a run of a real engine.

--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -84,6 +85,20 @@
 	}
 }
 
+// errOtherKind means that a further run of a stream was answered with something else than the first one.
+var errOtherKind = errors.New("the answer is not of the kind of the first one")
+
+// answerKind is what the answers of all runs of a stream have in common.
+type answerKind struct {
+	status    int
+	mediaType string
+}
+
+func kindOf(reply *reach.Reply) answerKind {
+	mediaType, _, _ := strings.Cut(reply.Header.Get("Content-Type"), ";")
+	return answerKind{status: reply.Status, mediaType: strings.ToLower(strings.TrimSpace(mediaType))}
+}
+
 // sendHead writes the status and headers of the answer, unless that has been done.
 //
 // Guards against an engine that begins its answer before its first event, which may be seconds later: until then the
@@ -92,7 +107,7 @@
 	if r.headSent {
 		return
 	}
-	r.headSent = true
+	r.headSent, r.kind = true, kindOf(reply)
 	r.beginAnswer()
 	r.recordBegun(server)
 	copyHeader(r.writer.Header(), reply.Header)
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -134,8 +134,9 @@
 	// keepResults is set after an engine failed to fetch the results within fetchTime. They are
 	// then kept until the first event.
 	keepResults bool
-	// headSent is set once the status and headers of the answer were written to the caller.
+	// headSent is set once the status and headers of the answer were written to the caller, of which kind is a part.
 	headSent bool
+	kind     answerKind
 	// lastID is the ID of the last event that was written to the caller.
 	lastID string
 	// events reads what the current attempt brings, firstEventAt is when its first event came. passedBefore is the
@@ -251,6 +252,9 @@
 	if reply.Status >= http.StatusMultipleChoices {
 		return r.handleFailure(ctx, server, reply, time.Since(began))
 	}
+	if r.headSent && kindOf(reply) != r.kind {
+		return r.handleBreak(ctx, server, errOtherKind, time.Since(began))
+	}
 	r.runs++
 	err = r.forward(server, reply)
 	took := time.Since(began)
