flow: a stream without any event is not complete if only the end of its connection says so

Cause: such an answer ends with its connection, and its end was checked for one thing only, that it is not inside an event. Without any event it is not.

Fix: a stream that has brought no event, in this run or before, isn't ended by its connection alone: it counts as broken, is tried at another engine if it may be, and ends with 502 otherwise. A stream that goes on, or is taken up, may have been complete before, so that nothing more is a sound end there. An answer that states its end (a length of 0, the last chunk) is whole as before.

TestAnswersThatStopAreNeverWhole demanded that such an empty answer be passed on as whole, for streams that were not taken up too; it demands now that it is not.

--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -72,6 +72,8 @@
 		switch {
 		case outOfOrder != nil:
 			return outOfOrder
+		case errors.Is(err, io.EOF) && r.hasNothing(reply):
+			return io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF) && !r.events.IsInside():
 			r.sendHead(&server, reply)
 			return r.writeRest()
@@ -85,6 +87,12 @@
 	}
 }
 
+// hasNothing reports whether an answer that ends with its connection has brought no event, and neither had any run before:
+// it has stopped after its head. A stream that goes on may have been complete before.
+func (r *relay) hasNothing(reply *reach.Reply) bool {
+	return reply.Framing == reach.FramingConnection && !r.headSent && r.lastID == ""
+}
+
 // errOtherKind means that a further run of a stream was answered with something else than the first one.
 var errOtherKind = errors.New("the answer is not of the kind of the first one")
 
--- a/proofs/hosted/heads_test.go
+++ b/proofs/hosted/heads_test.go
@@ -217,7 +217,7 @@
 }
 
 // checkAnswers sends a request for each number of bytes after which its answer stops. An answer that ends with its connection is
-// whole once its head is, and a stream at the end of an event.
+// whole once its head is, and a stream at the end of an event; one that is taken up also if it brings no further event.
 func (c *cuts) checkAnswers(route, lastEvent string) {
 	isStream := route == "cutstream" || route == "cutnovel"
 	newBody := func(id string) (header string, parts []string) {
@@ -239,7 +239,7 @@
 		mustServe := cut == len(text)
 		if c.framing == byClose && cut >= headBytes {
 			ended := complete[:cut-headBytes]
-			if !isStream || ended == "" || strings.HasSuffix(ended, "\n\n") {
+			if !isStream || ended == "" && lastEvent != "" || strings.HasSuffix(ended, "\n\n") {
 				wanted, mustServe = append(wanted, ended), true
 			}
 		}
