flow, reach: an answer that ends with its connection is not whole if its server has gone

Cause: such an answer ends with its connection, and so does one whose process is killed: the kernel closes its connections, with a FIN, since it had read its request. A server writes whole events, so that the end isn't inside one. The end of the connection was taken for the server's word that it has sent all.

Fix: at the end of such an answer the ingress opens a connection to the server. If it is refused, or closed within 50 ms (a relay in front of a server that is down), the answer is broken: a request that may run again does, and others end with an error or are cut. A reset tells nothing, as full servers reset new connections; neither does a refusal by a server that leaves, since such a one may end its answers after it has stopped to listen. A buffered plain answer isn't held back for the 50 ms, so that it is passed on if a relay accepts in place of its server. Answers with a length or chunks cost nothing more.

Sends of streams whose engine forks and loses one process only aren't told by this.

--- a/ingress/services/flow/breaks.go
+++ b/ingress/services/flow/breaks.go
@@ -33,7 +33,7 @@
 	if r.headSent {
 		return verdict{result: codes.NewResult(codes.BackendFailed, server.ID+" failed")}
 	}
-	r.deliver(r.writer, reply, buffered, isWhole)
+	r.deliver(ctx, r.writer, &server, reply, buffered, isWhole)
 	return verdict{}
 }
 
--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"context"
 	"errors"
 	"io"
 	"strings"
@@ -40,19 +41,25 @@
 	endBroken runEnd = "broken"
 	// endOutOfOrder is that of a run that brought an event which is not after the one before.
 	endOutOfOrder runEnd = "out-of-order"
+	// endServerGone is that of a run whose answer ended with its connection and with its server.
+	endServerGone runEnd = "server-gone"
 )
 
 // runEndOf returns how a run ended that failed.
 func runEndOf(err error) runEnd {
 	var order *events.OrderError
-	if errors.As(err, &order) {
+	switch {
+	case errors.As(err, &order):
 		return endOutOfOrder
+	case errors.Is(err, errServerGone):
+		return endServerGone
+	default:
+		return endBroken
 	}
-	return endBroken
 }
 
 // forward relays the answer to the caller. Events are only written complete.
-func (r *relay) forward(server site.Server, reply *reach.Reply) error {
+func (r *relay) forward(ctx context.Context, server site.Server, reply *reach.Reply) error {
 	buffer := make([]byte, relayBufferBytes)
 	r.passed.framing = reply.Framing
 	started := false
@@ -75,6 +82,9 @@
 		case errors.Is(err, io.EOF) && r.hasNothing(reply):
 			return io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF) && !r.events.IsInside():
+			if unconfirmed := r.confirmEnd(ctx, &server, reply, endWait); unconfirmed != nil {
+				return unconfirmed
+			}
 			r.sendHead(&server, reply)
 			return r.writeRest()
 		case errors.Is(err, io.EOF):
--- a/ingress/services/flow/pick_test.go
+++ b/ingress/services/flow/pick_test.go
@@ -53,7 +53,8 @@
 	return &reach.Reply{Answer: answer, Body: io.NopCloser(strings.NewReader("ok")), Length: 2}, nil
 }
 
-func (*orderDesk) Preconnect(netip.AddrPort) {}
+func (*orderDesk) Preconnect(netip.AddrPort)                                   {}
+func (*orderDesk) HasGone(context.Context, netip.AddrPort, time.Duration) bool { return false }
 
 func newOrderDesk() *orderDesk {
 	return &orderDesk{limits: newLimits(), refuses: map[string]time.Duration{}, onAdmit: func() {}, closed: map[string]bool{}}
--- a/ingress/services/flow/places_test.go
+++ b/ingress/services/flow/places_test.go
@@ -58,6 +58,8 @@
 	parts []site.PromptPart
 	// runs are the answers in the order in which the request is sent; nil: the engines answer by themselves.
 	runs []runAnswer
+	// hasGone is set if the engines are down once they have answered.
+	hasGone bool
 	// breaksAt is the ID of an engine that breaks off each stream after two events, avoid that of one
 	// that is excluded from the first placement.
 	breaksAt string
@@ -130,6 +132,8 @@
 	}
 }
 
+func (s *deployment) HasGone(context.Context, netip.AddrPort, time.Duration) bool { return s.hasGone }
+
 func (s *deployment) Preconnect(address netip.AddrPort) {
 	s.preconnected = append(s.preconnected, address)
 }
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -86,6 +86,9 @@
 		defer func() { _ = reply.Body.Close() }()
 		buffered, isWhole, err = x.buffer(reply)
 	}
+	if err == nil && isWhole {
+		err = x.confirmEnd(sendCtx, &server, reply, 0)
+	}
 	took := time.Since(began)
 	if err != nil {
 		return x.handleError(ctx, server, err, took)
@@ -100,7 +103,7 @@
 	if !served && x.route.Kind == site.KindIdempotent && x.mayRunAgain("server-error") {
 		return verdict{retry: true}
 	}
-	x.deliver(w, reply, buffered, isWhole)
+	x.deliver(sendCtx, w, &server, reply, buffered, isWhole)
 	return verdict{}
 }
 
@@ -256,7 +259,7 @@
 
 // deliver writes the buffered answer. Unless that is the whole answer, deliver then copies the rest of
 // the body as it arrives.
-func (x *exchange) deliver(w http.ResponseWriter, reply *reach.Reply, buffered []byte, isWhole bool) {
+func (x *exchange) deliver(ctx context.Context, w http.ResponseWriter, server *site.Server, reply *reach.Reply, buffered []byte, isWhole bool) {
 	copyHeader(w.Header(), reply.Header)
 	to := newCallerWriter(w)
 	x.beginAnswer()
@@ -272,7 +275,11 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(reply.Length, 10))
 	}
 	w.WriteHeader(reply.Status)
-	if _, err := io.Copy(to, io.MultiReader(bytes.NewReader(buffered), reply.Body)); err != nil {
+	_, err := io.Copy(to, io.MultiReader(bytes.NewReader(buffered), reply.Body))
+	if err == nil {
+		err = x.confirmEnd(ctx, server, reply, endWait)
+	}
+	if err != nil {
 		x.log.Warn("answer-broken", logs.Err(err))
 		panic(http.ErrAbortHandler) // an incomplete answer must not look complete
 	}
--- a/ingress/services/flow/ports.go
+++ b/ingress/services/flow/ports.go
@@ -28,6 +28,8 @@
 	Send(ctx context.Context, r reach.Request) (*reach.Reply, error)
 	// Preconnect opens a connection in advance for the next attempt at a server.
 	Preconnect(address netip.AddrPort)
+	// HasGone reports whether a server is known to be down: connections are refused, or closed within the given time.
+	HasGone(ctx context.Context, address netip.AddrPort, wait time.Duration) bool
 }
 
 // StageRunner produces the results of a request's stages.
--- a/ingress/services/flow/stopping_test.go
+++ b/ingress/services/flow/stopping_test.go
@@ -35,7 +35,8 @@
 	sends atomic.Int64
 }
 
-func (*lastingEngine) Preconnect(netip.AddrPort) {}
+func (*lastingEngine) Preconnect(netip.AddrPort)                                   {}
+func (*lastingEngine) HasGone(context.Context, netip.AddrPort, time.Duration) bool { return false }
 
 func (e *lastingEngine) Send(ctx context.Context, r reach.Request) (*reach.Reply, error) {
 	e.sends.Add(1)
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -256,7 +256,7 @@
 		return r.handleBreak(ctx, server, errOtherKind, time.Since(began))
 	}
 	r.runs++
-	err = r.forward(server, reply)
+	err = r.forward(ctx, server, reply)
 	took := time.Since(began)
 	if err != nil {
 		r.runs-- // handleBreak counts it again
--- a/ingress/services/flow/stream_test.go
+++ b/ingress/services/flow/stream_test.go
@@ -82,7 +82,8 @@
 	heldAtEvent atomic.Int64
 }
 
-func (*slowEngines) Preconnect(netip.AddrPort) {}
+func (*slowEngines) Preconnect(netip.AddrPort)                                   {}
+func (*slowEngines) HasGone(context.Context, netip.AddrPort, time.Duration) bool { return false }
 
 func (b *slowEngines) Send(_ context.Context, r reach.Request) (*reach.Reply, error) {
 	time.Sleep(300 * time.Millisecond)
--- a/ingress/services/reach/reach.go
+++ b/ingress/services/reach/reach.go
@@ -13,7 +13,6 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
-	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -179,25 +178,6 @@
 // Preconnect opens a connection in advance for the next request to a server.
 func (c *Client) Preconnect(address netip.AddrPort) { c.spares.preconnect(address) }
 
-// closeWait is how long IsUp waits for a connection to be closed by a relay that accepted it in
-// place of a server that is down.
-const closeWait = 100 * time.Millisecond
-
-// IsUp reports whether a server accepts connections and keeps them open. An accepted connection is
-// not sufficient, because a relay in front of a server that is down may accept and then close it.
-func (c *Client) IsUp(ctx context.Context, address netip.AddrPort) bool {
-	conn, err := c.dialer.DialContext(ctx, "tcp", address.String())
-	if err != nil {
-		return false
-	}
-	defer func() { _ = conn.Close() }()
-	if err := conn.SetReadDeadline(time.Now().Add(closeWait)); err != nil {
-		return false
-	}
-	_, err = conn.Read(make([]byte, 1))
-	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
-}
-
 // Do sends a request that an adapter has built for a server, on a connection of its own. The caller closes
 // the body.
 func (c *Client) Do(server site.Server, r *http.Request) (site.Answer, io.ReadCloser, error) {
