public: the connection of a caller of HTTP/1.0 is reset unless its answer is whole, also if the process is killed

What callers saw: a stream that ends as complete before its last event, for a caller of HTTP/1.0 whose ingress was killed: 11 of 200 events, and the end. Callers of HTTP/1.1 saw it broken.

Cause: an answer without a length ends with its connection in HTTP/1.0. A broken one was reset by the handler that noticed the break; a process that is killed notices nothing, and the kernel closes its connections in order.

Fix: such a connection is set to be reset by each close while its answer is not whole. That holds for a process that is killed too, and takes the place of the reset by the handler.

TestBrokenAnswerToACallerOfHTTP10IsReset guards the other ends as before. The users' callers speak HTTP/1.1, so that this isn't what they saw.

--- a/ingress/cmds/conns.go
+++ b/ingress/cmds/conns.go
@@ -150,6 +150,3 @@
 	c.isClosed = true
 	_ = c.Close() // the HTTP server reports StateClosed for it
 }
-
-// Reset closes the connection so that its caller sees that the answer is broken, however it is framed.
-func (c *callerConn) Reset() error { return errors.Join(c.SetLinger(0), c.Close()) }
--- a/ingress/routers/public/public.go
+++ b/ingress/routers/public/public.go
@@ -110,9 +110,14 @@
 	memoryRetryAfter = 300 * time.Millisecond
 )
 
-// ServeHTTP serves or refuses one request.
+// ServeHTTP serves or refuses one request. It panics if the answer breaks off; the HTTP server then closes the connection.
 func (t *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	defer abort(r)
+	setLinger(r, lingerReset)
+	t.serve(w, r)
+	setLinger(r, lingerClose)
+}
+
+func (t *Router) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	request := t.options.Codec.ReadRequest(r.Header)
 	workID := fmt.Sprintf("%s/%d", request.AttemptID, t.count.Add(1))
