reach: a reset that was reported to a write of the request is not the end of its answer

Cause: the kernel reports a reset once, to a read or to a write. If the write of the body got it, the read after it sees the end of the connection, as if the server had closed it in order.

Fix: the connection of a request notes whether a write has failed. Requests whose body is sent, that is nearly all, end as before.

--- a/ingress/services/reach/spares.go
+++ b/ingress/services/reach/spares.go
@@ -39,10 +39,14 @@
 
 // dial returns the spare connection to an address if it is usable, and otherwise opens one.
 func (s *spares) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	if conn := s.take(address); conn != nil {
-		return conn, nil
+	conn := s.take(address)
+	if conn == nil {
+		var err error
+		if conn, err = s.dialer.DialContext(ctx, network, address); err != nil {
+			return nil, err
+		}
 	}
-	return s.dialer.DialContext(ctx, network, address)
+	return &sentConn{Conn: conn}, nil
 }
 
 // take removes and returns the spare connection to an address, or nil if there is no usable one.
