flow, events: a stream does not go on at another engine after an event without an ID

Cause: the place at which a stream goes on is the last ID, whatever has come after it.

Fix: events with data that have no ID, or an empty one, after the last ID keep the stream from going on within the answer: it is cut visibly. Comments don't.

--- a/ingress/modules/events/events.go
+++ b/ingress/modules/events/events.go
@@ -26,6 +26,8 @@
 	firstID string
 	// lastID is the ID of the last event of this run, or of the run before if this one has brought no ID yet.
 	lastID string
+	// isUnnumbered is set while an event with data but no ID has come after the one with the last ID.
+	isUnnumbered bool
 }
 
 // NewReader returns a reader of a run that goes on after the event with the ID lastID; empty: it begins the stream.
@@ -74,9 +76,10 @@
 	}
 	r.count++
 	if id == "" {
+		r.isUnnumbered = r.isUnnumbered || hasData(event)
 		return nil
 	}
-	r.lastID = id
+	r.lastID, r.isUnnumbered = id, false
 	if r.firstID == "" {
 		r.firstID = id
 	}
@@ -94,6 +97,11 @@
 	return string(id)
 }
 
+// hasData reports whether an event is more than a comment.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
+}
+
 // isAfter reports whether an event may follow the one with the ID lastID.
 func isAfter(id, lastID string) bool {
 	n, err := strconv.ParseUint(id, 10, 64)
@@ -117,5 +125,8 @@
 // FirstID returns the ID of the first complete event that has one; empty: none has.
 func (r *Reader) FirstID() string { return r.firstID }
 
+// CanGoOn reports whether another run that goes on after the last ID repeats nothing that this one has brought.
+func (r *Reader) CanGoOn() bool { return !r.isUnnumbered }
+
 // LastID returns the ID of the event after which the stream goes on if this run breaks off now; empty: it begins.
 func (r *Reader) LastID() string { return r.lastID }
--- a/ingress/services/flow/breaks.go
+++ b/ingress/services/flow/breaks.go
@@ -59,7 +59,7 @@
 	if ctx.Err() != nil || r.remaining() <= 0 {
 		return verdict{result: codes.NewResult(codes.DeadlineExceeded, "the stream did not end in time")}
 	}
-	if r.route.Resumable && r.mayRunAgain("resume") {
+	if r.route.Resumable && r.events.CanGoOn() && r.mayRunAgain("resume") {
 		return verdict{retry: true, result: codes.NewResult(codes.AnswerIncomplete, "the stream broke off")}
 	}
 	return verdict{result: codes.NewResult(codes.AnswerIncomplete, "the stream broke off")}
