flow: runs of streams that may not go on are counted by their end too

Those that break go through the path of plain requests, and were counted only if they ended whole. A run that was given up is counted as canceled.

--- a/ingress/services/flow/breaks.go
+++ b/ingress/services/flow/breaks.go
@@ -52,7 +52,6 @@
 	r.log.Warn("stream-broken", zap.String("digest", string(r.identity.Request)), zap.Strings("parts", r.describeParts()), zap.String("server", server.ID),
 		zap.Int("events", r.events.Count()), zap.String("first-event", r.events.FirstID()), zap.String("last-event", r.lastID),
 		zap.String("framing", string(r.passed.framing)), zap.Duration("took", took), logs.Err(err))
-	r.server.options.Meter.CountStreamRun(r.route.Name, string(runEndOf(err)))
 	r.end(server, place.ResultBroken, took, nil)
 	r.recordCrash(server, took)
 	r.runs++
--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -34,21 +34,28 @@
 	framing reach.Framing
 }
 
-// runEnd is how the run of a stream at an engine ended, if not as its framing tells.
+// runEnd is how the run of a stream at an engine ended: the framing of a whole answer, or why it is not whole.
 type runEnd string
 
 const (
 	endBroken runEnd = "broken"
+	// endCanceled is that of a run that was given up: the caller left, or the process stops.
+	endCanceled runEnd = "canceled"
 	// endOutOfOrder is that of a run that brought an event which is not after the one before.
 	endOutOfOrder runEnd = "out-of-order"
 	// endServerGone is that of a run whose answer ended with its connection and with its server.
 	endServerGone runEnd = "server-gone"
 )
 
-// runEndOf returns how a run ended that failed.
-func runEndOf(err error) runEnd {
+// runEndOf returns how a run ended, in which err occurred unless it was whole.
+func runEndOf(reply *reach.Reply, err error) runEnd {
 	var order *events.OrderError
+	var caller *callerError
 	switch {
+	case err == nil:
+		return runEnd(reply.Framing)
+	case errors.As(err, &caller), errors.Is(err, context.Canceled):
+		return endCanceled
 	case errors.As(err, &order):
 		return endOutOfOrder
 	case errors.Is(err, errServerGone):
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -258,11 +258,11 @@
 	r.runs++
 	err = r.forward(ctx, server, reply)
 	took := time.Since(began)
+	r.server.options.Meter.CountStreamRun(r.route.Name, string(runEndOf(reply, err)))
 	if err != nil {
 		r.runs-- // handleBreak counts it again
 		return r.handleBreak(ctx, server, err, took)
 	}
-	r.server.options.Meter.CountStreamRun(r.route.Name, string(reply.Framing))
 	r.end(server, place.ResultServed, took, reply.Load)
 	if len(r.tried) == 1 && r.LastEventID == "" {
 		r.server.observeAnswer(r.route.Name, took)
