proofs, fakes: a crash ends unframed answers too, and a complete stream must have all events

The stand-in's crash left answers alone whose connection had been taken over from the HTTP server, so that no test had a crash in the middle of an answer with neither a length nor chunks. It closes them now, as the kernel does.

--- a/fakes/services/hosted/http.go
+++ b/fakes/services/hosted/http.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 )
 
@@ -14,6 +15,10 @@
 	server   *http.Server
 	listener net.Listener
 	address  netip.AddrPort
+
+	lock sync.Mutex
+	// taken holds the connections that an answer has taken over from the HTTP server.
+	taken []net.Conn
 }
 
 const headerTimeout = 5 * time.Second
@@ -32,7 +37,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &httpServer{server: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}, listener: listener, address: bound}
+	s := &httpServer{listener: listener, address: bound}
+	s.server = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ConnState: s.trackState}
 	go s.run()
 	return s, nil
 }
@@ -41,7 +47,23 @@
 	_ = s.server.Serve(s.listener) // returns when the server is closed
 }
 
-func (s *httpServer) close() { _ = s.server.Close() }
+func (s *httpServer) trackState(conn net.Conn, state http.ConnState) {
+	if state == http.StateHijacked {
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		s.taken = append(s.taken, conn)
+	}
+}
+
+// close closes the listener and all connections.
+func (s *httpServer) close() {
+	_ = s.server.Close()
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, conn := range s.taken {
+		_ = conn.Close() // an answer that has ended has closed it before
+	}
+}
 
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/proofs/hosted/soak_faults_test.go
+++ b/proofs/hosted/soak_faults_test.go
@@ -38,6 +38,8 @@
 	version int
 	// crashed holds the IDs of the servers that a fault restarts.
 	crashed map[string]bool
+	// crashes is the number of crashes of servers.
+	crashes int
 	// streams are those of the callers of runStreamCaller.
 	streams []*resumedStream
 	// refusals holds when all servers of a service refused its requests, by service.
@@ -230,28 +232,6 @@
 	s.recordf("configuration version %d is written", version)
 }
 
-func (s *soak) crashServer() {
-	servers := s.allServers()
-	server := servers[s.randomInt(len(servers))]
-	if !s.acquireServer(server.ID) {
-		return
-	}
-	defer s.markUp(server.ID)
-	s.recordf("%s crashes", server.ID)
-	server.Crash()
-	time.Sleep(s.randomDelay(50, 1500))
-	if err := server.Restart(); err != nil {
-		s.t.Error(err)
-	}
-	s.recordf("%s is up again", server.ID)
-}
-
-func (s *soak) markUp(id string) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	delete(s.crashed, id)
-}
-
 // setServerFaults sets a random fault for the next and the third request of a random server.
 func (s *soak) setServerFaults() {
 	servers := s.allServers()
--- a/proofs/hosted/versions_test.go
+++ b/proofs/hosted/versions_test.go
@@ -123,12 +123,18 @@
 	return streams, done
 }
 
-// checkVersions checks that no stream holds events of two versions, lacks one or has one twice. It returns how
-// many streams were complete.
+// checkVersions checks that no stream holds events of two versions, lacks one or has one twice, or is complete before the
+// last event that others have. It returns how many streams were complete.
 func checkVersions(t *testing.T, streams []*resumedStream) (complete int) {
 	t.Helper()
-	joined := 0
+	joined, lastEvent := 0, map[bool]int{}
 	for _, s := range streams {
+		lastEvent[s.isNovel] = max(lastEvent[s.isNovel], len(s.ids))
+	}
+	for _, s := range streams {
+		if s.complete && len(s.ids) < lastEvent[s.isNovel] {
+			t.Errorf("a stream is complete after %d events, others have %d", len(s.ids), lastEvent[s.isNovel])
+		}
 		if len(s.versions) > 1 {
 			joined++
 		}
