--- a/ingress/services/flow/origin_test.go
+++ b/ingress/services/flow/origin_test.go
@@ -27,10 +27,15 @@
 	// isUnnamed is set if the inventory does not name them. Changed is closed when it does.
 	isUnnamed bool
 	changed   chan struct{}
+	// lookups counts the calls of FindWithheld. After lastWithheld of them nothing is withheld any more; 0: never.
+	lookups, lastWithheld int
 }
 
 func (o *fakeOrigins) FindWithheld(_ string, versions []string) origin.Withheld {
 	w := origin.Withheld{Wait: o.wait, IsUnnamed: o.isUnnamed, Changed: o.changed}
+	if o.lookups++; o.lastWithheld > 0 && o.lookups > o.lastWithheld {
+		return w
+	}
 	select {
 	case <-o.changed:
 		return w
@@ -188,6 +193,19 @@
 	is.Equal(s.sentTo, []string{"n"})
 }
 
+// Guards against a refusal of a stream, although one may begin since the notice has ended while the request was being
+// placed, maybe at another ingress.
+func TestNoticeThatEndsDuringThePlacementIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	route := newResumableRoute()
+	s := &deployment{
+		view:    newView(1, route, newVersionedEngine("n", "v2")),
+		origins: fakeOrigins{withheld: []string{"v2"}, wait: time.Millisecond, lastWithheld: 1},
+	}
+	is.Equal(s.serve(route).Code, http.StatusOK)
+	is.Equal(s.sentTo, []string{"n"})
+}
+
 // Guards against a request that is sent to the engine that was reserved for it, although that has started again meanwhile
 // with software at which no stream may begin yet.
 func TestReservedEngineOfAWithheldVersionIsNotUsed(t *testing.T) {
--- a/ingress/services/origin/inventory_test.go
+++ b/ingress/services/origin/inventory_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"verbenaroad.example/ingress/services/origin"
+	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/share/models/site"
 )
 
@@ -169,3 +170,31 @@
 		is.True(w.countCalls() <= 1+10)
 	})
 }
+
+// Guards against a version at which streams begin already, and that gets none for another notice: it was used since nobody
+// could record it, and is announced late, or the record was lost and is written by an ingress that does not know.
+func TestVersionInUseIsNotWithheldAgain(t *testing.T) {
+	for name, before := range map[string]func() *state.View{
+		"not recorded": func() *state.View {
+			v := newView("v1")
+			v.Versions = newView("v1", "v2").Versions
+			return v
+		},
+		"lost": func() *state.View { return newView("v1", "v2") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRegistry(newWorld())
+				r.SetView(before())
+				time.Sleep(5 * time.Second)
+				is.Equal(len(r.FindWithheld("engines", []string{"v2"}).Versions), 0)
+				v := newView("v1", "v2")
+				v.Inventory.Pending = map[string][]string{"engines": {"v1", "v2"}}
+				v.Inventory.Revision.Number = 2
+				r.SetView(v)
+				is.Equal(len(r.FindWithheld("engines", []string{"v2"}).Versions), 0)
+			})
+		})
+	}
+}
--- a/ingress/services/state/versions_test.go
+++ b/ingress/services/state/versions_test.go
@@ -65,3 +65,21 @@
 	b.ApplyListing([]site.Record{first}, at(1))
 	is.True(b.View().IsComplete)
 }
+
+// Guards against a version that is overlooked because its server has registered and left between two answers of the store,
+// while another ingress has seen it and begun streams there.
+func TestVersionsIncludeServersThatCameAndWent(t *testing.T) {
+	seen := map[string]bool{}
+	b := state.NewBook(state.Options{Codec: record.Codec{}, Log: zap.NewNop(), OnChange: func(v *state.View) {
+		for _, version := range v.Versions["engines"] {
+			seen[version] = true
+		}
+	}})
+	b.ApplyListing([]site.Record{newVersionRecord("n", "v2", "ready", 1)}, at(1))
+	b.Apply([]site.Record{
+		newVersionRecord("s", "v1", "ready", 2), {Key: "servers/s", Revision: at(3), Deleted: true},
+	}, at(3))
+	if !seen["v1"] {
+		t.Error("no view tells of v1")
+	}
+}
--- a/proofs/hosted/late_test.go
+++ b/proofs/hosted/late_test.go
@@ -68,3 +68,34 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at another software version at an ingress that stood still while engines of that
+// version joined, and that has since read a restored store, which lacks what was announced meanwhile.
+func TestStreamsTakenUpAfterARestoreThatLostAVersion(t *testing.T) {
+	// rewriteTime is how long after the restore the engines register again.
+	const rewriteTime = 2 * time.Second
+	d := newDeployment(t, 3)
+	d.slowStreams()
+	for _, e := range d.engines {
+		e.EventInterval = 200 * time.Millisecond
+	}
+	first, others := d.ingresses[0], d.ingresses[1:]
+	backup := d.Store.Backup()
+	for _, i := range others {
+		i.signal(syscall.SIGSTOP)
+	}
+	d.joinOthers(first)
+	eventually(t, first.name+" may begin streams there", func() bool { return first.usesVersion("models", otherVersion) })
+	streams, done := startStreams(testedStreams, false, first, others[:1])
+	eventually(t, "all streams have begun", func() bool { return len(first.output.lines("event=stream-begun")) >= testedStreams })
+	time.Sleep(d.engines[0].EventInterval)
+	first.kill()
+	d.Store.Restore(backup)
+	for _, i := range others {
+		i.signal(syscall.SIGCONT)
+	}
+	time.Sleep(rewriteTime)
+	d.WriteAgain()
+	done.Wait()
+	checkVersions(t, streams)
+}
--- a/share/modules/uptime/uptime_test.go
+++ b/share/modules/uptime/uptime_test.go
@@ -55,3 +55,21 @@
 		t.Errorf("%v elapsed, not %v to %v", elapsed, least, most)
 	}
 }
+
+// Guards against suspensions of before the process started that count as time since: the first readings were stopped.
+func TestEarlierSuspensionsDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		c := uptime.NewClock(func() (uptime.Reading, error) {
+			if calls++; calls <= 8 {
+				return uptime.Reading{Before: 0, Total: time.Hour, After: 2 * time.Millisecond}, nil
+			}
+			return uptime.Reading{Before: time.Second, Total: time.Hour + time.Second, After: time.Second}, nil
+		})
+		before := c.Now()
+		time.Sleep(time.Second)
+		if elapsed := c.Now().Sub(before); elapsed > 2*time.Second {
+			t.Errorf("%v elapsed, not a second", elapsed)
+		}
+	})
+}
