uptime: suspensions of before the first reading do not count

If the process was stopped during each of the first readings of the machine's clocks, a later one added all suspensions since the machine was started, so that notices ended early. The first reading is the baseline now.

--- a/share/modules/uptime/uptime.go
+++ b/share/modules/uptime/uptime.go
@@ -28,8 +28,10 @@
 	read func() (Reading, error)
 
 	lock sync.Mutex
-	// suspended is the time for which the machine was suspended, as far as it is known. It never decreases.
-	suspended time.Duration
+	// hasBaseline is set once baseline is known: for how long the machine had been suspended before. Suspended is the same
+	// since then; it never decreases.
+	hasBaseline         bool
+	baseline, suspended time.Duration
 }
 
 // NewClock returns a clock. Read reads the clocks of the machine.
@@ -54,13 +56,21 @@
 			break // the machine has no such clock, and time.Now is as good as it gets
 		}
 		if r.After-r.Before <= maxReadTime {
-			c.suspended = max(c.suspended, r.Total-r.After)
+			c.observe(r.Total - r.After)
 			break
 		}
 	}
 	return time.Now().Add(c.suspended)
 }
 
+// observe records for how long the machine has been suspended since it was started. The caller holds the lock.
+func (c *Clock) observe(total time.Duration) {
+	if !c.hasBaseline {
+		c.hasBaseline, c.baseline = true, total
+	}
+	c.suspended = max(c.suspended, total-c.baseline)
+}
+
 func readSystem() (Reading, error) {
 	r := Reading{}
 	for _, c := range []struct {
