origin, settings: an answer to a watch confirms the records within a lease

An ingress whose store answered each of its calls could not rely on its records: the answer to a watch confirms them as of when it was asked for, so that they are two watches old when the next one arrives.

A watch lasts a second at most now, whatever store.wait is; the lease is 3.5 s and the notice 4 s. The bounds of TestVersionsAreWithheldUntilTheyAreRecorded follow the notice.

--- a/ingress/cmds/settings.go
+++ b/ingress/cmds/settings.go
@@ -105,9 +105,8 @@
 }
 
 // WatchTime returns the longest time of one watch. The rest of Wait is for noticing that the watch has gone silent, and
-// for the listing after it. Each answer to a watch confirms the records, which is needed more often than once in a
-// lease.
-func (s *Store) WatchTime() time.Duration { return min(s.Wait, origin.Lease) / 2 }
+// for the listing after it. Only answers to a watch confirm the records.
+func (s *Store) WatchTime() time.Duration { return min(s.Wait/2, origin.MaxWatch) }
 
 // Place is the table [place]: the name, location and capacity of this process.
 type Place struct {
--- a/ingress/services/origin/inventory_test.go
+++ b/ingress/services/origin/inventory_test.go
@@ -111,10 +111,10 @@
 		isUnregistered bool
 		withheldFor    time.Duration
 	}{
-		"announced soon":               {300 * time.Millisecond, never, false, 4800 * time.Millisecond},
-		"announced, not registered":    {300 * time.Millisecond, never, true, 4800 * time.Millisecond},
+		"announced soon":               {300 * time.Millisecond, never, false, 4300 * time.Millisecond},
+		"announced, not registered":    {300 * time.Millisecond, never, true, 4300 * time.Millisecond},
 		"announced to another ingress": {300 * time.Millisecond, time.Second, false, time.Second},
-		"not recorded":                 {never, never, false, 4500 * time.Millisecond},
+		"not recorded":                 {never, never, false, 4 * time.Second},
 		"not registered either":        {never, never, true, never},
 	} {
 		synctest.Test(t, func(t *testing.T) {
--- a/ingress/services/origin/origin.go
+++ b/ingress/services/origin/origin.go
@@ -112,9 +112,13 @@
 	// Lease is how long an ingress may rely on records that the store has confirmed, and notice how long a version is
 	// announced before streams begin there. The ingresses of a deployment must have the same: an ingress that is cut
 	// off, or stands still, cannot miss the announcement within its lease. The difference covers clocks that run
-	// at different rates. While the store answers, records are confirmed more often than once in a lease.
-	Lease  = 4 * time.Second
+	// at different rates.
+	Lease  = 3500 * time.Millisecond
 	notice = Lease + 500*time.Millisecond
+	// MaxWatch limits a watch of the store. When the answer to one is read, the records have been confirmed as of when
+	// the one before was asked for, twice as long ago; an ingress that follows another one hears of it a heartbeat
+	// later. Within Lease, there is room for the pause after changes, and for a store that answers late.
+	MaxWatch = time.Second
 	// newsWait limits how long a lookup waits for the store to confirm the records, newsInterval is how often it checks.
 	newsWait     = 300 * time.Millisecond
 	newsInterval = 20 * time.Millisecond
