builds: a version that was dropped is announced again

A stream could go on at another version (by the review): an ingress that was late read of the drop of a version and of its new servers at once, and added it as one in use, since it had read before that streams begin there. Others had read the drop meanwhile and took the other version for the only one.

What a record of the same era no longer names is no longer known to be in use.

--- a/share/decide/builds/history.go
+++ b/share/decide/builds/history.go
@@ -128,16 +128,19 @@
 }
 
 // forgetDropped forgets the versions that another ingress has dropped from the inventory, unless this one has seen
-// them more recently than it may have. Otherwise the two would add and drop them by turns. What a restored
-// store lacks was not dropped.
+// them more recently than it may have. Otherwise the two would add and drop them by turns. One that is added again
+// needs a notice again: others may have read that it was dropped. What a restored store lacks was not dropped.
 func (h *History) forgetDropped(now time.Time, updated *site.Inventory) {
 	if h.inventory == nil || updated.Revision.Era != h.inventory.Revision.Era {
 		return
 	}
 	for service, versions := range h.inventory.Versions {
 		for _, version := range versions {
-			at, isSeen := h.lastSeen[service][version]
-			if isSeen && !slices.Contains(updated.Versions[service], version) && now.Sub(at) > h.retention/2 {
+			if slices.Contains(updated.Versions[service], version) {
+				continue
+			}
+			delete(h.opened, site.Software{Service: service, Version: version})
+			if at, isSeen := h.lastSeen[service][version]; isSeen && now.Sub(at) > h.retention/2 {
 				delete(h.lastSeen[service], version)
 			}
 		}
