builds: what was missed before a restore of the store is not known

It knew all versions of before its standstill, and declared the restored record complete.

Knowing all versions ended never. It ends with a silence of over a lease now, until a complete record of the same era shows what was missed. And a restored store is not declared complete, and no version taken for the only one, until the servers have registered again: what was announced just before is missed by an ingress in step too.

Price: after an outage of over a lease and a restore, streams without a memo are refused until an ingress has observed for the retention. Two tests of the era wait until the servers have registered again.

--- a/ingress/services/origin/inventory_test.go
+++ b/ingress/services/origin/inventory_test.go
@@ -90,6 +90,8 @@
 		start(t, r)
 		r.SetView(older)
 		time.Sleep(time.Second)
+		is.Equal(w.countCalls(), 0) // the servers are registering again
+		time.Sleep(2 * time.Second)
 		is.Equal(w.readInventory().Era, uint64(3))
 		confirmed := *older
 		confirmed.Inventory = w.readInventory()
--- a/ingress/services/origin/origin.go
+++ b/ingress/services/origin/origin.go
@@ -15,6 +15,7 @@
 
 	"verbenaroad.example/ingress/services/recall"
 	"verbenaroad.example/ingress/services/state"
+	"verbenaroad.example/share/decide/alive"
 	"verbenaroad.example/share/decide/builds"
 	"verbenaroad.example/share/decide/memo"
 	"verbenaroad.example/share/models/site"
@@ -94,7 +95,7 @@
 // NewRegistry returns a registry that has not observed any service.
 func NewRegistry(options Options) *Registry {
 	return &Registry{
-		options: options, wake: make(chan struct{}, 1), history: builds.NewHistory(builds.Terms{Lease: Lease, Notice: notice}), view: &state.View{},
+		options: options, wake: make(chan struct{}, 1), history: builds.NewHistory(builds.Terms{Lease: Lease, Notice: notice, Reregister: alive.ReregisterTime}), view: &state.View{},
 		changed: make(chan struct{}), unnamedSince: map[site.Software]time.Time{}, reported: map[site.Software]bool{},
 	}
 }
--- a/share/decide/builds/history.go
+++ b/share/decide/builds/history.go
@@ -26,6 +26,8 @@
 	Lease time.Duration
 	// Notice is how long the inventory announces a version before streams begin there. It exceeds Lease.
 	Notice time.Duration
+	// Reregister is how long after a restore of the store its servers have registered again.
+	Reregister time.Duration
 }
 
 // History holds the versions of the services as one ingress knows them. Its times are those of a clock that includes
@@ -49,12 +51,16 @@
 	// done so without a silence of more than a lease. Both are zero before the first time.
 	confirmedAt   time.Time
 	observedSince time.Time
+	// era is that of the store at the last confirmation, eraSince when this ingress first knew of it; zero if it has known
+	// no other one.
+	era      uint64
+	eraSince time.Time
 	// soles holds, by service, the only version as it was last confirmed.
 	soles map[string]sole
 	// isFirstRun is set if no ingress has run before, so that an inventory that does not exist lacks nothing.
 	isFirstRun bool
-	// isComplete is set once every version is known that streams may have begun at before this ingress
-	// observed the services.
+	// isComplete is set while every version is known that streams may have begun at before this ingress
+	// observed the services, and since then.
 	isComplete bool
 }
 
@@ -166,6 +172,7 @@
 func (h *History) Confirm(at time.Time, era uint64) {
 	if h.observedSince.IsZero() || at.Sub(h.confirmedAt) > h.terms.Lease {
 		h.observedSince = at
+		h.isComplete = false // until a complete inventory shows what was missed
 		if h.inventory != nil {
 			h.markSeen(at, h.inventory.Versions)
 		}
@@ -173,7 +180,10 @@
 	if at.Before(h.confirmedAt) {
 		return
 	}
-	h.confirmedAt = at
+	if !h.confirmedAt.IsZero() && era != h.era {
+		h.eraSince = at
+	}
+	h.era, h.confirmedAt = era, at
 	switch {
 	case h.inventory != nil && h.inventory.IsComplete && h.inventory.Era == era,
 		h.inventory == nil && h.isFirstRun,
@@ -186,7 +196,7 @@
 // confirmSoles records which services have had one version only. Streams may begin without a notice at each version that
 // the inventory names, and at the first one of a service to be named.
 func (h *History) confirmSoles(era uint64) {
-	if h.inventory == nil || !h.isComplete || h.inventory.Era != era {
+	if h.inventory == nil || !h.isComplete || h.inventory.Era != era || !h.hasSettled() {
 		return
 	}
 	for service, named := range h.inventory.Versions {
@@ -197,6 +207,12 @@
 	}
 }
 
+// hasSettled reports whether the servers have registered again since the store was restored. Until then a version may be
+// unknown that was announced just before, and that the restored store lacks.
+func (h *History) hasSettled() bool {
+	return h.eraSince.IsZero() || h.confirmedAt.Sub(h.eraSince) >= h.terms.Reregister
+}
+
 // hasObservedAll reports whether this ingress has itself observed the services for as long as versions count.
 func (h *History) hasObservedAll() bool {
 	return !h.observedSince.IsZero() && h.confirmedAt.Sub(h.observedSince) > h.retention
--- a/share/decide/builds/history_test.go
+++ b/share/decide/builds/history_test.go
@@ -13,7 +13,7 @@
 
 // newHistory returns a history for which records are a lease of 4 s old at most, and versions are announced for 5 s.
 func newHistory() *builds.History {
-	return builds.NewHistory(builds.Terms{Lease: 4 * time.Second, Notice: 5 * time.Second})
+	return builds.NewHistory(builds.Terms{Lease: 4 * time.Second, Notice: 5 * time.Second, Reregister: 3 * time.Second})
 }
 
 // announcing returns an inventory that announces these of its versions.
@@ -168,7 +168,11 @@
 	h.Observe(at(0), versions("v1"), inventory(1, "v1"))
 	h.Confirm(at(1), 1)
 	h.Confirm(at(2), 2) // a store that was restored while this ingress observed it
-	updated, isDue := h.Update(at(2), 2)
+	_, isDue := h.Update(at(2), 2)
+	is.True(!isDue) // what was announced just before is known only once its servers have registered again
+	h.Confirm(at(4), 2)
+	h.Confirm(at(5), 2)
+	updated, isDue := h.Update(at(5), 2)
 	is.True(isDue)
 	is.Equal(updated.Era, uint64(2))
 	is.True(updated.IsComplete)
--- a/share/decide/builds/notice.go
+++ b/share/decide/builds/notice.go
@@ -49,7 +49,7 @@
 			}
 		}
 	}
-	if h.isComplete {
+	if h.isComplete && h.hasSettled() {
 		updated.IsComplete, updated.Era = true, era
 	}
 	isSame := h.inventory != nil && updated.IsComplete == present.IsComplete && updated.Era == present.Era &&
