builds: a version stays in the inventory for minutes after its last server has gone

The bound after which a version is dropped was kept by nobody who begins streams (by the review): an ingress that is cut off for longer than the retention, a minute, together with servers of the version, goes on beginning streams there, while the others drop it and take the one that is left for the only one.

What remains is an ingress that is cut off from the store and all others for over five minutes and still serves: to refuse its streams would refuse all streams that may be taken up whenever the store is away for so long.

--- a/share/decide/builds/notice.go
+++ b/share/decide/builds/notice.go
@@ -23,7 +23,7 @@
 }
 
 // Update returns the inventory as it should be in the given era of the store, and false if it is so already.
-// Versions leave it only once this ingress has observed for the whole retention that they are not in use, and the last
+// Versions leave it only once this ingress has observed for long enough that they are not in use, and the last
 // one of a service stays, so that the next one is announced.
 func (h *History) Update(now time.Time, era uint64) (updated site.Inventory, isDue bool) {
 	present := site.Inventory{}
@@ -35,15 +35,12 @@
 		IsComplete: present.IsComplete, Era: present.Era, Revision: present.Revision,
 	}
 	for _, service := range h.listServices() {
-		recent := h.listRecent(now, service)
-		if len(recent) == 0 {
-			recent = present.Versions[service]
-		}
-		if len(recent) == 0 {
+		kept := h.listKept(now, service)
+		if len(kept) == 0 {
 			continue
 		}
-		updated.Versions[service] = recent
-		for _, version := range recent {
+		updated.Versions[service] = kept
+		for _, version := range kept {
 			if h.needsNotice(now, era, site.Software{Service: service, Version: version}) {
 				updated.Pending[service] = append(updated.Pending[service], version)
 			}
@@ -57,6 +54,24 @@
 	return updated, !isSame
 }
 
+// listKept returns the versions of a service that the inventory should name, sorted.
+func (h *History) listKept(now time.Time, service string) []string {
+	kept, named := slices.Clone(h.present[service]), []string(nil)
+	if h.inventory != nil {
+		named = h.inventory.Versions[service]
+	}
+	for version, at := range h.lastSeen[service] {
+		if now.Sub(at) <= h.dropTime() {
+			kept = append(kept, version)
+		}
+	}
+	if !h.hasObserved(h.dropTime()) || len(kept) == 0 {
+		kept = append(kept, named...)
+	}
+	slices.Sort(kept)
+	return slices.Compact(kept)
+}
+
 // needsNotice reports whether no stream may begin at a software yet. The first versions that a complete inventory names
 // of a service need no notice: nobody takes another version of the service for the only one.
 func (h *History) needsNotice(now time.Time, era uint64, s site.Software) bool {
