flow, origin: a notice refuses no more than it must

What callers saw (by the review): a stream was refused although one could begin, since the notice of a version had ended while the request was being placed; at a version that was in use, streams were refused for another notice once the inventory announced it late, or was written anew by somebody who did not know it; all refused callers were told to come back in the same moment; a request waited for a second for the inventory to name a version, which only starts a notice.

The request is placed again if fewer versions are withheld than when it was placed. A version stays in use, whoever announces it again. Returns are spread as after a pause. A request waits for the inventory only if that names no version of the service. Constraints are formed once for all servers.

--- a/ingress/services/flow/origin.go
+++ b/ingress/services/flow/origin.go
@@ -75,21 +75,27 @@
 // maxVersionWait is how long a request waits at most until streams may begin at a software version.
 const maxVersionWait = time.Second
 
-// awaitVersion waits until streams may begin at a further version of the service. It returns false if there is none, or if
-// that takes too long: the request is refused at once then.
-func (x *exchange) awaitVersion(ctx context.Context) bool {
+// awaitVersion waits until streams may begin at a further version of the service than when the request was placed, under the
+// given constraints. It returns false if there is none, or if that takes too long: the request is refused at once then.
+func (x *exchange) awaitVersion(ctx context.Context, placed site.Constraints) bool {
 	withheld := x.findWithheld(x.listVersions())
+	if len(withheld.Versions) < len(placed.Withheld) {
+		return true // a notice has ended while the request was being placed
+	}
 	if len(withheld.Versions) == 0 {
 		return false
 	}
-	if x.versionWaitEnd.IsZero() {
+	isFirst := x.versionWaitEnd.IsZero()
+	if isFirst {
 		x.versionWaitEnd = time.Now().Add(maxVersionWait)
-		x.log.Info("version-awaited", zap.Strings("withheld", withheld.Versions), zap.Duration("wait", withheld.Wait), zap.Bool("unnamed", withheld.IsUnnamed))
 	}
 	left := min(time.Until(x.versionWaitEnd), x.remaining())
-	if left <= 0 || withheld.Wait > left && !withheld.IsUnnamed {
+	if left <= 0 || withheld.Wait > left && !withheld.IsNew {
 		return false
 	}
+	if isFirst {
+		x.log.Info("version-awaited", zap.Strings("withheld", withheld.Versions), zap.Duration("wait", withheld.Wait), zap.Bool("new", withheld.IsNew))
+	}
 	timer := time.NewTimer(min(left, withheld.Wait))
 	defer timer.Stop()
 	select {
--- a/ingress/services/flow/places.go
+++ b/ingress/services/flow/places.go
@@ -83,9 +83,9 @@
 // returns 0 if one of them is not paused.
 func (x *exchange) pauseWait() time.Duration {
 	first := time.Duration(0)
-	now := time.Now()
+	now, constraints := time.Now(), x.constraints()
 	for _, s := range x.server.options.Views.View().Servers[x.service] {
-		if !x.isAllowed(&s) {
+		if !constraints.Allow(&s, x.server.options.Regions[s.Domain]) {
 			continue
 		}
 		until := x.server.options.Limits.PausedUntil(now, &s)
@@ -99,11 +99,11 @@
 	return first
 }
 
-// returnSpread is the share of a pause over which the returns of refused callers are spread, so that a
-// server that has just ended its pause does not receive all of them at once.
+// returnSpread is the share of a wait over which the returns of refused callers are spread, so that a
+// server that has just ended its pause, or may just begin streams, does not receive all of them at once.
 const returnSpread = 0.25
 
-// spreadReturn returns the Retry-After for callers that are refused because of a pause.
+// spreadReturn returns the Retry-After for callers that are refused until a wait is over.
 func spreadReturn(wait time.Duration) time.Duration {
 	return wait + time.Duration(returnSpread*rand.Float64()*float64(wait)) //nolint:gosec // a delay, no secret
 }
@@ -118,7 +118,7 @@
 	case pause > 0:
 		return codes.NewResult(codes.Overloaded, x.describeNoServer()).WithRetryAfter(max(spreadReturn(pause), shortRetryAfter))
 	case x.sends == 0 && len(withheld.Versions) > 0:
-		return codes.NewResult(codes.NoBackend, x.describeNoServer()).WithRetryAfter(max(withheld.Wait, shortRetryAfter))
+		return codes.NewResult(codes.NoBackend, x.describeNoServer()).WithRetryAfter(max(spreadReturn(withheld.Wait), shortRetryAfter))
 	case x.sends > 0:
 		return codes.NewResult(codes.Overloaded, "every server that may take it refused").WithRetryAfter(shortRetryAfter)
 	default:
--- a/ingress/services/flow/stream.go
+++ b/ingress/services/flow/stream.go
@@ -45,11 +45,12 @@
 func (x *exchange) reserveEngine(ctx context.Context) bool {
 	x.cancelReservation()
 	for {
-		x.reservation, x.limitWait = x.server.options.EnginePlacer.Place(ctx, x.service, x.newQuery())
+		query := x.newQuery()
+		x.reservation, x.limitWait = x.server.options.EnginePlacer.Place(ctx, x.service, query)
 		if x.reservation != nil {
 			break
 		}
-		if !x.awaitVersion(ctx) {
+		if !x.awaitVersion(ctx, query.Constraints) {
 			return false
 		}
 	}
--- a/ingress/services/origin/inventory.go
+++ b/ingress/services/origin/inventory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -118,73 +117,47 @@
 // Withheld are software versions of a service at which no stream may begin now.
 type Withheld struct {
 	Versions []string
-	// Wait is the time until the first stream may begin at one of them. If IsUnnamed is set it may be shorter: the
-	// inventory does not name one of them yet.
-	Wait      time.Duration
-	IsUnnamed bool
+	// Wait is the time until the first stream may begin at one of them. If IsNew is set it may be shorter: the
+	// inventory names no version of the service yet, and the first one gets streams at once.
+	Wait  time.Duration
+	IsNew bool
 	// Changed is closed when this has to be looked at again before that.
 	Changed <-chan struct{}
 }
 
-// FindWithheld returns which of the registered versions of a service no stream that may be taken up may begin at now,
-// since the inventory does not name them, or announces them. A version that the inventory has not named for the whole
-// notice, since the store takes no writes, is used nevertheless, unless this ingress is not registered either: then
+// FindWithheld returns at which of the given registered versions of a service no stream that may be taken up may begin
+// now, since the inventory does not name them, or announces them. A version that the inventory has not named for the
+// whole notice, since the store takes no writes, is used nevertheless, unless this ingress is not registered either: then
 // nothing would tell those that start later that one has run before.
 func (o *Registry) FindWithheld(service string, versions []string) Withheld {
 	now := uptime.Now()
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	withheld := Withheld{Wait: notice, Changed: o.changed}
+	withheld := Withheld{Wait: notice, IsNew: !o.history.NamesAny(service), Changed: o.changed}
 	for _, version := range versions {
-		s := site.Software{Service: service, Version: version}
-		left := o.findNoticeLeft(now, s)
+		left := o.findNoticeLeft(now, site.Software{Service: service, Version: version})
 		if left <= 0 {
 			continue
 		}
 		withheld.Versions = append(withheld.Versions, version)
 		withheld.Wait = min(withheld.Wait, left)
-		withheld.IsUnnamed = withheld.IsUnnamed || !o.history.IsNamed(s)
 	}
 	return withheld
 }
 
 // findNoticeLeft returns how much longer no stream may begin at a software; 0: it may begin. The caller holds the lock.
 func (o *Registry) findNoticeLeft(now time.Time, s site.Software) time.Duration {
-	if o.history.IsNamed(s) {
-		return o.history.NoticeLeft(now, s)
-	}
-	since, isKnown := o.unnamedSince[s]
-	if !isKnown {
-		return notice // it has registered since the last view
-	}
-	left := since.Add(notice).Sub(now)
+	left := o.history.NoticeLeft(now, s)
 	switch {
-	case left > 0:
+	case o.reported[s]:
+		return 0 // streams have begun there, and go on beginning while the inventory announces it
+	case left > 0 || o.history.IsNamed(s):
 		return left
 	case !o.options.News.IsRegistered():
 		return checkInterval
 	case !o.reported[s]:
 		o.reported[s] = true
-		o.options.Log.Warn("software-not-recorded", zap.Stringer("software", s), zap.Duration("age", o.options.News.Age()))
+		o.options.Log.Warn("software-not-recorded", zap.Stringer("software", s), zap.Duration("records-age", o.options.News.RecordsAge()))
 	}
 	return 0
 }
-
-// observeUnnamed records which registered versions the inventory does not name. The caller holds the lock.
-func (o *Registry) observeUnnamed(now time.Time) {
-	unnamed := map[site.Software]bool{}
-	for service, versions := range o.view.Versions {
-		for _, version := range versions {
-			s := site.Software{Service: service, Version: version}
-			if o.history.IsNamed(s) {
-				continue
-			}
-			unnamed[s] = true
-			if _, isKnown := o.unnamedSince[s]; !isKnown {
-				o.unnamedSince[s] = now
-			}
-		}
-	}
-	maps.DeleteFunc(o.unnamedSince, func(s site.Software, _ time.Time) bool { return !unnamed[s] })
-	maps.DeleteFunc(o.reported, func(s site.Software, _ bool) bool { return !unnamed[s] })
-}
--- a/ingress/services/origin/origin.go
+++ b/ingress/services/origin/origin.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -84,9 +85,7 @@
 	view    *state.View
 	// changed is closed and replaced when the view changes.
 	changed chan struct{}
-	// unnamedSince holds since when the inventory has not named a registered software version.
-	unnamedSince map[site.Software]time.Time
-	// reported holds those of them that streams begin at nevertheless.
+	// reported holds the registered software at which streams begin although its notice has not been given.
 	reported map[site.Software]bool
 	// createAt is when this ingress writes the first inventory; zero before it is missed.
 	createAt time.Time
@@ -96,7 +95,7 @@
 func NewRegistry(options Options) *Registry {
 	return &Registry{
 		options: options, wake: make(chan struct{}, 1), history: builds.NewHistory(builds.Terms{Lease: Lease, Notice: notice, Reregister: alive.ReregisterTime}), view: &state.View{},
-		changed: make(chan struct{}), unnamedSince: map[site.Software]time.Time{}, reported: map[site.Software]bool{},
+		changed: make(chan struct{}), reported: map[site.Software]bool{},
 	}
 }
 
@@ -139,7 +138,7 @@
 		o.history.SetRetention(v.Table.LongestStream() + returnTime)
 	}
 	o.history.Observe(uptime.Now(), v.Versions, v.Inventory)
-	o.observeUnnamed(uptime.Now())
+	maps.DeleteFunc(o.reported, func(s site.Software, _ bool) bool { return !slices.Contains(v.Versions[s.Service], s.Version) })
 	close(o.changed)
 	o.changed = make(chan struct{})
 	select {
--- a/share/decide/builds/notice.go
+++ b/share/decide/builds/notice.go
@@ -13,13 +13,28 @@
 	return h.inventory != nil && slices.Contains(h.inventory.Versions[s.Service], s.Version)
 }
 
-// NoticeLeft returns how much longer no stream may begin at a software that the inventory names; 0: it may begin. The
-// notice counts from when this ingress has read of it, unless another one has written that it is over.
+// NamesAny reports whether the inventory names a version of a service.
+func (h *History) NamesAny(service string) bool {
+	return h.inventory != nil && len(h.inventory.Versions[service]) > 0
+}
+
+// NoticeLeft returns how much longer no stream may begin at a software; 0: it may begin. The notice counts from when this
+// ingress has read that the inventory announces it, unless another one has written that it is over. That of a software that
+// the inventory does not name counts from when its servers have registered.
 func (h *History) NoticeLeft(now time.Time, s site.Software) time.Duration {
-	if !h.isAnnounced(s) {
+	since, isKnown := now, false
+	switch {
+	case h.isAnnounced(s) && !h.opened[s]:
+		since, isKnown = h.announcedSince[s]
+	case !h.IsNamed(s):
+		since, isKnown = h.presentSince[s]
+	default:
 		return 0
 	}
-	return max(h.announcedSince[s].Add(h.terms.Notice).Sub(now), 0)
+	if !isKnown {
+		return h.terms.Notice
+	}
+	return max(since.Add(h.terms.Notice).Sub(now), 0)
 }
 
 // Update returns the inventory as it should be in the given era of the store, and false if it is so already.
@@ -75,15 +90,16 @@
 // needsNotice reports whether no stream may begin at a software yet. The first versions that a complete inventory names
 // of a service need no notice: nobody takes another version of the service for the only one.
 func (h *History) needsNotice(now time.Time, era uint64, s site.Software) bool {
-	if h.IsNamed(s) {
-		return h.NoticeLeft(now, s) > 0
-	}
-	if h.opened[s] {
+	switch {
+	case h.opened[s]:
 		return false
-	}
-	if h.inventory == nil {
+	case h.IsNamed(s):
+		return h.NoticeLeft(now, s) > 0
+	case h.inventory == nil:
 		return !h.isFirstRun
+	case len(h.inventory.Versions[s.Service]) > 0:
+		return true
+	default:
+		return !h.isComplete || !h.inventory.IsComplete || h.inventory.Era != era
 	}
-	isFirst := len(h.inventory.Versions[s.Service]) == 0
-	return !isFirst || !h.isComplete || !h.inventory.IsComplete || h.inventory.Era != era
 }
