state: an ingress looks before it registers, also beside a store that is away

Each ingress registered after a second without a look, so that all of them found registrations and none knew that no other had run before: the inventory was not complete, and announced the first versions. An ingress registers now only once it knows the registrations of before, from the store or from another ingress.

TestRegistrationFollowsTheFirstLook and TestFirstStartBesideAStoreThatIsAway (real processes) failed before.

--- a/ingress/services/flow/origin_test.go
+++ b/ingress/services/flow/origin_test.go
@@ -157,13 +157,13 @@
 		waits      time.Duration
 		isRefused  bool
 	}{
-		"another version":           {one, 4 * time.Second, false, 0, "", []string{"s"}, 0, false},
-		"all versions, announced":   {both, 4 * time.Second, false, 0, "", nil, 0, true},
-		"all versions, soon":        {both, 300 * time.Millisecond, false, 300 * time.Millisecond, "", []string{"n"}, 300 * time.Millisecond, false},
-		"not named yet":             {both, 4 * time.Second, true, 250 * time.Millisecond, "", []string{"n"}, 250 * time.Millisecond, false},
-		"not named for long":        {both, 4 * time.Second, true, 0, "", nil, time.Second, true},
-		"begun there":               {both, 4 * time.Second, false, 0, "v2", []string{"n"}, 0, false},
-		"none":                      {nil, 0, false, 0, "", []string{"n"}, 0, false},
+		"another version":         {one, 4 * time.Second, false, 0, "", []string{"s"}, 0, false},
+		"all versions, announced": {both, 4 * time.Second, false, 0, "", nil, 0, true},
+		"all versions, soon":      {both, 300 * time.Millisecond, false, 300 * time.Millisecond, "", []string{"n"}, 300 * time.Millisecond, false},
+		"not named yet":           {both, 4 * time.Second, true, 250 * time.Millisecond, "", []string{"n"}, 250 * time.Millisecond, false},
+		"not named for long":      {both, 4 * time.Second, true, 0, "", nil, time.Second, true},
+		"begun there":             {both, 4 * time.Second, false, 0, "v2", []string{"n"}, 0, false},
+		"none":                    {nil, 0, false, 0, "", []string{"n"}, 0, false},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			t.Log(name)
--- a/ingress/services/state/register.go
+++ b/ingress/services/state/register.go
@@ -123,20 +123,22 @@
 	}
 }
 
-// lookTimeout limits how long a starting ingress waits for the registrations of its failure domain.
-const lookTimeout = time.Second
+// lookInterval is how often a starting ingress checks whether it knows the registrations from another one.
+const lookInterval = time.Second
 
-// awaitLook waits until the registrations of the failure domain are known.
+// awaitLook waits until the registrations of the failure domain are known, from the store or from another ingress. An ingress
+// that registered before could not tell later whether others, or it itself, had been registered before its start.
 func (r *Registrar) awaitLook(ctx context.Context) {
-	if r.Looked == nil {
-		return
-	}
-	timeout := time.NewTimer(lookTimeout)
-	defer timeout.Stop()
-	select {
-	case <-r.Looked:
-	case <-timeout.C:
-	case <-ctx.Done():
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for r.Looked != nil && !r.Book.IsListed() {
+		select {
+		case <-r.Looked:
+			return
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/ingress/services/state/register_test.go
+++ b/ingress/services/state/register_test.go
@@ -14,6 +14,7 @@
 
 	"verbenaroad.example/ingress/services/state"
 	"verbenaroad.example/platform/record"
+	"verbenaroad.example/share/decide/mirror"
 	"verbenaroad.example/share/models/site"
 )
 
@@ -326,3 +327,31 @@
 	defer s.lock.Unlock()
 	return s.writes
 }
+
+// Guards against an ingress that registers before it has read which others were registered, since the store is away for a
+// moment at its start: all of them then find registrations of the same start, and take it for a later one.
+func TestRegistrationFollowsTheFirstLook(t *testing.T) {
+	for name, hears := range map[string]func(b *state.Book, looked chan struct{}){
+		"the store answers":   func(_ *state.Book, looked chan struct{}) { close(looked) },
+		"another one answers": func(b *state.Book, _ chan struct{}) { b.ApplyDelta(mirror.Delta{Full: true, CompleteRevision: at(1)}) },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			t.Log(name)
+			is := is.New(t)
+			s, looked := &stubStore{}, make(chan struct{})
+			book := newBook()
+			registrar := &state.Registrar{
+				Leases: s, Codec: record.Codec{}, Self: site.Ingress{Name: "a", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.2:80")},
+				TTL: time.Minute, LeaseGone: errGone, Book: book, ProbeEvery: time.Minute, Looked: looked, Log: zap.NewNop(),
+			}
+			registrar.Start(t.Context())
+			time.Sleep(10 * time.Second)
+			grants, _ := s.counts()
+			is.Equal(grants, 0)
+			hears(book, looked)
+			time.Sleep(2 * time.Second)
+			grants, _ = s.counts()
+			is.Equal(grants, 1)
+		})
+	}
+}
--- a/proofs/hosted/late_test.go
+++ b/proofs/hosted/late_test.go
@@ -1,6 +1,8 @@
 package hosted_test
 
 import (
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -99,3 +101,41 @@
 	done.Wait()
 	checkVersions(t, streams)
 }
+
+// Guards against a first start after which streams wait for a notice, or are refused when they are taken up, because the store
+// was away for a moment and no ingress knows that none has run before.
+func TestFirstStartBesideAStoreThatIsAway(t *testing.T) {
+	for _, fault := range []hosted.StoreFault{hosted.StoreBusy, hosted.StoreSilent} {
+		t.Run(string(fault), func(t *testing.T) {
+			t.Parallel()
+			const ingresses = 4
+			w, err := hosted.NewWorld(ingresses)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(w.Close)
+			d := &deployment{World: w, t: t}
+			w.PutConfig(routes(), services(), tenants())
+			for _, zone := range []string{"a1", "b1"} {
+				d.add(&hosted.Server{Service: "models", Zone: zone, Events: 6, EventInterval: 30 * time.Millisecond})
+			}
+			for n := range ingresses {
+				w.Store.SetFault(n, fault)
+			}
+			for n := range ingresses {
+				d.ingresses = append(d.ingresses, newIngress(t, w, "ingress-"+strconv.Itoa(n), []string{"a1", "b1"}[n%2], n))
+			}
+			time.Sleep(2 * time.Second)
+			for n := range ingresses {
+				w.Store.SetFault(n, hosted.NoStoreFault)
+			}
+			for _, i := range d.ingresses {
+				eventually(t, i.name+" has seen the inventory", func() bool { return len(i.output.lines("event=inventory-seen")) > 0 })
+				first := i.output.lines("event=inventory-seen")[0]
+				if !strings.Contains(first, "complete=true") || !i.usesVersion("models", firstVersion) {
+					t.Errorf("the first inventory at %s: %s", i.name, first)
+				}
+			}
+		})
+	}
+}
