--- a/ingress/services/flow/events.go
+++ b/ingress/services/flow/events.go
@@ -25,12 +25,12 @@
 	maxEventBytes = 1 << 20
 )
 
-// passedEvents describes the events of a stream that were passed on to its caller.
+// passedEvents describes the answer that was passed on to its caller. A plain one has no events.
 type passedEvents struct {
 	count int
 	// firstID and lastID are the IDs of the first and the last of them; empty: they had none.
 	firstID, lastID string
-	// framing is that of the answer that brought the last ones.
+	// framing is that of the answer that was passed on last.
 	framing reach.Framing
 }
 
--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -134,7 +134,7 @@
 	log        *zap.Logger
 	// deadline is when the request must have its final answer.
 	deadline time.Time
-	// passed describes what of a stream was passed on; zero for a plain request.
+	// passed describes the answer that was passed on.
 	passed passedEvents
 	// software has begun the stream, which may go on only there; nil before the answer has begun.
 	software *site.Software
--- a/ingress/services/flow/plain.go
+++ b/ingress/services/flow/plain.go
@@ -260,6 +260,7 @@
 // deliver writes the buffered answer. Unless that is the whole answer, deliver then copies the rest of
 // the body as it arrives.
 func (x *exchange) deliver(ctx context.Context, w http.ResponseWriter, server *site.Server, reply *reach.Reply, buffered []byte, isWhole bool) {
+	x.passed.framing = reply.Framing
 	copyHeader(w.Header(), reply.Header)
 	to := newCallerWriter(w)
 	x.beginAnswer()
