flow, origin: the first attempt of a stream tells its service

What callers saw: after the loss of all ingresses 4 to 9 of 24 streams of a route with two services went on at the other one: the only version of whichever service was chosen by chance was taken for the one that had begun them.

A hash of the attempt chooses the service now, with the weights as before. Who takes a stream up names the attempt that brought its first event, so that the same service is chosen. A caller that does not name it is refused if the route has several.

TestOriginOfAStream: the lookup for two services states its attempt, and one that does not is refused.

--- a/ingress/services/flow/flow.go
+++ b/ingress/services/flow/flow.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -22,6 +21,7 @@
 	"verbenaroad.example/share/decide/usual"
 	"verbenaroad.example/share/models/site"
 	"verbenaroad.example/share/modules/codes"
+	"verbenaroad.example/share/modules/rhash"
 )
 
 // Options are the settings of a Server.
@@ -208,9 +208,22 @@
 	}
 }
 
+// serviceKey makes the choice of a service independent of other hashes of attempts.
+const serviceKey = "service"
+
+// firstAttempt returns the attempt that brings, or has brought, the first event of the stream.
+func (q *Request) firstAttempt() string {
+	if q.LastEventID != "" && q.Resumes != "" {
+		return q.Resumes
+	}
+	return q.AttemptID
+}
+
+// newExchange returns an exchange for a request. Its service depends on the first attempt only, so that a stream that is taken
+// up comes to the service that began it although nobody recalls that.
 func (s *Server) newExchange(q *Request) *exchange {
 	r := q.Decision.Route
-	service := access.PickService(r, rand.Float64()) //nolint:gosec // a share of traffic, no secret
+	service := access.PickService(r, rhash.Fraction(serviceKey, q.firstAttempt()))
 	return &exchange{
 		Request:  q,
 		server:   s,
--- a/ingress/services/flow/origin.go
+++ b/ingress/services/flow/origin.go
@@ -50,14 +50,6 @@
 	return services
 }
 
-// firstAttempt returns the attempt that brought the first event of the stream.
-func (x *exchange) firstAttempt() string {
-	if x.LastEventID != "" && x.Resumes != "" {
-		return x.Resumes
-	}
-	return x.AttemptID
-}
-
 // findWithheld returns which versions of the service the request must not be sent to, since it begins a stream that may be
 // taken up.
 func (x *exchange) findWithheld(versions []string) origin.Withheld {
--- a/ingress/services/flow/origin_test.go
+++ b/ingress/services/flow/origin_test.go
@@ -142,6 +142,26 @@
 	}
 }
 
+// Guards against a stream that is taken up at another service of its route than the one that began it, although nobody
+// recalls it: the attempt that brought its first event tells the service.
+func TestServiceOfAStreamDependsOnItsFirstAttempt(t *testing.T) {
+	is := is.New(t)
+	route := newResumableRoute("others", "more")
+	services := map[string]int{}
+	for n := range 40 {
+		first := strconv.Itoa(n)
+		found := ""
+		for range 3 {
+			s := &deployment{view: newView(1, route, newVersionedEngine("n", "v1")), resumes: first, lastEventID: "3", origins: fakeOrigins{}}
+			s.serve(route)
+			is.True(found == "" || s.origins.services[0] == found)
+			found = s.origins.services[0]
+		}
+		services[found]++
+	}
+	is.Equal(len(services), 3)
+}
+
 // Guards against a stream that begins at a version which ingresses that are out of step may not know, against one that
 // waits for it in vain or although another version can serve it, and against a refusal of a stream that has begun there,
 // or that nobody takes up.
--- a/ingress/services/origin/origin.go
+++ b/ingress/services/origin/origin.go
@@ -204,8 +204,8 @@
 }
 
 // Find returns the software that began a stream. Attempt is the attempt that brought its first event;
-// empty: the caller did not state it. Services are those of the stream's route; if the stream may go on at
-// any of them, the first one is chosen. Find waits for a short time for the store if its news are old.
+// empty: the caller did not state it. Services are those of the stream's route, first the one at which that attempt
+// begins streams. Find waits for a short time for the store if its news are old.
 func (o *Registry) Find(ctx context.Context, attempt string, services []string) Origin {
 	finding := recall.Finding{}
 	if attempt != "" {
@@ -218,9 +218,12 @@
 		}
 		o.options.Log.Warn("origin-unreadable", zap.String("resumes", attempt), zap.String("ingress", finding.HeldBy), logs.Err(err))
 	}
-	found := o.findOnlyVersion(services)
+	if attempt == "" && len(services) > 1 {
+		return Origin{MayBeHeld: true} // each of them may have begun it
+	}
+	found := o.findOnlyVersion(services[0])
 	if found.Source == SourceNone && o.awaitNews(ctx) {
-		found = o.findOnlyVersion(services)
+		found = o.findOnlyVersion(services[0])
 	}
 	if found.Source == SourceNone {
 		found.MayBeHeld = found.MayBeHeld || !finding.Conclusive
@@ -245,9 +248,9 @@
 	return false
 }
 
-// findOnlyVersion returns the software of the first service if streams of each of the services can have begun at one
-// version only. MayBeHeld is set if the records are not complete, or too old to tell.
-func (o *Registry) findOnlyVersion(services []string) Origin {
+// findOnlyVersion returns the software of a service if streams can have begun at one version only. MayBeHeld is set if the
+// records are not complete, or too old to tell.
+func (o *Registry) findOnlyVersion(service string) Origin {
 	now := uptime.Now() // before the age: the process may be stopped between the two
 	found := Origin{Evidence: Evidence{Age: o.options.News.Age(), RecordsAge: o.options.News.RecordsAge()}}
 	o.lock.Lock()
@@ -257,17 +260,11 @@
 	}
 	found.MayBeHeld = !o.view.IsComplete || found.Evidence.RecordsAge > Lease
 	o.confirmAt(now.Add(-found.Evidence.RecordsAge))
-	only := site.Software{}
-	for i, service := range services {
-		version, known := o.history.Sole(now, service)
-		if !known {
-			return found
-		}
-		if i == 0 {
-			only = site.Software{Service: service, Version: version}
-		}
+	version, known := o.history.Sole(now, service)
+	if !known {
+		return found
 	}
-	return Origin{Software: only, Source: SourceOnly, Evidence: found.Evidence}
+	return Origin{Software: site.Software{Service: service, Version: version}, Source: SourceOnly, Evidence: found.Evidence}
 }
 
 // confirmAt records that the view contains each change that the store had made at the given time. The caller holds the
--- a/ingress/services/origin/origin_test.go
+++ b/ingress/services/origin/origin_test.go
@@ -186,7 +186,8 @@
 		"registrations may be missing":           {&state.View{Versions: map[string][]string{"engines": {"v1"}}}, "", engines, false, origin.Origin{MayBeHeld: true}},
 		"two services, recorded":                 {newView("v1"), "recorded", []string{"others", "engines"}, false, origin.Origin{Software: v1, Source: origin.SourceMemo, HeldBy: "ingress-1"}},
 		"two services, one of them updated":      {newView("v1", "v2"), "", []string{"others", "engines"}, false, origin.Origin{MayBeHeld: true}},
-		"two services of one version each":       {newView("v1"), "", []string{"engines", "others"}, false, origin.Origin{Software: v1, Source: origin.SourceOnly}},
+		"two services of one version each":       {newView("v1"), "other", []string{"engines", "others"}, false, origin.Origin{Software: v1, Source: origin.SourceOnly}},
+		"two services, not stated":               {newView("v1"), "", []string{"engines", "others"}, false, origin.Origin{MayBeHeld: true}},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
--- a/share/decide/feed/feed.go
+++ b/share/decide/feed/feed.go
@@ -468,12 +468,6 @@
 // noSourceTimeout returns how long this ingress waits without a source before it reads the store
 // directly.
 func (c *Chooser) noSourceTimeout() time.Duration {
-	fraction := float64(rhash.Score("patience", c.self.Name)>>scoreShift) / (1 << scoreBits)
+	fraction := rhash.Fraction("patience", c.self.Name)
 	return noSourceDelay + time.Duration(fraction*float64(noSourceJitter))
 }
-
-const (
-	// scoreBits is how many bits of a hash score a float64 holds exactly.
-	scoreBits  = 53
-	scoreShift = 64 - scoreBits
-)
--- a/share/modules/rhash/rhash.go
+++ b/share/modules/rhash/rhash.go
@@ -49,6 +49,11 @@
 	return d.Sum64()
 }
 
+// Fraction returns the score of a member for a key as a number in [0, 1).
+func Fraction(key, name string) float64 {
+	return float64(Score(key, name)>>scoreShift) / (1 << scoreMantissaBits)
+}
+
 // Weighted is a member with a weight, which determines its share of the keys.
 type Weighted struct {
 	Name string
